--- /dev/null
+++ b/crates/bench/src/lib.rs
@@ -0,0 +1,1 @@
+//! Measurements of decisions, faults and slopes.
--- /dev/null
+++ b/crates/bench/src/main.rs
@@ -0,0 +1,3 @@
+//! `fulmarpath-bench`: measurements of decisions, faults and slopes.
+
+fn main() {}
--- /dev/null
+++ b/crates/cluster/src/clock.rs
@@ -0,0 +1,32 @@
+//! The one place where the present time is read.
+
+use std::time::SystemTime;
+
+use fulmarpath_policy::Millis;
+use tokio::time::Instant;
+
+/// Milliseconds since this process started; stands still under tokio's paused time.
+#[derive(Debug, Clone, Copy)]
+pub struct Clock {
+    start: Instant,
+}
+
+impl Clock {
+    /// A clock that starts now.
+    pub fn start() -> Self {
+        Self {
+            start: Instant::now(),
+        }
+    }
+
+    /// The present time. One second is added, so that it is never 0.
+    pub fn now_ms(&self) -> Millis {
+        self.start.elapsed().as_millis() as Millis + 1_000
+    }
+
+    /// Wall time in milliseconds, for records that people read and that outlive a process.
+    pub fn wall_ms() -> u64 {
+        let since = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH);
+        since.map_or(0, |elapsed| elapsed.as_millis() as u64)
+    }
+}
--- /dev/null
+++ b/crates/cluster/src/documents.rs
@@ -0,0 +1,142 @@
+//! The documents that every host holds: the configuration in force and the host list.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+
+use arc_swap::{ArcSwap, ArcSwapOption};
+use fulmarpath_platform::{HostEntry, HostListing, ListedState, Role};
+use fulmarpath_policy::{Millis, UpstreamKey};
+use fulmarpath_upstream::Engine;
+use fulmarpath_wire::Versions;
+use parking_lot::Mutex;
+
+use crate::configuration::InForce;
+use crate::engines::Engines;
+
+/// A listed upstream with its client.
+#[derive(Clone)]
+pub(crate) struct Upstream {
+    pub(crate) key: UpstreamKey,
+    pub(crate) entry: HostEntry,
+    pub(crate) engine: Arc<dyn Engine>,
+}
+
+/// The host list, ready for look-ups.
+#[derive(Default)]
+pub(crate) struct Listing {
+    pub(crate) document: HostListing,
+    pub(crate) engines: HashMap<UpstreamKey, Upstream>,
+    by_model: HashMap<String, Vec<UpstreamKey>>,
+    plain: HashMap<String, Vec<HostEntry>>,
+}
+
+impl Listing {
+    fn new(document: HostListing, clients: &dyn Engines) -> Self {
+        let mut listing = Self::default();
+        for entry in &document.hosts {
+            match entry.role {
+                Role::Entry => {}
+                Role::Plain => {
+                    let same = listing.plain.entry(entry.serves.clone()).or_default();
+                    same.push(entry.clone());
+                }
+                Role::Engine => {
+                    let key = UpstreamKey::of(&entry.name);
+                    let same = listing.by_model.entry(entry.serves.clone()).or_default();
+                    same.push(key);
+                    let upstream = Upstream {
+                        key,
+                        entry: entry.clone(),
+                        engine: clients.engine(entry.address),
+                    };
+                    listing.engines.insert(key, upstream);
+                }
+            }
+        }
+        listing.document = document;
+        listing
+    }
+
+    /// The live engines of a model.
+    pub(crate) fn engines_of(&self, model: &str) -> impl Iterator<Item = &Upstream> {
+        let keys = self.by_model.get(model).into_iter().flatten();
+        keys.filter_map(|key| self.engines.get(key))
+            .filter(|upstream| upstream.entry.state == ListedState::Live)
+    }
+
+    /// The live instances of a plain service.
+    pub(crate) fn plain(&self, service: &str) -> impl Iterator<Item = &HostEntry> {
+        let same = self.plain.get(service).into_iter().flatten();
+        same.filter(|entry| entry.state == ListedState::Live)
+    }
+}
+
+/// What this host holds. A document is only ever replaced by a newer one.
+pub(crate) struct Documents {
+    in_force: ArcSwapOption<InForce>,
+    listing: ArcSwap<Listing>,
+    adopting: Mutex<()>,
+    confirmed_at_ms: AtomicU64,
+}
+
+impl Documents {
+    pub(crate) fn new() -> Self {
+        Self {
+            in_force: ArcSwapOption::empty(),
+            listing: ArcSwap::from_pointee(Listing::default()),
+            adopting: Mutex::new(()),
+            confirmed_at_ms: AtomicU64::new(0),
+        }
+    }
+
+    pub(crate) fn in_force(&self) -> Option<Arc<InForce>> {
+        self.in_force.load_full()
+    }
+
+    pub(crate) fn listing(&self) -> Arc<Listing> {
+        self.listing.load_full()
+    }
+
+    pub(crate) fn versions(&self) -> Versions {
+        let root = self.in_force.load();
+        Versions {
+            root: root.as_ref().map_or(0, |held| held.root.revision),
+            host_list: self.listing.load().document.version,
+        }
+    }
+
+    /// Takes a configuration with a higher revision; true where it was taken.
+    ///
+    /// Announcements come late and crossed. Taking an older one would revert an accepted change;
+    /// comparing revisions under the lock is enough, since the root's revision only grows.
+    pub(crate) fn adopt_root(&self, newer: InForce) -> bool {
+        let _adopting = self.adopting.lock();
+        let held = self.versions().root;
+        if newer.root.revision <= held {
+            return false;
+        }
+        self.in_force.store(Some(Arc::new(newer)));
+        assert!(self.versions().root > held, "the revision must grow");
+        true
+    }
+
+    /// Takes a newer host list; true where it was taken.
+    pub(crate) fn adopt_listing(&self, newer: HostListing, clients: &dyn Engines) -> bool {
+        let _adopting = self.adopting.lock();
+        if newer.version <= self.versions().host_list {
+            return false;
+        }
+        self.listing.store(Arc::new(Listing::new(newer, clients)));
+        true
+    }
+
+    /// The platform or a peer has just been heard.
+    pub(crate) fn confirm(&self, now_ms: Millis) {
+        self.confirmed_at_ms.fetch_max(now_ms, Ordering::Relaxed);
+    }
+
+    pub(crate) fn confirmed_at_ms(&self) -> Millis {
+        self.confirmed_at_ms.load(Ordering::Relaxed)
+    }
+}
--- /dev/null
+++ b/crates/cluster/src/homes.rs
@@ -0,0 +1,393 @@
+//! The engines whose home this host is.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use fulmarpath_policy::{
+    Ask, AskId, EngineLoad, FitRule, Home, HomeSettings, HostKey, Lengths, Millis, OrderRule,
+    Outcome, UpstreamKey, Weights,
+};
+use fulmarpath_upstream::{EngineState, LoadReport};
+use fulmarpath_wire::{AskAnswer, AskReply, PermitId, Progress, ProgressReply, RunState};
+use futures::future::join_all;
+use parking_lot::Mutex;
+use spdlog::warn;
+use tokio::sync::oneshot;
+
+use crate::documents::Upstream;
+use crate::node::Node;
+
+/// How long one call waits for an outcome; the asker then asks again.
+const ASK_WAIT: Duration = Duration::from_millis(300);
+const STEP_PERIOD: Duration = Duration::from_millis(10);
+const LOAD_PERIOD: Duration = Duration::from_millis(500);
+const LOAD_BOUND: Duration = Duration::from_millis(700);
+/// Polls without an answer after which an engine gets nothing new.
+const SILENT_POLLS: u32 = 2;
+
+struct Entry {
+    home: Home,
+    load: EngineLoad,
+    silent_polls: u32,
+    said_leaving: bool,
+}
+
+impl Entry {
+    /// The home's own count; the engine's report only where it shows more.
+    fn load(&self) -> EngineLoad {
+        let own = self.home.load();
+        EngineLoad {
+            running: own.running,
+            waiting: own.queued + self.load.waiting,
+            used_tokens: own.held_tokens.max(self.load.used_tokens),
+            memory_tokens: self.load.memory_tokens,
+        }
+    }
+}
+
+struct Tables {
+    entries: HashMap<UpstreamKey, Entry>,
+    lengths: Lengths,
+    waiters: HashMap<AskId, oneshot::Sender<AskAnswer>>,
+    moves: HashMap<HostKey, Vec<PermitId>>,
+}
+
+/// All homes of this host, behind one lock that is held for one decision at a time.
+pub(crate) struct HomeTable {
+    epoch: u64,
+    tables: Mutex<Tables>,
+}
+
+impl HomeTable {
+    pub(crate) fn new(epoch: u64) -> Self {
+        Self {
+            epoch,
+            tables: Mutex::new(Tables {
+                entries: HashMap::new(),
+                lengths: Lengths::new(),
+                waiters: HashMap::new(),
+                moves: HashMap::new(),
+            }),
+        }
+    }
+
+    pub(crate) async fn ask(
+        &self,
+        now_ms: Millis,
+        upstream: UpstreamKey,
+        settings: HomeSettings,
+        ask: Ask,
+    ) -> AskReply {
+        let (sender, receiver) = oneshot::channel();
+        {
+            let mut tables = self.tables.lock();
+            let tables = &mut *tables;
+            let entry = tables
+                .entries
+                .entry(upstream)
+                .or_insert_with(|| new_entry(settings));
+            if let Some((key, priority)) = entry.home.granted(ask.id) {
+                let permit = PermitId {
+                    epoch: self.epoch,
+                    key,
+                };
+                let answer = AskAnswer::Granted { permit, priority };
+                let load = entry.load();
+                return AskReply { answer, load };
+            }
+            tables.waiters.insert(ask.id, sender);
+            entry.home.ask(now_ms, ask, &tables.lengths);
+            self.step(now_ms, tables, upstream);
+        }
+        let answer = tokio::time::timeout(ASK_WAIT, receiver).await;
+        let answer = answer.ok().and_then(Result::ok);
+        let mut tables = self.tables.lock();
+        tables.waiters.remove(&ask.id);
+        let load = tables.entries.get(&upstream).map(Entry::load);
+        AskReply {
+            answer: answer.unwrap_or(AskAnswer::Queued),
+            load: load.unwrap_or_default(),
+        }
+    }
+
+    fn step(&self, now_ms: Millis, tables: &mut Tables, upstream: UpstreamKey) {
+        let Some(entry) = tables.entries.get_mut(&upstream) else {
+            return;
+        };
+        let mut outcomes = Vec::new();
+        entry.home.step(now_ms, &tables.lengths, &mut outcomes);
+        for outcome in outcomes {
+            let (ask, answer) = match outcome {
+                Outcome::Granted {
+                    ask,
+                    permit,
+                    priority,
+                    ..
+                } => {
+                    let permit = PermitId {
+                        epoch: self.epoch,
+                        key: permit,
+                    };
+                    (ask, AskAnswer::Granted { permit, priority })
+                }
+                Outcome::Refused {
+                    ask,
+                    reason,
+                    retry_after_ms,
+                    ..
+                } => {
+                    let answer = AskAnswer::Refused {
+                        reason,
+                        retry_after_ms,
+                    };
+                    (ask, answer)
+                }
+                Outcome::Move { permit, host } => {
+                    let permit = PermitId {
+                        epoch: self.epoch,
+                        key: permit,
+                    };
+                    tables.moves.entry(host).or_default().push(permit);
+                    continue;
+                }
+            };
+            if let Some(waiter) = tables.waiters.remove(&ask) {
+                let _ = waiter.send(answer);
+            }
+        }
+    }
+
+    fn step_all(&self, now_ms: Millis) {
+        let mut tables = self.tables.lock();
+        let tables = &mut *tables;
+        let busy: Vec<UpstreamKey> = tables
+            .entries
+            .iter()
+            .filter(|(_, entry)| entry.home.load().queued > 0 || entry.home.load().running > 0)
+            .map(|(key, _)| *key)
+            .collect();
+        for upstream in busy {
+            self.step(now_ms, tables, upstream);
+        }
+    }
+
+    pub(crate) fn withdraw(&self, now_ms: Millis, upstream: UpstreamKey, ask: AskId) {
+        let mut tables = self.tables.lock();
+        if let Some(entry) = tables.entries.get_mut(&upstream) {
+            entry.home.withdraw(ask);
+        }
+        self.step(now_ms, &mut tables, upstream);
+    }
+
+    pub(crate) fn restore(
+        &self,
+        now_ms: Millis,
+        upstream: UpstreamKey,
+        settings: HomeSettings,
+        ask: Ask,
+    ) -> PermitId {
+        let mut tables = self.tables.lock();
+        let entry = tables
+            .entries
+            .entry(upstream)
+            .or_insert_with(|| new_entry(settings));
+        PermitId {
+            epoch: self.epoch,
+            key: entry.home.restore(now_ms, ask),
+        }
+    }
+
+    pub(crate) fn progress(&self, now_ms: Millis, progress: &[Progress]) -> ProgressReply {
+        let mut tables = self.tables.lock();
+        let tables = &mut *tables;
+        let mut reply = ProgressReply::default();
+        for one in progress {
+            let home = tables
+                .entries
+                .get_mut(&one.upstream)
+                .map(|entry| &mut entry.home)
+                .filter(|home| one.permit.epoch == self.epoch && home.knows(one.permit.key));
+            let Some(home) = home else {
+                reply.unknown.push(one.permit);
+                continue;
+            };
+            let key = one.permit.key;
+            home.progress(now_ms, key, one.out_tokens);
+            match one.state {
+                RunState::Running => {}
+                RunState::Whole => {
+                    home.finish(now_ms, key, one.out_tokens, &mut tables.lengths);
+                }
+                RunState::Left => home.cancel(key),
+            }
+            if one.state != RunState::Running {
+                self.step(now_ms, tables, one.upstream);
+            }
+        }
+        reply
+    }
+
+    /// Permits of `host` that had better move.
+    pub(crate) fn take_moves(&self, host: HostKey) -> Vec<PermitId> {
+        self.tables.lock().moves.remove(&host).unwrap_or_default()
+    }
+
+    fn report(&self, now_ms: Millis, upstream: UpstreamKey, report: Option<LoadReport>) {
+        let mut tables = self.tables.lock();
+        let Some(entry) = tables.entries.get_mut(&upstream) else {
+            return;
+        };
+        match report {
+            Some(report) => {
+                entry.silent_polls = 0;
+                entry.said_leaving = report.state == EngineState::Leaving;
+                entry.load = EngineLoad {
+                    running: report.running,
+                    waiting: report.waiting,
+                    used_tokens: report.used_tokens,
+                    memory_tokens: report.memory_tokens,
+                };
+                entry.home.report(now_ms, entry.load);
+            }
+            None => entry.silent_polls += 1,
+        }
+        let is_gone = entry.silent_polls >= SILENT_POLLS;
+        if entry.silent_polls == SILENT_POLLS {
+            warn!("homes: an engine does not answer and gets nothing new");
+        }
+        entry.home.set_leaving(entry.said_leaving || is_gone);
+        self.step(now_ms, &mut tables, upstream);
+    }
+
+    /// Homes decide by new settings from now on; what runs stays.
+    pub(crate) fn set_settings(&self, settings: impl Fn(UpstreamKey) -> Option<HomeSettings>) {
+        let mut tables = self.tables.lock();
+        for (key, entry) in &mut tables.entries {
+            if let Some(settings) = settings(*key) {
+                entry.home.set_settings(settings);
+            }
+        }
+    }
+
+    fn ensure(&self, upstream: UpstreamKey, settings: HomeSettings) {
+        let mut tables = self.tables.lock();
+        tables
+            .entries
+            .entry(upstream)
+            .or_insert_with(|| new_entry(settings));
+    }
+
+    /// The home's count of each engine, for the metrics page.
+    pub(crate) fn loads(&self) -> Vec<(UpstreamKey, EngineLoad)> {
+        let tables = self.tables.lock();
+        let entries = tables.entries.iter();
+        entries.map(|(key, entry)| (*key, entry.load())).collect()
+    }
+}
+
+fn new_entry(settings: HomeSettings) -> Entry {
+    Entry {
+        home: Home::new(settings),
+        load: EngineLoad {
+            memory_tokens: settings.memory_tokens,
+            ..EngineLoad::default()
+        },
+        silent_polls: 0,
+        said_leaving: false,
+    }
+}
+
+const AGE_BOUND_MS: Millis = 5_000;
+const LEAD_BOUND_TOKENS: f64 = 8_000.0;
+const QUEUE_LIMIT: usize = 256;
+const PERMIT_LAPSE_MS: Millis = 4_000;
+
+/// How homes of a model's engines decide under a preset.
+pub(crate) fn home_settings(
+    weights: Weights,
+    lend_share: f32,
+    memory_tokens: u32,
+    prompt_ms_per_token: f32,
+) -> HomeSettings {
+    HomeSettings {
+        memory_tokens,
+        fit: FitRule::Normal {
+            z: weights.caution(),
+            share: 1.0,
+        },
+        order: OrderRule::SmallestFirst {
+            age_bound_ms: AGE_BOUND_MS,
+        },
+        lead_bound_tokens: LEAD_BOUND_TOKENS,
+        lend_share,
+        prompt_ms_per_token,
+        moves: true,
+        queue_limit: QUEUE_LIMIT,
+        lapse_ms: PERMIT_LAPSE_MS,
+    }
+}
+
+impl Node {
+    /// How the home of `upstream` decides under the preset in force.
+    pub(crate) fn home_settings_of(&self, upstream: UpstreamKey) -> Option<HomeSettings> {
+        let listing = self.documents.listing();
+        let in_force = self.documents.in_force()?;
+        let model = in_force.model(&listing.engines.get(&upstream)?.entry.serves)?;
+        let preset = in_force.preset();
+        let weights = Weights {
+            stall: preset.stall_weight,
+            preemptions: preset.preemptions_weight,
+            between_tokens: preset.between_tokens_weight,
+        };
+        Some(home_settings(
+            weights,
+            preset.lend_share,
+            model.memory_tokens,
+            model.prompt_ms_per_token,
+        ))
+    }
+
+    /// Gives homes the settings of the preset in force.
+    pub(crate) fn apply_preset(&self) {
+        self.homes
+            .set_settings(|upstream| self.home_settings_of(upstream));
+    }
+
+    /// Decides what time alone makes due: pacing, deadlines, lapses.
+    pub(crate) async fn step_homes(self: Arc<Self>) {
+        loop {
+            tokio::time::sleep(STEP_PERIOD).await;
+            self.homes.step_all(self.clock.now_ms());
+        }
+    }
+
+    /// Polls the engines whose home this host is.
+    pub(crate) async fn poll_engines(self: Arc<Self>) {
+        loop {
+            tokio::time::sleep(LOAD_PERIOD).await;
+            let listing = self.documents.listing();
+            let mine: Vec<Upstream> = {
+                let members = self.members.lock();
+                let all = listing.engines.values();
+                all.filter(|upstream| {
+                    let homes = members.homes().map(|(key, _)| key);
+                    fulmarpath_policy::highest(upstream.key.0, homes) == Some(self.key)
+                })
+                .cloned()
+                .collect()
+            };
+            let polls = mine.into_iter().map(|upstream| self.poll_engine(upstream));
+            join_all(polls).await;
+        }
+    }
+
+    async fn poll_engine(&self, upstream: Upstream) {
+        if let Some(settings) = self.home_settings_of(upstream.key) {
+            self.homes.ensure(upstream.key, settings);
+        }
+        let polled = tokio::time::timeout(LOAD_BOUND, upstream.engine.load()).await;
+        let report = polled.ok().and_then(Result::ok);
+        self.homes.report(self.clock.now_ms(), upstream.key, report);
+    }
+}
--- /dev/null
+++ b/crates/cluster/src/lib.rs
@@ -0,0 +1,26 @@
+//! What entry hosts agree on: who is alive, who is home of what, the configuration in force, and
+//! which submissions have been claimed.
+
+mod claims;
+mod clock;
+mod configuration;
+mod documents;
+mod engines;
+mod homes;
+mod members;
+mod node;
+mod peers;
+mod permits;
+mod publish;
+mod server;
+mod spread;
+mod swim;
+
+pub use claims::{ClaimError, ClaimLog, ClaimSettings};
+pub use clock::Clock;
+pub use configuration::{ChangeKind, Entry, InForce, Parts, Root};
+pub use engines::{Engines, HttpEngines};
+pub use members::Members;
+pub use node::{Generations, Node, NodeSettings, StartError};
+pub use permits::{NotGranted, Permit, PermitWish};
+pub use publish::{Change, PublishError, Publisher};
--- /dev/null
+++ b/crates/cluster/src/node.rs
@@ -0,0 +1,429 @@
+//! One entry host's part in the cluster.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, OnceLock};
+use std::time::Duration;
+
+use async_trait::async_trait;
+use fulmarpath_platform::{HostEntry, HostList, HostListing, ListedState, ObjectApi, Role};
+use fulmarpath_policy::{
+    AskId, Bounds, EngineLoad, HostKey, LimitTable, Millis, OrganisationKey, Over, UpstreamKey,
+};
+use fulmarpath_upstream::Plain;
+use fulmarpath_wire::{
+    ClaimAnswer, ClaimAsk, FetchAnswer, LimitAnswer, MemberNote, MemberState, PeerClient, SlotAsk,
+};
+use futures::future::join_all;
+use parking_lot::Mutex;
+use spdlog::info;
+use tokio::net::TcpListener;
+use xxhash_rust::xxh3::xxh3_64;
+
+use crate::claims::{ClaimLog, ClaimSettings};
+use crate::clock::Clock;
+use crate::configuration::InForce;
+use crate::documents::Documents;
+use crate::engines::Engines;
+use crate::homes::HomeTable;
+use crate::members::Members;
+use crate::peers::Peers;
+use crate::permits::Held;
+use crate::publish::{Change, PublishError, Publisher};
+
+/// What a node must know of itself.
+#[derive(Debug, Clone)]
+pub struct NodeSettings {
+    /// Its unique name.
+    pub host: String,
+    /// Its data centre.
+    pub data_centre: String,
+    /// Where its peers reach it.
+    pub peer_address: SocketAddr,
+    /// Without a word from the platform or any peer for so long, it takes no new work.
+    pub confirm_bound_ms: Millis,
+    /// How the claim log is kept.
+    pub claims: ClaimSettings,
+}
+
+/// Where peers find the generations that a host holds.
+#[async_trait]
+pub trait Generations: Send + Sync {
+    /// Tokens from an index on; waits a little where there are none yet.
+    async fn fetch(
+        &self,
+        organisation: OrganisationKey,
+        generation: &str,
+        from: u32,
+    ) -> FetchAnswer;
+}
+
+/// A node could not start.
+#[derive(Debug, thiserror::Error)]
+pub enum StartError {
+    /// Its peers' address can't be used.
+    #[error("could not listen for peers")]
+    Listen(#[source] std::io::Error),
+}
+
+/// One entry host's part in the cluster.
+///
+/// Lock order: members, loads, held, homeless, limits, slots, then the home tables; none is held
+/// across an await.
+pub struct Node {
+    pub(crate) settings: NodeSettings,
+    pub(crate) clock: Clock,
+    pub(crate) key: HostKey,
+    pub(crate) members: Mutex<Members>,
+    pub(crate) loads: Mutex<HashMap<UpstreamKey, EngineLoad>>,
+    pub(crate) held: Mutex<HashMap<AskId, Arc<Held>>>,
+    pub(crate) homeless: Mutex<HashMap<UpstreamKey, u32>>,
+    pub(crate) limits: Mutex<LimitTable>,
+    slots: Mutex<HashMap<OrganisationKey, u32>>,
+    pub(crate) homes: HomeTable,
+    pub(crate) peers: Peers,
+    pub(crate) documents: Documents,
+    pub(crate) object_api: Arc<dyn ObjectApi>,
+    pub(crate) host_list: Arc<dyn HostList>,
+    pub(crate) engines: Arc<dyn Engines>,
+    pub(crate) claims: ClaimLog,
+    pub(crate) generations: OnceLock<Arc<dyn Generations>>,
+    pub(crate) leaving: AtomicBool,
+}
+
+impl Node {
+    /// Starts a node and all that it does by itself.
+    ///
+    /// # Errors
+    /// [`StartError`] where the peers' listener can't be used.
+    pub async fn start(
+        settings: NodeSettings,
+        listener: TcpListener,
+        object_api: Arc<dyn ObjectApi>,
+        host_list: Arc<dyn HostList>,
+        engines: Arc<dyn Engines>,
+    ) -> Result<Arc<Self>, StartError> {
+        let note = MemberNote {
+            name: settings.host.clone(),
+            data_centre: settings.data_centre.clone(),
+            address: settings.peer_address,
+        };
+        let incarnation = Clock::wall_ms();
+        let epoch = xxh3_64(format!("{}/{incarnation}", settings.host).as_bytes());
+        let node = Arc::new(Self {
+            clock: Clock::start(),
+            key: HostKey::of(&settings.host),
+            members: Mutex::new(Members::new(note, incarnation)),
+            loads: Mutex::default(),
+            held: Mutex::default(),
+            homeless: Mutex::default(),
+            limits: Mutex::default(),
+            slots: Mutex::default(),
+            homes: HomeTable::new(epoch),
+            peers: Peers::default(),
+            documents: Documents::new(),
+            claims: ClaimLog::new(object_api.clone(), settings.claims),
+            object_api,
+            host_list,
+            engines,
+            generations: OnceLock::new(),
+            leaving: AtomicBool::new(false),
+            settings,
+        });
+        crate::server::listen(node.clone(), listener)
+            .await
+            .map_err(StartError::Listen)?;
+        tokio::spawn(node.clone().watch_host_list());
+        tokio::spawn(node.clone().watch_root());
+        tokio::spawn(node.clone().ping_members());
+        tokio::spawn(node.clone().step_homes());
+        tokio::spawn(node.clone().poll_engines());
+        tokio::spawn(node.clone().report_progress());
+        info!("node: {} started", node.settings.host);
+        Ok(node)
+    }
+
+    /// Names where peers find this host's generations.
+    pub fn set_generations(&self, generations: Arc<dyn Generations>) {
+        let _ = self.generations.set(generations);
+    }
+
+    /// The node's clock.
+    pub fn clock(&self) -> Clock {
+        self.clock
+    }
+
+    /// This host's name.
+    pub fn host(&self) -> &str {
+        &self.settings.host
+    }
+
+    /// The configuration in force here.
+    pub fn in_force(&self) -> Option<Arc<InForce>> {
+        self.documents.in_force()
+    }
+
+    /// Whether this host may take new work.
+    ///
+    /// A host that hears neither the platform nor any peer can't know whether its revision is
+    /// still the one in force; going on would apply a reverted change for as long as it is cut
+    /// off. With peers it hears of a newer revision within a ping or two, so they are enough.
+    pub fn takes_work(&self) -> bool {
+        let silent_ms = self
+            .clock
+            .now_ms()
+            .saturating_sub(self.documents.confirmed_at_ms());
+        self.in_force().is_some()
+            && !self.leaving.load(Ordering::Relaxed)
+            && silent_ms <= self.settings.confirm_bound_ms
+    }
+
+    /// The live instances of a plain service, nearest first.
+    pub fn plain(&self, service: &str) -> Vec<(String, Arc<dyn Plain>)> {
+        let listing = self.documents.listing();
+        let mut entries: Vec<&HostEntry> = listing.plain(service).collect();
+        let draw: u64 = rand::random();
+        entries.sort_by_key(|entry| {
+            let far = entry.data_centre != self.settings.data_centre;
+            (far, xxh3_64(format!("{draw}{}", entry.name).as_bytes()))
+        });
+        entries
+            .into_iter()
+            .map(|entry| (entry.name.clone(), self.engines.plain(entry.address)))
+            .collect()
+    }
+
+    /// Every listed engine of a model, leaving ones as well.
+    pub fn engines_of(&self, model: &str) -> Vec<Arc<dyn fulmarpath_upstream::Engine>> {
+        let listing = self.documents.listing();
+        let engines = listing.engines.values();
+        engines
+            .filter(|upstream| upstream.entry.serves == model)
+            .map(|upstream| upstream.engine.clone())
+            .collect()
+    }
+
+    /// Takes a slot under an organisation's limits, at the organisation's home.
+    ///
+    /// Where no home answers the request goes on: limits protect the pool from rivals, and an
+    /// unreachable counter must not stop them all.
+    pub async fn take_slot(
+        &self,
+        organisation: OrganisationKey,
+        bounds: Bounds,
+    ) -> Result<(), Over> {
+        let ask = SlotAsk {
+            organisation,
+            host: self.key,
+            bounds,
+        };
+        let home = self.members.lock().homes_of(organisation.0, 1).pop();
+        let answer = match home {
+            Some((key, _)) if key == self.key => self.answer_slot(ask),
+            Some((_, note)) => {
+                let call = |client: PeerClient, context| async move {
+                    client.take_slot(context, ask).await
+                };
+                let answer = self.peers.call(note.address, call).await;
+                answer.unwrap_or(LimitAnswer::Taken)
+            }
+            None => LimitAnswer::Taken,
+        };
+        match answer {
+            LimitAnswer::Taken => {
+                *self.slots.lock().entry(organisation).or_default() += 1;
+                Ok(())
+            }
+            LimitAnswer::OverRate { retry_after_ms } => Err(Over::Rate { retry_after_ms }),
+            LimitAnswer::OverConcurrency { retry_after_ms } => {
+                Err(Over::Concurrency { retry_after_ms })
+            }
+        }
+    }
+
+    /// Gives a slot back; the home hears of it with the next statement.
+    pub fn give_slot(&self, organisation: OrganisationKey) {
+        if let Some(slots) = self.slots.lock().get_mut(&organisation) {
+            *slots = slots.saturating_sub(1);
+        }
+    }
+
+    pub(crate) fn answer_slot(&self, ask: SlotAsk) -> LimitAnswer {
+        let now_ms = self.clock.now_ms();
+        let mut limits = self.limits.lock();
+        match limits.take(now_ms, ask.organisation, ask.host, ask.bounds) {
+            Ok(()) => LimitAnswer::Taken,
+            Err(Over::Rate { retry_after_ms }) => LimitAnswer::OverRate { retry_after_ms },
+            Err(Over::Concurrency { retry_after_ms }) => {
+                LimitAnswer::OverConcurrency { retry_after_ms }
+            }
+        }
+    }
+
+    /// States to each organisation's home how many slots this host holds.
+    pub(crate) async fn restate_slots(&self) {
+        let held: Vec<(OrganisationKey, u32)> = {
+            let mut slots = self.slots.lock();
+            let held = slots.iter().map(|(key, count)| (*key, *count)).collect();
+            slots.retain(|_, count| *count > 0);
+            held
+        };
+        let mut by_home: HashMap<SocketAddr, Vec<(OrganisationKey, u32)>> = HashMap::new();
+        for (organisation, count) in held {
+            let home = self.members.lock().homes_of(organisation.0, 1).pop();
+            match home {
+                Some((key, _)) if key == self.key => {
+                    self.hear_slots(self.key, &[(organisation, count)]);
+                }
+                Some((_, note)) => {
+                    let same = by_home.entry(note.address).or_default();
+                    same.push((organisation, count));
+                }
+                None => {}
+            }
+        }
+        let calls = by_home.into_iter().map(|(address, slots)| {
+            let mine = self.key;
+            self.peers.call(address, move |client, context| async move {
+                client.restate_slots(context, mine, slots).await
+            })
+        });
+        join_all(calls).await;
+    }
+
+    pub(crate) fn hear_slots(&self, host: HostKey, slots: &[(OrganisationKey, u32)]) {
+        let now_ms = self.clock.now_ms();
+        let mut limits = self.limits.lock();
+        for (organisation, count) in slots {
+            limits.restate(now_ms, *organisation, host, *count);
+        }
+    }
+
+    /// Claims an idempotency key at the home of its shard.
+    ///
+    /// Which host writes is only a hint: a second one that believes to be home races on the
+    /// conditional create, and one of the two loses.
+    pub async fn claim(&self, ask: ClaimAsk) -> ClaimAnswer {
+        let shard = self.settings.claims.shard(ask.key);
+        let thing = xxh3_64(format!("claims/{shard}").as_bytes());
+        let homes = self.members.lock().homes_of(thing, 2);
+        let mut answer = ClaimAnswer::NotClaimed;
+        for (key, note) in homes {
+            if key == self.key {
+                return self.claims.claim(ask).await;
+            }
+            let ask = ask.clone();
+            let call =
+                |client: PeerClient, context| async move { client.claim(context, ask).await };
+            match self.peers.call(note.address, call).await {
+                Ok(answer) => return answer,
+                Err(_) => answer = ClaimAnswer::Unsure,
+            }
+        }
+        answer
+    }
+
+    /// Tokens of a generation that another host holds; `None` where that host doesn't answer.
+    pub async fn fetch(
+        &self,
+        host: HostKey,
+        organisation: OrganisationKey,
+        generation: &str,
+        from: u32,
+    ) -> Option<FetchAnswer> {
+        let address = {
+            let members = self.members.lock();
+            members.find(host)?.member.address
+        };
+        let generation = generation.to_owned();
+        let call = |client: PeerClient, context| async move {
+            client.fetch(context, organisation, generation, from).await
+        };
+        self.peers.call(address, call).await.ok()
+    }
+
+    /// Makes a change of the configuration and takes it here at once, whence it spreads.
+    ///
+    /// # Errors
+    /// [`PublishError`]
+    pub async fn publish(self: &Arc<Self>, change: &Change) -> Result<u64, PublishError> {
+        let publisher = Publisher::new(self.object_api.clone());
+        let in_force = publisher.publish(change).await?;
+        let revision = in_force.root.revision;
+        self.documents.confirm(self.clock.now_ms());
+        self.adopt(None, in_force).await;
+        Ok(revision)
+    }
+
+    /// The revision in force on each present member; `None` where it doesn't answer.
+    pub async fn revisions(&self) -> Vec<(String, Option<u64>)> {
+        let (ping, members) = {
+            let members = self.members.lock();
+            let ping = fulmarpath_wire::Ping {
+                from: members.me(),
+                rumours: Vec::new(),
+                versions: self.documents.versions(),
+            };
+            let present: Vec<MemberNote> = members
+                .present()
+                .filter(|rumour| rumour.state != MemberState::Leaving)
+                .map(|rumour| rumour.member.clone())
+                .collect();
+            (ping, present)
+        };
+        let calls = members.into_iter().map(|note| {
+            let ping = ping.clone();
+            async move {
+                if note.name == self.settings.host {
+                    return (note.name, Some(self.documents.versions().root));
+                }
+                let pong = self.ping_once(note.address, ping).await;
+                (note.name, pong.map(|pong| pong.versions.root))
+            }
+        });
+        let mut revisions = join_all(calls).await;
+        revisions.sort();
+        revisions
+    }
+
+    /// Members that this host believes present, itself with them.
+    pub fn member_count(&self) -> usize {
+        self.members.lock().present().count()
+    }
+
+    /// The listed name of an engine; its key in hex where it is listed no longer.
+    pub fn upstream_name(&self, upstream: UpstreamKey) -> String {
+        let listing = self.documents.listing();
+        match listing.engines.get(&upstream) {
+            Some(listed) => listed.entry.name.clone(),
+            None => format!("{:016x}", upstream.0),
+        }
+    }
+
+    /// Closes connections to members that are gone, and waits a little.
+    pub async fn tidy(&self) {
+        let present: Vec<SocketAddr> = {
+            let members = self.members.lock();
+            members
+                .present()
+                .map(|rumour| rumour.member.address)
+                .collect()
+        };
+        self.peers.retain(|address| present.contains(&address));
+        tokio::time::sleep(Duration::from_millis(100)).await;
+    }
+}
+
+/// The live entry hosts of a list.
+pub(crate) fn entry_hosts(listing: &HostListing) -> impl Iterator<Item = MemberNote> {
+    listing
+        .hosts
+        .iter()
+        .filter(|host| host.role == Role::Entry && host.state == ListedState::Live)
+        .map(|host| MemberNote {
+            name: host.name.clone(),
+            data_centre: host.data_centre.clone(),
+            address: host.address,
+        })
+}
--- /dev/null
+++ b/crates/cluster/src/permits.rs
@@ -0,0 +1,479 @@
+//! The entry host's side of permits: ask two homes, take the first grant, report progress.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
+use std::time::Duration;
+
+use fulmarpath_policy::{
+    Ask, AskId, Candidate, EngineLoad, Millis, OrganisationKey, RefusalReason, ServiceKey,
+    UpstreamKey, pick,
+};
+use fulmarpath_upstream::Engine;
+use fulmarpath_wire::{AskAnswer, AskReply, PeerClient, PermitId, Progress, RunState};
+use futures::future::{join_all, select_ok};
+use parking_lot::Mutex;
+use rand::Rng;
+use spdlog::{info, warn};
+
+use crate::node::Node;
+
+const PROGRESS_PERIOD: Duration = Duration::from_millis(500);
+const REASK_PAUSE: Duration = Duration::from_millis(20);
+/// Homes tried for one engine: the best and the next, since views of who is alive may differ.
+const HOMES: usize = 2;
+/// Generations that one host may start on one engine when no home answers.
+const HOMELESS_PERMITS: u32 = 2;
+
+/// What a generation needs to start.
+#[derive(Debug, Clone)]
+pub struct PermitWish {
+    /// For whom.
+    pub organisation: OrganisationKey,
+    /// For which service.
+    pub service: ServiceKey,
+    /// The organisation's weight.
+    pub weight: f32,
+    /// Its guaranteed share of an engine's memory.
+    pub share: f32,
+    /// The model.
+    pub model: String,
+    /// Hash of the prompt's first blocks.
+    pub prefix: u64,
+    /// Prompt tokens.
+    pub prompt_tokens: u32,
+    /// Tokens that are out already.
+    pub out_tokens: u32,
+    /// The answer's bound.
+    pub output_limit_tokens: u32,
+    /// How long it may wait.
+    pub patience_ms: Millis,
+    /// Whether to be refused rather than queue.
+    pub only_now: bool,
+    /// Engines not to ask.
+    pub without: Vec<UpstreamKey>,
+}
+
+/// Why no permit was given. Nothing was sent to any engine.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, thiserror::Error)]
+pub enum NotGranted {
+    /// No engine of the model takes work.
+    #[error("could not find a live engine of the model")]
+    NoEngine,
+    /// All that were asked refused.
+    #[error("could not start within the time allowed")]
+    Refused {
+        /// The last reason.
+        reason: RefusalReason,
+        /// When to come back.
+        retry_after_ms: Millis,
+    },
+    /// No home answers, and this host's own small share is in use.
+    #[error("could not reach the engine's home")]
+    NoHome,
+}
+
+impl NotGranted {
+    /// When to come back.
+    pub fn retry_after_ms(&self) -> Millis {
+        const UNKNOWN_MS: Millis = 2_000;
+        match self {
+            Self::Refused { retry_after_ms, .. } => *retry_after_ms,
+            Self::NoEngine | Self::NoHome => UNKNOWN_MS,
+        }
+    }
+}
+
+/// What the entry host knows of a permit between reports.
+#[derive(Debug)]
+pub(crate) struct Held {
+    upstream: UpstreamKey,
+    ask: Ask,
+    /// `None` where the generation started without a home; changes when a new home takes over.
+    id: Mutex<Option<PermitId>>,
+    out_tokens: AtomicU32,
+    had_better_move: AtomicBool,
+}
+
+/// Leave to run one generation on one engine; given back when dropped.
+pub struct Permit {
+    node: Arc<Node>,
+    held: Arc<Held>,
+    ended: bool,
+    /// The engine.
+    pub upstream: UpstreamKey,
+    /// Its client.
+    pub engine: Arc<dyn Engine>,
+    /// The engine's priority for this generation.
+    pub priority: i32,
+}
+
+impl Permit {
+    /// So many tokens are out.
+    pub fn advance(&self, out_tokens: u32) {
+        self.held.out_tokens.store(out_tokens, Ordering::Relaxed);
+    }
+
+    /// Whether the home asks to move this generation; asked once for each such wish.
+    pub fn take_move(&self) -> bool {
+        self.held.had_better_move.swap(false, Ordering::Relaxed)
+    }
+
+    /// The generation is whole.
+    pub fn finish(mut self) {
+        self.end(RunState::Whole);
+    }
+
+    fn end(&mut self, state: RunState) {
+        if std::mem::replace(&mut self.ended, true) {
+            return;
+        }
+        let node = self.node.clone();
+        let held = self.held.clone();
+        node.held.lock().remove(&held.ask.id);
+        let Some(permit) = *held.id.lock() else {
+            node.homeless_end(held.upstream);
+            return;
+        };
+        let progress = Progress {
+            upstream: held.upstream,
+            permit,
+            out_tokens: held.out_tokens.load(Ordering::Relaxed),
+            state,
+        };
+        tokio::spawn(async move {
+            node.send_progress(held.upstream, vec![progress]).await;
+        });
+    }
+}
+
+impl Drop for Permit {
+    fn drop(&mut self) {
+        self.end(RunState::Left);
+    }
+}
+
+/// An ask under way; withdrawn when dropped without a grant, so that a caller who left or a lost
+/// race leaves no reservation behind.
+struct Asking {
+    node: Arc<Node>,
+    upstream: UpstreamKey,
+    ask: AskId,
+    granted: bool,
+}
+
+impl Drop for Asking {
+    fn drop(&mut self) {
+        if self.granted {
+            return;
+        }
+        let (node, upstream, ask) = (self.node.clone(), self.upstream, self.ask);
+        tokio::spawn(async move { node.withdraw(upstream, ask).await });
+    }
+}
+
+struct Grant {
+    upstream: UpstreamKey,
+    ask: Ask,
+    id: Option<PermitId>,
+    priority: i32,
+}
+
+impl Node {
+    /// Asks for leave to run a generation.
+    ///
+    /// # Errors
+    /// [`NotGranted`]: nothing was sent to any engine.
+    pub async fn permit(self: &Arc<Self>, wish: &PermitWish) -> Result<Permit, NotGranted> {
+        let candidates = self.candidates(wish);
+        let picked = pick(wish.prefix, &candidates).ok_or(NotGranted::NoEngine)?;
+        let deadline_ms = self.clock.now_ms() + wish.patience_ms;
+        let asks = [Some(picked.first), picked.second];
+        let asks = asks.into_iter().flatten().map(|upstream| {
+            let node = self.clone();
+            Box::pin(node.ask_until(upstream, wish.clone(), deadline_ms))
+        });
+        let grant = match select_ok(asks).await {
+            Ok((grant, _others)) => grant,
+            Err(NotGranted::NoHome) => self.homeless(picked.first, wish)?,
+            Err(refused) => return Err(refused),
+        };
+        self.hold(grant)
+    }
+
+    fn hold(self: &Arc<Self>, grant: Grant) -> Result<Permit, NotGranted> {
+        let listing = self.documents.listing();
+        let Some(upstream) = listing.engines.get(&grant.upstream) else {
+            return Err(NotGranted::NoEngine);
+        };
+        let held = Arc::new(Held {
+            upstream: grant.upstream,
+            ask: grant.ask,
+            id: Mutex::new(grant.id),
+            out_tokens: AtomicU32::new(grant.ask.out_tokens),
+            had_better_move: AtomicBool::new(false),
+        });
+        self.held.lock().insert(grant.ask.id, held.clone());
+        Ok(Permit {
+            node: self.clone(),
+            held,
+            ended: false,
+            upstream: grant.upstream,
+            engine: upstream.engine.clone(),
+            priority: grant.priority,
+        })
+    }
+
+    fn candidates(&self, wish: &PermitWish) -> Vec<Candidate> {
+        let listing = self.documents.listing();
+        let in_force = self.documents.in_force();
+        let closed = in_force
+            .as_ref()
+            .map(|held| held.preset().closed_data_centres.as_slice())
+            .unwrap_or_default();
+        let loads = self.loads.lock();
+        listing
+            .engines_of(&wish.model)
+            .filter(|upstream| !wish.without.contains(&upstream.key))
+            .filter(|upstream| !closed.contains(&upstream.entry.data_centre))
+            .map(|upstream| Candidate {
+                upstream: upstream.key,
+                near: upstream.entry.data_centre == self.settings.data_centre,
+                load: loads.get(&upstream.key).copied().unwrap_or_default(),
+                cached: false,
+            })
+            .collect()
+    }
+
+    async fn ask_until(
+        self: Arc<Self>,
+        upstream: UpstreamKey,
+        wish: PermitWish,
+        deadline_ms: Millis,
+    ) -> Result<Grant, NotGranted> {
+        let id = AskId(rand::rng().random());
+        let mut asking = Asking {
+            node: self.clone(),
+            upstream,
+            ask: id,
+            granted: false,
+        };
+        let mut unanswered = 0;
+        loop {
+            let now_ms = self.clock.now_ms();
+            let ask = self.ask_message(id, &wish, deadline_ms.saturating_sub(now_ms));
+            let Some(reply) = self.ask_home(upstream, ask).await else {
+                unanswered += 1;
+                if unanswered >= HOMES {
+                    return Err(NotGranted::NoHome);
+                }
+                continue;
+            };
+            unanswered = 0;
+            self.loads.lock().insert(upstream, reply.load);
+            match reply.answer {
+                AskAnswer::Granted { permit, priority } => {
+                    asking.granted = true;
+                    return Ok(Grant {
+                        upstream,
+                        ask,
+                        id: Some(permit),
+                        priority,
+                    });
+                }
+                AskAnswer::Refused {
+                    reason,
+                    retry_after_ms,
+                } => {
+                    return Err(NotGranted::Refused {
+                        reason,
+                        retry_after_ms,
+                    });
+                }
+                AskAnswer::Queued => {}
+                AskAnswer::NotHome => tokio::time::sleep(REASK_PAUSE).await,
+            }
+        }
+    }
+
+    fn ask_message(&self, id: AskId, wish: &PermitWish, patience_ms: Millis) -> Ask {
+        Ask {
+            id,
+            host: self.key,
+            organisation: wish.organisation,
+            service: wish.service,
+            weight: wish.weight,
+            share: wish.share,
+            prompt_tokens: wish.prompt_tokens,
+            out_tokens: wish.out_tokens,
+            output_limit_tokens: wish.output_limit_tokens,
+            patience_ms,
+            only_now: wish.only_now,
+            known_tokens: None,
+        }
+    }
+
+    /// Asks the best home that answers.
+    async fn ask_home(&self, upstream: UpstreamKey, ask: Ask) -> Option<AskReply> {
+        let homes = self.members.lock().homes_of(upstream.0, HOMES);
+        for (key, note) in homes {
+            if key == self.key {
+                return self.answer_ask(upstream, ask).await;
+            }
+            let call = |client: PeerClient, context| async move {
+                client.ask(context, upstream, ask).await
+            };
+            if let Ok(reply) = self.peers.call(note.address, call).await {
+                return Some(reply);
+            }
+            warn!("permits: {} does not answer for an engine", note.name);
+        }
+        None
+    }
+
+    /// Decides as the engine's home.
+    pub(crate) async fn answer_ask(&self, upstream: UpstreamKey, ask: Ask) -> Option<AskReply> {
+        let settings = self.home_settings_of(upstream)?;
+        let now_ms = self.clock.now_ms();
+        Some(self.homes.ask(now_ms, upstream, settings, ask).await)
+    }
+
+    /// A start without a home, out of this host's own small share of the engine.
+    ///
+    /// When no home answers, refusing everything would stop the service for want of coordination;
+    /// so many starts from each host overfill an engine by a bounded amount only.
+    fn homeless(&self, upstream: UpstreamKey, wish: &PermitWish) -> Result<Grant, NotGranted> {
+        let mut homeless = self.homeless.lock();
+        let running = homeless.entry(upstream).or_default();
+        if *running >= HOMELESS_PERMITS {
+            return Err(NotGranted::NoHome);
+        }
+        *running += 1;
+        info!("permits: started without a home");
+        Ok(Grant {
+            upstream,
+            ask: self.ask_message(AskId(rand::rng().random()), wish, 0),
+            id: None,
+            priority: 0,
+        })
+    }
+
+    fn homeless_end(&self, upstream: UpstreamKey) {
+        if let Some(running) = self.homeless.lock().get_mut(&upstream) {
+            *running = running.saturating_sub(1);
+        }
+    }
+
+    async fn withdraw(&self, upstream: UpstreamKey, ask: AskId) {
+        let homes = self.members.lock().homes_of(upstream.0, HOMES);
+        for (key, note) in homes {
+            if key == self.key {
+                self.homes.withdraw(self.clock.now_ms(), upstream, ask);
+                return;
+            }
+            let call = |client: PeerClient, context| async move {
+                client.withdraw(context, upstream, ask).await
+            };
+            if self.peers.call(note.address, call).await.is_ok() {
+                return;
+            }
+        }
+    }
+
+    /// Reports all permits to their homes once a period.
+    pub(crate) async fn report_progress(self: Arc<Self>) {
+        loop {
+            tokio::time::sleep(PROGRESS_PERIOD).await;
+            let mut by_upstream: HashMap<UpstreamKey, Vec<Progress>> = HashMap::new();
+            for held in self.held.lock().values() {
+                let Some(permit) = *held.id.lock() else {
+                    continue;
+                };
+                by_upstream
+                    .entry(held.upstream)
+                    .or_default()
+                    .push(Progress {
+                        upstream: held.upstream,
+                        permit,
+                        out_tokens: held.out_tokens.load(Ordering::Relaxed),
+                        state: RunState::Running,
+                    });
+            }
+            let sends = by_upstream
+                .into_iter()
+                .map(|(upstream, progress)| self.send_progress(upstream, progress));
+            join_all(sends).await;
+            self.restate_slots().await;
+        }
+    }
+
+    async fn send_progress(&self, upstream: UpstreamKey, progress: Vec<Progress>) {
+        let home = self.members.lock().homes_of(upstream.0, 1).pop();
+        let Some((key, note)) = home else { return };
+        let reply = if key == self.key {
+            let mut reply = self.homes.progress(self.clock.now_ms(), &progress);
+            reply.moves = self.homes.take_moves(self.key);
+            reply
+        } else {
+            let mine = self.key;
+            let call = |client: PeerClient, context| async move {
+                client.progress(context, mine, progress).await
+            };
+            match self.peers.call(note.address, call).await {
+                Ok(reply) => reply,
+                Err(_) => return,
+            }
+        };
+        self.heed_moves(&reply.moves);
+        for permit in reply.unknown {
+            self.restore(upstream, key, note.address, permit).await;
+        }
+    }
+
+    fn heed_moves(&self, moves: &[PermitId]) {
+        let held = self.held.lock();
+        for one in held.values() {
+            if one.id.lock().is_some_and(|id| moves.contains(&id)) {
+                one.had_better_move.store(true, Ordering::Relaxed);
+            }
+        }
+    }
+
+    /// Tells a new home of a permit that an earlier one gave.
+    async fn restore(
+        &self,
+        upstream: UpstreamKey,
+        home: fulmarpath_policy::HostKey,
+        address: SocketAddr,
+        permit: PermitId,
+    ) {
+        let held = {
+            let all = self.held.lock();
+            let mut all = all.values();
+            all.find(|one| *one.id.lock() == Some(permit)).cloned()
+        };
+        let Some(held) = held else { return };
+        let mut ask = held.ask;
+        ask.out_tokens = held.out_tokens.load(Ordering::Relaxed);
+        let id = if home == self.key {
+            self.home_settings_of(upstream).map(|settings| {
+                let now_ms = self.clock.now_ms();
+                self.homes.restore(now_ms, upstream, settings, ask)
+            })
+        } else {
+            let call = |client: PeerClient, context| async move {
+                client.restore(context, upstream, ask).await
+            };
+            self.peers.call(address, call).await.ok().flatten()
+        };
+        if id.is_some() {
+            *held.id.lock() = id;
+        }
+    }
+
+    /// The last known loads, for the metrics page.
+    pub fn known_loads(&self) -> Vec<(UpstreamKey, EngineLoad)> {
+        self.homes.loads()
+    }
+}
--- /dev/null
+++ b/crates/cluster/src/publish.rs
@@ -0,0 +1,284 @@
+//! Changes of the configuration, by one conditional update of the root.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use fulmarpath_platform::{Object, ObjectApi, PlatformError, Version};
+use fulmarpath_settings::Declarations;
+use uuid::Uuid;
+
+use crate::clock::Clock;
+use crate::configuration::{
+    ChangeKind, InForce, PartValues, Parts, ROOT_KEY, Root, join, part_key, split,
+};
+
+/// What an operator wants changed.
+#[derive(Debug, Clone)]
+pub enum Change {
+    /// New declarations, if the root still has revision `onto`.
+    Apply {
+        /// The declarations.
+        declarations: Box<Declarations>,
+        /// The revision that the operator saw; `None` for whatever stands.
+        onto: Option<u64>,
+    },
+    /// Another preset.
+    UsePreset {
+        /// Its name.
+        preset: String,
+    },
+    /// The parts and preset of an earlier revision.
+    Rollback {
+        /// That revision.
+        to: u64,
+    },
+}
+
+/// Why a change was not accepted.
+#[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
+pub enum PublishError {
+    /// Another operator's change came first.
+    #[error("could not change revision {seen}: revision {found} is in force by now")]
+    Conflict {
+        /// The revision this change was made for.
+        seen: u64,
+        /// The revision found.
+        found: u64,
+    },
+    /// No such preset.
+    #[error("could not find preset `{preset}` in the declarations in force")]
+    NoSuchPreset {
+        /// Its name.
+        preset: String,
+    },
+    /// The new declarations lack the preset in force.
+    #[error("could not remove preset `{preset}`: it is in force")]
+    PresetInForce {
+        /// Its name.
+        preset: String,
+    },
+    /// Nothing was ever applied.
+    #[error("could not find any configuration; apply one first")]
+    Nothing,
+    /// The history no longer has that revision.
+    #[error("could not find revision {revision} in the history")]
+    NoSuchRevision {
+        /// The revision.
+        revision: u64,
+    },
+    /// A part is larger than the platform takes.
+    #[error("could not store a part of {size_bytes} bytes: the platform takes 1,000,000")]
+    TooLarge {
+        /// Its size.
+        size_bytes: usize,
+    },
+    /// The platform holds something that isn't a configuration.
+    #[error("could not read the stored configuration")]
+    Unreadable,
+    /// The change was certainly not made.
+    #[error("could not reach the platform: nothing was changed")]
+    NotDone,
+    /// The change may have been made.
+    #[error("could not learn whether change {change} was accepted; look for it in the history")]
+    Unsure {
+        /// The change's id.
+        change: String,
+    },
+}
+
+const TRIES: u32 = 5;
+const RETRY_PAUSE: Duration = Duration::from_millis(200);
+const VALUE_LIMIT_BYTES: usize = 1_000_000;
+
+/// Writes changes to the platform.
+pub struct Publisher {
+    api: Arc<dyn ObjectApi>,
+}
+
+struct Draft {
+    root: Root,
+    values: HashMap<String, Vec<u8>>,
+}
+
+impl Publisher {
+    /// A publisher to an object API.
+    pub fn new(api: Arc<dyn ObjectApi>) -> Self {
+        Self { api }
+    }
+
+    /// Makes a change; accepted means that the update of the root took effect.
+    ///
+    /// An update whose answer is lost is looked for by its id in the root's history. The update is
+    /// conditional on the version that was read, so trying it again can't make it twice.
+    ///
+    /// # Errors
+    /// [`PublishError`]; only [`PublishError::Unsure`] leaves open whether it was made.
+    pub async fn publish(&self, change: &Change) -> Result<InForce, PublishError> {
+        let id = Uuid::now_v7().to_string();
+        let mut first_preset = None;
+        let mut unsure = false;
+        for _ in 0..TRIES {
+            let read = self.read_root().await;
+            let Ok(read) = read else {
+                tokio::time::sleep(RETRY_PAUSE).await;
+                continue;
+            };
+            let (version, root) = read?;
+            if root.revision_of(&id).is_some() {
+                return self.load(root).await;
+            }
+            let seen = first_preset.get_or_insert_with(|| root.clone());
+            if matches!(change, Change::UsePreset { .. }) && seen.preset != root.preset {
+                return Err(conflict(seen, &root));
+            }
+            if matches!(change, Change::Apply { .. } | Change::Rollback { .. })
+                && seen.revision != root.revision
+            {
+                return Err(conflict(seen, &root));
+            }
+            let draft = self.draft(change, &id, &root).await?;
+            match self.write(draft, version).await {
+                Ok(in_force) => return Ok(in_force),
+                Err(PlatformError::Conflict { .. }) => {}
+                Err(PlatformError::NotDone(_)) => tokio::time::sleep(RETRY_PAUSE).await,
+                Err(PlatformError::Unsure(_)) => unsure = true,
+            }
+        }
+        if unsure {
+            return Err(PublishError::Unsure { change: id });
+        }
+        Err(PublishError::NotDone)
+    }
+
+    /// The root as it stands; a default one where nothing was ever applied.
+    ///
+    /// # Errors
+    /// The outer error is the platform's, the inner one that of an unreadable root.
+    async fn read_root(
+        &self,
+    ) -> Result<Result<(Option<Version>, Root), PublishError>, PlatformError> {
+        let object = self.api.read(ROOT_KEY).await?;
+        Ok(decode_root(object))
+    }
+
+    async fn draft(&self, change: &Change, id: &str, root: &Root) -> Result<Draft, PublishError> {
+        let (kind, preset, PartValues { parts, values }) = match change {
+            Change::Apply { declarations, onto } => {
+                if let Some(onto) = *onto
+                    && onto != root.revision
+                {
+                    let seen = onto;
+                    let found = root.revision;
+                    return Err(PublishError::Conflict { seen, found });
+                }
+                let preset = preset_after(root, declarations)?;
+                (ChangeKind::Apply, preset, split(declarations))
+            }
+            Change::UsePreset { preset } => {
+                let part_values = self.parts_of(&root.parts, root.revision).await?;
+                let declared = join(&part_values.parts, &part_values.values);
+                let declared = declared.ok_or(PublishError::Unreadable)?;
+                if declared.preset(preset).is_none() {
+                    let preset = preset.clone();
+                    return Err(PublishError::NoSuchPreset { preset });
+                }
+                (ChangeKind::UsePreset, preset.clone(), part_values)
+            }
+            Change::Rollback { to } => {
+                let entry = root.history.iter().find(|entry| entry.revision == *to);
+                let entry = entry.ok_or(PublishError::NoSuchRevision { revision: *to })?;
+                let part_values = self.parts_of(&entry.parts, *to).await?;
+                let kind = ChangeKind::Rollback { to: *to };
+                (kind, entry.preset.clone(), part_values)
+            }
+        };
+        let root = root.next(id.to_owned(), kind, preset, parts, Clock::wall_ms());
+        Ok(Draft { root, values })
+    }
+
+    async fn parts_of(&self, parts: &Parts, revision: u64) -> Result<PartValues, PublishError> {
+        if revision == 0 {
+            return Err(PublishError::Nothing);
+        }
+        let mut values = HashMap::new();
+        for hash in parts.hashes() {
+            let object = self.api.read(&part_key(hash)).await;
+            let object = object.map_err(|_| PublishError::NotDone)?;
+            let object = object.ok_or(PublishError::Unreadable)?;
+            values.insert(hash.clone(), object.value.to_vec());
+        }
+        let parts = parts.clone();
+        Ok(PartValues { parts, values })
+    }
+
+    async fn write(
+        &self,
+        draft: Draft,
+        version: Option<Version>,
+    ) -> Result<InForce, PlatformError> {
+        for (hash, value) in &draft.values {
+            let value = Bytes::from(value.clone());
+            match self.api.create(&part_key(hash), value).await {
+                // A part is named by its content: whoever created it wrote the same.
+                Ok(_) | Err(PlatformError::Conflict { .. }) => {}
+                // Without its parts the root isn't written, so nothing has changed.
+                Err(PlatformError::NotDone(error) | PlatformError::Unsure(error)) => {
+                    return Err(PlatformError::NotDone(error));
+                }
+            }
+        }
+        let value = Bytes::from(serde_json::to_vec(&draft.root).unwrap_or_default());
+        match version {
+            Some(version) => self.api.replace(ROOT_KEY, value, version).await?,
+            None => self.api.create(ROOT_KEY, value).await?,
+        };
+        let in_force = InForce::new(draft.root, draft.values);
+        Ok(in_force.expect("a draft's parts belong to its root"))
+    }
+
+    async fn load(&self, root: Root) -> Result<InForce, PublishError> {
+        let part_values = self.parts_of(&root.parts, root.revision).await?;
+        InForce::new(root, part_values.values).ok_or(PublishError::Unreadable)
+    }
+}
+
+fn decode_root(object: Option<Object>) -> Result<(Option<Version>, Root), PublishError> {
+    let Some(object) = object else {
+        return Ok((None, Root::default()));
+    };
+    let root = serde_json::from_slice(&object.value).map_err(|_| PublishError::Unreadable)?;
+    Ok((Some(object.version), root))
+}
+
+fn conflict(seen: &Root, found: &Root) -> PublishError {
+    PublishError::Conflict {
+        seen: seen.revision,
+        found: found.revision,
+    }
+}
+
+/// The preset in force after an apply: the one before it, or the first declared.
+fn preset_after(root: &Root, declarations: &Declarations) -> Result<String, PublishError> {
+    let too_large = split(declarations)
+        .values
+        .values()
+        .map(Vec::len)
+        .find(|size_bytes| *size_bytes > VALUE_LIMIT_BYTES);
+    if let Some(size_bytes) = too_large {
+        return Err(PublishError::TooLarge { size_bytes });
+    }
+    if root.revision == 0 {
+        let first = declarations.presets.first();
+        let first = first.ok_or(PublishError::NoSuchPreset {
+            preset: String::new(),
+        })?;
+        return Ok(first.name.clone());
+    }
+    if declarations.preset(&root.preset).is_none() {
+        let preset = root.preset.clone();
+        return Err(PublishError::PresetInForce { preset });
+    }
+    Ok(root.preset.clone())
+}
--- /dev/null
+++ b/crates/cluster/src/server.rs
@@ -0,0 +1,130 @@
+//! The answering side of the inner protocol.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use fulmarpath_policy::{Ask, AskId, HostKey, OrganisationKey, UpstreamKey};
+use fulmarpath_wire::{
+    AskAnswer, AskReply, ClaimAnswer, ClaimAsk, Document, FetchAnswer, LimitAnswer, Peer, PermitId,
+    Ping, Pong, Progress, ProgressReply, SlotAsk,
+};
+use futures::StreamExt;
+use tarpc::context::Context;
+use tarpc::server::{BaseChannel, Channel};
+use tarpc::tokio_serde::formats::Bincode;
+use tarpc::tokio_util::codec::LengthDelimitedCodec;
+use tokio::net::TcpListener;
+
+use crate::node::Node;
+use crate::peers::FRAME_LIMIT_BYTES;
+
+/// Serves peers on `listener` until the process ends.
+pub(crate) async fn listen(node: Arc<Node>, listener: TcpListener) -> std::io::Result<()> {
+    listener.local_addr()?;
+    tokio::spawn(async move {
+        loop {
+            let Ok((socket, _)) = listener.accept().await else {
+                continue;
+            };
+            let _ = socket.set_nodelay(true);
+            let codec = LengthDelimitedCodec::builder()
+                .max_frame_length(FRAME_LIMIT_BYTES)
+                .new_framed(socket);
+            let transport = tarpc::serde_transport::new(codec, Bincode::default());
+            let server = Server { node: node.clone() };
+            let requests = BaseChannel::with_defaults(transport).execute(server.serve());
+            tokio::spawn(requests.for_each(|request| async {
+                tokio::spawn(request);
+            }));
+        }
+    });
+    Ok(())
+}
+
+#[derive(Clone)]
+struct Server {
+    node: Arc<Node>,
+}
+
+impl Peer for Server {
+    async fn ping(self, _: Context, ping: Ping) -> Pong {
+        self.node.pong(ping)
+    }
+
+    async fn ping_through(self, _: Context, target: SocketAddr, ping: Ping) -> Option<Pong> {
+        self.node.ping_once(target, ping).await
+    }
+
+    async fn document(self, _: Context, document: Document) -> Vec<u8> {
+        match document {
+            Document::Root => {
+                let held = self.node.documents.in_force();
+                held.and_then(|held| serde_json::to_vec(&held.root).ok())
+            }
+            Document::HostList => serde_json::to_vec(&self.node.documents.listing().document).ok(),
+        }
+        .unwrap_or_default()
+    }
+
+    async fn announce(self, _: Context, holder: SocketAddr, document: Document, value: Vec<u8>) {
+        self.node.take(Some(holder), document, &value).await;
+    }
+
+    async fn part(self, _: Context, hash: String) -> Vec<u8> {
+        let held = self.node.documents.in_force();
+        held.and_then(|held| held.part_values.get(&hash).cloned())
+            .unwrap_or_default()
+    }
+
+    async fn ask(self, _: Context, upstream: UpstreamKey, ask: Ask) -> AskReply {
+        let reply = self.node.answer_ask(upstream, ask).await;
+        reply.unwrap_or(AskReply {
+            answer: AskAnswer::NotHome,
+            load: Default::default(),
+        })
+    }
+
+    async fn withdraw(self, _: Context, upstream: UpstreamKey, ask: AskId) {
+        let now_ms = self.node.clock.now_ms();
+        self.node.homes.withdraw(now_ms, upstream, ask);
+    }
+
+    async fn progress(self, _: Context, host: HostKey, progress: Vec<Progress>) -> ProgressReply {
+        let now_ms = self.node.clock.now_ms();
+        let mut reply = self.node.homes.progress(now_ms, &progress);
+        reply.moves = self.node.homes.take_moves(host);
+        reply
+    }
+
+    async fn restore(self, _: Context, upstream: UpstreamKey, ask: Ask) -> Option<PermitId> {
+        let settings = self.node.home_settings_of(upstream)?;
+        let now_ms = self.node.clock.now_ms();
+        let homes = &self.node.homes;
+        Some(homes.restore(now_ms, upstream, settings, ask))
+    }
+
+    async fn take_slot(self, _: Context, ask: SlotAsk) -> LimitAnswer {
+        self.node.answer_slot(ask)
+    }
+
+    async fn restate_slots(self, _: Context, host: HostKey, slots: Vec<(OrganisationKey, u32)>) {
+        self.node.hear_slots(host, &slots);
+    }
+
+    async fn claim(self, _: Context, claim: ClaimAsk) -> ClaimAnswer {
+        self.node.claims.claim(claim).await
+    }
+
+    async fn fetch(
+        self,
+        _: Context,
+        organisation: OrganisationKey,
+        generation: String,
+        from: u32,
+    ) -> FetchAnswer {
+        match self.node.generations.get() {
+            Some(held) => held.fetch(organisation, &generation, from).await,
+            None => FetchAnswer::Unknown,
+        }
+    }
+}
--- /dev/null
+++ b/crates/cluster/src/swim.rs
@@ -0,0 +1,137 @@
+//! The pings that keep the table of members true, at a fixed rate whatever the fleet's size.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use fulmarpath_policy::HostKey;
+use fulmarpath_wire::{MemberNote, MemberState, PeerClient, Ping, Pong};
+use futures::future::join_all;
+use rand::Rng;
+use spdlog::{info, warn};
+
+use crate::node::Node;
+
+const PERIOD: Duration = Duration::from_millis(300);
+/// Members asked to ping one that didn't answer.
+const HELPERS: usize = 2;
+
+impl Node {
+    /// Pings one member a period.
+    pub(crate) async fn ping_members(self: Arc<Self>) {
+        loop {
+            tokio::time::sleep(PERIOD).await;
+            let target = {
+                let mut members = self.members.lock();
+                members.expire(self.clock.now_ms());
+                members.next_target(rand::rng().random())
+            };
+            if let Some(target) = target {
+                tokio::spawn(self.clone().probe(target));
+            }
+        }
+    }
+
+    async fn probe(self: Arc<Self>, target: MemberNote) {
+        let ping = self.ping_message();
+        if let Some(pong) = self.ping_once(target.address, ping.clone()).await {
+            self.hear_pong(target.address, pong).await;
+            return;
+        }
+        let key = HostKey::of(&target.name);
+        let draw = rand::rng().random();
+        let helpers = self.members.lock().helpers(key, draw, HELPERS);
+        let calls = helpers.into_iter().map(|helper| {
+            let (node, ping) = (self.clone(), ping.clone());
+            async move {
+                let call = |client: PeerClient, context| async move {
+                    client.ping_through(context, target.address, ping).await
+                };
+                node.peers.call(helper.address, call).await.ok().flatten()
+            }
+        });
+        let pongs = join_all(calls).await;
+        match pongs.into_iter().flatten().next() {
+            Some(pong) => self.hear_pong(target.address, pong).await,
+            None => {
+                warn!("members: {} does not answer", target.name);
+                self.members.lock().suspect(self.clock.now_ms(), key);
+            }
+        }
+    }
+
+    pub(crate) async fn ping_once(&self, address: SocketAddr, ping: Ping) -> Option<Pong> {
+        let call = |client: PeerClient, context| async move { client.ping(context, ping).await };
+        self.peers.call(address, call).await.ok()
+    }
+
+    fn ping_message(&self) -> Ping {
+        let mut members = self.members.lock();
+        Ping {
+            from: members.me(),
+            rumours: members.rumours(),
+            versions: self.documents.versions(),
+        }
+    }
+
+    async fn hear_pong(self: &Arc<Self>, address: SocketAddr, pong: Pong) {
+        let now_ms = self.clock.now_ms();
+        self.documents.confirm(now_ms);
+        {
+            let mut members = self.members.lock();
+            members.answered(now_ms, &pong.from);
+            for rumour in pong.rumours {
+                members.hear(now_ms, rumour);
+            }
+        }
+        self.compare(address, pong.versions).await;
+    }
+
+    /// Answers a ping, and learns from it.
+    pub(crate) fn pong(self: &Arc<Self>, ping: Ping) -> Pong {
+        let now_ms = self.clock.now_ms();
+        self.documents.confirm(now_ms);
+        let address = ping.from.member.address;
+        let (from, rumours) = {
+            let mut members = self.members.lock();
+            members.answered(now_ms, &ping.from);
+            for rumour in ping.rumours {
+                members.hear(now_ms, rumour);
+            }
+            (members.me(), members.rumours())
+        };
+        let mine = self.documents.versions();
+        if ping.versions.root > mine.root || ping.versions.host_list > mine.host_list {
+            let node = self.clone();
+            let theirs = ping.versions;
+            tokio::spawn(async move { node.compare(address, theirs).await });
+        }
+        Pong {
+            from,
+            rumours,
+            versions: mine,
+        }
+    }
+
+    /// Tells every present member at once that this host leaves.
+    pub async fn leave(self: &Arc<Self>) {
+        self.leaving
+            .store(true, std::sync::atomic::Ordering::Relaxed);
+        let ping = {
+            self.members.lock().leave();
+            self.ping_message()
+        };
+        let targets: Vec<SocketAddr> = self
+            .members
+            .lock()
+            .present()
+            .filter(|rumour| rumour.state == MemberState::Alive)
+            .map(|rumour| rumour.member.address)
+            .collect();
+        info!("members: leaving, {} members told", targets.len());
+        let calls = targets
+            .into_iter()
+            .map(|address| self.ping_once(address, ping.clone()));
+        join_all(calls).await;
+    }
+}
--- /dev/null
+++ b/crates/entry/src/drive.rs
@@ -0,0 +1,403 @@
+//! Drives one generation from its request to its end, over as many engines as it takes.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use fulmarpath_cluster::{Clock, Node, NotGranted, Permit, PermitWish};
+use fulmarpath_policy::{Millis, RetryBudget, UpstreamKey};
+use fulmarpath_upstream::{
+    EngineError, Finish, GenerateRequest, ResumeRequest, StreamItem, TokenStream,
+};
+use parking_lot::Mutex;
+use spdlog::{info, warn};
+
+use crate::generation::Generation;
+use crate::metrics::{CallerLabels, Metrics, ServiceLabel};
+use crate::outcome::{End, NotRun, NotRunReason, Unsent};
+
+/// A first token later than this is a stall.
+const FIRST_TOKEN_BOUND_MS: Millis = 1_500;
+/// A gap between two tokens longer than this is a stall.
+const GAP_BOUND_MS: Millis = 250;
+/// New connections tried to an engine before the generation goes elsewhere.
+const RESUMES: u32 = 2;
+/// How long a generation with tokens out looks for another engine.
+const RECOVERY_BOUND_MS: Millis = 60_000;
+const RECOVERY_PAUSE: Duration = Duration::from_millis(200);
+const RETRY_SHARE: f32 = 0.1;
+const RETRY_MOST: f32 = 10.0;
+
+/// What the drivers of a host share.
+pub(crate) struct Drivers {
+    pub(crate) node: Arc<Node>,
+    pub(crate) metrics: Arc<Metrics>,
+    pub(crate) silence_bound: Duration,
+    pub(crate) grace_ms: Millis,
+    budgets: Mutex<HashMap<UpstreamKey, RetryBudget>>,
+}
+
+impl Drivers {
+    pub(crate) fn new(
+        node: Arc<Node>,
+        metrics: Arc<Metrics>,
+        silence_bound: Duration,
+        grace_ms: Millis,
+    ) -> Self {
+        Self {
+            node,
+            metrics,
+            silence_bound,
+            grace_ms,
+            budgets: Mutex::default(),
+        }
+    }
+
+    fn budget<T>(&self, upstream: UpstreamKey, use_it: impl FnOnce(&mut RetryBudget) -> T) -> T {
+        let mut budgets = self.budgets.lock();
+        let budget = budgets
+            .entry(upstream)
+            .or_insert_with(|| RetryBudget::new(RETRY_SHARE, RETRY_MOST));
+        use_it(budget)
+    }
+}
+
+/// A generation that is to run.
+pub(crate) struct Job {
+    pub(crate) generation: Arc<Generation>,
+    pub(crate) wish: PermitWish,
+    pub(crate) prompt: String,
+    pub(crate) labels: CallerLabels,
+    pub(crate) since_ms: Millis,
+}
+
+/// How relaying from one stream ended.
+enum Relayed {
+    Whole(Finish),
+    /// The stream broke, went silent or skipped a token.
+    Broken,
+    /// The home wants the generation moved, and another engine has given a permit.
+    Moved(Permit),
+    /// The caller has left.
+    Left,
+}
+
+/// Runs a generation to its end and records it there.
+pub(crate) async fn drive(drivers: Arc<Drivers>, job: Job, unsent: Unsent) {
+    let generation = job.generation.clone();
+    let mut driver = Driver {
+        clock: drivers.node.clock(),
+        drivers,
+        last_token_ms: None,
+        attempt: 0,
+        job,
+    };
+    let end = driver.run(unsent).await;
+    if let End::NotRun(not_run) = end {
+        let kind = crate::problem::Problem::NotRun(not_run).kind();
+        driver.drivers.metrics.refuse(kind);
+    }
+    generation.finish(driver.clock.now_ms(), end);
+}
+
+struct Driver {
+    drivers: Arc<Drivers>,
+    clock: Clock,
+    job: Job,
+    last_token_ms: Option<Millis>,
+    attempt: u32,
+}
+
+impl Driver {
+    async fn run(&mut self, unsent: Unsent) -> End {
+        let mut unsent = Some(unsent);
+        let mut without: Vec<UpstreamKey> = Vec::new();
+        let mut moved = None;
+        loop {
+            let permit = match moved.take() {
+                Some(permit) => permit,
+                None => match self.permit(&mut unsent, &mut without).await {
+                    Ok(permit) => permit,
+                    Err(end) => return end,
+                },
+            };
+            let upstream = permit.upstream;
+            let started = self.start(&permit, &mut unsent).await;
+            let Some(stream) = started else {
+                without.push(upstream);
+                if unsent.is_some() && !self.drivers.budget(upstream, RetryBudget::retry) {
+                    let proof = unsent.take().unwrap_or_else(Unsent::refused_by_upstream);
+                    return End::NotRun(NotRun::new(proof, NotRunReason::RefusedByUpstream));
+                }
+                continue;
+            };
+            match self.stay(stream, &permit).await {
+                Relayed::Whole(finish) => {
+                    permit.finish();
+                    return End::Whole(finish);
+                }
+                Relayed::Left => {
+                    self.cancel(&permit).await;
+                    return End::Abandoned;
+                }
+                Relayed::Moved(other) => {
+                    self.drivers.metrics.recover("move");
+                    self.cancel(&permit).await;
+                    moved = Some(other);
+                }
+                Relayed::Broken => {
+                    self.drivers.metrics.recover("other_engine");
+                    warn!("relay: {} leaves an engine", self.job.generation.name());
+                    self.spawn_cancel(permit);
+                    without = vec![upstream];
+                }
+            }
+        }
+    }
+
+    /// Asks for a permit; a generation that was sent once asks until its bound.
+    async fn permit(
+        &self,
+        unsent: &mut Option<Unsent>,
+        without: &mut Vec<UpstreamKey>,
+    ) -> Result<Permit, End> {
+        let since_ms = self.clock.now_ms();
+        loop {
+            let mut wish = self.job.wish.clone();
+            wish.without = without.clone();
+            wish.out_tokens = self.job.generation.next_index();
+            let asked = tokio::select! {
+                asked = self.drivers.node.permit(&wish) => asked,
+                () = self.left() => return Err(self.end_left(unsent)),
+            };
+            let error = match asked {
+                Ok(permit) => return Ok(permit),
+                Err(error) => error,
+            };
+            if error == NotGranted::NoEngine && !without.is_empty() {
+                without.clear();
+                tokio::time::sleep(RECOVERY_PAUSE).await;
+                if unsent.is_none() {
+                    continue;
+                }
+            }
+            if let Some(proof) = unsent.take() {
+                return Err(End::NotRun(NotRun::new(
+                    proof,
+                    NotRunReason::NotGranted(error),
+                )));
+            }
+            if self.clock.now_ms().saturating_sub(since_ms) > RECOVERY_BOUND_MS {
+                return Err(End::OutcomeUnknown);
+            }
+            tokio::time::sleep(RECOVERY_PAUSE).await;
+        }
+    }
+
+    fn end_left(&self, unsent: &mut Option<Unsent>) -> End {
+        match unsent.take() {
+            Some(proof) => End::NotRun(NotRun::new(proof, NotRunReason::HostClosed)),
+            None => End::Abandoned,
+        }
+    }
+
+    /// Sends the generation to the permit's engine; `None` where that engine certainly doesn't
+    /// run it.
+    async fn start(
+        &mut self,
+        permit: &Permit,
+        unsent: &mut Option<Unsent>,
+    ) -> Option<Box<dyn TokenStream>> {
+        self.attempt += 1;
+        self.drivers.budget(permit.upstream, RetryBudget::first_try);
+        let request = GenerateRequest {
+            generation: self.job.generation.name().to_owned(),
+            attempt: self.attempt,
+            model: self.job.wish.model.clone(),
+            prompt: self.job.prompt.clone(),
+            already_out: self.job.generation.texts(),
+            output_limit_tokens: self.job.wish.output_limit_tokens,
+            priority: permit.priority,
+        };
+        let first = unsent.take().is_some();
+        match permit.engine.generate(&request).await {
+            Ok(stream) => Some(stream),
+            Err(EngineError::NotRun(_)) => {
+                if first {
+                    *unsent = Some(Unsent::refused_by_upstream());
+                }
+                None
+            }
+            Err(EngineError::Unknown | EngineError::Lost(_)) => self.resume(permit).await,
+        }
+    }
+
+    /// Reads on over a new connection; `None` where the engine doesn't answer or has lost it.
+    async fn resume(&mut self, permit: &Permit) -> Option<Box<dyn TokenStream>> {
+        self.attempt += 1;
+        let request = ResumeRequest {
+            generation: self.job.generation.name().to_owned(),
+            attempt: self.attempt,
+            next_index: self.job.generation.next_index(),
+        };
+        permit.engine.resume(&request).await.ok()
+    }
+
+    /// Relays from one engine, over new connections where one breaks.
+    ///
+    /// A connection can go silent for good while new ones work. Waiting on would stall the caller
+    /// for ever; going to another engine at once would compute the prompt anew for nothing.
+    async fn stay(&mut self, stream: Box<dyn TokenStream>, permit: &Permit) -> Relayed {
+        let mut stream = stream;
+        let mut resumes = 0;
+        loop {
+            let before = self.job.generation.next_index();
+            match self.relay(&mut *stream, permit).await {
+                Relayed::Broken => {}
+                other => return other,
+            }
+            if self.job.generation.next_index() > before {
+                resumes = 0;
+            }
+            resumes += 1;
+            if resumes > RESUMES {
+                return Relayed::Broken;
+            }
+            match self.resume(permit).await {
+                Some(again) => stream = again,
+                None => return Relayed::Broken,
+            }
+            self.drivers.metrics.recover("new_connection");
+        }
+    }
+
+    async fn relay(&mut self, stream: &mut dyn TokenStream, permit: &Permit) -> Relayed {
+        loop {
+            let next = tokio::select! {
+                next = stream.next(self.drivers.silence_bound) => next,
+                () = self.left() => return Relayed::Left,
+            };
+            let Ok(Some(item)) = next else {
+                return Relayed::Broken;
+            };
+            match item {
+                StreamItem::Heartbeat => {}
+                StreamItem::Token {
+                    generation,
+                    attempt,
+                    index,
+                    text,
+                } => {
+                    if !self.is_mine(&generation, attempt) {
+                        continue;
+                    }
+                    let wanted = self.job.generation.next_index();
+                    // An engine that resumes too early repeats tokens that are out: drop them.
+                    if index < wanted {
+                        continue;
+                    }
+                    // A gap: the tokens between are lost on this stream, so read on from there.
+                    if index > wanted {
+                        return Relayed::Broken;
+                    }
+                    self.take(index, &text);
+                    permit.advance(index + 1);
+                }
+                StreamItem::Done {
+                    generation,
+                    attempt,
+                    total_tokens,
+                    finish,
+                } => {
+                    if !self.is_mine(&generation, attempt) {
+                        continue;
+                    }
+                    if total_tokens != self.job.generation.next_index() {
+                        return Relayed::Broken;
+                    }
+                    let answers = &self.drivers.metrics.answers;
+                    answers.get_or_create(&self.job.labels).inc();
+                    return Relayed::Whole(finish);
+                }
+            }
+            if permit.take_move()
+                && let Some(other) = self.other_engine(permit).await
+            {
+                return Relayed::Moved(other);
+            }
+        }
+    }
+
+    /// Whether an item belongs to this generation and this dispatch of it. Without this check a
+    /// late token of an older attempt, or of another request, would reach this caller.
+    fn is_mine(&self, generation: &str, attempt: u32) -> bool {
+        generation == self.job.generation.name() && attempt == self.attempt
+    }
+
+    fn take(&mut self, index: u32, text: &str) {
+        self.job.generation.push(index, text);
+        let now_ms = self.clock.now_ms();
+        let metrics = &self.drivers.metrics;
+        let service = ServiceLabel {
+            service: self.job.labels.service.clone(),
+        };
+        metrics.tokens.get_or_create(&self.job.labels).inc();
+        let stall_ms = match self.last_token_ms.replace(now_ms) {
+            None => {
+                let first_ms = now_ms.saturating_sub(self.job.since_ms);
+                let histogram = metrics.first_token_ms.get_or_create(&service);
+                histogram.observe(first_ms as f64);
+                first_ms.saturating_sub(FIRST_TOKEN_BOUND_MS)
+            }
+            Some(last_ms) => {
+                let gap_ms = now_ms.saturating_sub(last_ms);
+                let histogram = metrics.between_tokens_ms.get_or_create(&service);
+                histogram.observe(gap_ms as f64);
+                gap_ms.saturating_sub(GAP_BOUND_MS)
+            }
+        };
+        if stall_ms > 0 {
+            let stalls = metrics.stall_ms.get_or_create(&self.job.labels);
+            stalls.inc_by(stall_ms);
+        }
+    }
+
+    async fn other_engine(&self, permit: &Permit) -> Option<Permit> {
+        let mut wish = self.job.wish.clone();
+        wish.without = vec![permit.upstream];
+        wish.out_tokens = self.job.generation.next_index();
+        wish.only_now = true;
+        let other = self.drivers.node.permit(&wish).await.ok()?;
+        info!("relay: {} moves", self.job.generation.name());
+        Some(other)
+    }
+
+    /// Resolves once the caller has left a generation that nobody else may ask for.
+    async fn left(&self) {
+        const CHECK: Duration = Duration::from_millis(250);
+        if self.job.generation.is_keyed() {
+            std::future::pending::<()>().await;
+        }
+        loop {
+            let now_ms = self.clock.now_ms();
+            if self.job.generation.is_left(now_ms, self.drivers.grace_ms) {
+                return;
+            }
+            tokio::time::sleep(CHECK).await;
+        }
+    }
+
+    async fn cancel(&self, permit: &Permit) {
+        let _ = permit.engine.cancel(self.job.generation.name()).await;
+    }
+
+    /// Cancels on an engine that may be dead, without waiting for it.
+    fn spawn_cancel(&self, permit: Permit) {
+        let name = self.job.generation.name().to_owned();
+        let engine = permit.engine.clone();
+        drop(permit);
+        tokio::spawn(async move {
+            let _ = engine.cancel(&name).await;
+        });
+    }
+}
--- /dev/null
+++ b/crates/entry/src/generation.rs
@@ -0,0 +1,203 @@
+//! One generation as this host holds it: its tokens so far and how it ended.
+
+use std::sync::atomic::{AtomicBool, AtomicU32, AtomicU64, Ordering};
+use std::time::Duration;
+
+use fulmarpath_policy::{Millis, OrganisationKey};
+use parking_lot::Mutex;
+use tokio::sync::watch;
+
+use crate::outcome::End;
+
+#[derive(Debug, Default)]
+struct Buffer {
+    text: String,
+    /// The end in `text` of each token.
+    ends: Vec<u32>,
+    end: Option<End>,
+}
+
+/// The tokens of one generation from `base` on. Callers read from here, so that a slow one holds
+/// back nobody and one that lost its connection goes on where it was.
+#[derive(Debug)]
+pub struct Generation {
+    name: String,
+    organisation: OrganisationKey,
+    base: u32,
+    keyed: bool,
+    buffer: Mutex<Buffer>,
+    changed: watch::Sender<()>,
+    cancelled: AtomicBool,
+    readers: AtomicU32,
+    read_at_ms: AtomicU64,
+    ended_at_ms: AtomicU64,
+}
+
+/// What a reader gets: tokens from its index on, then the end.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(crate) struct Piece {
+    pub(crate) texts: Vec<String>,
+    pub(crate) end: Option<End>,
+}
+
+impl Generation {
+    /// A generation without tokens, whose first one has index `base`.
+    pub(crate) fn new(
+        name: String,
+        organisation: OrganisationKey,
+        base: u32,
+        keyed: bool,
+        now_ms: Millis,
+    ) -> Self {
+        Self {
+            name,
+            organisation,
+            base,
+            keyed,
+            buffer: Mutex::default(),
+            changed: watch::Sender::new(()),
+            cancelled: AtomicBool::new(false),
+            readers: AtomicU32::new(0),
+            read_at_ms: AtomicU64::new(now_ms),
+            ended_at_ms: AtomicU64::new(0),
+        }
+    }
+
+    /// Its name.
+    pub fn name(&self) -> &str {
+        &self.name
+    }
+
+    /// Whose it is.
+    pub fn organisation(&self) -> OrganisationKey {
+        self.organisation
+    }
+
+    pub(crate) fn base(&self) -> u32 {
+        self.base
+    }
+
+    pub(crate) fn is_keyed(&self) -> bool {
+        self.keyed
+    }
+
+    /// The index of the next token.
+    pub(crate) fn next_index(&self) -> u32 {
+        self.base + self.buffer.lock().ends.len() as u32
+    }
+
+    /// Appends the token at `index`.
+    ///
+    /// # Panics
+    /// Where `index` isn't the next one, or the generation has ended: a token would reach its
+    /// caller twice, out of order or not at all.
+    pub(crate) fn push(&self, index: u32, text: &str) {
+        {
+            let mut buffer = self.buffer.lock();
+            let next = self.base + buffer.ends.len() as u32;
+            assert_eq!(index, next, "a token must be the next one");
+            assert!(buffer.end.is_none(), "a token must not follow the end");
+            buffer.text.push_str(text);
+            let end = buffer.text.len() as u32;
+            buffer.ends.push(end);
+        }
+        self.changed.send_replace(());
+    }
+
+    /// Ends the generation; only the first end counts.
+    pub(crate) fn finish(&self, now_ms: Millis, end: End) {
+        {
+            let mut buffer = self.buffer.lock();
+            if buffer.end.is_some() {
+                return;
+            }
+            buffer.end = Some(end);
+        }
+        self.ended_at_ms.store(now_ms, Ordering::Relaxed);
+        self.changed.send_replace(());
+    }
+
+    pub(crate) fn end(&self) -> Option<End> {
+        self.buffer.lock().end
+    }
+
+    pub(crate) fn ended_at_ms(&self) -> Option<Millis> {
+        let at_ms = self.ended_at_ms.load(Ordering::Relaxed);
+        (at_ms > 0).then_some(at_ms)
+    }
+
+    /// Bytes that it holds.
+    pub(crate) fn size_bytes(&self) -> usize {
+        let buffer = self.buffer.lock();
+        buffer.text.capacity() + buffer.ends.capacity() * size_of::<u32>()
+    }
+
+    /// All tokens, for an engine that goes on after them.
+    pub(crate) fn texts(&self) -> Vec<String> {
+        self.piece(self.base).texts
+    }
+
+    /// The tokens from `from` on, and the end where it is reached.
+    pub(crate) fn piece(&self, from: u32) -> Piece {
+        let buffer = self.buffer.lock();
+        let skip = from.saturating_sub(self.base) as usize;
+        let mut start = match skip.checked_sub(1) {
+            Some(last) => buffer.ends.get(last).copied().unwrap_or(0) as usize,
+            None => 0,
+        };
+        let mut texts = Vec::new();
+        for end in buffer.ends.iter().skip(skip) {
+            let end = *end as usize;
+            texts.push(buffer.text[start..end].to_owned());
+            start = end;
+        }
+        let end = buffer.end;
+        Piece { texts, end }
+    }
+
+    /// Waits until there is something at or after `from`, or the end.
+    pub(crate) async fn wait(&self, from: u32) -> Piece {
+        let mut changed = self.changed.subscribe();
+        loop {
+            let piece = self.piece(from);
+            if !piece.texts.is_empty() || piece.end.is_some() {
+                return piece;
+            }
+            if changed.changed().await.is_err() {
+                return piece;
+            }
+        }
+    }
+
+    /// The same, but for at most `bound`.
+    pub(crate) async fn wait_at_most(&self, from: u32, bound: Duration) -> Piece {
+        let waited = tokio::time::timeout(bound, self.wait(from)).await;
+        waited.unwrap_or_else(|_| self.piece(from))
+    }
+
+    /// Somebody reads at this time.
+    pub(crate) fn touch(&self, now_ms: Millis) {
+        self.read_at_ms.fetch_max(now_ms, Ordering::Relaxed);
+    }
+
+    pub(crate) fn add_reader(&self) {
+        self.readers.fetch_add(1, Ordering::Relaxed);
+    }
+
+    pub(crate) fn drop_reader(&self, now_ms: Millis) {
+        self.touch(now_ms);
+        self.readers.fetch_sub(1, Ordering::Relaxed);
+    }
+
+    /// Its caller wants no more of it.
+    pub(crate) fn cancel(&self) {
+        self.cancelled.store(true, Ordering::Relaxed);
+    }
+
+    /// Whether it was cancelled, or nobody has read for longer than `grace_ms`.
+    pub(crate) fn is_left(&self, now_ms: Millis, grace_ms: Millis) -> bool {
+        self.cancelled.load(Ordering::Relaxed)
+            || self.readers.load(Ordering::Relaxed) == 0
+                && now_ms.saturating_sub(self.read_at_ms.load(Ordering::Relaxed)) > grace_ms
+    }
+}
--- /dev/null
+++ b/crates/entry/src/metrics.rs
@@ -0,0 +1,170 @@
+//! Counters and histograms of what this host decided and relayed.
+
+use std::collections::HashSet;
+
+use parking_lot::Mutex;
+use prometheus_client::encoding::EncodeLabelSet;
+use prometheus_client::encoding::text::encode;
+use prometheus_client::metrics::counter::Counter;
+use prometheus_client::metrics::family::Family;
+use prometheus_client::metrics::gauge::Gauge;
+use prometheus_client::metrics::histogram::Histogram;
+use prometheus_client::registry::Registry;
+
+/// Labels of a caller. Organisations beyond the bound share one label, so that the page can't
+/// grow without end.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub(crate) struct CallerLabels {
+    pub(crate) organisation: String,
+    pub(crate) service: String,
+}
+
+/// The label of a service.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub(crate) struct ServiceLabel {
+    pub(crate) service: String,
+}
+
+/// The label of a kind of refusal or recovery.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub(crate) struct KindLabel {
+    pub(crate) kind: &'static str,
+}
+
+/// The label of an engine.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub(crate) struct UpstreamLabel {
+    pub(crate) upstream: String,
+}
+
+const ORGANISATIONS: usize = 200;
+const BETWEEN_BUCKETS_MS: [f64; 12] = [
+    5.0, 10.0, 15.0, 20.0, 25.0, 35.0, 50.0, 75.0, 100.0, 250.0, 1_000.0, 5_000.0,
+];
+const FIRST_BUCKETS_MS: [f64; 9] = [
+    50.0, 100.0, 250.0, 500.0, 1_000.0, 1_500.0, 3_000.0, 6_000.0, 12_000.0,
+];
+
+type MsHistogram = Family<ServiceLabel, Histogram, fn() -> Histogram>;
+
+/// All metrics of a host.
+pub struct Metrics {
+    registry: Registry,
+    organisations: Mutex<HashSet<String>>,
+    pub(crate) tokens: Family<CallerLabels, Counter>,
+    pub(crate) stall_ms: Family<CallerLabels, Counter>,
+    pub(crate) answers: Family<CallerLabels, Counter>,
+    pub(crate) refusals: Family<KindLabel, Counter>,
+    pub(crate) recoveries: Family<KindLabel, Counter>,
+    pub(crate) between_tokens_ms: MsHistogram,
+    pub(crate) first_token_ms: MsHistogram,
+    pub(crate) engine_running: Family<UpstreamLabel, Gauge>,
+    pub(crate) engine_queued: Family<UpstreamLabel, Gauge>,
+    pub(crate) engine_used_tokens: Family<UpstreamLabel, Gauge>,
+    pub(crate) cut_by_stop: Counter,
+}
+
+impl Default for Metrics {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
+impl Metrics {
+    /// All at zero.
+    pub fn new() -> Self {
+        let mut metrics = Self {
+            registry: Registry::with_prefix("fulmarpath"),
+            organisations: Mutex::default(),
+            tokens: Family::default(),
+            stall_ms: Family::default(),
+            answers: Family::default(),
+            refusals: Family::default(),
+            recoveries: Family::default(),
+            between_tokens_ms: Family::new_with_constructor(|| Histogram::new(BETWEEN_BUCKETS_MS)),
+            first_token_ms: Family::new_with_constructor(|| Histogram::new(FIRST_BUCKETS_MS)),
+            engine_running: Family::default(),
+            engine_queued: Family::default(),
+            engine_used_tokens: Family::default(),
+            cut_by_stop: Counter::default(),
+        };
+        metrics.register();
+        metrics
+    }
+
+    fn register(&mut self) {
+        let registry = &mut self.registry;
+        registry.register("tokens", "Tokens relayed", self.tokens.clone());
+        registry.register(
+            "stall_ms",
+            "Time without a token: to the first past 1,500 ms, between two past 250 ms",
+            self.stall_ms.clone(),
+        );
+        registry.register("answers", "Whole answers", self.answers.clone());
+        registry.register("refusals", "Refusals by kind", self.refusals.clone());
+        registry.register(
+            "recoveries",
+            "Streams that went on after a failure, by kind",
+            self.recoveries.clone(),
+        );
+        registry.register(
+            "between_tokens_ms",
+            "Time between two tokens of an answer",
+            self.between_tokens_ms.clone(),
+        );
+        registry.register(
+            "first_token_ms",
+            "Time from the request to the first token",
+            self.first_token_ms.clone(),
+        );
+        registry.register(
+            "engine_running",
+            "Permits out, by engine whose home this host is",
+            self.engine_running.clone(),
+        );
+        registry.register(
+            "engine_queued",
+            "Asks in the queue, by engine whose home this host is",
+            self.engine_queued.clone(),
+        );
+        registry.register(
+            "engine_used_tokens",
+            "Engine memory in use, by engine whose home this host is",
+            self.engine_used_tokens.clone(),
+        );
+        registry.register(
+            "cut_by_stop",
+            "Requests that a stop cut at its bound",
+            self.cut_by_stop.clone(),
+        );
+    }
+
+    pub(crate) fn caller(&self, organisation: &str, service: &str) -> CallerLabels {
+        let mut known = self.organisations.lock();
+        let organisation = if known.contains(organisation) || known.len() < ORGANISATIONS {
+            known.insert(organisation.to_owned());
+            organisation
+        } else {
+            "other"
+        };
+        CallerLabels {
+            organisation: organisation.to_owned(),
+            service: service.to_owned(),
+        }
+    }
+
+    pub(crate) fn refuse(&self, kind: &'static str) {
+        self.refusals.get_or_create(&KindLabel { kind }).inc();
+    }
+
+    pub(crate) fn recover(&self, kind: &'static str) {
+        self.recoveries.get_or_create(&KindLabel { kind }).inc();
+    }
+
+    /// The page in the text form of Prometheus.
+    pub fn page(&self) -> String {
+        let mut page = String::new();
+        let _ = encode(&mut page, &self.registry);
+        page
+    }
+}
--- /dev/null
+++ b/crates/entry/src/plain.rs
@@ -0,0 +1,102 @@
+//! Calls to plain services. One that may not be repeated is sent at most once.
+
+use std::sync::Arc;
+
+use bytes::Bytes;
+use fulmarpath_cluster::InForce;
+use fulmarpath_http::{Reply, full};
+use fulmarpath_policy::OrganisationKey;
+use fulmarpath_settings::{Organisation, ServiceKind};
+use fulmarpath_upstream::{PlainAnswer, PlainCall, PlainError};
+use hyper::Method;
+use hyper::header::{CONTENT_TYPE, HeaderValue};
+
+use crate::outcome::{NotRun, NotRunReason, Unsent};
+use crate::problem::Problem;
+use crate::server::Entry;
+
+/// Instances tried where none was reached, or for a call that may be repeated.
+const TRIES: usize = 3;
+
+/// A caller's call to a plain service.
+pub(crate) struct Wish {
+    pub(crate) service: String,
+    pub(crate) method: Method,
+    pub(crate) path: String,
+    pub(crate) content_type: Option<String>,
+    pub(crate) body: Bytes,
+}
+
+/// Sends a call to an instance of the service and answers with what it says.
+pub(crate) async fn call(
+    entry: &Arc<Entry>,
+    in_force: Arc<InForce>,
+    organisation: &Organisation,
+    wish: Wish,
+) -> Result<Reply, Problem> {
+    const NO_SERVICE: Problem = Problem::NotFound {
+        what: "a plain service of this name",
+    };
+    let service = in_force.service(&wish.service).ok_or(NO_SERVICE)?;
+    let ServiceKind::Plain { repeatable_methods } = &service.kind else {
+        return Err(NO_SERVICE);
+    };
+    let may_repeat = repeatable_methods
+        .iter()
+        .any(|method| method == wish.method.as_str());
+    entry.check_open(&in_force, &wish.service)?;
+    let unsent = entry.take_slot(organisation, Unsent::fresh()).await?;
+    let key = OrganisationKey::of(&organisation.name);
+    let answer = send(entry, &wish, may_repeat, unsent).await;
+    entry.node.give_slot(key);
+    answer.map(reply)
+}
+
+/// Tries instances until one answers.
+///
+/// A call that was sent and not answered may have run. Sending it to another instance would run it
+/// twice, so that is done only where the declaration allows it.
+async fn send(
+    entry: &Entry,
+    wish: &Wish,
+    may_repeat: bool,
+    unsent: Unsent,
+) -> Result<PlainAnswer, Problem> {
+    let mut unsent = Some(unsent);
+    for (_, instance) in entry.node.plain(&wish.service).into_iter().take(TRIES) {
+        let call = PlainCall {
+            method: wish.method.clone(),
+            path: wish.path.clone(),
+            content_type: wish.content_type.clone(),
+            body: wish.body.clone(),
+        };
+        match instance.call(call).await {
+            Ok(answer) => return Ok(answer),
+            Err(PlainError::NotRun(_)) => {}
+            Err(PlainError::OutcomeUnknown(_)) => {
+                unsent = None;
+                if !may_repeat {
+                    break;
+                }
+            }
+        }
+    }
+    match unsent {
+        Some(proof) => {
+            let reason = NotRunReason::RefusedByUpstream;
+            Err(Problem::NotRun(NotRun::new(proof, reason)))
+        }
+        None => Err(Problem::OutcomeUnknown),
+    }
+}
+
+fn reply(answer: PlainAnswer) -> Reply {
+    let mut reply = full(answer.status, "application/octet-stream", answer.body);
+    let content_type = answer
+        .content_type
+        .and_then(|value| HeaderValue::from_str(&value).ok());
+    if let Some(content_type) = content_type {
+        reply.headers_mut().insert(CONTENT_TYPE, content_type);
+    }
+    reply
+}
--- /dev/null
+++ b/crates/http/src/lines.rs
@@ -0,0 +1,65 @@
+//! Lines of a streamed body.
+
+use std::time::Duration;
+
+use bytes::BytesMut;
+use http_body_util::BodyExt;
+use hyper::body::Incoming;
+use tokio::time::timeout;
+
+use crate::client::Call;
+use crate::error::HttpError;
+
+const LINE_LIMIT_BYTES: usize = 1 << 20;
+
+/// Splits a streamed body into lines, each due within a bound of silence.
+#[derive(Debug)]
+pub struct Lines {
+    address: std::net::SocketAddr,
+    body: Incoming,
+    buffer: BytesMut,
+}
+
+impl Lines {
+    /// Takes over an answer's body.
+    pub fn new(call: Call) -> Self {
+        Self {
+            address: call.address,
+            body: call.response.into_body(),
+            buffer: BytesMut::new(),
+        }
+    }
+
+    /// The peer that sends the lines.
+    pub fn address(&self) -> std::net::SocketAddr {
+        self.address
+    }
+
+    /// The next line without its end, or `None` where the body ended between lines.
+    ///
+    /// # Errors
+    /// [`HttpError::Broken`] after `silence` without a byte, a lost connection, or a body that
+    /// ended inside a line.
+    pub async fn next(&mut self, silence: Duration) -> Result<Option<BytesMut>, HttpError> {
+        let address = self.address;
+        loop {
+            if let Some(end) = self.buffer.iter().position(|byte| *byte == b'\n') {
+                let mut line = self.buffer.split_to(end + 1);
+                line.truncate(end);
+                return Ok(Some(line));
+            }
+            if self.buffer.len() > LINE_LIMIT_BYTES {
+                return Err(HttpError::Malformed { address });
+            }
+            match timeout(silence, self.body.frame()).await {
+                Ok(Some(Ok(frame))) => {
+                    if let Some(data) = frame.data_ref() {
+                        self.buffer.extend_from_slice(data);
+                    }
+                }
+                Ok(None) if self.buffer.is_empty() => return Ok(None),
+                _ => return Err(HttpError::Broken { address }),
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/policy/src/home.rs
@@ -0,0 +1,564 @@
+//! The home of an engine: its permits, its queue, and who starts next.
+
+use serde::{Deserialize, Serialize};
+use slotmap::{SlotMap, new_key_type};
+
+use crate::fair::Fairness;
+use crate::fit::{FitRule, Footprint, Forecast};
+use crate::key::{HostKey, Millis, OrganisationKey, ServiceKey};
+use crate::lengths::Lengths;
+use crate::load::EngineLoad;
+use crate::queue::{OrderRule, Waiting, next};
+use crate::unexplained::Unexplained;
+
+new_key_type! {
+    /// A permit in its home's arena.
+    pub struct PermitKey;
+}
+
+/// Names an ask; chosen by the entry host, unique over all hosts.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct AskId(pub u64);
+
+/// A wish to start a generation on the engine.
+#[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
+pub struct Ask {
+    /// Names this ask.
+    pub id: AskId,
+    /// The entry host that asks.
+    pub host: HostKey,
+    /// For whom.
+    pub organisation: OrganisationKey,
+    /// For which service.
+    pub service: ServiceKey,
+    /// The organisation's weight in the preset in force.
+    pub weight: f32,
+    /// Its guaranteed share of the engine's memory.
+    pub share: f32,
+    /// Prompt tokens.
+    pub prompt_tokens: u32,
+    /// Tokens that are out already, where a generation is resumed.
+    pub out_tokens: u32,
+    /// The answer's bound.
+    pub output_limit_tokens: u32,
+    /// How long the ask may wait.
+    pub patience_ms: Millis,
+    /// Whether to refuse at once rather than queue.
+    pub only_now: bool,
+    /// The whole length, where it is known (the bench's oracle).
+    pub known_tokens: Option<u32>,
+}
+
+impl Ask {
+    /// Whether the caller has tokens of this generation already.
+    pub fn is_resumption(&self) -> bool {
+        self.out_tokens > 0
+    }
+}
+
+/// How a home decides; follows from the preset in force.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct HomeSettings {
+    /// The engine's memory.
+    pub memory_tokens: u32,
+    /// How memory is kept from filling up.
+    pub fit: FitRule,
+    /// Who is served next.
+    pub order: OrderRule,
+    /// How far an organisation may run ahead of one that waits, in tokens a weight.
+    pub lead_bound_tokens: f64,
+    /// The share of memory up to which work above an organisation's own share may start.
+    pub lend_share: f32,
+    /// Time that the engine spends on a prompt's token; 0 turns pacing off.
+    pub prompt_ms_per_token: f32,
+    /// Whether to move a generation off an engine about to fill.
+    pub moves: bool,
+    /// The longest queue.
+    pub queue_limit: usize,
+    /// A permit without a word from its host for so long lapses.
+    pub lapse_ms: Millis,
+}
+
+/// Why a home refuses. A refused ask was certainly not run.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub enum RefusalReason {
+    /// The queue is at its bound.
+    QueueFull,
+    /// It could not start within its patience.
+    TooLate,
+    /// It asked to start at once and can't.
+    NoRoomNow,
+    /// It can never fit into this engine.
+    TooLarge,
+    /// The engine takes nothing new.
+    Leaving,
+}
+
+/// What a home has decided.
+#[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
+pub enum Outcome {
+    /// The generation may start.
+    Granted {
+        /// The ask.
+        ask: AskId,
+        /// The host that asked.
+        host: HostKey,
+        /// Names the permit from now on.
+        permit: PermitKey,
+        /// The engine's priority for it.
+        priority: i32,
+    },
+    /// The generation may not start here.
+    Refused {
+        /// The ask.
+        ask: AskId,
+        /// The host that asked.
+        host: HostKey,
+        /// Why.
+        reason: RefusalReason,
+        /// When to come back.
+        retry_after_ms: Millis,
+    },
+    /// The engine is about to fill: resume this generation elsewhere if another has room now.
+    Move {
+        /// The permit to move.
+        permit: PermitKey,
+        /// The host that holds it.
+        host: HostKey,
+    },
+}
+
+/// A home's own count of its engine.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct HomeLoad {
+    /// Permits out.
+    pub running: u32,
+    /// Asks in the queue.
+    pub queued: u32,
+    /// Memory that the permits hold now.
+    pub held_tokens: u32,
+}
+
+#[derive(Debug)]
+struct Permit {
+    ask: Ask,
+    out_tokens: u32,
+    heard_at_ms: Millis,
+    draw: f32,
+    priority: i32,
+    /// When a move was last asked for.
+    moved_at_ms: Option<Millis>,
+}
+
+impl Permit {
+    fn held_tokens(&self) -> u32 {
+        self.ask.prompt_tokens + self.out_tokens
+    }
+
+    fn footprint<'a>(&self, lengths: &'a Lengths) -> Footprint<'a> {
+        footprint(&self.ask, self.out_tokens, self.draw, lengths)
+    }
+}
+
+fn footprint<'a>(ask: &Ask, out_tokens: u32, draw: f32, lengths: &'a Lengths) -> Footprint<'a> {
+    Footprint {
+        prompt_tokens: ask.prompt_tokens as f32,
+        out_tokens: out_tokens as f32,
+        limit_tokens: ask.output_limit_tokens as f32,
+        curve: lengths.curve(ask.organisation, ask.service),
+        known_tokens: ask.known_tokens.map(|tokens| tokens as f32),
+        draw,
+    }
+}
+
+/// A draw that stays with its ask, so that a prediction doesn't jump from step to step.
+fn draw(ask: AskId) -> f32 {
+    let hash = xxhash_rust::xxh3::xxh3_64(&ask.0.to_le_bytes());
+    (hash >> 40) as f32 / (1u64 << 24) as f32
+}
+
+/// Steps ahead at which an engine counts as about to fill.
+const FILLING_STEPS: u32 = 24;
+const MOVE_PAUSE_MS: Millis = 200;
+const MOVE_AGAIN_MS: Millis = 2_000;
+/// A prompt shorter than this starts without waiting for the pace.
+const UNPACED_TOKENS: u32 = 64;
+
+/// The home of one engine.
+#[derive(Debug)]
+pub struct Home {
+    settings: HomeSettings,
+    permits: SlotMap<PermitKey, Permit>,
+    queue: Vec<Waiting>,
+    fairness: Fairness,
+    unexplained: Unexplained,
+    held_tokens: u64,
+    next_prompt_at_ms: f64,
+    next_move_at_ms: Millis,
+    leaving: bool,
+    /// Asks served a second, smoothed; for an honest time to come back.
+    served_per_s: f32,
+    served_at_ms: Millis,
+}
+
+impl Home {
+    /// A home without permits.
+    pub fn new(settings: HomeSettings) -> Self {
+        Self {
+            settings,
+            permits: SlotMap::with_key(),
+            queue: Vec::new(),
+            fairness: Fairness::default(),
+            unexplained: Unexplained::default(),
+            held_tokens: 0,
+            next_prompt_at_ms: 0.0,
+            next_move_at_ms: 0,
+            leaving: false,
+            served_per_s: 1.0,
+            served_at_ms: 0,
+        }
+    }
+
+    /// Changes how the home decides; what runs stays.
+    pub fn set_settings(&mut self, settings: HomeSettings) {
+        self.settings = settings;
+    }
+
+    /// The engine takes nothing new from now on, or takes work again.
+    pub fn set_leaving(&mut self, leaving: bool) {
+        self.leaving = leaving;
+    }
+
+    /// Takes in an ask. Its outcome comes from this or a later [`Home::step`].
+    ///
+    /// An ask that comes again changes nothing: the answer to the first may have been lost.
+    pub fn ask(&mut self, now_ms: Millis, ask: Ask, lengths: &Lengths) {
+        if self.is_queued(ask.id) || self.granted(ask.id).is_some() {
+            return;
+        }
+        let expected = match ask.known_tokens {
+            Some(known) => known as f32,
+            None => lengths.expected(ask.organisation, ask.service),
+        };
+        self.fairness.enqueue(ask.organisation, ask.weight);
+        self.queue.push(Waiting {
+            ask,
+            since_ms: now_ms,
+            footprint_tokens: ask.prompt_tokens as f32 + expected,
+        });
+    }
+
+    /// The permit that an ask was granted, and its priority; an ask may come twice.
+    pub fn granted(&self, ask: AskId) -> Option<(PermitKey, i32)> {
+        let mut permits = self.permits.iter();
+        let (key, permit) = permits.find(|(_, permit)| permit.ask.id == ask)?;
+        Some((key, permit.priority))
+    }
+
+    /// Whether an ask is in the queue.
+    pub fn is_queued(&self, ask: AskId) -> bool {
+        self.queue.iter().any(|waiting| waiting.ask.id == ask)
+    }
+
+    /// Whether a permit is known.
+    pub fn knows(&self, permit: PermitKey) -> bool {
+        self.permits.contains_key(permit)
+    }
+
+    /// Counts a generation that already runs, which an earlier home had permitted.
+    pub fn restore(&mut self, now_ms: Millis, ask: Ask) -> PermitKey {
+        if let Some((known, _)) = self.granted(ask.id) {
+            return known;
+        }
+        self.fairness.enqueue(ask.organisation, ask.weight);
+        self.insert(now_ms, ask, 0)
+    }
+
+    /// Takes back an ask that is no longer wanted.
+    pub fn withdraw(&mut self, ask: AskId) {
+        if let Some(index) = self.queue.iter().position(|waiting| waiting.ask.id == ask) {
+            self.drop_waiting(index);
+        } else if let Some((permit, _)) = self.granted(ask) {
+            self.release(permit);
+        }
+    }
+
+    /// A generation has so many tokens out.
+    pub fn progress(&mut self, now_ms: Millis, permit: PermitKey, out_tokens: u32) {
+        let Some(entry) = self.permits.get_mut(permit) else {
+            return;
+        };
+        entry.heard_at_ms = now_ms;
+        let grown = out_tokens.saturating_sub(entry.out_tokens);
+        entry.out_tokens += grown;
+        let organisation = entry.ask.organisation;
+        self.held_tokens += u64::from(grown);
+        self.fairness.charge(organisation, grown);
+    }
+
+    /// A generation is whole, with so many tokens.
+    pub fn finish(
+        &mut self,
+        now_ms: Millis,
+        permit: PermitKey,
+        length_tokens: u32,
+        lengths: &mut Lengths,
+    ) {
+        if let Some(entry) = self.release(permit) {
+            let Ask {
+                organisation,
+                service,
+                ..
+            } = entry.ask;
+            lengths.record(now_ms, organisation, service, length_tokens);
+        }
+    }
+
+    /// A generation has left the engine without being whole.
+    pub fn cancel(&mut self, permit: PermitKey) {
+        self.release(permit);
+    }
+
+    /// Takes in the engine's late report.
+    pub fn report(&mut self, now_ms: Millis, load: EngineLoad) {
+        self.unexplained.note(now_ms, self.held_tokens as f32);
+        self.unexplained.report(load.used_tokens as f32);
+        if load.memory_tokens > 0 {
+            self.settings.memory_tokens = load.memory_tokens;
+        }
+    }
+
+    /// The home's own count.
+    pub fn load(&self) -> HomeLoad {
+        HomeLoad {
+            running: self.permits.len() as u32,
+            queued: self.queue.len() as u32,
+            held_tokens: self.held_tokens as u32,
+        }
+    }
+
+    /// Decides what can be decided now.
+    pub fn step(&mut self, now_ms: Millis, lengths: &Lengths, outcomes: &mut Vec<Outcome>) {
+        self.lapse(now_ms);
+        self.unexplained.note(now_ms, self.held_tokens as f32);
+        self.refuse(now_ms, outcomes);
+        if !self.queue.is_empty() {
+            self.grant(now_ms, lengths, outcomes);
+            self.refuse_hurried(now_ms, outcomes);
+        }
+        if self.settings.moves {
+            self.choose_move(now_ms, lengths, outcomes);
+        }
+        debug_assert!(self.is_consistent(), "held tokens don't add up");
+    }
+
+    /// When the next step is due, if nothing else happens.
+    pub fn due_ms(&self) -> Millis {
+        self.next_prompt_at_ms.ceil() as Millis
+    }
+
+    /// Drops permits whose host has gone silent. Without this the memory that a dead host's
+    /// permits hold would never be given out again.
+    fn lapse(&mut self, now_ms: Millis) {
+        let lapse_ms = self.settings.lapse_ms;
+        let gone: Vec<PermitKey> = self
+            .permits
+            .iter()
+            .filter(|(_, permit)| now_ms.saturating_sub(permit.heard_at_ms) > lapse_ms)
+            .map(|(key, _)| key)
+            .collect();
+        for key in gone {
+            self.release(key);
+        }
+    }
+
+    fn refuse(&mut self, now_ms: Millis, outcomes: &mut Vec<Outcome>) {
+        let mut index = 0;
+        while index < self.queue.len() {
+            let waiting = &self.queue[index];
+            let waited_ms = now_ms.saturating_sub(waiting.since_ms);
+            let too_large =
+                waiting.ask.prompt_tokens + waiting.ask.out_tokens >= self.settings.memory_tokens;
+            let full = index >= self.settings.queue_limit && !waiting.ask.is_resumption();
+            let reason = match () {
+                () if self.leaving => Some(RefusalReason::Leaving),
+                () if too_large => Some(RefusalReason::TooLarge),
+                () if full => Some(RefusalReason::QueueFull),
+                () if waited_ms >= waiting.ask.patience_ms => Some(RefusalReason::TooLate),
+                () => None,
+            };
+            match reason {
+                Some(reason) => self.refuse_at(index, reason, outcomes),
+                None => index += 1,
+            }
+        }
+    }
+
+    fn refuse_hurried(&mut self, _now_ms: Millis, outcomes: &mut Vec<Outcome>) {
+        while let Some(index) = self.queue.iter().position(|one| one.ask.only_now) {
+            self.refuse_at(index, RefusalReason::NoRoomNow, outcomes);
+        }
+    }
+
+    fn refuse_at(&mut self, index: usize, reason: RefusalReason, outcomes: &mut Vec<Outcome>) {
+        let ask = self.drop_waiting(index).ask;
+        outcomes.push(Outcome::Refused {
+            ask: ask.id,
+            host: ask.host,
+            reason,
+            retry_after_ms: self.retry_after_ms(),
+        });
+    }
+
+    /// The time in which the queue as it stands would be served.
+    fn retry_after_ms(&self) -> Millis {
+        const LEAST_MS: f32 = 500.0;
+        const MOST_MS: f32 = 30_000.0;
+        let queue_ms = self.queue.len() as f32 / self.served_per_s.max(0.01) * 1_000.0;
+        queue_ms.clamp(LEAST_MS, MOST_MS) as Millis
+    }
+
+    fn grant(&mut self, now_ms: Millis, lengths: &Lengths, outcomes: &mut Vec<Outcome>) {
+        let settings = self.settings;
+        let mut forecast = Forecast::default();
+        for permit in self.permits.values() {
+            forecast.add(&permit.footprint(lengths), settings.fit);
+        }
+        let memory = settings.memory_tokens as f32 - self.unexplained.tokens();
+        loop {
+            let chosen = next(
+                &self.queue,
+                now_ms,
+                settings.order,
+                &self.fairness,
+                settings.lead_bound_tokens,
+            );
+            let Some(index) = chosen else { break };
+            let ask = self.queue[index].ask;
+            if !self.is_paced(now_ms, &ask) {
+                break;
+            }
+            let borrows = self.borrows(&ask);
+            let usable = if borrows {
+                memory * settings.lend_share
+            } else {
+                memory
+            };
+            let wanted = footprint(&ask, ask.out_tokens, draw(ask.id), lengths);
+            // An empty engine takes anything that isn't too large, or a careful rule would leave
+            // a caller waiting before an idle engine.
+            let idle = self.permits.is_empty() && self.unexplained.tokens() < 1.0;
+            if !idle && !forecast.fits(&wanted, settings.fit, usable) {
+                break;
+            }
+            forecast.add(&wanted, settings.fit);
+            outcomes.push(self.start(now_ms, index, borrows));
+        }
+    }
+
+    fn is_paced(&self, now_ms: Millis, ask: &Ask) -> bool {
+        let tokens = ask.prompt_tokens + ask.out_tokens;
+        self.settings.prompt_ms_per_token <= 0.0
+            || tokens < UNPACED_TOKENS
+            || ask.is_resumption()
+            || now_ms as f64 >= self.next_prompt_at_ms
+    }
+
+    /// Whether the organisation would hold more than its guaranteed share.
+    fn borrows(&self, ask: &Ask) -> bool {
+        let own = ask.share * self.settings.memory_tokens as f32;
+        let held = self.fairness.held_tokens(ask.organisation) as f32;
+        held + (ask.prompt_tokens + ask.out_tokens) as f32 > own
+    }
+
+    fn start(&mut self, now_ms: Millis, index: usize, borrows: bool) -> Outcome {
+        let ask = self.queue.remove(index).ask;
+        let tokens = ask.prompt_tokens + ask.out_tokens;
+        let prompt_ms = f64::from(tokens as f32 * self.settings.prompt_ms_per_token);
+        self.next_prompt_at_ms = self.next_prompt_at_ms.max(now_ms as f64) + prompt_ms;
+        let elapsed_s = now_ms.saturating_sub(self.served_at_ms).max(1) as f32 / 1_000.0;
+        let gain = (elapsed_s / 5.0).min(1.0);
+        self.served_per_s += (1.0 / elapsed_s - self.served_per_s) * gain;
+        self.served_at_ms = now_ms;
+        let priority = if borrows { 0 } else { 1 };
+        Outcome::Granted {
+            ask: ask.id,
+            host: ask.host,
+            permit: self.insert(now_ms, ask, priority),
+            priority,
+        }
+    }
+
+    fn insert(&mut self, now_ms: Millis, ask: Ask, priority: i32) -> PermitKey {
+        let tokens = ask.prompt_tokens + ask.out_tokens;
+        self.fairness.start(ask.organisation, tokens);
+        self.held_tokens += u64::from(tokens);
+        self.permits.insert(Permit {
+            ask,
+            out_tokens: ask.out_tokens,
+            heard_at_ms: now_ms,
+            draw: draw(ask.id),
+            priority,
+            moved_at_ms: None,
+        })
+    }
+
+    /// Asks for the move that loses least, where the engine would fill within a few steps.
+    ///
+    /// A full engine pauses a generation and computes it anew later, which its caller sees as a
+    /// stall; a move computes it anew at once on an engine that has room.
+    fn choose_move(&mut self, now_ms: Millis, lengths: &Lengths, outcomes: &mut Vec<Outcome>) {
+        let soon = self.held_tokens + u64::from(FILLING_STEPS) * self.permits.len() as u64;
+        let soon = soon as f32 + self.unexplained.tokens();
+        if soon <= self.settings.memory_tokens as f32 || now_ms < self.next_move_at_ms {
+            return;
+        }
+        let candidates = self.permits.iter().filter(|(_, permit)| {
+            permit
+                .moved_at_ms
+                .is_none_or(|at_ms| now_ms.saturating_sub(at_ms) > MOVE_AGAIN_MS)
+        });
+        let best = candidates.min_by(|(_, one), (_, other)| {
+            move_loss(one, lengths).total_cmp(&move_loss(other, lengths))
+        });
+        let Some((permit, _)) = best else { return };
+        let entry = &mut self.permits[permit];
+        entry.moved_at_ms = Some(now_ms);
+        self.next_move_at_ms = now_ms + MOVE_PAUSE_MS;
+        outcomes.push(Outcome::Move {
+            permit,
+            host: entry.ask.host,
+        });
+    }
+
+    fn drop_waiting(&mut self, index: usize) -> Waiting {
+        let waiting = self.queue.remove(index);
+        self.fairness.dequeue(waiting.ask.organisation);
+        waiting
+    }
+
+    fn release(&mut self, permit: PermitKey) -> Option<Permit> {
+        let entry = self.permits.remove(permit)?;
+        let held = entry.held_tokens();
+        self.held_tokens -= u64::from(held);
+        self.fairness.end(entry.ask.organisation, held);
+        Some(entry)
+    }
+
+    fn is_consistent(&self) -> bool {
+        let sum: u64 = self
+            .permits
+            .values()
+            .map(|permit| u64::from(permit.held_tokens()))
+            .sum();
+        sum == self.held_tokens
+    }
+}
+
+/// Tokens computed anew for each token of memory freed over the time to come.
+fn move_loss(permit: &Permit, lengths: &Lengths) -> f32 {
+    let footprint = permit.footprint(lengths);
+    let remaining =
+        (footprint.curve.expected(footprint.out_tokens) - footprint.out_tokens).max(1.0);
+    permit.held_tokens() as f32 / remaining
+}
--- /dev/null
+++ b/crates/policy/src/lengths.rs
@@ -0,0 +1,209 @@
+//! How long answers are: a decaying histogram for each organisation and service.
+//!
+//! Little history of one's own is filled up with the service's, and that with all services'
+//! (shrinkage towards the parent), so that a newcomer starts sensibly.
+
+use std::collections::HashMap;
+
+use crate::key::{Millis, OrganisationKey, ServiceKey};
+
+const BUCKETS: usize = 64;
+const BUCKETS_PER_DOUBLING: f32 = 4.0;
+/// Observations after which one's own history weighs as much as the parent's.
+const PARENT_WEIGHT: f32 = 24.0;
+/// History above this weight fades, so that a shift shows within about so many answers.
+const MEMORY_WEIGHT: f32 = 400.0;
+const HALF_LIFE_MS: f32 = 120_000.0;
+/// Time alone never fades a history below this weight: a quiet night forgets nothing.
+const FLOOR_WEIGHT: f32 = 60.0;
+
+/// The chance that an answer is at least so long.
+#[derive(Debug, Clone)]
+pub struct Curve {
+    /// `survival[i]` is the chance of at least `2^(i/4)` tokens.
+    survival: [f32; BUCKETS + 1],
+}
+
+fn position(length_tokens: f32) -> f32 {
+    (length_tokens.max(1.0).log2() * BUCKETS_PER_DOUBLING).min(BUCKETS as f32 - 0.001)
+}
+
+impl Curve {
+    fn from_density(density: &[f32; BUCKETS]) -> Self {
+        let total: f32 = density.iter().sum();
+        let mut survival = [0.0; BUCKETS + 1];
+        let mut above = 0.0;
+        for index in (0..BUCKETS).rev() {
+            above += density[index] / total;
+            survival[index] = above;
+        }
+        Self { survival }
+    }
+
+    fn density(&self) -> [f32; BUCKETS] {
+        std::array::from_fn(|index| self.survival[index] - self.survival[index + 1])
+    }
+
+    /// The chance of an answer of at least `length_tokens`.
+    pub fn survive(&self, length_tokens: f32) -> f32 {
+        if length_tokens <= 1.0 {
+            return 1.0;
+        }
+        let at = position(length_tokens);
+        let index = at as usize;
+        let part = at - index as f32;
+        let below = self.survival[index];
+        below + (self.survival[index + 1] - below) * part
+    }
+
+    /// The whole length that a share `chance` of the answers exceed, of those that have reached
+    /// `out_tokens` already.
+    pub fn length_at(&self, out_tokens: f32, chance: f32) -> f32 {
+        let target = self.survive(out_tokens) * chance;
+        let start = position(out_tokens) as usize;
+        for index in start..BUCKETS {
+            let (high, low) = (self.survival[index], self.survival[index + 1]);
+            if low <= target {
+                let part = if high > low {
+                    (high - target) / (high - low)
+                } else {
+                    0.0
+                };
+                let at = (index as f32 + part.clamp(0.0, 1.0)) / BUCKETS_PER_DOUBLING;
+                return at.exp2().max(out_tokens + 1.0);
+            }
+        }
+        (BUCKETS as f32 / BUCKETS_PER_DOUBLING).exp2()
+    }
+
+    /// The expected whole length of an answer that has reached `out_tokens`.
+    pub fn expected(&self, out_tokens: f32) -> f32 {
+        const SLICES: usize = 8;
+        let sum: f32 = (0..SLICES)
+            .map(|slice| self.length_at(out_tokens, (slice as f32 + 0.5) / SLICES as f32))
+            .sum();
+        sum / SLICES as f32
+    }
+}
+
+#[derive(Debug)]
+struct Histogram {
+    density: [f32; BUCKETS],
+    weight: f32,
+    faded_at_ms: Millis,
+    curve: Curve,
+    expected_tokens: f32,
+    unseen: u32,
+}
+
+impl Histogram {
+    fn new(now_ms: Millis, parent: &Curve) -> Self {
+        Self {
+            density: [0.0; BUCKETS],
+            weight: 0.0,
+            faded_at_ms: now_ms,
+            curve: parent.clone(),
+            expected_tokens: parent.expected(0.0),
+            unseen: 0,
+        }
+    }
+
+    fn fade(&mut self, now_ms: Millis) {
+        let age_ms = now_ms.saturating_sub(self.faded_at_ms) as f32;
+        self.faded_at_ms = now_ms;
+        let by_time = (-age_ms / HALF_LIFE_MS).exp2();
+        let floor = (FLOOR_WEIGHT / self.weight.max(FLOOR_WEIGHT)).min(1.0);
+        let by_count = 1.0 - 1.0 / MEMORY_WEIGHT;
+        let keep = by_time.max(floor).min(by_count);
+        self.density.iter_mut().for_each(|part| *part *= keep);
+        self.weight *= keep;
+    }
+
+    fn record(&mut self, now_ms: Millis, length_tokens: u32, parent: &Curve) {
+        self.fade(now_ms);
+        self.density[position(length_tokens as f32) as usize] += 1.0;
+        self.weight += 1.0;
+        self.unseen += 1;
+        let due = (self.weight / 32.0) as u32;
+        if self.unseen > due {
+            self.refresh(parent);
+        }
+    }
+
+    fn refresh(&mut self, parent: &Curve) {
+        let of_parent = parent.density();
+        let mixed: [f32; BUCKETS] =
+            std::array::from_fn(|index| self.density[index] + PARENT_WEIGHT * of_parent[index]);
+        self.curve = Curve::from_density(&mixed);
+        self.expected_tokens = self.curve.expected(0.0);
+        self.unseen = 0;
+    }
+}
+
+/// The lengths that a home has seen.
+#[derive(Debug)]
+pub struct Lengths {
+    all: Histogram,
+    by_service: HashMap<ServiceKey, Histogram>,
+    by_caller: HashMap<(OrganisationKey, ServiceKey), Histogram>,
+    start: Curve,
+}
+
+impl Default for Lengths {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
+impl Lengths {
+    /// No history: each doubling from 4 to 4,096 tokens is held equally likely.
+    pub fn new() -> Self {
+        let start: [f32; BUCKETS] =
+            std::array::from_fn(|index| if (8..48).contains(&index) { 1.0 } else { 0.001 });
+        let start = Curve::from_density(&start);
+        Self {
+            all: Histogram::new(0, &start),
+            by_service: HashMap::new(),
+            by_caller: HashMap::new(),
+            start,
+        }
+    }
+
+    /// Takes in the whole length of a finished answer.
+    pub fn record(
+        &mut self,
+        now_ms: Millis,
+        organisation: OrganisationKey,
+        service: ServiceKey,
+        length_tokens: u32,
+    ) {
+        self.all.record(now_ms, length_tokens, &self.start);
+        let of_service = self
+            .by_service
+            .entry(service)
+            .or_insert_with(|| Histogram::new(now_ms, &self.all.curve));
+        of_service.record(now_ms, length_tokens, &self.all.curve);
+        let own = self
+            .by_caller
+            .entry((organisation, service))
+            .or_insert_with(|| Histogram::new(now_ms, &of_service.curve));
+        own.record(now_ms, length_tokens, &of_service.curve);
+    }
+
+    /// The best known curve for a caller.
+    pub fn curve(&self, organisation: OrganisationKey, service: ServiceKey) -> &Curve {
+        &self.histogram(organisation, service).curve
+    }
+
+    /// The expected whole length of a fresh answer.
+    pub fn expected(&self, organisation: OrganisationKey, service: ServiceKey) -> f32 {
+        self.histogram(organisation, service).expected_tokens
+    }
+
+    fn histogram(&self, organisation: OrganisationKey, service: ServiceKey) -> &Histogram {
+        self.by_caller
+            .get(&(organisation, service))
+            .or_else(|| self.by_service.get(&service))
+            .unwrap_or(&self.all)
+    }
+}
--- /dev/null
+++ b/crates/settings/src/directory.rs
@@ -0,0 +1,231 @@
+//! Reads a directory of declarations and checks it as a whole.
+
+use std::collections::HashSet;
+use std::path::Path;
+
+use crate::declarations::{Declarations, Model, Organisation, Preset, Service, ServiceKind};
+use crate::mistake::{MistakeKind, Mistakes};
+use crate::reader::{Fields, Place, Reader};
+
+/// Reads `organisations.yaml`, `services.yaml`, `models.yaml` and `presets.yaml` of a directory.
+///
+/// # Errors
+/// All mistakes of all four files at once.
+pub fn check(directory: &Path) -> Result<Declarations, Mistakes> {
+    let mut mistakes = Vec::new();
+    let mut declarations = Declarations::default();
+    let mut reader = Reader::new(&directory.join("models.yaml"));
+    let models = items(&mut reader, "models", "model", read_model);
+    mistakes.append(&mut reader.mistakes);
+    declarations.models = models;
+    let model_names: HashSet<_> = declarations.models.iter().map(|one| &one.name).collect();
+
+    let mut reader = Reader::new(&directory.join("services.yaml"));
+    declarations.services = items(&mut reader, "services", "service", |reader, fields| {
+        read_service(reader, fields, &model_names)
+    });
+    mistakes.append(&mut reader.mistakes);
+
+    let mut reader = Reader::new(&directory.join("organisations.yaml"));
+    declarations.organisations = items(
+        &mut reader,
+        "organisations",
+        "organisation",
+        read_organisation,
+    );
+    mistakes.append(&mut reader.mistakes);
+
+    let services: HashSet<_> = declarations.services.iter().map(|one| &one.name).collect();
+    let mut reader = Reader::new(&directory.join("presets.yaml"));
+    declarations.presets = items(&mut reader, "presets", "preset", |reader, fields| {
+        read_preset(reader, fields, &services)
+    });
+    mistakes.append(&mut reader.mistakes);
+    if mistakes.is_empty() {
+        Ok(declarations)
+    } else {
+        Err(Mistakes(mistakes))
+    }
+}
+
+/// Reads a list of named things, each name once.
+fn items<T>(
+    reader: &mut Reader,
+    list: &'static str,
+    what: &'static str,
+    mut read: impl FnMut(&mut Reader, &mut Fields) -> Option<(String, Place, T)>,
+) -> Vec<T> {
+    let Some(mut file) = reader.open() else {
+        return Vec::new();
+    };
+    let mut seen = HashSet::new();
+    let mut items = Vec::new();
+    for mut fields in reader.maps(&mut file, list) {
+        let item = read(reader, &mut fields);
+        reader.close(fields);
+        let Some((name, place, item)) = item else {
+            continue;
+        };
+        if !seen.insert(name.clone()) {
+            let kind = MistakeKind::Twice { what, name };
+            reader.mistake(place, kind, "rename or remove one of the two");
+        }
+        items.push(item);
+    }
+    reader.close(file);
+    items
+}
+
+fn read_model(reader: &mut Reader, fields: &mut Fields) -> Option<(String, Place, Model)> {
+    let name = reader.name(fields);
+    let version = reader.text(fields, "version");
+    let memory_tokens = reader.count(fields, "memory_tokens", 256..=100_000_000, None);
+    let prompt = reader.number(fields, "prompt_ms_per_token", 0.0..=100.0, Some(0.1));
+    let fencing = reader.texts(fields, "engine_checks");
+    let (name, place) = name?;
+    let model = Model {
+        name: name.clone(),
+        version: version?.0,
+        memory_tokens: memory_tokens? as u32,
+        prompt_ms_per_token: prompt? as f32,
+        checks_fencing: fencing.iter().any(|(check, _)| check == "fencing"),
+    };
+    Some((name, place, model))
+}
+
+fn read_service(
+    reader: &mut Reader,
+    fields: &mut Fields,
+    models: &HashSet<&String>,
+) -> Option<(String, Place, Service)> {
+    let name = reader.name(fields);
+    let kind = if reader.has(fields, "model") {
+        read_generation(reader, fields, models)
+    } else {
+        read_plain(reader, fields)
+    };
+    let (name, place) = name?;
+    let service = Service {
+        name: name.clone(),
+        kind: kind?,
+    };
+    Some((name, place, service))
+}
+
+fn read_generation(
+    reader: &mut Reader,
+    fields: &mut Fields,
+    models: &HashSet<&String>,
+) -> Option<ServiceKind> {
+    let model = reader.text(fields, "model");
+    let output = reader.count(fields, "output_limit_tokens", 1..=65_000, None);
+    let prompt = reader.count(fields, "prompt_limit_tokens", 1..=1_000_000, None);
+    let (model, place) = model?;
+    if !models.contains(&model) {
+        let kind = MistakeKind::Undeclared {
+            what: "model",
+            name: model.clone(),
+        };
+        reader.mistake(place, kind, "declare it in models.yaml");
+    }
+    Some(ServiceKind::Generation {
+        model,
+        output_limit_tokens: output? as u32,
+        prompt_limit_tokens: prompt? as u32,
+    })
+}
+
+fn read_plain(reader: &mut Reader, fields: &mut Fields) -> Option<ServiceKind> {
+    const METHODS: [&str; 5] = ["GET", "HEAD", "POST", "PUT", "DELETE"];
+    let mut repeatable_methods = Vec::new();
+    for (method, place) in reader.texts(fields, "repeatable_methods") {
+        if !METHODS.contains(&method.as_str()) {
+            let kind = MistakeKind::Undeclared {
+                what: "method",
+                name: method,
+            };
+            reader.mistake(place, kind, "use GET, HEAD, POST, PUT or DELETE");
+            continue;
+        }
+        repeatable_methods.push(method);
+    }
+    Some(ServiceKind::Plain { repeatable_methods })
+}
+
+fn read_organisation(
+    reader: &mut Reader,
+    fields: &mut Fields,
+) -> Option<(String, Place, Organisation)> {
+    let name = reader.name(fields);
+    let keys = reader.texts(fields, "key_sha256");
+    if keys.is_empty() {
+        let kind = MistakeKind::Missing {
+            field: "key_sha256",
+        };
+        reader.mistake(fields.place(), kind, "add the hash of at least one key");
+    }
+    for (hash, place) in &keys {
+        let is_hash = hash.len() == 64 && hash.chars().all(|one| one.is_ascii_hexdigit());
+        if !is_hash {
+            let kind = MistakeKind::Type {
+                field: "key_sha256".into(),
+                wanted: "64 hex digits",
+            };
+            reader.mistake(*place, kind, "write the key's SHA-256, never the key");
+        }
+    }
+    let weight = reader.number(fields, "weight", 0.01..=10_000.0, Some(1.0));
+    let rate = reader.number(fields, "requests_per_s", 0.01..=100_000.0, None);
+    let concurrent = reader.count(fields, "concurrent_requests", 1..=1_000_000, None);
+    let (name, place) = name?;
+    let organisation = Organisation {
+        name: name.clone(),
+        key_sha256: keys.into_iter().map(|(hash, _)| hash).collect(),
+        weight: weight? as f32,
+        requests_per_s: rate? as f32,
+        concurrent_requests: concurrent? as u32,
+    };
+    Some((name, place, organisation))
+}
+
+fn read_preset(
+    reader: &mut Reader,
+    fields: &mut Fields,
+    services: &HashSet<&String>,
+) -> Option<(String, Place, Preset)> {
+    let name = reader.name(fields);
+    let refuse = reader.count(fields, "refuse_after_ms", 100..=600_000, Some(10_000));
+    let lend = reader.number(fields, "lend_share", 0.1..=1.0, Some(0.95));
+    let mut weights = [Some(1.0), Some(1.0), Some(1.0)];
+    if let Some(mut map) = reader.map(fields, "weights") {
+        let names = ["stall", "preemptions", "between_tokens"];
+        for (slot, name) in weights.iter_mut().zip(names) {
+            *slot = reader.number(&mut map, name, 0.0..=1_000.0, Some(1.0));
+        }
+        reader.close(map);
+    }
+    let closed = reader.texts(fields, "closed_services");
+    for (service, place) in &closed {
+        if !services.contains(service) {
+            let kind = MistakeKind::Undeclared {
+                what: "service",
+                name: service.clone(),
+            };
+            reader.mistake(*place, kind, "declare it in services.yaml");
+        }
+    }
+    let centres = reader.texts(fields, "closed_data_centres");
+    let (name, place) = name?;
+    let [stall, preemptions, between_tokens] = weights;
+    let preset = Preset {
+        name: name.clone(),
+        refuse_after_ms: refuse?,
+        stall_weight: stall? as f32,
+        preemptions_weight: preemptions? as f32,
+        between_tokens_weight: between_tokens? as f32,
+        lend_share: lend? as f32,
+        closed_services: closed.into_iter().map(|(name, _)| name).collect(),
+        closed_data_centres: centres.into_iter().map(|(name, _)| name).collect(),
+    };
+    Some((name, place, preset))
+}
--- /dev/null
+++ b/crates/standin/src/engine.rs
@@ -0,0 +1,399 @@
+//! A stand-in engine over HTTP, with faults to order.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, AtomicU32, AtomicU64, Ordering};
+use std::time::Duration;
+
+use bytes::Bytes;
+use fulmarpath_http::{Reply, empty, json, serve, stream};
+use fulmarpath_upstream::{
+    CacheEvents, EngineState, Finish, GenerateRequest, LoadReport, Order, ResumeRequest, StreamItem,
+};
+use http_body_util::BodyExt;
+use hyper::body::Incoming;
+use hyper::{Method, Request, StatusCode};
+use parking_lot::Mutex;
+use tokio::net::TcpListener;
+use tokio::sync::{mpsc, watch};
+
+use crate::answer::{answer_length, answer_token, prompt_tokens};
+use crate::model::{EngineEvent, EngineModel, EngineSpec, Job};
+
+const HEADER_LIMIT_BYTES: usize = 16_384;
+const HEARTBEAT: Duration = Duration::from_millis(250);
+
+/// Faults that a test orders; all off at first.
+#[derive(Debug, Default)]
+pub struct EngineFaults {
+    /// Streams go silent, and so does every connection that is open; new ones work.
+    pub silent_streams: AtomicBool,
+    /// Nothing answers any more, as a dead process would.
+    pub dead: AtomicBool,
+    /// The load report says leaving.
+    pub leaving: AtomicBool,
+    /// A resumed stream starts so many tokens too early.
+    pub resume_too_early_tokens: AtomicU32,
+    /// Each stream breaks after so many tokens; 0 for never.
+    pub break_after_tokens: AtomicU32,
+    /// Old fencing numbers are taken as well.
+    pub ignores_fencing: AtomicBool,
+}
+
+/// What the engine saw.
+#[derive(Debug, Default, Clone)]
+pub struct EngineRecord {
+    /// Starts by generation.
+    pub starts: HashMap<String, u32>,
+    /// Tokens computed by generation.
+    pub computed_tokens: HashMap<String, u32>,
+    /// Generations that were cancelled.
+    pub cancelled: Vec<String>,
+    /// Orders that were carried out.
+    pub orders: Vec<Order>,
+}
+
+#[derive(Debug)]
+struct Run {
+    generation: String,
+    prompt: String,
+    first_index: u32,
+    tokens: Vec<String>,
+    done: Option<(u32, Finish)>,
+    attempt: u32,
+    changed: watch::Sender<u64>,
+}
+
+#[derive(Debug)]
+struct State {
+    model: EngineModel,
+    runs: HashMap<u64, Run>,
+    by_name: HashMap<String, u64>,
+    record: EngineRecord,
+    fencing: u64,
+}
+
+/// A stand-in engine.
+#[derive(Debug, Clone)]
+pub struct StandinEngine {
+    /// Where it listens.
+    pub address: SocketAddr,
+    /// Faults to order.
+    pub faults: Arc<EngineFaults>,
+    state: Arc<Mutex<State>>,
+    next_id: Arc<AtomicU64>,
+    work: Arc<tokio::sync::Notify>,
+}
+
+impl StandinEngine {
+    /// Starts an engine on `listener`.
+    pub fn start(listener: TcpListener, spec: EngineSpec) -> std::io::Result<Self> {
+        let engine = Self {
+            address: listener.local_addr()?,
+            faults: Arc::default(),
+            state: Arc::new(Mutex::new(State {
+                model: EngineModel::new(spec),
+                runs: HashMap::new(),
+                by_name: HashMap::new(),
+                record: EngineRecord::default(),
+                fencing: 0,
+            })),
+            next_id: Arc::default(),
+            work: Arc::default(),
+        };
+        let server = engine.clone();
+        let (stop, stopped) = watch::channel(false);
+        tokio::spawn(async move {
+            let _stop = stop;
+            let handler = move |request| server.clone().handle(request);
+            serve(listener, HEADER_LIMIT_BYTES, stopped, handler).await;
+        });
+        tokio::spawn(engine.clone().run());
+        Ok(engine)
+    }
+
+    /// What the engine saw so far.
+    pub fn record(&self) -> EngineRecord {
+        self.state.lock().record.clone()
+    }
+
+    /// Whether any generation still runs.
+    pub fn is_busy(&self) -> bool {
+        let state = self.state.lock();
+        state.model.running() + state.model.waiting() > 0
+    }
+
+    fn is_dead(&self) -> bool {
+        self.faults.dead.load(Ordering::Relaxed)
+    }
+
+    async fn run(self) {
+        let mut events = Vec::new();
+        loop {
+            events.clear();
+            let step_ms = {
+                let mut state = self.state.lock();
+                if self.is_dead() {
+                    0.0
+                } else {
+                    let step_ms = state.model.step(&mut events);
+                    state.take_in(&events);
+                    step_ms
+                }
+            };
+            if step_ms > 0.0 {
+                tokio::time::sleep(Duration::from_secs_f64(step_ms / 1_000.0)).await;
+            } else {
+                let _ = tokio::time::timeout(HEARTBEAT, self.work.notified()).await;
+            }
+        }
+    }
+
+    async fn handle(self, request: Request<Incoming>) -> Reply {
+        if self.is_dead() {
+            std::future::pending::<()>().await;
+        }
+        let path = request.uri().path().to_owned();
+        let method = request.method().clone();
+        match (method, path.as_str()) {
+            (Method::POST, "/generate") => match decode(request).await {
+                Some(message) => self.generate(message),
+                None => empty(StatusCode::BAD_REQUEST),
+            },
+            (Method::POST, "/resume") => match decode(request).await {
+                Some(message) => self.resume(message),
+                None => empty(StatusCode::BAD_REQUEST),
+            },
+            (Method::POST, "/orders") => match decode(request).await {
+                Some(message) => self.order(message),
+                None => empty(StatusCode::BAD_REQUEST),
+            },
+            (Method::POST, path) => match path.strip_prefix("/cancel/") {
+                Some(generation) => self.cancel(generation),
+                None => empty(StatusCode::NOT_FOUND),
+            },
+            (Method::GET, "/load") => json(StatusCode::OK, &self.load()),
+            (Method::GET, "/cache-events") => json(StatusCode::OK, &CacheEvents::default()),
+            _ => empty(StatusCode::NOT_FOUND),
+        }
+    }
+
+    fn load(&self) -> LoadReport {
+        let state = self.state.lock();
+        let leaving = self.faults.leaving.load(Ordering::Relaxed);
+        LoadReport {
+            running: state.model.running(),
+            waiting: state.model.waiting(),
+            used_tokens: state.model.used_tokens(),
+            memory_tokens: state.model.spec().memory_tokens,
+            preemptions: state.model.preemptions(),
+            state: if leaving {
+                EngineState::Leaving
+            } else {
+                EngineState::Live
+            },
+        }
+    }
+
+    fn generate(&self, request: GenerateRequest) -> Reply {
+        if self.faults.leaving.load(Ordering::Relaxed) {
+            return empty(StatusCode::SERVICE_UNAVAILABLE);
+        }
+        let id = self.next_id.fetch_add(1, Ordering::Relaxed);
+        let first_index = request.already_out.len() as u32;
+        let length = answer_length(&request.prompt, request.output_limit_tokens);
+        let mut state = self.state.lock();
+        let starts = &mut state.record.starts;
+        *starts.entry(request.generation.clone()).or_default() += 1;
+        if let Some(old) = state.by_name.insert(request.generation.clone(), id) {
+            state.drop_run(old);
+        }
+        state.runs.insert(
+            id,
+            Run {
+                generation: request.generation,
+                first_index,
+                tokens: Vec::new(),
+                done: None,
+                attempt: request.attempt,
+                changed: watch::Sender::new(0),
+                prompt: request.prompt.clone(),
+            },
+        );
+        state.model.submit(Job {
+            id,
+            prefix: id,
+            prefix_tokens: 0,
+            prompt_tokens: prompt_tokens(&request.prompt),
+            out_tokens: first_index,
+            length_tokens: length,
+            priority: request.priority,
+        });
+        drop(state);
+        self.work.notify_one();
+        self.stream(id, request.attempt, first_index)
+    }
+
+    fn resume(&self, request: ResumeRequest) -> Reply {
+        let mut state = self.state.lock();
+        let Some(id) = state.by_name.get(&request.generation).copied() else {
+            return empty(StatusCode::NOT_FOUND);
+        };
+        let Some(run) = state.runs.get_mut(&id) else {
+            return empty(StatusCode::NOT_FOUND);
+        };
+        if request.next_index < run.first_index {
+            return empty(StatusCode::NOT_FOUND);
+        }
+        run.attempt = request.attempt;
+        let too_early = self.faults.resume_too_early_tokens.load(Ordering::Relaxed);
+        let from = request.next_index.saturating_sub(too_early);
+        let from = from.max(run.first_index);
+        drop(state);
+        self.stream(id, request.attempt, from)
+    }
+
+    fn order(&self, order: Order) -> Reply {
+        let mut state = self.state.lock();
+        let ignores = self.faults.ignores_fencing.load(Ordering::Relaxed);
+        if order.fencing < state.fencing && !ignores {
+            return empty(StatusCode::CONFLICT);
+        }
+        state.fencing = state.fencing.max(order.fencing);
+        state.record.orders.push(order);
+        empty(StatusCode::OK)
+    }
+
+    fn cancel(&self, generation: &str) -> Reply {
+        let mut state = self.state.lock();
+        if let Some(id) = state.by_name.remove(generation) {
+            state.drop_run(id);
+            state.record.cancelled.push(generation.to_owned());
+        }
+        empty(StatusCode::OK)
+    }
+
+    fn stream(&self, id: u64, attempt: u32, from: u32) -> Reply {
+        let (sender, receiver) = mpsc::channel::<Bytes>(16);
+        tokio::spawn(self.clone().pump(id, attempt, from, sender));
+        let chunks = futures::stream::unfold(receiver, |mut receiver| async {
+            receiver.recv().await.map(|chunk| (chunk, receiver))
+        });
+        stream(StatusCode::OK, "application/x-ndjson", chunks)
+    }
+
+    async fn pump(self, id: u64, attempt: u32, mut next: u32, sender: mpsc::Sender<Bytes>) {
+        let silent = self.faults.silent_streams.load(Ordering::Relaxed);
+        let mut sent = 0;
+        let Some(mut changed) = self.state.lock().subscribe(id) else {
+            return;
+        };
+        loop {
+            if silent || self.faults.silent_streams.load(Ordering::Relaxed) || self.is_dead() {
+                // The connection stays open and says nothing until the other side gives up.
+                sender.closed().await;
+                return;
+            }
+            let items = self.state.lock().items(id, attempt, next);
+            let Some(items) = items else { return };
+            for item in items {
+                let done = matches!(item, StreamItem::Done { .. });
+                let mut line = serde_json::to_vec(&item).unwrap_or_default();
+                line.push(b'\n');
+                if sender.send(line.into()).await.is_err() || done {
+                    return;
+                }
+                next += 1;
+                sent += 1;
+                let break_after = self.faults.break_after_tokens.load(Ordering::Relaxed);
+                if break_after > 0 && sent >= break_after {
+                    return;
+                }
+            }
+            if tokio::time::timeout(HEARTBEAT, changed.changed())
+                .await
+                .is_err()
+            {
+                let mut line = serde_json::to_vec(&StreamItem::Heartbeat).unwrap_or_default();
+                line.push(b'\n');
+                if sender.send(line.into()).await.is_err() {
+                    return;
+                }
+            }
+        }
+    }
+}
+
+impl State {
+    fn take_in(&mut self, events: &[EngineEvent]) {
+        for event in events {
+            match *event {
+                EngineEvent::Token { id, index } => self.take_token(id, index),
+                EngineEvent::Done { id } => {
+                    let Some(run) = self.runs.get_mut(&id) else {
+                        continue;
+                    };
+                    let total = run.first_index + run.tokens.len() as u32;
+                    run.done = Some((total, Finish::Stop));
+                    run.changed.send_modify(|count| *count += 1);
+                }
+                EngineEvent::Preempted { .. } => {}
+            }
+        }
+    }
+
+    fn take_token(&mut self, id: u64, index: u32) {
+        let Some(run) = self.runs.get_mut(&id) else {
+            return;
+        };
+        let have = run.first_index + run.tokens.len() as u32;
+        assert_eq!(index, have, "the stand-in engine skipped a token");
+        run.tokens.push(answer_token(&run.prompt, index));
+        run.changed.send_modify(|count| *count += 1);
+        let generation = run.generation.clone();
+        *self.record.computed_tokens.entry(generation).or_default() += 1;
+    }
+
+    fn drop_run(&mut self, id: u64) {
+        self.model.cancel(id);
+        self.runs.remove(&id);
+    }
+
+    fn subscribe(&self, id: u64) -> Option<watch::Receiver<u64>> {
+        self.runs.get(&id).map(|run| run.changed.subscribe())
+    }
+
+    /// What a stream still has to send from `next` on; `None` where a newer attempt reads.
+    fn items(&self, id: u64, attempt: u32, next: u32) -> Option<Vec<StreamItem>> {
+        let run = self.runs.get(&id)?;
+        if run.attempt != attempt {
+            return None;
+        }
+        let generation = &run.generation;
+        let start = (next - run.first_index) as usize;
+        let tokens = run.tokens.iter().enumerate().skip(start);
+        let mut items: Vec<StreamItem> = tokens
+            .map(|(index, text)| StreamItem::Token {
+                generation: generation.clone(),
+                attempt,
+                index: run.first_index + index as u32,
+                text: text.clone(),
+            })
+            .collect();
+        if let Some((total_tokens, finish)) = run.done {
+            items.push(StreamItem::Done {
+                generation: generation.clone(),
+                attempt,
+                total_tokens,
+                finish,
+            });
+        }
+        Some(items)
+    }
+}
+
+async fn decode<T: serde::de::DeserializeOwned>(request: Request<Incoming>) -> Option<T> {
+    let body = request.into_body().collect().await.ok()?.to_bytes();
+    serde_json::from_slice(&body).ok()
+}
--- /dev/null
+++ b/crates/standin/src/lib.rs
@@ -0,0 +1,18 @@
+//! Small stand-ins for what lies outside: engines, plain services, the object API, the host list.
+//!
+//! Each keeps its own records, so that a test can check callers' answers against what upstreams
+//! saw rather than against the product's own counters.
+
+mod answer;
+mod engine;
+mod host_list;
+mod model;
+mod object_api;
+mod plain;
+
+pub use answer::{answer_length, answer_token, prompt_tokens};
+pub use engine::{EngineFaults, EngineRecord, StandinEngine};
+pub use host_list::StandinHostList;
+pub use model::{EngineEvent, EngineModel, EngineSpec, Job};
+pub use object_api::{ObjectFaults, StandinObjectApi};
+pub use plain::StandinPlain;
--- /dev/null
+++ b/crates/standin/src/plain.rs
@@ -0,0 +1,70 @@
+//! A stand-in plain service that counts what it ran.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU32, AtomicU64, Ordering};
+
+use fulmarpath_http::{full, serve};
+use http_body_util::BodyExt;
+use hyper::StatusCode;
+use tokio::net::TcpListener;
+use tokio::sync::watch;
+
+const HEADER_LIMIT_BYTES: usize = 16_384;
+
+/// A stand-in plain service: it answers with the request's path and body.
+#[derive(Debug, Clone)]
+pub struct StandinPlain {
+    /// Where it listens.
+    pub address: SocketAddr,
+    /// So many coming calls are run and never answered.
+    pub lose_answers: Arc<AtomicU32>,
+    runs: Arc<AtomicU64>,
+}
+
+impl StandinPlain {
+    /// Starts a plain service on `listener`.
+    pub fn start(listener: TcpListener) -> std::io::Result<Self> {
+        let plain = Self {
+            address: listener.local_addr()?,
+            lose_answers: Arc::default(),
+            runs: Arc::default(),
+        };
+        let server = plain.clone();
+        let (stop, stopped) = watch::channel(false);
+        tokio::spawn(async move {
+            let _stop = stop;
+            let handler = move |request: hyper::Request<hyper::body::Incoming>| {
+                let server = server.clone();
+                async move { server.answer(request).await }
+            };
+            serve(listener, HEADER_LIMIT_BYTES, stopped, handler).await;
+        });
+        Ok(plain)
+    }
+
+    /// Calls that were run.
+    pub fn runs(&self) -> u64 {
+        self.runs.load(Ordering::Relaxed)
+    }
+
+    async fn answer(
+        &self,
+        request: hyper::Request<hyper::body::Incoming>,
+    ) -> fulmarpath_http::Reply {
+        self.runs.fetch_add(1, Ordering::Relaxed);
+        let lost = self
+            .lose_answers
+            .fetch_update(Ordering::Relaxed, Ordering::Relaxed, |left| {
+                left.checked_sub(1)
+            });
+        if lost.is_ok() {
+            std::future::pending::<()>().await;
+        }
+        let path = request.uri().path().to_owned();
+        let body = request.into_body().collect().await;
+        let body = body.map(|body| body.to_bytes()).unwrap_or_default();
+        let text = format!("{path} {}", String::from_utf8_lossy(&body));
+        full(StatusCode::OK, "text/plain", text)
+    }
+}
--- /dev/null
+++ b/crates/upstream/src/plain.rs
@@ -0,0 +1,103 @@
+//! A plain service and its client.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use async_trait::async_trait;
+use bytes::Bytes;
+use fulmarpath_http::{HttpError, send};
+use http_body_util::Full;
+use hyper::header::CONTENT_TYPE;
+use hyper::{Method, Request, StatusCode};
+
+/// A call to a plain service.
+#[derive(Debug, Clone)]
+pub struct PlainCall {
+    /// The method.
+    pub method: Method,
+    /// Path and query behind the service's name.
+    pub path: String,
+    /// The content type, where the caller gave one.
+    pub content_type: Option<String>,
+    /// The body.
+    pub body: Bytes,
+}
+
+/// A whole answer of a plain service.
+#[derive(Debug, Clone)]
+pub struct PlainAnswer {
+    /// Its status.
+    pub status: StatusCode,
+    /// Its content type.
+    pub content_type: Option<String>,
+    /// Its body.
+    pub body: Bytes,
+}
+
+/// A failed call to a plain service.
+#[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
+pub enum PlainError {
+    /// The service never saw the call.
+    #[error("could not reach the service")]
+    NotRun(#[source] HttpError),
+    /// The call was sent and no whole answer came.
+    #[error("could not learn the outcome of the call")]
+    OutcomeUnknown(#[source] HttpError),
+}
+
+/// A plain service.
+#[async_trait]
+pub trait Plain: Send + Sync {
+    /// Sends the call once.
+    async fn call(&self, call: PlainCall) -> Result<PlainAnswer, PlainError>;
+}
+
+const ANSWER_BOUND: Duration = Duration::from_millis(30_000);
+
+/// A plain service over HTTP.
+#[derive(Debug, Clone)]
+pub struct HttpPlain {
+    address: SocketAddr,
+}
+
+impl HttpPlain {
+    /// A client of the service at `address`.
+    pub fn new(address: SocketAddr) -> Self {
+        Self { address }
+    }
+}
+
+#[async_trait]
+impl Plain for HttpPlain {
+    async fn call(&self, call: PlainCall) -> Result<PlainAnswer, PlainError> {
+        let address = self.address;
+        let mut request = Request::builder().method(call.method).uri(call.path);
+        if let Some(content_type) = call.content_type {
+            request = request.header(CONTENT_TYPE, content_type);
+        }
+        let request = request
+            .body(Full::new(call.body))
+            .map_err(|_| PlainError::NotRun(HttpError::Unreachable { address }))?;
+        let answer = send(address, request, ANSWER_BOUND).await.map_err(failed)?;
+        let status = answer.status();
+        let headers = answer.response.headers();
+        let content_type = headers
+            .get(CONTENT_TYPE)
+            .and_then(|value| value.to_str().ok())
+            .map(str::to_owned);
+        let body = answer.bytes(ANSWER_BOUND).await.map_err(failed)?;
+        Ok(PlainAnswer {
+            status,
+            content_type,
+            body,
+        })
+    }
+}
+
+fn failed(error: HttpError) -> PlainError {
+    if error.is_unsent() {
+        PlainError::NotRun(error)
+    } else {
+        PlainError::OutcomeUnknown(error)
+    }
+}
--- /dev/null
+++ b/src/cmd/dev.rs
@@ -0,0 +1,90 @@
+//! `fulmarpath dev`: three hosts and the stand-ins in one process.
+
+use std::io::Write;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bpaf::Bpaf;
+use fulmarpath::dev::{CALLER_KEY, Deployment, Size};
+use fulmarpath::init_log;
+use fulmarpath::settings::LogForm;
+use fulmarpath_http::{Lines, send};
+use http_body_util::Full;
+use hyper::Request;
+use hyper::header::AUTHORIZATION;
+
+use super::{Run, block_on};
+use crate::error::CommandError;
+
+/// Run a whole trial deployment on loopback
+#[derive(Debug, Clone, Bpaf)]
+#[bpaf(command)]
+pub(crate) struct Dev {
+    /// Stream the answer to one prompt and exit
+    #[bpaf(argument("TEXT"))]
+    ask: Option<String>,
+}
+
+const ANSWER_BOUND: Duration = Duration::from_millis(30_000);
+
+impl Run for Dev {
+    fn run(&self) -> Result<(), CommandError> {
+        if self.ask.is_none() {
+            init_log(LogForm::Text)?;
+        } else {
+            spdlog::default_logger().set_level_filter(spdlog::LevelFilter::Off);
+        }
+        block_on(async {
+            let deployment = Deployment::start(Size::default()).await?;
+            let address = deployment.caller_address(0);
+            match &self.ask {
+                Some(prompt) => ask(address, prompt).await,
+                None => {
+                    println!("{}", curl(address));
+                    let _ = tokio::signal::ctrl_c().await;
+                    Ok(())
+                }
+            }
+        })
+    }
+}
+
+fn curl(address: SocketAddr) -> String {
+    format!(
+        "curl -N http://{address}/v1/completions -H 'Authorization: Bearer {CALLER_KEY}' \
+         -d '{{\"model\": \"reports\", \"prompt\": \"flap track wear\", \"stream\": true}}'"
+    )
+}
+
+async fn ask(address: SocketAddr, prompt: &str) -> Result<(), CommandError> {
+    let no_answer = || CommandError::NoAnswer { address };
+    let body = serde_json::json!({ "model": "reports", "prompt": prompt, "stream": true });
+    let request = Request::post("/v1/completions")
+        .header(AUTHORIZATION, format!("Bearer {CALLER_KEY}"))
+        .body(Full::new(body.to_string().into()))
+        .map_err(|_| no_answer())?;
+    let call = send(address, request, ANSWER_BOUND).await;
+    let call = call.map_err(|_| no_answer())?;
+    if !call.status().is_success() {
+        let detail = format!("status {}", call.status());
+        return Err(CommandError::Refused { detail });
+    }
+    let mut lines = Lines::new(call);
+    loop {
+        let line = lines.next(ANSWER_BOUND).await.map_err(|_| no_answer())?;
+        let line = line.ok_or_else(no_answer)?;
+        let Some(data) = line.strip_prefix(b"data: ") else {
+            continue;
+        };
+        if data == b"[DONE]" {
+            println!();
+            return Ok(());
+        }
+        let chunk: serde_json::Value = serde_json::from_slice(data).map_err(|_| no_answer())?;
+        print!(
+            "{}",
+            chunk["choices"][0]["text"].as_str().unwrap_or_default()
+        );
+        let _ = std::io::stdout().flush();
+    }
+}
--- /dev/null
+++ b/src/dev.rs
@@ -0,0 +1,273 @@
+//! A whole small deployment in one process on loopback, for trials and tests.
+
+use std::net::{Ipv4Addr, SocketAddr};
+use std::time::Duration;
+
+use fulmarpath_cluster::Change;
+use fulmarpath_platform::{HostEntry, ListedState, Role};
+use fulmarpath_settings::{
+    Declarations, HostSettings, LogForm, Model, Organisation, Preset, Service, ServiceKind,
+    key_hash,
+};
+use fulmarpath_standin::{
+    EngineSpec, StandinEngine, StandinHostList, StandinObjectApi, StandinPlain,
+};
+use tokio::net::TcpListener;
+
+use crate::host::{Host, HostError};
+
+/// The caller's key of the first organisation in [`declarations`].
+pub const CALLER_KEY: &str = "dev-caller";
+/// The caller's key of the second organisation, a rival of the first.
+pub const RIVAL_KEY: &str = "dev-rival";
+/// The operators' key of a [`Deployment`].
+pub const OPERATOR_KEY: &str = "dev-operator";
+
+const DATA_CENTRES: [&str; 3] = ["zrh-a", "zrh-b", "zrh-c"];
+const READY_BOUND: Duration = Duration::from_millis(15_000);
+const READY_CHECK: Duration = Duration::from_millis(20);
+
+/// What a deployment consists of.
+#[derive(Debug, Clone, Copy)]
+pub struct Size {
+    /// Entry hosts.
+    pub hosts: usize,
+    /// Engines of the one model.
+    pub engines: usize,
+    /// What each engine is like.
+    pub engine: EngineSpec,
+    /// Silence after which a stream is resumed.
+    pub silence_bound_ms: u64,
+}
+
+impl Default for Size {
+    fn default() -> Self {
+        Self {
+            hosts: 3,
+            engines: 4,
+            engine: EngineSpec::default(),
+            silence_bound_ms: 1_000,
+        }
+    }
+}
+
+/// A deployment could not start.
+#[derive(Debug, thiserror::Error)]
+pub enum DevError {
+    /// A loopback port can't be used.
+    #[error("could not listen on loopback")]
+    Listen(#[from] std::io::Error),
+    /// A host could not start.
+    #[error("could not start a host")]
+    Host(#[from] HostError),
+    /// The declarations were not accepted.
+    #[error("could not apply the declarations")]
+    Apply(#[from] fulmarpath_cluster::PublishError),
+    /// The hosts did not become ready in time.
+    #[error("could not bring all hosts to take work in time")]
+    NotReady,
+}
+
+/// Hosts and stand-ins.
+pub struct Deployment {
+    /// The entry hosts; `None` where one was stopped.
+    pub hosts: Vec<Option<Host>>,
+    /// The engines.
+    pub engines: Vec<StandinEngine>,
+    /// The plain service `lookup`.
+    pub plain: StandinPlain,
+    /// The object API.
+    pub object_api: StandinObjectApi,
+    /// The host list.
+    pub host_list: StandinHostList,
+    size: Size,
+}
+
+async fn listener() -> std::io::Result<TcpListener> {
+    TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).await
+}
+
+impl Deployment {
+    /// Starts everything and applies [`declarations`].
+    ///
+    /// # Errors
+    /// [`DevError`]
+    pub async fn start(size: Size) -> Result<Self, DevError> {
+        let object_api = StandinObjectApi::start(listener().await?)?;
+        let host_list = StandinHostList::start(listener().await?)?;
+        let plain = StandinPlain::start(listener().await?)?;
+        host_list.put(entry("lookup-1", Role::Plain, 0, "lookup", plain.address));
+        let mut engines = Vec::new();
+        for number in 0..size.engines {
+            let engine = StandinEngine::start(listener().await?, size.engine)?;
+            let name = format!("engine-{number}");
+            let listed = entry(&name, Role::Engine, number, "gutachter-lm", engine.address);
+            host_list.put(listed);
+            engines.push(engine);
+        }
+        let mut deployment = Self {
+            hosts: Vec::new(),
+            engines,
+            plain,
+            object_api,
+            host_list,
+            size,
+        };
+        for _ in 0..size.hosts {
+            deployment.add_host().await?;
+        }
+        let change = Change::Apply {
+            declarations: Box::new(declarations()),
+            onto: None,
+        };
+        if let Some(host) = deployment.live().next() {
+            host.node.publish(&change).await?;
+        }
+        deployment.ready().await?;
+        Ok(deployment)
+    }
+
+    /// Starts one more host and lists it.
+    ///
+    /// # Errors
+    /// [`DevError`]
+    pub async fn add_host(&mut self) -> Result<usize, DevError> {
+        let number = self.hosts.len();
+        let (callers, peers) = (listener().await?, listener().await?);
+        let peer_address = peers.local_addr()?;
+        let name = format!("host-{number}");
+        let settings = self.host_settings(number, &name, callers.local_addr()?, peer_address);
+        let host = Host::start_on(&settings, callers, peers).await?;
+        let listed = entry(&name, Role::Entry, number, "", peer_address);
+        self.host_list.put(listed);
+        self.hosts.push(Some(host));
+        Ok(number)
+    }
+
+    fn host_settings(
+        &self,
+        number: usize,
+        name: &str,
+        caller_address: SocketAddr,
+        peer_address: SocketAddr,
+    ) -> HostSettings {
+        HostSettings {
+            host: name.to_owned(),
+            data_centre: DATA_CENTRES[number % DATA_CENTRES.len()].to_owned(),
+            caller_address,
+            peer_address,
+            object_api_address: self.object_api.address,
+            host_list_address: self.host_list.address,
+            drain_bound_ms: 30_000,
+            silence_bound_ms: self.size.silence_bound_ms,
+            header_limit_bytes: 16_384,
+            body_limit_bytes: 1_048_576,
+            stream_limit: 4_096,
+            operator_key_sha256: key_hash(OPERATOR_KEY),
+            log_form: LogForm::Text,
+        }
+    }
+
+    /// The hosts that were not stopped.
+    pub fn live(&self) -> impl Iterator<Item = &Host> {
+        self.hosts.iter().flatten()
+    }
+
+    /// Where callers reach a host.
+    ///
+    /// # Panics
+    /// Where that host was stopped.
+    pub fn caller_address(&self, host: usize) -> SocketAddr {
+        let host = self.hosts[host].as_ref();
+        host.expect("the host runs").caller_address
+    }
+
+    /// Waits until every host knows every other and takes work.
+    ///
+    /// # Errors
+    /// [`DevError::NotReady`]
+    pub async fn ready(&self) -> Result<(), DevError> {
+        let wanted = self.live().count();
+        let all_ready = async {
+            loop {
+                let ready = self
+                    .live()
+                    .all(|host| host.node.takes_work() && host.node.member_count() >= wanted);
+                if ready {
+                    return;
+                }
+                tokio::time::sleep(READY_CHECK).await;
+            }
+        };
+        let waited = tokio::time::timeout(READY_BOUND, all_ready).await;
+        waited.map_err(|_| DevError::NotReady)
+    }
+}
+
+fn entry(name: &str, role: Role, number: usize, serves: &str, address: SocketAddr) -> HostEntry {
+    HostEntry {
+        name: name.to_owned(),
+        role,
+        data_centre: DATA_CENTRES[number % DATA_CENTRES.len()].to_owned(),
+        serves: serves.to_owned(),
+        address,
+        state: ListedState::Live,
+    }
+}
+
+/// Declarations of two organisations, two generation services and a plain one.
+pub fn declarations() -> Declarations {
+    let organisation = |name: &str, key: &str, weight| Organisation {
+        name: name.to_owned(),
+        key_sha256: vec![key_hash(key)],
+        weight,
+        requests_per_s: 500.0,
+        concurrent_requests: 500,
+    };
+    let generation = |name: &str, output_limit_tokens| Service {
+        name: name.to_owned(),
+        kind: ServiceKind::Generation {
+            model: "gutachter-lm".to_owned(),
+            output_limit_tokens,
+            prompt_limit_tokens: 16_000,
+        },
+    };
+    let preset = |name: &str, closed_services: &[&str]| Preset {
+        name: name.to_owned(),
+        refuse_after_ms: 10_000,
+        stall_weight: 2.0,
+        preemptions_weight: 1.0,
+        between_tokens_weight: 1.0,
+        lend_share: 0.95,
+        closed_services: closed_services.iter().map(|&name| name.into()).collect(),
+        closed_data_centres: Vec::new(),
+    };
+    Declarations {
+        organisations: vec![
+            organisation("inspectors", CALLER_KEY, 2.0),
+            organisation("rivals", RIVAL_KEY, 1.0),
+        ],
+        services: vec![
+            generation("reports", 8_000),
+            generation("classifications", 200),
+            Service {
+                name: "lookup".to_owned(),
+                kind: ServiceKind::Plain {
+                    repeatable_methods: vec!["GET".to_owned()],
+                },
+            },
+        ],
+        models: vec![Model {
+            name: "gutachter-lm".to_owned(),
+            version: "1".to_owned(),
+            memory_tokens: 30_000,
+            prompt_ms_per_token: 0.08,
+            checks_fencing: true,
+        }],
+        presets: vec![
+            preset("ordinary", &[]),
+            preset("peak", &[]),
+            preset("maintenance", &["reports", "classifications", "lookup"]),
+        ],
+    }
+}
--- /dev/null
+++ b/src/lib.rs
@@ -0,0 +1,13 @@
+//! fulmarpath: serves generations of unknown length on crowded engines.
+//!
+//! This is the library's face: a host to run, and a whole small deployment for trials and tests.
+
+pub mod dev;
+mod host;
+mod log;
+
+pub use fulmarpath_cluster as cluster;
+pub use fulmarpath_entry as entry;
+pub use fulmarpath_settings as settings;
+pub use host::{Host, HostError, Stop};
+pub use log::{LogError, init as init_log};
