Compare admission policies in virtual time

Cause: the decisions must be measured before they are trusted.

Change: fulmarpath-bench policy runs the product's own Home, Lengths and pick over 8 hosts before stand-in engines, with late reports, late progress and message delays, beside round robin, least load, a fixed cap and an oracle.

--- a/crates/bench/src/main.rs
+++ b/crates/bench/src/main.rs
@@ -1,3 +1,8 @@
 //! `fulmarpath-bench`: measurements of decisions, faults and slopes.
 
-fn main() {}
+mod cmd;
+mod sim;
+
+fn main() {
+    cmd::command().run().run();
+}
--- /dev/null
+++ b/crates/bench/src/sim/mod.rs
@@ -0,0 +1,11 @@
+//! Virtual time: the real decision code on several hosts before small stand-in engines.
+
+mod policies;
+mod stats;
+mod workload;
+mod world;
+
+pub(crate) use policies::{PolicyName, Tuning};
+pub(crate) use stats::Row;
+pub(crate) use workload::{Scenario, WorkloadName, generate};
+pub(crate) use world::{WorldSettings, run};
--- a/crates/policy/src/home.rs
+++ b/crates/policy/src/home.rs
@@ -155,8 +155,17 @@
         self.ask.prompt_tokens + self.out_tokens
     }
 
-    fn footprint<'a>(&self, lengths: &'a Lengths) -> Footprint<'a> {
-        footprint(&self.ask, self.out_tokens, self.draw, lengths)
+    /// Tokens out by now: the last report, and what the engine's pace adds to it. Without that a
+    /// home would overfill its engine by what a whole batch decodes between two reports.
+    fn likely_out_tokens(&self, now_ms: Millis, tokens_per_ms: f32) -> u32 {
+        let since_ms = now_ms.saturating_sub(self.heard_at_ms).min(PACE_BOUND_MS);
+        let likely = self.out_tokens + (since_ms as f32 * tokens_per_ms) as u32;
+        let most = self.ask.known_tokens.unwrap_or(u32::MAX);
+        likely.min(self.ask.output_limit_tokens).min(most)
+    }
+
+    fn footprint<'a>(&self, out_tokens: u32, lengths: &'a Lengths) -> Footprint<'a> {
+        footprint(&self.ask, out_tokens, self.draw, lengths)
     }
 }
 
@@ -179,6 +188,9 @@
 
 /// Steps ahead at which an engine counts as about to fill.
 const FILLING_STEPS: u32 = 24;
+/// The pace of a batch is trusted for so long after a report.
+const PACE_BOUND_MS: Millis = 1_500;
+const PACE_GAIN: f32 = 0.05;
 const MOVE_PAUSE_MS: Millis = 200;
 const MOVE_AGAIN_MS: Millis = 2_000;
 /// A prompt shorter than this starts without waiting for the pace.
@@ -196,6 +208,8 @@
     next_prompt_at_ms: f64,
     next_move_at_ms: Millis,
     leaving: bool,
+    /// Tokens a millisecond of one generation in the batch, smoothed.
+    tokens_per_ms: f32,
     /// Asks served a second, smoothed; for an honest time to come back.
     served_per_s: f32,
     served_at_ms: Millis,
@@ -214,6 +228,7 @@
             next_prompt_at_ms: 0.0,
             next_move_at_ms: 0,
             leaving: false,
+            tokens_per_ms: 0.0,
             served_per_s: 1.0,
             served_at_ms: 0,
         }
@@ -288,9 +303,14 @@
         let Some(entry) = self.permits.get_mut(permit) else {
             return;
         };
+        let since_ms = now_ms.saturating_sub(entry.heard_at_ms);
         entry.heard_at_ms = now_ms;
         let grown = out_tokens.saturating_sub(entry.out_tokens);
         entry.out_tokens += grown;
+        if since_ms > 0 && grown > 0 {
+            let pace = grown as f32 / since_ms as f32;
+            self.tokens_per_ms += (pace - self.tokens_per_ms) * PACE_GAIN;
+        }
         let organisation = entry.ask.organisation;
         self.held_tokens += u64::from(grown);
         self.fairness.charge(organisation, grown);
@@ -422,7 +442,8 @@
         let settings = self.settings;
         let mut forecast = Forecast::default();
         for permit in self.permits.values() {
-            forecast.add(&permit.footprint(lengths), settings.fit);
+            let out_tokens = permit.likely_out_tokens(now_ms, self.tokens_per_ms);
+            forecast.add(&permit.footprint(out_tokens, lengths), settings.fit);
         }
         let memory = settings.memory_tokens as f32 - self.unexplained.tokens();
         loop {
@@ -508,8 +529,15 @@
     /// A full engine pauses a generation and computes it anew later, which its caller sees as a
     /// stall; a move computes it anew at once on an engine that has room.
     fn choose_move(&mut self, now_ms: Millis, lengths: &Lengths, outcomes: &mut Vec<Outcome>) {
-        let soon = self.held_tokens + u64::from(FILLING_STEPS) * self.permits.len() as u64;
-        let soon = soon as f32 + self.unexplained.tokens();
+        let likely: u32 = self
+            .permits
+            .values()
+            .map(|permit| {
+                let out_tokens = permit.likely_out_tokens(now_ms, self.tokens_per_ms);
+                permit.ask.prompt_tokens + out_tokens + FILLING_STEPS
+            })
+            .sum();
+        let soon = likely as f32 + self.unexplained.tokens();
         if soon <= self.settings.memory_tokens as f32 || now_ms < self.next_move_at_ms {
             return;
         }
@@ -557,7 +585,7 @@
 
 /// Tokens computed anew for each token of memory freed over the time to come.
 fn move_loss(permit: &Permit, lengths: &Lengths) -> f32 {
-    let footprint = permit.footprint(lengths);
+    let footprint = permit.footprint(permit.out_tokens, lengths);
     let remaining =
         (footprint.curve.expected(footprint.out_tokens) - footprint.out_tokens).max(1.0);
     permit.held_tokens() as f32 / remaining
