Refuse hopeless asks at once and serve the smallest first without a cliff

Cause: with an age bound of 5 s the queue turned from smallest-first into oldest-first just when it was long, and asks waited out 10 s to be refused.

Change: a footprint counts for half after 30 s in place of a cliff; an ask whose predicted wait exceeds 0.4 of its patience is refused at once (rate of service over busy time, times a doubt that grows with each misprediction); organisations within their share go before borrowers; prompts paced at 1.5 times their cost. The engine computes prompts in chunks of 2,048. The constants now stand in policy, used by daemon and bench alike.

--- a/crates/bench/src/cmd/policy.rs
+++ b/crates/bench/src/cmd/policy.rs
@@ -5,7 +5,8 @@
 use fulmarpath_standin::EngineSpec;
 
 use crate::sim::{
-    PolicyName, Row, Scenario, Tuning, WorkloadName, WorldSettings, generate, run,
+    Measures, ORGANISATIONS, PolicyName, RIVAL, Row, Scenario, Tuning, WorkloadName, WorldSettings,
+    generate, run,
 };
 
 /// Compare admission policies in virtual time
@@ -40,7 +41,7 @@
     #[bpaf(argument("N"))]
     cap: Option<u32>,
     /// Trial: standard deviations kept free
-    #[bpaf(argument("F"))]
+    #[bpaf(long("caution"), argument("F"))]
     z: Option<f32>,
     /// Trial: share of memory under one draw for each generation
     #[bpaf(argument("F"))]
@@ -48,21 +49,26 @@
     /// Trial: oldest first
     fifo: bool,
     /// Trial: pace of prompts, 0 for none
-    #[bpaf(argument("F"), fallback(1.0))]
-    pace: f32,
+    #[bpaf(argument("F"))]
+    pace: Option<f32>,
     /// Trial: no moves
     no_moves: bool,
     /// Trial: one ask only
     one_ask: bool,
     /// Trial: how far an organisation may run ahead
-    #[bpaf(argument("TOKENS"), fallback(8_000.0))]
-    lead: f64,
+    #[bpaf(argument("TOKENS"))]
+    lead: Option<f64>,
     /// Trial: share of memory for work above an organisation's share
     #[bpaf(argument("F"), fallback(1.0))]
     lend: f32,
-    /// Trial: age after which an ask can't be overtaken
-    #[bpaf(argument("MS"), fallback(5_000))]
-    age_ms: u64,
+    /// Trial: age after which a footprint counts for half
+    #[bpaf(argument("MS"))]
+    age_ms: Option<u64>,
+    /// Trial: refuse early where the predicted wait exceeds this multiple of the patience; 0 never
+    #[bpaf(argument("F"))]
+    early: Option<f32>,
+    /// Half of the hosts believe in another home for each engine
+    split: bool,
     /// json or text
     #[bpaf(argument("FORM"), fallback(String::from("text")))]
     format: String,
@@ -70,62 +76,95 @@
 
 const HOSTS: usize = 8;
 
+/// What a workload's deployment looks like.
+struct Deployed {
+    engines: usize,
+    memory_tokens: u32,
+    /// Requests a second at which the oracle just ceases to finish all.
+    rate: f64,
+    cap: u32,
+    stall_weight: f32,
+}
+
+const ASSOCIATION: Deployed = Deployed {
+    engines: 15,
+    memory_tokens: 30_000,
+    rate: 21.5,
+    cap: 16,
+    stall_weight: 2.0,
+};
+
+const VILAVERDE: Deployed = Deployed {
+    engines: 12,
+    memory_tokens: 10_000,
+    rate: 46.0,
+    cap: 16,
+    stall_weight: 0.5,
+};
+
 impl Policy {
     pub(crate) fn run(&self) {
-        let (engines, memory_tokens, rate, cap, stall_weight) = match self.workload {
-            WorkloadName::Association => (15, 30_000, 21.5, 16, 2.0),
-            WorkloadName::Vilaverde => (12, 10_000, 46.0, 16, 0.5),
+        let policies = match self.policy {
+            Some(policy) => vec![policy],
+            None => PolicyName::ALL.to_vec(),
+        };
+        for policy in policies {
+            for seed in self.seed..self.seed + self.seeds {
+                let row = self.row(policy, self.scenario, seed);
+                self.print(&row);
+                if self.scenario == Scenario::Rival {
+                    let quiet = self.row(policy, Scenario::Ordinary, seed);
+                    print_change(policy, seed, &quiet, &row);
+                }
+            }
+        }
+    }
+
+    fn row(&self, policy: PolicyName, scenario: Scenario, seed: u64) -> Row {
+        let deployed = match self.workload {
+            WorkloadName::Association => ASSOCIATION,
+            WorkloadName::Vilaverde => VILAVERDE,
+        };
+        let settings = WorldSettings {
+            policy,
+            tuning: self.tuning(&deployed),
+            hosts: HOSTS,
+            engines: deployed.engines,
+            spec: EngineSpec {
+                memory_tokens: deployed.memory_tokens,
+                ..EngineSpec::default()
+            },
+            duration_s: self.duration_s,
+            scenario,
+            split: self.split,
         };
-        let stall_weight = self.stall_weight.unwrap_or(stall_weight);
+        let rate = deployed.rate * self.load;
+        let arrivals = generate(self.workload, scenario, rate, self.duration_s, HOSTS, seed);
+        run(&settings, &arrivals, self.load, seed)
+    }
+
+    fn tuning(&self, deployed: &Deployed) -> Tuning {
         let fit = match (self.z, self.sampled) {
             (Some(z), _) => Some(FitRule::Normal { z, share: 1.0 }),
             (_, Some(share)) => Some(FitRule::Sampled { share }),
             _ => None,
         };
-        let tuning = Tuning {
+        Tuning {
             weights: Weights {
-                stall: stall_weight,
+                stall: self.stall_weight.unwrap_or(deployed.stall_weight),
                 preemptions: 1.0,
                 between_tokens: 1.0,
             },
-            cap: self.cap.unwrap_or(cap),
+            cap: self.cap.unwrap_or(deployed.cap),
             fit,
             fifo: self.fifo,
             pace: self.pace,
-            moves: !self.no_moves,
+            no_moves: self.no_moves,
             lead_bound_tokens: self.lead,
             lend_share: self.lend,
-            age_bound_ms: self.age_ms,
-            two_asks: !self.one_ask,
-        };
-        let policies = match self.policy {
-            Some(policy) => vec![policy],
-            None => PolicyName::ALL.to_vec(),
-        };
-        for policy in policies {
-            for seed in self.seed..self.seed + self.seeds {
-                let settings = WorldSettings {
-                    policy,
-                    tuning,
-                    hosts: HOSTS,
-                    engines,
-                    spec: EngineSpec {
-                        memory_tokens,
-                        ..EngineSpec::default()
-                    },
-                    duration_s: self.duration_s,
-                    scenario: self.scenario,
-                };
-                let arrivals = generate(
-                    self.workload,
-                    self.scenario,
-                    rate * self.load,
-                    self.duration_s,
-                    HOSTS,
-                    seed,
-                );
-                self.print(&run(&settings, &arrivals, self.load, seed));
-            }
+            half_age_ms: self.age_ms,
+            one_ask: self.one_ask,
+            early: self.early,
         }
     }
 
@@ -156,3 +195,23 @@
         );
     }
 }
+
+/// What a rival's rise did to all other organisations together.
+fn print_change(policy: PolicyName, seed: u64, quiet: &Row, loud: &Row) {
+    let others = |row: &Row, measure: fn(&Measures) -> f64| {
+        let others = row.organisations.iter().enumerate();
+        let kept = others.filter(|(index, _)| *index != RIVAL);
+        kept.map(|(_, one)| measure(one)).sum::<f64>() / (ORGANISATIONS - 1) as f64
+    };
+    println!(
+        "{:<12} seed {seed} others, quiet -> rival: stall ms {:.1} -> {:.1}, preemptions per \
+         1,000 {:.2} -> {:.2}, between p99 ms {:.1} -> {:.1}",
+        policy.name(),
+        others(quiet, |one| one.stall_ms_mean),
+        others(loud, |one| one.stall_ms_mean),
+        others(quiet, |one| one.preemptions_per_1000),
+        others(loud, |one| one.preemptions_per_1000),
+        others(quiet, |one| one.between_tokens_ms_p99),
+        others(loud, |one| one.between_tokens_ms_p99),
+    );
+}
--- a/crates/bench/src/sim/mod.rs
+++ b/crates/bench/src/sim/mod.rs
@@ -6,6 +6,6 @@
 mod world;
 
 pub(crate) use policies::{PolicyName, Tuning};
-pub(crate) use stats::Row;
-pub(crate) use workload::{Scenario, WorkloadName, generate};
+pub(crate) use stats::{Measures, Row};
+pub(crate) use workload::{ORGANISATIONS, RIVAL, Scenario, WorkloadName, generate};
 pub(crate) use world::{WorldSettings, run};
--- a/crates/bench/src/sim/policies.rs
+++ b/crates/bench/src/sim/policies.rs
@@ -53,19 +53,20 @@
     }
 }
 
-/// What can be set differently for a trial.
+/// What a trial sets differently from the product.
 #[derive(Debug, Clone, Copy)]
 pub(crate) struct Tuning {
     pub(crate) weights: Weights,
     pub(crate) cap: u32,
     pub(crate) fit: Option<FitRule>,
     pub(crate) fifo: bool,
-    pub(crate) pace: f32,
-    pub(crate) moves: bool,
-    pub(crate) lead_bound_tokens: f64,
+    pub(crate) pace: Option<f32>,
+    pub(crate) no_moves: bool,
+    pub(crate) lead_bound_tokens: Option<f64>,
     pub(crate) lend_share: f32,
-    pub(crate) age_bound_ms: u64,
-    pub(crate) two_asks: bool,
+    pub(crate) half_age_ms: Option<u64>,
+    pub(crate) one_ask: bool,
+    pub(crate) early: Option<f32>,
 }
 
 /// How homes decide under a policy.
@@ -75,37 +76,28 @@
     memory_tokens: u32,
     prompt_ms_per_token: f32,
 ) -> HomeSettings {
-    let product = HomeSettings {
+    let product = HomeSettings::new(
+        tuning.weights,
+        tuning.lend_share,
         memory_tokens,
-        fit: tuning.fit.unwrap_or(FitRule::Normal {
-            z: tuning.weights.caution(),
-            share: 1.0,
-        }),
-        order: if tuning.fifo {
-            OrderRule::Fifo
-        } else {
-            OrderRule::SmallestFirst {
-                age_bound_ms: tuning.age_bound_ms,
-            }
-        },
-        lead_bound_tokens: tuning.lead_bound_tokens,
-        lend_share: tuning.lend_share,
-        prompt_ms_per_token: prompt_ms_per_token * tuning.pace,
-        moves: tuning.moves,
+        prompt_ms_per_token,
+    );
+    let product = HomeSettings {
         queue_limit: 1_000,
         lapse_ms: 10_000_000,
+        ..product
     };
     match policy {
-        PolicyName::Fulmarpath => product,
+        PolicyName::Fulmarpath => trial(product, tuning, prompt_ms_per_token),
         PolicyName::Oracle => HomeSettings {
             fit: FitRule::Sampled { share: 1.0 },
             order: OrderRule::SmallestFirst {
-                age_bound_ms: u64::MAX,
+                half_age_ms: u64::MAX,
             },
             lead_bound_tokens: f64::INFINITY,
             lend_share: 1.0,
             moves: false,
-            prompt_ms_per_token,
+            early: 0.0,
             ..product
         },
         _ => HomeSettings {
@@ -116,8 +108,29 @@
             lead_bound_tokens: f64::INFINITY,
             lend_share: 1.0,
             moves: false,
+            early: 0.0,
             prompt_ms_per_token: 0.0,
             ..product
         },
     }
 }
+
+fn trial(product: HomeSettings, tuning: &Tuning, prompt_ms_per_token: f32) -> HomeSettings {
+    let mut settings = product;
+    settings.fit = tuning.fit.unwrap_or(settings.fit);
+    if let Some(half_age_ms) = tuning.half_age_ms {
+        settings.order = OrderRule::SmallestFirst { half_age_ms };
+    }
+    if tuning.fifo {
+        settings.order = OrderRule::Fifo;
+    }
+    if let Some(pace) = tuning.pace {
+        settings.prompt_ms_per_token = prompt_ms_per_token * pace;
+    }
+    settings.moves &= !tuning.no_moves;
+    if let Some(lead) = tuning.lead_bound_tokens {
+        settings.lead_bound_tokens = lead;
+    }
+    settings.early = tuning.early.unwrap_or(settings.early);
+    settings
+}
--- a/crates/bench/src/sim/stats.rs
+++ b/crates/bench/src/sim/stats.rs
@@ -119,7 +119,11 @@
 
     /// A request that still waits at the end of the run, and the stall that is certain by then.
     pub(crate) fn waiting_stall(first: bool, silent_us: u64) -> u64 {
-        let bound = if first { FIRST_TOKEN_BOUND_US } else { GAP_BOUND_US };
+        let bound = if first {
+            FIRST_TOKEN_BOUND_US
+        } else {
+            GAP_BOUND_US
+        };
         silent_us.saturating_sub(bound)
     }
 
@@ -137,9 +141,8 @@
                 between_tokens_ms_p99: ms(&account.between_us, 0.99),
             })
             .collect();
-        let worst = |measure: fn(&Measures) -> f64| {
-            organisations.iter().map(measure).fold(0.0, f64::max)
-        };
+        let worst =
+            |measure: fn(&Measures) -> f64| organisations.iter().map(measure).fold(0.0, f64::max);
         Row {
             policy,
             offered_load,
--- a/crates/bench/src/sim/workload.rs
+++ b/crates/bench/src/sim/workload.rs
@@ -77,9 +77,9 @@
 /// Shares of the arrivals; a few are large.
 const SHARES: [f64; ORGANISATIONS] = [0.28, 0.20, 0.14, 0.08, 0.07, 0.06, 0.05, 0.05, 0.04, 0.03];
 
-/// Declared weights follow the shares.
+/// Declared weights follow the shares; their mean is 1.
 pub(crate) fn weight(organisation: usize) -> f32 {
-    SHARES[organisation] as f32
+    SHARES[organisation] as f32 * ORGANISATIONS as f32
 }
 
 /// The longest answer of each service.
@@ -196,7 +196,10 @@
         let prompt = shape.long_prompt_median * (0.5 * normal(rng)).exp();
         let length = shape.long_median * scale * stretch * (shape.long_sigma * normal(rng)).exp();
         let limit = f64::from(LIMITS[0]);
-        (prompt.clamp(50.0, 6_000.0) as u32, length.clamp(8.0, limit) as u32)
+        (
+            prompt.clamp(50.0, 6_000.0) as u32,
+            length.clamp(8.0, limit) as u32,
+        )
     };
     let template = rng.random_range(0..4u64);
     let prefix_tokens = if rng.random::<f64>() < 0.5 { 128 } else { 0 };
--- a/crates/bench/src/sim/world.rs
+++ b/crates/bench/src/sim/world.rs
@@ -16,7 +16,7 @@
 const PEER_US: u64 = 1_500;
 const REPORT_PERIOD_US: u64 = 500_000;
 const REPORT_LAG_US: u64 = 700_000;
-const PROGRESS_PERIOD_US: u64 = 250_000;
+const PROGRESS_PERIOD_US: u64 = 500_000;
 const TICK_US: u64 = 10_000;
 const PATIENCE_MS: Millis = 10_000;
 const DATA_CENTRES: usize = 3;
@@ -33,23 +33,58 @@
     pub(crate) spec: EngineSpec,
     pub(crate) duration_s: f64,
     pub(crate) scenario: Scenario,
+    /// Half of the hosts believe in another home for each engine.
+    pub(crate) split: bool,
 }
 
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 enum Event {
     Arrive(usize),
-    AskAt { engine: usize, request: usize, ask: u64, only_now: bool },
-    Granted { engine: usize, request: usize, ask: u64, permit: u64, priority: i32 },
-    Refused { request: usize, ask: u64 },
-    Withdraw { engine: usize, ask: u64 },
-    Submit { engine: usize, request: usize, attempt: u32 },
+    AskAt {
+        home: usize,
+        request: usize,
+        ask: u64,
+        only_now: bool,
+    },
+    Granted {
+        home: usize,
+        request: usize,
+        ask: u64,
+        permit: u64,
+        priority: i32,
+    },
+    Refused {
+        request: usize,
+        ask: u64,
+    },
+    Withdraw {
+        home: usize,
+        ask: u64,
+    },
+    Submit {
+        engine: usize,
+        request: usize,
+        attempt: u32,
+    },
     StepDone(usize),
     Report(usize),
-    Reported { engine: usize, used: u32, running: u32, waiting: u32 },
+    Reported {
+        engine: usize,
+        used: u32,
+        running: u32,
+        waiting: u32,
+    },
     Progress,
     Tick,
-    Finished { engine: usize, permit: u64, length: u32 },
-    Left { engine: usize, permit: u64 },
+    Finished {
+        home: usize,
+        permit: u64,
+        length: u32,
+    },
+    Left {
+        home: usize,
+        permit: u64,
+    },
     LoseEngine(usize),
     Recover(usize),
 }
@@ -130,7 +165,10 @@
         );
         let home_host = (0..engines).map(|engine| {
             let home = highest(upstream_key(engine).0, hosts.iter().copied());
-            hosts.iter().position(|host| Some(*host) == home).unwrap_or(0)
+            hosts
+                .iter()
+                .position(|host| Some(*host) == home)
+                .unwrap_or(0)
         });
         let memory_tokens = settings.spec.memory_tokens;
         let empty = EngineLoad {
@@ -143,13 +181,18 @@
             end_us: (settings.duration_s * 1e6) as u64,
             queue: BinaryHeap::new(),
             sequence: 0,
-            requests: arrivals.iter().map(|arrival| Request::new(*arrival)).collect(),
-            engines: (0..engines).map(|_| EngineModel::new(settings.spec)).collect(),
+            requests: arrivals
+                .iter()
+                .map(|arrival| Request::new(*arrival))
+                .collect(),
+            engines: (0..engines)
+                .map(|_| EngineModel::new(settings.spec))
+                .collect(),
             pending: vec![Vec::new(); engines],
             stepping: vec![false; engines],
             dead: vec![false; engines],
-            homes: (0..engines).map(|_| Home::new(home)).collect(),
-            home_host: home_host.collect(),
+            homes: (0..engines * 2).map(|_| Home::new(home)).collect(),
+            home_host: home_host.clone().chain(home_host).collect(),
             lengths: (0..settings.hosts).map(|_| Lengths::new()).collect(),
             views: vec![vec![empty; engines]; settings.hosts],
             reports: vec![empty; engines],
@@ -213,51 +256,80 @@
     fn handle(&mut self, event: Event) {
         match event {
             Event::Arrive(request) => self.arrive(request),
-            Event::AskAt { engine, request, ask, only_now } => {
-                self.ask_at(engine, request, ask, only_now);
+            Event::AskAt {
+                home,
+                request,
+                ask,
+                only_now,
+            } => {
+                self.ask_at(home, request, ask, only_now);
             }
-            Event::Granted { engine, request, ask, permit, priority } => {
-                self.granted(engine, request, ask, permit, priority);
+            Event::Granted {
+                home,
+                request,
+                ask,
+                permit,
+                priority,
+            } => {
+                self.granted(home, request, ask, permit, priority);
             }
             Event::Refused { request, ask } => self.refused(request, ask),
-            Event::Withdraw { engine, ask } => {
-                self.homes[engine].withdraw(AskId(ask));
-                self.step_home(engine);
+            Event::Withdraw { home, ask } => {
+                self.homes[home].withdraw(AskId(ask));
+                self.step_home(home);
             }
-            Event::Submit { engine, request, attempt } => self.submit(engine, request, attempt),
+            Event::Submit {
+                engine,
+                request,
+                attempt,
+            } => self.submit(engine, request, attempt),
             Event::StepDone(engine) => self.step_done(engine),
             Event::Report(engine) => {
                 let model = &self.engines[engine];
                 let (used, running, waiting) =
                     (model.used_tokens(), model.running(), model.waiting());
-                let reported = Event::Reported { engine, used, running, waiting };
+                let reported = Event::Reported {
+                    engine,
+                    used,
+                    running,
+                    waiting,
+                };
                 self.after(REPORT_LAG_US, reported);
                 self.after(REPORT_PERIOD_US, Event::Report(engine));
             }
-            Event::Reported { engine, used, running, waiting } => {
+            Event::Reported {
+                engine,
+                used,
+                running,
+                waiting,
+            } => {
                 self.reported(engine, used, running, waiting);
             }
             Event::Progress => self.progress(),
             Event::Tick => {
                 if self.settings.policy.admits() {
-                    for engine in 0..self.homes.len() {
-                        let load = self.homes[engine].load();
+                    for home in 0..self.homes.len() {
+                        let load = self.homes[home].load();
                         if load.queued > 0 || load.running > 0 {
-                            self.step_home(engine);
+                            self.step_home(home);
                         }
                     }
                     self.after(TICK_US, Event::Tick);
                 }
             }
-            Event::Finished { engine, permit, length } => {
+            Event::Finished {
+                home,
+                permit,
+                length,
+            } => {
                 let now_ms = self.now_ms();
-                let lengths = &mut self.lengths[self.home_host[engine]];
-                self.homes[engine].finish(now_ms, permit_key(permit), length, lengths);
-                self.step_home(engine);
+                let lengths = &mut self.lengths[self.home_host[home]];
+                self.homes[home].finish(now_ms, permit_key(permit), length, lengths);
+                self.step_home(home);
             }
-            Event::Left { engine, permit } => {
-                self.homes[engine].cancel(permit_key(permit));
-                self.step_home(engine);
+            Event::Left { home, permit } => {
+                self.homes[home].cancel(permit_key(permit));
+                self.step_home(home);
             }
             Event::LoseEngine(engine) => self.lose(engine),
             Event::Recover(request) => self.ask(request, false),
@@ -280,7 +352,14 @@
             _ => self.least_loaded(),
         };
         let attempt = self.requests[request].attempt;
-        self.after(PEER_US, Event::Submit { engine, request, attempt });
+        self.after(
+            PEER_US,
+            Event::Submit {
+                engine,
+                request,
+                attempt,
+            },
+        );
     }
 
     fn least_loaded(&self) -> usize {
@@ -293,6 +372,19 @@
         least.unwrap_or(0)
     }
 
+    /// The home that a host believes an engine to have.
+    fn home_of(&self, engine: usize, host: usize) -> usize {
+        if self.settings.split && host % 2 == 1 {
+            engine + self.engines.len()
+        } else {
+            engine
+        }
+    }
+
+    fn engine_of(&self, home: usize) -> usize {
+        home % self.engines.len()
+    }
+
     /// Asks two homes, as an entry host does.
     fn ask(&mut self, request: usize, only_now: bool) {
         if !self.settings.policy.admits() {
@@ -300,7 +392,8 @@
             return;
         }
         let arrival = self.requests[request].arrival;
-        let without = self.requests[request].held.map(|(engine, _)| engine);
+        let held = self.requests[request].held;
+        let without = held.map(|(home, _)| self.engine_of(home));
         let candidates: Vec<Candidate> = (0..self.engines.len())
             .filter(|engine| Some(*engine) != without && !self.dead[*engine])
             .map(|engine| Candidate {
@@ -313,20 +406,29 @@
         let Some(picked) = pick(arrival.prefix, &candidates) else {
             return;
         };
-        let second = picked.second.filter(|_| self.settings.tuning.two_asks);
+        let second = picked.second.filter(|_| !self.settings.tuning.one_ask);
         for upstream in [Some(picked.first), second].into_iter().flatten() {
             let engine = (0..self.engines.len())
                 .find(|engine| upstream_key(*engine) == upstream)
                 .unwrap_or(0);
             let ask = self.next_ask;
             self.next_ask += 1;
-            self.requests[request].asks.push((ask, engine));
+            let home = self.home_of(engine, arrival.host);
+            self.requests[request].asks.push((ask, home));
             self.by_ask.insert(ask, request);
-            self.after(PEER_US, Event::AskAt { engine, request, ask, only_now });
+            self.after(
+                PEER_US,
+                Event::AskAt {
+                    home,
+                    request,
+                    ask,
+                    only_now,
+                },
+            );
         }
     }
 
-    fn ask_at(&mut self, engine: usize, request: usize, ask: u64, only_now: bool) {
+    fn ask_at(&mut self, home: usize, request: usize, ask: u64, only_now: bool) {
         let one = &self.requests[request];
         let arrival = one.arrival;
         let waited_ms = (self.now_us - arrival.at_us) / 1_000;
@@ -352,16 +454,17 @@
             known_tokens: known.then_some(arrival.length_tokens),
         };
         let now_ms = self.now_ms();
-        let lengths = &self.lengths[self.home_host[engine]];
-        self.homes[engine].ask(now_ms, message, lengths);
-        self.step_home(engine);
-        let load = self.home_load(engine);
+        let lengths = &self.lengths[self.home_host[home]];
+        self.homes[home].ask(now_ms, message, lengths);
+        self.step_home(home);
+        let load = self.home_load(home);
+        let engine = self.engine_of(home);
         self.views[arrival.host][engine] = load;
     }
 
-    fn home_load(&self, engine: usize) -> EngineLoad {
-        let own = self.homes[engine].load();
-        let report = self.reports[engine];
+    fn home_load(&self, home: usize) -> EngineLoad {
+        let own = self.homes[home].load();
+        let report = self.reports[self.engine_of(home)];
         EngineLoad {
             running: own.running,
             waiting: own.queued + report.waiting,
@@ -370,20 +473,25 @@
         }
     }
 
-    fn step_home(&mut self, engine: usize) {
+    fn step_home(&mut self, home: usize) {
         let now_ms = self.now_ms();
         let mut outcomes = Vec::new();
-        let lengths = &self.lengths[self.home_host[engine]];
-        self.homes[engine].step(now_ms, lengths, &mut outcomes);
+        let lengths = &self.lengths[self.home_host[home]];
+        self.homes[home].step(now_ms, lengths, &mut outcomes);
         for outcome in outcomes {
             match outcome {
-                Outcome::Granted { ask, permit, priority, .. } => {
+                Outcome::Granted {
+                    ask,
+                    permit,
+                    priority,
+                    ..
+                } => {
                     let Some(request) = self.by_ask.get(&ask.0).copied() else {
                         continue;
                     };
                     let permit = permit_bits(permit);
                     let granted = Event::Granted {
-                        engine,
+                        home,
                         request,
                         ask: ask.0,
                         permit,
@@ -393,24 +501,37 @@
                 }
                 Outcome::Refused { ask, .. } => {
                     if let Some(request) = self.by_ask.get(&ask.0).copied() {
-                        self.after(PEER_US, Event::Refused { request, ask: ask.0 });
+                        self.after(
+                            PEER_US,
+                            Event::Refused {
+                                request,
+                                ask: ask.0,
+                            },
+                        );
                     }
                 }
-                Outcome::Move { permit, .. } => self.moves.push((engine, permit)),
+                Outcome::Move { permit, .. } => self.moves.push((home, permit)),
             }
         }
     }
 
-    fn granted(&mut self, engine: usize, request: usize, ask: u64, permit: u64, priority: i32) {
-        let wanted = self.requests[request].asks.iter().any(|(one, _)| *one == ask);
+    fn granted(&mut self, home: usize, request: usize, ask: u64, permit: u64, priority: i32) {
+        let engine = self.engine_of(home);
+        let wanted = self.requests[request]
+            .asks
+            .iter()
+            .any(|(one, _)| *one == ask);
         if !wanted || self.requests[request].ended || self.dead[engine] {
-            self.after(PEER_US, Event::Left { engine, permit });
+            self.after(PEER_US, Event::Left { home, permit });
             return;
         }
         let others: Vec<(u64, usize)> = self.requests[request].asks.drain(..).collect();
-        for (other, other_engine) in others {
+        for (other, other_home) in others {
             if other != ask {
-                let withdraw = Event::Withdraw { engine: other_engine, ask: other };
+                let withdraw = Event::Withdraw {
+                    home: other_home,
+                    ask: other,
+                };
                 self.after(PEER_US, withdraw);
             }
         }
@@ -418,17 +539,31 @@
         one.attempt += 1;
         one.priority = priority;
         let attempt = one.attempt;
-        let before = one.held.replace((engine, permit));
+        let before = one.held.replace((home, permit));
         let was_moving = std::mem::take(&mut one.moving);
-        self.by_permit.insert((engine, permit), request);
+        self.by_permit.insert((home, permit), request);
         if let Some((old, old_permit)) = before {
             debug_assert!(was_moving, "only a move replaces a permit");
             self.by_permit.remove(&(old, old_permit));
-            self.engines[old].cancel(request as u64);
+            let old_engine = self.engine_of(old);
+            self.engines[old_engine].cancel(request as u64);
             self.stats.moves += 1;
-            self.after(PEER_US, Event::Left { engine: old, permit: old_permit });
-        }
-        self.after(PEER_US, Event::Submit { engine, request, attempt });
+            self.after(
+                PEER_US,
+                Event::Left {
+                    home: old,
+                    permit: old_permit,
+                },
+            );
+        }
+        self.after(
+            PEER_US,
+            Event::Submit {
+                engine,
+                request,
+                attempt,
+            },
+        );
     }
 
     fn refused(&mut self, request: usize, ask: u64) {
@@ -520,7 +655,10 @@
 
     fn runs_on(&self, engine: usize, request: usize) -> bool {
         let one = &self.requests[request];
-        !one.ended && one.held.is_some_and(|(held, _)| held == engine)
+        !one.ended
+            && one
+                .held
+                .is_some_and(|(held, _)| self.engine_of(held) == engine)
     }
 
     fn token(&mut self, engine: usize, request: usize, index: u32) {
@@ -556,9 +694,16 @@
         self.stats.done += 1;
         self.stats.tokens_done += u64::from(length);
         self.stats.end(organisation, stall);
-        if let Some((engine, permit)) = held.filter(|_| self.settings.policy.admits()) {
-            self.by_permit.remove(&(engine, permit));
-            self.after(PEER_US, Event::Finished { engine, permit, length });
+        if let Some((home, permit)) = held.filter(|_| self.settings.policy.admits()) {
+            self.by_permit.remove(&(home, permit));
+            self.after(
+                PEER_US,
+                Event::Finished {
+                    home,
+                    permit,
+                    length,
+                },
+            );
         }
     }
 
@@ -571,7 +716,9 @@
         };
         self.reports[engine] = load;
         let now_ms = self.now_ms();
-        self.homes[engine].report(now_ms, load);
+        for home in [engine, engine + self.engines.len()] {
+            self.homes[home].report(now_ms, load);
+        }
     }
 
     /// Entry hosts report how far their permits are, and heed the moves that homes ask for.
@@ -583,12 +730,12 @@
         let now_ms = self.now_ms();
         for index in 0..self.requests.len() {
             let one = &self.requests[index];
-            if let Some((engine, permit)) = one.held.filter(|_| !one.ended) {
-                self.homes[engine].progress(now_ms, permit_key(permit), one.out);
+            if let Some((home, permit)) = one.held.filter(|_| !one.ended) {
+                self.homes[home].progress(now_ms, permit_key(permit), one.out);
             }
         }
-        for (engine, permit) in std::mem::take(&mut self.moves) {
-            let held = (engine, permit_bits(permit));
+        for (home, permit) in std::mem::take(&mut self.moves) {
+            let held = (home, permit_bits(permit));
             let Some(request) = self.by_permit.get(&held).copied() else {
                 continue;
             };
@@ -611,9 +758,9 @@
             let held = one.held.take();
             one.attempt += 1;
             one.retried = true;
-            if let Some((engine, permit)) = held.filter(|_| self.settings.policy.admits()) {
-                self.by_permit.remove(&(engine, permit));
-                self.after(NOTICE_US, Event::Left { engine, permit });
+            if let Some((home, permit)) = held.filter(|_| self.settings.policy.admits()) {
+                self.by_permit.remove(&(home, permit));
+                self.after(NOTICE_US, Event::Left { home, permit });
             }
             self.after(NOTICE_US, Event::Recover(index));
         }
--- a/crates/cluster/src/homes.rs
+++ b/crates/cluster/src/homes.rs
@@ -5,8 +5,8 @@
 use std::time::Duration;
 
 use fulmarpath_policy::{
-    Ask, AskId, EngineLoad, FitRule, Home, HomeSettings, HostKey, Lengths, Millis, OrderRule,
-    Outcome, UpstreamKey, Weights,
+    Ask, AskId, EngineLoad, Home, HomeSettings, HostKey, Lengths, Millis, Outcome, UpstreamKey,
+    Weights,
 };
 use fulmarpath_upstream::{EngineState, LoadReport};
 use fulmarpath_wire::{AskAnswer, AskReply, PermitId, Progress, ProgressReply, RunState};
@@ -298,36 +298,6 @@
     }
 }
 
-const AGE_BOUND_MS: Millis = 5_000;
-const LEAD_BOUND_TOKENS: f64 = 8_000.0;
-const QUEUE_LIMIT: usize = 256;
-const PERMIT_LAPSE_MS: Millis = 4_000;
-
-/// How homes of a model's engines decide under a preset.
-pub(crate) fn home_settings(
-    weights: Weights,
-    lend_share: f32,
-    memory_tokens: u32,
-    prompt_ms_per_token: f32,
-) -> HomeSettings {
-    HomeSettings {
-        memory_tokens,
-        fit: FitRule::Normal {
-            z: weights.caution(),
-            share: 1.0,
-        },
-        order: OrderRule::SmallestFirst {
-            age_bound_ms: AGE_BOUND_MS,
-        },
-        lead_bound_tokens: LEAD_BOUND_TOKENS,
-        lend_share,
-        prompt_ms_per_token,
-        moves: true,
-        queue_limit: QUEUE_LIMIT,
-        lapse_ms: PERMIT_LAPSE_MS,
-    }
-}
-
 impl Node {
     /// How the home of `upstream` decides under the preset in force.
     pub(crate) fn home_settings_of(&self, upstream: UpstreamKey) -> Option<HomeSettings> {
@@ -340,7 +310,7 @@
             preemptions: preset.preemptions_weight,
             between_tokens: preset.between_tokens_weight,
         };
-        Some(home_settings(
+        Some(HomeSettings::new(
             weights,
             preset.lend_share,
             model.memory_tokens,
--- a/crates/policy/src/home.rs
+++ b/crates/policy/src/home.rs
@@ -3,6 +3,7 @@
 use serde::{Deserialize, Serialize};
 use slotmap::{SlotMap, new_key_type};
 
+use crate::backlog::Backlog;
 use crate::fair::Fairness;
 use crate::fit::{FitRule, Footprint, Forecast};
 use crate::key::{HostKey, Millis, OrganisationKey, ServiceKey};
@@ -10,6 +11,7 @@
 use crate::load::EngineLoad;
 use crate::queue::{OrderRule, Waiting, next};
 use crate::unexplained::Unexplained;
+use crate::weights::Weights;
 
 new_key_type! {
     /// A permit in its home's arena.
@@ -73,12 +75,51 @@
     pub prompt_ms_per_token: f32,
     /// Whether to move a generation off an engine about to fill.
     pub moves: bool,
+    /// An ask whose predicted wait exceeds this multiple of its patience is refused at once; 0
+    /// waits for each to run out.
+    pub early: f32,
     /// The longest queue.
     pub queue_limit: usize,
     /// A permit without a word from its host for so long lapses.
     pub lapse_ms: Millis,
 }
 
+/// After so long a footprint counts for half in the queue's order.
+const HALF_AGE_MS: Millis = 30_000;
+const LEAD_BOUND_TOKENS: f64 = 20_000.0;
+const EARLY: f32 = 0.4;
+const PACE: f32 = 1.5;
+const QUEUE_LIMIT: usize = 256;
+const LAPSE_MS: Millis = 4_000;
+
+impl HomeSettings {
+    /// What the product uses under a preset; docs/POLICY.md has the figures behind each constant.
+    pub fn new(
+        weights: Weights,
+        lend_share: f32,
+        memory_tokens: u32,
+        prompt_ms_per_token: f32,
+    ) -> Self {
+        Self {
+            memory_tokens,
+            fit: FitRule::Normal {
+                z: weights.caution(),
+                share: 1.0,
+            },
+            order: OrderRule::SmallestFirst {
+                half_age_ms: HALF_AGE_MS,
+            },
+            lead_bound_tokens: LEAD_BOUND_TOKENS,
+            lend_share,
+            prompt_ms_per_token: prompt_ms_per_token * PACE,
+            moves: true,
+            early: EARLY,
+            queue_limit: QUEUE_LIMIT,
+            lapse_ms: LAPSE_MS,
+        }
+    }
+}
+
 /// Why a home refuses. A refused ask was certainly not run.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub enum RefusalReason {
@@ -210,9 +251,7 @@
     leaving: bool,
     /// Tokens a millisecond of one generation in the batch, smoothed.
     tokens_per_ms: f32,
-    /// Asks served a second, smoothed; for an honest time to come back.
-    served_per_s: f32,
-    served_at_ms: Millis,
+    backlog: Backlog,
 }
 
 impl Home {
@@ -229,8 +268,7 @@
             next_move_at_ms: 0,
             leaving: false,
             tokens_per_ms: 0.0,
-            served_per_s: 1.0,
-            served_at_ms: 0,
+            backlog: Backlog::default(),
         }
     }
 
@@ -360,11 +398,13 @@
     /// Decides what can be decided now.
     pub fn step(&mut self, now_ms: Millis, lengths: &Lengths, outcomes: &mut Vec<Outcome>) {
         self.lapse(now_ms);
+        self.backlog.pass(now_ms, self.queue.is_empty());
         self.unexplained.note(now_ms, self.held_tokens as f32);
         self.refuse(now_ms, outcomes);
         if !self.queue.is_empty() {
             self.grant(now_ms, lengths, outcomes);
-            self.refuse_hurried(now_ms, outcomes);
+            self.refuse_hurried(outcomes);
+            self.refuse_hopeless(now_ms, outcomes);
         }
         if self.settings.moves {
             self.choose_move(now_ms, lengths, outcomes);
@@ -395,26 +435,54 @@
     fn refuse(&mut self, now_ms: Millis, outcomes: &mut Vec<Outcome>) {
         let mut index = 0;
         while index < self.queue.len() {
-            let waiting = &self.queue[index];
-            let waited_ms = now_ms.saturating_sub(waiting.since_ms);
-            let too_large =
-                waiting.ask.prompt_tokens + waiting.ask.out_tokens >= self.settings.memory_tokens;
-            let full = index >= self.settings.queue_limit && !waiting.ask.is_resumption();
-            let reason = match () {
-                () if self.leaving => Some(RefusalReason::Leaving),
-                () if too_large => Some(RefusalReason::TooLarge),
-                () if full => Some(RefusalReason::QueueFull),
-                () if waited_ms >= waiting.ask.patience_ms => Some(RefusalReason::TooLate),
-                () => None,
-            };
-            match reason {
-                Some(reason) => self.refuse_at(index, reason, outcomes),
+            match self.refusal_of(now_ms, index) {
+                Some(reason) => {
+                    if reason == RefusalReason::TooLate {
+                        self.backlog.too_late();
+                    }
+                    self.refuse_at(index, reason, outcomes);
+                }
                 None => index += 1,
             }
         }
     }
 
-    fn refuse_hurried(&mut self, _now_ms: Millis, outcomes: &mut Vec<Outcome>) {
+    fn refusal_of(&self, now_ms: Millis, index: usize) -> Option<RefusalReason> {
+        let waiting = &self.queue[index];
+        let waited_ms = now_ms.saturating_sub(waiting.since_ms);
+        let tokens = waiting.ask.prompt_tokens + waiting.ask.out_tokens;
+        if self.leaving {
+            Some(RefusalReason::Leaving)
+        } else if tokens >= self.settings.memory_tokens {
+            Some(RefusalReason::TooLarge)
+        } else if index >= self.settings.queue_limit && !waiting.ask.is_resumption() {
+            Some(RefusalReason::QueueFull)
+        } else if waited_ms >= waiting.ask.patience_ms {
+            Some(RefusalReason::TooLate)
+        } else {
+            None
+        }
+    }
+
+    /// Refuses now what could not start in time anyway: its caller learns at once that it was not
+    /// run, rather than after having waited for nothing.
+    fn refuse_hopeless(&mut self, now_ms: Millis, outcomes: &mut Vec<Outcome>) {
+        if self.settings.early <= 0.0 || self.queue.len() < 2 {
+            return;
+        }
+        let order = self.settings.order;
+        let hopeless = self
+            .backlog
+            .hopeless(&self.queue, now_ms, order, self.settings.early);
+        for ask in hopeless {
+            let place = self.queue.iter().position(|one| one.ask.id == ask);
+            if let Some(index) = place {
+                self.refuse_at(index, RefusalReason::TooLate, outcomes);
+            }
+        }
+    }
+
+    fn refuse_hurried(&mut self, outcomes: &mut Vec<Outcome>) {
         while let Some(index) = self.queue.iter().position(|one| one.ask.only_now) {
             self.refuse_at(index, RefusalReason::NoRoomNow, outcomes);
         }
@@ -426,18 +494,10 @@
             ask: ask.id,
             host: ask.host,
             reason,
-            retry_after_ms: self.retry_after_ms(),
+            retry_after_ms: self.backlog.drain_ms(&self.queue),
         });
     }
 
-    /// The time in which the queue as it stands would be served.
-    fn retry_after_ms(&self) -> Millis {
-        const LEAST_MS: f32 = 500.0;
-        const MOST_MS: f32 = 30_000.0;
-        let queue_ms = self.queue.len() as f32 / self.served_per_s.max(0.01) * 1_000.0;
-        queue_ms.clamp(LEAST_MS, MOST_MS) as Millis
-    }
-
     fn grant(&mut self, now_ms: Millis, lengths: &Lengths, outcomes: &mut Vec<Outcome>) {
         let settings = self.settings;
         let mut forecast = Forecast::default();
@@ -453,6 +513,7 @@
                 settings.order,
                 &self.fairness,
                 settings.lead_bound_tokens,
+                |ask| self.borrows(ask),
             );
             let Some(index) = chosen else { break };
             let ask = self.queue[index].ask;
@@ -485,22 +546,21 @@
             || now_ms as f64 >= self.next_prompt_at_ms
     }
 
-    /// Whether the organisation would hold more than its guaranteed share.
+    /// Whether the organisation would hold more than its guaranteed share. One generation at a
+    /// time is always its own: a small share of one engine may be less than a single prompt.
     fn borrows(&self, ask: &Ask) -> bool {
         let own = ask.share * self.settings.memory_tokens as f32;
         let held = self.fairness.held_tokens(ask.organisation) as f32;
-        held + (ask.prompt_tokens + ask.out_tokens) as f32 > own
+        held > 0.0 && held + (ask.prompt_tokens + ask.out_tokens) as f32 > own
     }
 
     fn start(&mut self, now_ms: Millis, index: usize, borrows: bool) -> Outcome {
-        let ask = self.queue.remove(index).ask;
+        let waiting = self.queue.remove(index);
+        self.backlog.served(now_ms, waiting.footprint_tokens);
+        let ask = waiting.ask;
         let tokens = ask.prompt_tokens + ask.out_tokens;
         let prompt_ms = f64::from(tokens as f32 * self.settings.prompt_ms_per_token);
         self.next_prompt_at_ms = self.next_prompt_at_ms.max(now_ms as f64) + prompt_ms;
-        let elapsed_s = now_ms.saturating_sub(self.served_at_ms).max(1) as f32 / 1_000.0;
-        let gain = (elapsed_s / 5.0).min(1.0);
-        self.served_per_s += (1.0 / elapsed_s - self.served_per_s) * gain;
-        self.served_at_ms = now_ms;
         let priority = if borrows { 0 } else { 1 };
         Outcome::Granted {
             ask: ask.id,
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -3,6 +3,7 @@
 //! Nothing here performs input or output or reads a clock: the present time is an argument, in
 //! milliseconds since a start that the caller chooses.
 
+mod backlog;
 mod fair;
 mod fit;
 mod home;
--- a/crates/policy/src/queue.rs
+++ b/crates/policy/src/queue.rs
@@ -9,10 +9,10 @@
 pub enum OrderRule {
     /// The oldest.
     Fifo,
-    /// The smallest expected footprint; an ask older than the bound goes before all younger ones.
+    /// The smallest expected footprint, which counts for less the longer an ask has waited.
     SmallestFirst {
-        /// After so long an ask can't be overtaken any more.
-        age_bound_ms: Millis,
+        /// After so long a footprint counts for half.
+        half_age_ms: Millis,
     },
 }
 
@@ -23,23 +23,29 @@
     pub(crate) footprint_tokens: f32,
 }
 
-/// The place in `queue` of the ask to serve next.
+/// The place in `queue` of the ask to serve next, if fairness lets anybody.
 ///
-/// Resumptions go first: their callers have tokens already and see the wait as a gap. Then nobody
-/// may be ahead of the least served waiting organisation by more than `lead_bound_tokens`, since
-/// without that bound an organisation with many small asks would starve all others.
+/// Resumptions go first: their callers have tokens already and see the wait as a gap. Then come
+/// organisations within their guaranteed share, then those that borrow. Nobody may be ahead of the
+/// least served waiting organisation by more than `lead_bound_tokens`, since without that bound an
+/// organisation with many small asks would starve all others.
 pub(crate) fn next(
     queue: &[Waiting],
     now_ms: Millis,
     rule: OrderRule,
     fairness: &Fairness,
     lead_bound_tokens: f64,
+    borrows: impl Fn(&Ask) -> bool,
 ) -> Option<usize> {
-    let least = fairness.least_waiting();
-    let mut best: Option<(usize, (u8, f64))> = None;
+    let charge_bound = fairness.least_waiting() + lead_bound_tokens;
+    let mut best: Option<(usize, (bool, (u8, f64)))> = None;
     for (index, waiting) in queue.iter().enumerate() {
-        let rank = rank(waiting, now_ms, rule, fairness, least + lead_bound_tokens);
-        let Some(rank) = rank else { continue };
+        let is_ahead = fairness.charged(waiting.ask.organisation) > charge_bound;
+        if is_ahead && !waiting.ask.is_resumption() {
+            continue;
+        }
+        let borrows = !waiting.ask.is_resumption() && borrows(&waiting.ask);
+        let rank = (borrows, rank(waiting, now_ms, rule));
         if best.is_none_or(|(_, other)| rank < other) {
             best = Some((index, rank));
         }
@@ -47,28 +53,18 @@
     best.map(|(index, _)| index)
 }
 
-fn rank(
-    waiting: &Waiting,
-    now_ms: Millis,
-    rule: OrderRule,
-    fairness: &Fairness,
-    charge_bound: f64,
-) -> Option<(u8, f64)> {
+/// Lower goes first.
+pub(crate) fn rank(waiting: &Waiting, now_ms: Millis, rule: OrderRule) -> (u8, f64) {
     let since = waiting.since_ms as f64;
     if waiting.ask.is_resumption() {
-        return Some((0, since));
-    }
-    if fairness.charged(waiting.ask.organisation) > charge_bound {
-        return None;
+        return (0, since);
     }
     match rule {
-        OrderRule::Fifo => Some((1, since)),
-        OrderRule::SmallestFirst { age_bound_ms } => {
-            if now_ms.saturating_sub(waiting.since_ms) >= age_bound_ms {
-                Some((1, since))
-            } else {
-                Some((2, f64::from(waiting.footprint_tokens)))
-            }
+        OrderRule::Fifo => (1, since),
+        OrderRule::SmallestFirst { half_age_ms } => {
+            let waited_ms = now_ms.saturating_sub(waiting.since_ms) as f64;
+            let age = 1.0 + waited_ms / half_age_ms.max(1) as f64;
+            (1, f64::from(waiting.footprint_tokens) / age)
         }
     }
 }
--- a/crates/standin/src/model.rs
+++ b/crates/standin/src/model.rs
@@ -31,7 +31,7 @@
             step_ms: 12.0,
             sequence_ms: 0.35,
             prompt_ms_per_token: 0.08,
-            prompt_chunk_tokens: 512,
+            prompt_chunk_tokens: 2_048,
             cached_prefixes: 32,
         }
     }
