Prove the promises against failures of engines, hosts and the platform

Cause: each point of what must always hold needs a test that brings about the failure it is meant for.

--- a/crates/policy/src/backlog.rs
+++ b/crates/policy/src/backlog.rs
@@ -2,7 +2,7 @@
 
 use crate::home::AskId;
 use crate::key::Millis;
-use crate::queue::{OrderRule, Waiting, rank};
+use crate::queue::{OrderRule, Rank, Waiting, rank};
 
 /// Time over which the rate is averaged.
 const WINDOW_MS: f32 = 5_000.0;
@@ -75,7 +75,7 @@
         let Some(rate) = self.tokens_per_ms() else {
             return Vec::new();
         };
-        let mut ranked: Vec<(&Waiting, (u8, f64))> = queue
+        let mut ranked: Vec<(&Waiting, Rank)> = queue
             .iter()
             .map(|waiting| (waiting, rank(waiting, now_ms, order)))
             .collect();
--- a/crates/policy/src/queue.rs
+++ b/crates/policy/src/queue.rs
@@ -38,7 +38,7 @@
     borrows: impl Fn(&Ask) -> bool,
 ) -> Option<usize> {
     let charge_bound = fairness.least_waiting() + lead_bound_tokens;
-    let mut best: Option<(usize, (bool, (u8, f64)))> = None;
+    let mut best: Option<(usize, (bool, Rank))> = None;
     for (index, waiting) in queue.iter().enumerate() {
         let is_ahead = fairness.charged(waiting.ask.organisation) > charge_bound;
         if is_ahead && !waiting.ask.is_resumption() {
@@ -53,8 +53,10 @@
     best.map(|(index, _)| index)
 }
 
-/// Lower goes first.
-pub(crate) fn rank(waiting: &Waiting, now_ms: Millis, rule: OrderRule) -> (u8, f64) {
+/// A place in the order: resumptions first, then by age or footprint; lower goes first.
+pub(crate) type Rank = (u8, f64);
+
+pub(crate) fn rank(waiting: &Waiting, now_ms: Millis, rule: OrderRule) -> Rank {
     let since = waiting.since_ms as f64;
     if waiting.ask.is_resumption() {
         return (0, since);
--- a/crates/standin/src/engine.rs
+++ b/crates/standin/src/engine.rs
@@ -27,8 +27,10 @@
 /// Faults that a test orders; all off at first.
 #[derive(Debug, Default)]
 pub struct EngineFaults {
-    /// Streams go silent, and so does every connection that is open; new ones work.
-    pub silent_streams: AtomicBool,
+    /// Raised by [`StandinEngine::silence_open`]: streams opened before go silent for good.
+    silence: AtomicU32,
+    /// Each stream also carries a token of another generation and one of another attempt.
+    pub crossed: AtomicBool,
     /// Nothing answers any more, as a dead process would.
     pub dead: AtomicBool,
     /// The load report says leaving.
@@ -50,6 +52,8 @@
     pub computed_tokens: HashMap<String, u32>,
     /// Generations that were cancelled.
     pub cancelled: Vec<String>,
+    /// Starts that were refused because the engine leaves.
+    pub refused_starts: u32,
     /// Orders that were carried out.
     pub orders: Vec<Order>,
 }
@@ -118,6 +122,26 @@
         self.state.lock().record.clone()
     }
 
+    /// Every open stream goes silent for good; new ones work.
+    pub fn silence_open(&self) {
+        self.faults.silence.fetch_add(1, Ordering::Relaxed);
+    }
+
+    /// Starts that were refused because the engine leaves.
+    pub fn refused_starts(&self) -> u32 {
+        self.state.lock().record.refused_starts
+    }
+
+    /// Loses all generations, as a restart would; the record stays.
+    pub fn forget_all(&self) {
+        let mut state = self.state.lock();
+        let ids: Vec<u64> = state.runs.keys().copied().collect();
+        for id in ids {
+            state.drop_run(id);
+        }
+        state.by_name.clear();
+    }
+
     /// Whether any generation still runs.
     pub fn is_busy(&self) -> bool {
         let state = self.state.lock();
@@ -198,6 +222,7 @@
 
     fn generate(&self, request: GenerateRequest) -> Reply {
         if self.faults.leaving.load(Ordering::Relaxed) {
+            self.state.lock().record.refused_starts += 1;
             return empty(StatusCode::SERVICE_UNAVAILABLE);
         }
         let id = self.next_id.fetch_add(1, Ordering::Relaxed);
@@ -284,28 +309,35 @@
     }
 
     async fn pump(self, id: u64, attempt: u32, mut next: u32, sender: mpsc::Sender<Bytes>) {
-        let silent = self.faults.silent_streams.load(Ordering::Relaxed);
+        let silence = self.faults.silence.load(Ordering::Relaxed);
         let mut sent = 0;
         let Some(mut changed) = self.state.lock().subscribe(id) else {
             return;
         };
         loop {
-            if silent || self.faults.silent_streams.load(Ordering::Relaxed) || self.is_dead() {
+            let is_silent = self.faults.silence.load(Ordering::Relaxed) != silence;
+            if is_silent || self.is_dead() {
                 // The connection stays open and says nothing until the other side gives up.
                 sender.closed().await;
                 return;
             }
             let items = self.state.lock().items(id, attempt, next);
-            let Some(items) = items else { return };
+            let Some(mut items) = items else { return };
+            if self.faults.crossed.load(Ordering::Relaxed) {
+                items.splice(0..0, strangers(attempt, next));
+            }
             for item in items {
                 let done = matches!(item, StreamItem::Done { .. });
+                let is_stranger = is_stranger(&item);
                 let mut line = serde_json::to_vec(&item).unwrap_or_default();
                 line.push(b'\n');
                 if sender.send(line.into()).await.is_err() || done {
                     return;
                 }
-                next += 1;
-                sent += 1;
+                if !is_stranger {
+                    next += 1;
+                    sent += 1;
+                }
                 let break_after = self.faults.break_after_tokens.load(Ordering::Relaxed);
                 if break_after > 0 && sent >= break_after {
                     return;
@@ -397,3 +429,20 @@
     let body = request.into_body().collect().await.ok()?.to_bytes();
     serde_json::from_slice(&body).ok()
 }
+
+const STRANGER: &str = "another-generation";
+
+/// Tokens that belong to somebody else, at the very index that is awaited.
+fn strangers(attempt: u32, index: u32) -> [StreamItem; 2] {
+    let token = |generation: &str, attempt| StreamItem::Token {
+        generation: generation.to_owned(),
+        attempt,
+        index,
+        text: "stranger ".to_owned(),
+    };
+    [token(STRANGER, attempt), token(STRANGER, attempt + 7)]
+}
+
+fn is_stranger(item: &StreamItem) -> bool {
+    matches!(item, StreamItem::Token { generation, .. } if generation == STRANGER)
+}
--- a/src/dev.rs
+++ b/src/dev.rs
@@ -13,6 +13,7 @@
     EngineSpec, StandinEngine, StandinHostList, StandinObjectApi, StandinPlain,
 };
 use tokio::net::TcpListener;
+use tokio::runtime::Runtime;
 
 use crate::host::{Host, HostError};
 
@@ -68,10 +69,15 @@
     NotReady,
 }
 
+/// A host on a runtime of its own, so that it can be killed whole.
+struct Running {
+    host: Host,
+    runtime: Runtime,
+}
+
 /// Hosts and stand-ins.
 pub struct Deployment {
-    /// The entry hosts; `None` where one was stopped.
-    pub hosts: Vec<Option<Host>>,
+    hosts: Vec<Option<Running>>,
     /// The engines.
     pub engines: Vec<StandinEngine>,
     /// The plain service `lookup`.
@@ -83,6 +89,14 @@
     size: Size,
 }
 
+impl Drop for Deployment {
+    fn drop(&mut self) {
+        for host in 0..self.hosts.len() {
+            self.kill(host);
+        }
+    }
+}
+
 async fn listener() -> std::io::Result<TcpListener> {
     TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).await
 }
@@ -133,29 +147,49 @@
     /// [`DevError`]
     pub async fn add_host(&mut self) -> Result<usize, DevError> {
         let number = self.hosts.len();
-        let (callers, peers) = (listener().await?, listener().await?);
-        let peer_address = peers.local_addr()?;
         let name = format!("host-{number}");
-        let settings = self.host_settings(number, &name, callers.local_addr()?, peer_address);
-        let host = Host::start_on(&settings, callers, peers).await?;
-        let listed = entry(&name, Role::Entry, number, "", peer_address);
+        let runtime = tokio::runtime::Builder::new_multi_thread()
+            .worker_threads(1)
+            .enable_all()
+            .build()?;
+        let settings = self.host_settings(number, &name);
+        let start = async move { Host::start(&settings).await };
+        let host = runtime
+            .spawn(start)
+            .await
+            .map_err(|_| DevError::NotReady)??;
+        let listed = entry(&name, Role::Entry, number, "", host.peer_address);
         self.host_list.put(listed);
-        self.hosts.push(Some(host));
+        self.hosts.push(Some(Running { host, runtime }));
         Ok(number)
     }
 
-    fn host_settings(
-        &self,
-        number: usize,
-        name: &str,
-        caller_address: SocketAddr,
-        peer_address: SocketAddr,
-    ) -> HostSettings {
+    /// Ends a host at once, as a crash would: its connections close, its memory is gone.
+    pub fn kill(&mut self, host: usize) {
+        if let Some(running) = self.hosts[host].take() {
+            running.runtime.shutdown_background();
+        }
+    }
+
+    /// Stops a host gracefully and tells how many generations were cut.
+    pub async fn stop(&mut self, host: usize) -> usize {
+        let Some(running) = self.hosts[host].take() else {
+            return 0;
+        };
+        let Running { host, runtime } = running;
+        let stop = async move { host.stop(std::future::pending()).await };
+        let stopped = runtime.spawn(stop).await;
+        runtime.shutdown_background();
+        stopped.map_or(0, |stopped| stopped.cut)
+    }
+
+    fn host_settings(&self, number: usize, name: &str) -> HostSettings {
+        let any_port = SocketAddr::from((Ipv4Addr::LOCALHOST, 0));
         HostSettings {
             host: name.to_owned(),
             data_centre: DATA_CENTRES[number % DATA_CENTRES.len()].to_owned(),
-            caller_address,
-            peer_address,
+            caller_address: any_port,
+            peer_address: any_port,
             object_api_address: self.object_api.address,
             host_list_address: self.host_list.address,
             drain_bound_ms: 30_000,
@@ -170,7 +204,16 @@
 
     /// The hosts that were not stopped.
     pub fn live(&self) -> impl Iterator<Item = &Host> {
-        self.hosts.iter().flatten()
+        self.hosts.iter().flatten().map(|running| &running.host)
+    }
+
+    /// One host.
+    ///
+    /// # Panics
+    /// Where that host was stopped.
+    pub fn host(&self, host: usize) -> &Host {
+        let running = self.hosts[host].as_ref();
+        &running.expect("the host runs").host
     }
 
     /// Where callers reach a host.
@@ -178,8 +221,7 @@
     /// # Panics
     /// Where that host was stopped.
     pub fn caller_address(&self, host: usize) -> SocketAddr {
-        let host = self.hosts[host].as_ref();
-        host.expect("the host runs").caller_address
+        self.host(host).caller_address
     }
 
     /// Waits until every host knows every other and takes work.
--- a/src/host.rs
+++ b/src/host.rs
@@ -32,21 +32,14 @@
     Start(#[from] StartError),
 }
 
-/// What a stop waits for.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Stop {
-    /// Running requests, up to the bound of the settings.
-    Graceful,
-    /// Nothing.
-    AtOnce,
-}
-
 /// A running entry host.
 pub struct Host {
     /// Its part in the cluster.
     pub node: Arc<Node>,
     /// Where callers reach it.
     pub caller_address: SocketAddr,
+    /// Where its peers reach it.
+    pub peer_address: SocketAddr,
     server: EntryServer,
 }
 
@@ -58,18 +51,6 @@
     pub async fn start(settings: &HostSettings) -> Result<Self, HostError> {
         let callers = listen(settings.caller_address).await?;
         let peers = listen(settings.peer_address).await?;
-        Self::start_on(settings, callers, peers).await
-    }
-
-    /// Starts on listeners that are open already.
-    ///
-    /// # Errors
-    /// [`HostError`]
-    pub async fn start_on(
-        settings: &HostSettings,
-        callers: TcpListener,
-        peers: TcpListener,
-    ) -> Result<Self, HostError> {
         let local = |listener: &TcpListener, address: SocketAddr| {
             let local = listener.local_addr();
             local.map_err(|source| HostError::Listen { address, source })
@@ -102,6 +83,7 @@
         Ok(Self {
             node,
             caller_address,
+            peer_address,
             server,
         })
     }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -9,5 +9,5 @@
 pub use fulmarpath_cluster as cluster;
 pub use fulmarpath_entry as entry;
 pub use fulmarpath_settings as settings;
-pub use host::{Host, HostError, Stop};
+pub use host::{Host, HostError};
 pub use log::{LogError, init as init_log};
