--- a/crates/cluster/src/engines.rs
+++ b/crates/cluster/src/engines.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::time::Duration;
 
 use fulmarpath_upstream::{Engine, HttpEngine, HttpPlain, Plain};
 
@@ -15,7 +16,10 @@
 
 /// Upstreams over HTTP.
 #[derive(Debug, Clone, Copy)]
-pub struct HttpEngines;
+pub struct HttpEngines {
+    /// How long a plain service may take to answer.
+    pub plain_bound: Duration,
+}
 
 impl Engines for HttpEngines {
     fn engine(&self, address: SocketAddr) -> Arc<dyn Engine> {
@@ -23,6 +27,6 @@
     }
 
     fn plain(&self, address: SocketAddr) -> Arc<dyn Plain> {
-        Arc::new(HttpPlain::new(address))
+        Arc::new(HttpPlain::new(address, self.plain_bound))
     }
 }
--- a/crates/cluster/src/node.rs
+++ b/crates/cluster/src/node.rs
@@ -180,7 +180,7 @@
     }
 
     /// The live instances of a plain service, nearest first.
-    pub fn plain(&self, service: &str) -> Vec<(String, Arc<dyn Plain>)> {
+    pub fn plain(&self, service: &str) -> Vec<Arc<dyn Plain>> {
         let listing = self.documents.listing();
         let mut entries: Vec<&HostEntry> = listing.plain(service).collect();
         let draw: u64 = rand::random();
@@ -190,7 +190,7 @@
         });
         entries
             .into_iter()
-            .map(|entry| (entry.name.clone(), self.engines.plain(entry.address)))
+            .map(|entry| self.engines.plain(entry.address))
             .collect()
     }
 
--- a/crates/entry/src/plain.rs
+++ b/crates/entry/src/plain.rs
@@ -63,7 +63,8 @@
     unsent: Unsent,
 ) -> Result<PlainAnswer, Problem> {
     let mut unsent = Some(unsent);
-    for (_, instance) in entry.node.plain(&wish.service).into_iter().take(TRIES) {
+    let instances = entry.node.plain(&wish.service);
+    for instance in instances.iter().cycle().take(TRIES) {
         let call = PlainCall {
             method: wish.method.clone(),
             path: wish.path.clone(),
--- a/crates/settings/src/host.rs
+++ b/crates/settings/src/host.rs
@@ -34,6 +34,8 @@
     pub drain_bound_ms: u64,
     /// Silence after which an engine's stream is resumed over a new connection.
     pub silence_bound_ms: u64,
+    /// How long a plain service may take to answer.
+    pub plain_bound_ms: u64,
     /// Longest head of a request.
     pub header_limit_bytes: usize,
     /// Longest body of a request.
@@ -72,6 +74,7 @@
     let host_list_address = reader.address(fields, "host_list_address");
     let drain = reader.count(fields, "drain_bound_ms", 0..=3_600_000, Some(600_000));
     let silence = reader.count(fields, "silence_bound_ms", 50..=60_000, Some(2_000));
+    let plain = reader.count(fields, "plain_bound_ms", 100..=600_000, Some(30_000));
     let header = reader.count(
         fields,
         "header_limit_bytes",
@@ -96,6 +99,7 @@
         host_list_address: host_list_address?,
         drain_bound_ms: drain?,
         silence_bound_ms: silence?,
+        plain_bound_ms: plain?,
         header_limit_bytes: header? as usize,
         body_limit_bytes: body? as usize,
         stream_limit: streams? as usize,
--- a/crates/upstream/src/plain.rs
+++ b/crates/upstream/src/plain.rs
@@ -52,18 +52,17 @@
     async fn call(&self, call: PlainCall) -> Result<PlainAnswer, PlainError>;
 }
 
-const ANSWER_BOUND: Duration = Duration::from_millis(30_000);
-
 /// A plain service over HTTP.
 #[derive(Debug, Clone)]
 pub struct HttpPlain {
     address: SocketAddr,
+    bound: Duration,
 }
 
 impl HttpPlain {
-    /// A client of the service at `address`.
-    pub fn new(address: SocketAddr) -> Self {
-        Self { address }
+    /// A client of the service at `address`, which may take `bound` to answer.
+    pub fn new(address: SocketAddr, bound: Duration) -> Self {
+        Self { address, bound }
     }
 }
 
@@ -78,14 +77,14 @@
         let request = request
             .body(Full::new(call.body))
             .map_err(|_| PlainError::NotRun(HttpError::Unreachable { address }))?;
-        let answer = send(address, request, ANSWER_BOUND).await.map_err(failed)?;
+        let answer = send(address, request, self.bound).await.map_err(failed)?;
         let status = answer.status();
         let headers = answer.response.headers();
         let content_type = headers
             .get(CONTENT_TYPE)
             .and_then(|value| value.to_str().ok())
             .map(str::to_owned);
-        let body = answer.bytes(ANSWER_BOUND).await.map_err(failed)?;
+        let body = answer.bytes(self.bound).await.map_err(failed)?;
         Ok(PlainAnswer {
             status,
             content_type,
--- /dev/null
+++ b/src/bin/fulmarpath-standin.rs
@@ -0,0 +1,79 @@
+//! `fulmarpath-standin`: the platform, engines and a plain service as one process, for trials with
+//! hosts as processes of their own.
+
+use std::net::{Ipv4Addr, SocketAddr};
+
+use bpaf::Bpaf;
+use fulmarpath_platform::{HostEntry, ListedState, Role};
+use fulmarpath_standin::{
+    EngineSpec, StandinEngine, StandinHostList, StandinObjectApi, StandinPlain,
+};
+use tokio::net::TcpListener;
+
+/// Stand-ins for what lies outside
+#[derive(Debug, Clone, Bpaf)]
+#[bpaf(options)]
+struct Options {
+    /// Engines
+    #[bpaf(argument("N"), fallback(4))]
+    engines: usize,
+    /// The model that the engines serve
+    #[bpaf(argument("MODEL"), fallback(String::from("gutachter-lm")))]
+    model: String,
+    /// The plain service
+    #[bpaf(argument("SERVICE"), fallback(String::from("pruefportal")))]
+    plain: String,
+    /// Entry hosts to list, as NAME=DATA_CENTRE=PEER_ADDRESS
+    #[bpaf(argument("HOST"), many)]
+    host: Vec<String>,
+}
+
+#[tokio::main]
+async fn main() -> std::io::Result<()> {
+    let options = options().run();
+    let object_api = StandinObjectApi::start(listen().await?)?;
+    let host_list = StandinHostList::start(listen().await?)?;
+    let plain = StandinPlain::start(listen().await?)?;
+    host_list.put(entry(
+        "plain-1",
+        Role::Plain,
+        "zrh-a",
+        &options.plain,
+        plain.address,
+    ));
+    let mut engines = Vec::new();
+    for number in 0..options.engines {
+        let engine = StandinEngine::start(listen().await?, EngineSpec::default())?;
+        let centre = ["zrh-a", "zrh-b", "zrh-c"][number % 3];
+        let name = format!("engine-{number}");
+        let listed = entry(&name, Role::Engine, centre, &options.model, engine.address);
+        host_list.put(listed);
+        engines.push(engine);
+    }
+    for host in &options.host {
+        let mut parts = host.split('=');
+        let (name, centre, address) = (parts.next(), parts.next(), parts.next());
+        let address: Option<SocketAddr> = address.and_then(|address| address.parse().ok());
+        if let (Some(name), Some(centre), Some(address)) = (name, centre, address) {
+            host_list.put(entry(name, Role::Entry, centre, "", address));
+        }
+    }
+    println!("object_api {}", object_api.address);
+    println!("host_list {}", host_list.address);
+    std::future::pending().await
+}
+
+async fn listen() -> std::io::Result<TcpListener> {
+    TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).await
+}
+
+fn entry(name: &str, role: Role, centre: &str, serves: &str, address: SocketAddr) -> HostEntry {
+    HostEntry {
+        name: name.to_owned(),
+        role,
+        data_centre: centre.to_owned(),
+        serves: serves.to_owned(),
+        address,
+        state: ListedState::Live,
+    }
+}
--- a/src/dev.rs
+++ b/src/dev.rs
@@ -194,6 +194,7 @@
             host_list_address: self.host_list.address,
             drain_bound_ms: 30_000,
             silence_bound_ms: self.size.silence_bound_ms,
+            plain_bound_ms: 1_500,
             header_limit_bytes: 16_384,
             body_limit_bytes: 1_048_576,
             stream_limit: 4_096,
--- a/src/host.rs
+++ b/src/host.rs
@@ -67,7 +67,9 @@
         };
         let object_api = Arc::new(HttpObjectApi::new(settings.object_api_address));
         let host_list = Arc::new(HttpHostList::new(settings.host_list_address));
-        let engines = Arc::new(HttpEngines);
+        let engines = Arc::new(HttpEngines {
+            plain_bound: Duration::from_millis(settings.plain_bound_ms),
+        });
         let node = Node::start(node_settings, peers, object_api, host_list, engines).await?;
         let entry_settings = EntrySettings {
             header_limit_bytes: settings.header_limit_bytes,
--- a/tests/failures_submissions.rs
+++ b/tests/failures_submissions.rs
@@ -142,15 +142,16 @@
     assert_eq!(starts(&deployment), 1);
 }
 
-/// A call to a plain service whose answer is lost. One that may not be repeated is sent once and
-/// said to be of unknown outcome; one that may be repeated is answered by another try.
 struct PlainCase {
     method: &'static str,
     status: StatusCode,
     runs: u64,
 }
 
+/// A call to a plain service whose answer is lost. One that may not be repeated is sent once and
+/// said to be of unknown outcome; one that may be repeated is answered by another try.
 #[rstest]
+#[case::may_be_repeated(PlainCase { method: "GET", status: StatusCode::OK, runs: 2 })]
 #[case::not_repeatable(PlainCase { method: "POST", status: StatusCode::BAD_GATEWAY, runs: 1 })]
 #[tokio::test(flavor = "multi_thread")]
 async fn plain_calls_are_sent_at_most_once(#[case] case: PlainCase) {
--- /dev/null
+++ b/tests/processes.rs
@@ -0,0 +1,217 @@
+//! Hosts as separate processes, with the signals that a machine gives them.
+
+mod common;
+
+use std::io::{BufRead, BufReader, Write};
+use std::net::{SocketAddr, TcpListener};
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, ExitStatus, Stdio};
+use std::time::{Duration, Instant};
+
+use common::{Ask, complete, expected, open, read};
+
+const OPERATOR_KEY: &str = "change-me-operator";
+const CALLER_KEY: &str = "change-me-aerocert-ag";
+const READY_BOUND: Duration = Duration::from_secs(20);
+
+fn root() -> &'static Path {
+    Path::new(env!("CARGO_MANIFEST_DIR"))
+}
+
+/// A port that was free a moment ago: a host's settings must name it before the host runs.
+fn free_address() -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
+    listener.local_addr().expect("an address")
+}
+
+struct Process(Child);
+
+impl Process {
+    fn signal(&self, name: &str) {
+        let status = Command::new("kill")
+            .args([format!("-{name}"), self.0.id().to_string()])
+            .status();
+        assert!(status.expect("kill runs").success());
+    }
+
+    fn wait(&mut self) -> ExitStatus {
+        self.0.wait().expect("it ends")
+    }
+}
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        let _ = self.0.kill();
+        let _ = self.0.wait();
+    }
+}
+
+struct Hosts {
+    directory: PathBuf,
+    hosts: Vec<(Process, SocketAddr)>,
+    _standin: Process,
+}
+
+fn start(name: &str) -> Hosts {
+    let directory = std::env::temp_dir().join(format!("fulmarpath-{name}-{}", std::process::id()));
+    std::fs::create_dir_all(&directory).expect("a directory");
+    let centres = ["zrh-a", "zrh-b", "zrh-c"];
+    let peers: Vec<SocketAddr> = centres.iter().map(|_| free_address()).collect();
+    let mut command = Command::new(env!("CARGO_BIN_EXE_fulmarpath-standin"));
+    for (number, peer) in peers.iter().enumerate() {
+        command.args([
+            "--host",
+            &format!("host-{number}={}={peer}", centres[number]),
+        ]);
+    }
+    let mut standin = command
+        .stdout(Stdio::piped())
+        .spawn()
+        .expect("the stand-ins start");
+    let mut lines = BufReader::new(standin.stdout.take().expect("its output")).lines();
+    let mut address = || {
+        let line = lines.next().expect("a line").expect("text");
+        line.split(' ').next_back().expect("an address").to_owned()
+    };
+    let (object_api, host_list) = (address(), address());
+    std::fs::write(directory.join("operator.key"), OPERATOR_KEY).expect("the key is written");
+    let hosts = (0..centres.len()).map(|number| {
+        let caller = free_address();
+        let file = directory.join(format!("host-{number}.yaml"));
+        let mut settings = std::fs::File::create(&file).expect("a file");
+        writeln!(
+            settings,
+            "host: host-{number}\ndata_centre: {}\ncaller_address: {caller}\n\
+             peer_address: {}\nobject_api_address: {object_api}\n\
+             host_list_address: {host_list}\nsilence_bound_ms: 500\n\
+             operator_key_sha256: {}",
+            centres[number],
+            peers[number],
+            fulmarpath::settings::key_hash(OPERATOR_KEY),
+        )
+        .expect("the settings are written");
+        let host = Command::new(env!("CARGO_BIN_EXE_fulmarpath"))
+            .arg("serve")
+            .arg(&file)
+            .stderr(Stdio::null())
+            .spawn();
+        (Process(host.expect("a host starts")), caller)
+    });
+    Hosts {
+        hosts: hosts.collect(),
+        directory,
+        _standin: Process(standin),
+    }
+}
+
+impl Hosts {
+    fn operate(&self, host: usize, words: &[&str]) -> std::process::Output {
+        let mut command = Command::new(env!("CARGO_BIN_EXE_fulmarpath"));
+        command.args(words);
+        command.args(["--host", &self.hosts[host].1.to_string()]);
+        command.args([
+            "--key-file",
+            &self.directory.join("operator.key").display().to_string(),
+        ]);
+        command.output().expect("the command runs")
+    }
+
+    /// Applies the association's example as soon as a host answers.
+    fn apply(&self) {
+        let example = root().join("examples/association");
+        let example = example.display().to_string();
+        let started = Instant::now();
+        loop {
+            let output = self.operate(0, &["apply", "--wait", &example]);
+            if output.status.success() {
+                return;
+            }
+            let error = String::from_utf8_lossy(&output.stderr).into_owned();
+            assert!(started.elapsed() < READY_BOUND, "{error}");
+            std::thread::sleep(Duration::from_millis(100));
+        }
+    }
+
+    async fn answer(&self, host: usize, prompt: &str) -> common::Got {
+        let started = Instant::now();
+        loop {
+            let got = complete(self.hosts[host].1, &ask(prompt)).await;
+            let closed = got.problem.as_deref() == Some("not-run/host-closed");
+            if !closed || started.elapsed() > READY_BOUND {
+                return got;
+            }
+            tokio::time::sleep(Duration::from_millis(50)).await;
+        }
+    }
+}
+
+fn ask(prompt: &str) -> Ask {
+    Ask {
+        key: CALLER_KEY,
+        prompt: prompt.to_owned(),
+        ..Ask::default()
+    }
+}
+
+/// From processes and settings files alone: an operator applies the example, callers at all three
+/// hosts get whole answers, `plan` shows no difference, an unknown preset is refused.
+#[tokio::test(flavor = "multi_thread")]
+async fn operators_and_callers_meet_three_processes() {
+    let hosts = start("meet");
+    hosts.apply();
+    for host in 0..3 {
+        let prompt = format!("by process {host} #20");
+        assert_eq!(hosts.answer(host, &prompt).await.text(), expected(&prompt));
+    }
+    let example = root().join("examples/association").display().to_string();
+    let plan = hosts.operate(1, &["plan", &example]);
+    let shown = String::from_utf8_lossy(&plan.stdout).into_owned();
+    assert!(shown.contains("0 differences from revision"), "{shown}");
+    let unknown = hosts.operate(2, &["preset", "use", "holiday"]);
+    assert!(!unknown.status.success());
+    let refused = String::from_utf8_lossy(&unknown.stderr).into_owned();
+    assert!(
+        refused.contains("could not find preset `holiday`"),
+        "{refused}"
+    );
+}
+
+/// SIGTERM while an answer streams: the answer is finished, then the process ends with 0.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_terminated_process_finishes_its_answers() {
+    let mut hosts = start("terminate");
+    hosts.apply();
+    hosts.answer(0, "ready? #2").await;
+    let prompt = "runs into SIGTERM #120";
+    let call = open(hosts.hosts[0].1, &ask(prompt)).await;
+    let reading = tokio::spawn(read(call, usize::MAX));
+    hosts.hosts[0].0.signal("TERM");
+    let got = reading.await.expect("the caller reads");
+    assert_eq!(got.text(), expected(prompt));
+    let status = tokio::task::spawn_blocking(move || hosts.hosts[0].0.wait()).await;
+    assert!(status.expect("it is waited for").success());
+}
+
+/// One process is killed and another is paused for 4 s, past everybody's patience. Callers of the
+/// third go on; the paused one wakes, refutes its death and answers again.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_killed_and_a_paused_process_stop_nobody() {
+    let hosts = start("pause");
+    hosts.apply();
+    for host in 0..3 {
+        hosts.answer(host, "ready? #2").await;
+    }
+    hosts.hosts[1].0.signal("KILL");
+    hosts.hosts[2].0.signal("STOP");
+    let until = Instant::now() + Duration::from_secs(4);
+    let mut number = 0;
+    while Instant::now() < until {
+        let prompt = format!("while others are away {number} #10");
+        let got = hosts.answer(0, &prompt).await;
+        assert_eq!(got.text(), expected(&prompt), "{got:?}");
+        number += 1;
+    }
+    hosts.hosts[2].0.signal("CONT");
+    let got = hosts.answer(2, "awake again #10").await;
+    assert_eq!(got.text(), expected("awake again #10"), "{got:?}");
+}
