Play whole sessions under random faults and judge them from outside

Safeguards can be taken away by name, in code only. A stop now lingers after it has become unready.

The listener closed as soon as nothing ran, before any balancer could have seen the host unready.

--- a/crates/bench/src/cmd/mod.rs
+++ b/crates/bench/src/cmd/mod.rs
@@ -1,5 +1,6 @@
 //! The measurements, one file each.
 
+mod faults;
 mod policy;
 
 use bpaf::Bpaf;
@@ -8,6 +9,7 @@
 #[derive(Debug, Clone, Bpaf)]
 #[bpaf(options, generate(command))]
 pub(crate) enum Command {
+    Faults(#[bpaf(external(faults::faults))] faults::Faults),
     Policy(#[bpaf(external(policy::policy))] policy::Policy),
 }
 
@@ -15,6 +17,7 @@
     /// Measures and prints.
     pub(crate) fn run(&self) {
         match self {
+            Self::Faults(one) => one.run(),
             Self::Policy(one) => one.run(),
         }
     }
--- /dev/null
+++ b/crates/bench/src/faults/mod.rs
@@ -0,0 +1,9 @@
+//! Whole sessions under random faults, judged by what callers and upstreams themselves saw.
+
+mod fault;
+mod judge;
+mod round;
+mod session;
+
+pub(crate) use judge::Verdict;
+pub(crate) use round::{RoundSettings, run};
--- a/crates/bench/src/main.rs
+++ b/crates/bench/src/main.rs
@@ -1,6 +1,7 @@
 //! `fulmarpath-bench`: measurements of decisions, faults and slopes.
 
 mod cmd;
+mod faults;
 mod sim;
 
 fn main() {
--- a/crates/cluster/src/documents.rs
+++ b/crates/cluster/src/documents.rs
@@ -78,11 +78,14 @@
     listing: ArcSwap<Listing>,
     adopting: Mutex<()>,
     confirmed_at_ms: AtomicU64,
+    /// A fault run has taken the comparison of revisions away.
+    takes_any: bool,
 }
 
 impl Documents {
-    pub(crate) fn new() -> Self {
+    pub(crate) fn new(takes_any: bool) -> Self {
         Self {
+            takes_any,
             in_force: ArcSwapOption::empty(),
             listing: ArcSwap::from_pointee(Listing::default()),
             adopting: Mutex::new(()),
@@ -113,11 +116,14 @@
     pub(crate) fn adopt_root(&self, newer: InForce) -> bool {
         let _adopting = self.adopting.lock();
         let held = self.versions().root;
-        if newer.root.revision <= held {
+        if newer.root.revision <= held && !self.takes_any {
             return false;
         }
         self.in_force.store(Some(Arc::new(newer)));
-        assert!(self.versions().root > held, "the revision must grow");
+        assert!(
+            self.takes_any || self.versions().root > held,
+            "the revision must grow"
+        );
         true
     }
 
--- a/crates/cluster/src/homes.rs
+++ b/crates/cluster/src/homes.rs
@@ -17,6 +17,7 @@
 
 use crate::documents::Upstream;
 use crate::node::Node;
+use crate::safeguard::Safeguard;
 
 /// How long one call waits for an outcome; the asker then asks again.
 const ASK_WAIT: Duration = Duration::from_millis(300);
@@ -353,6 +354,9 @@
     }
 
     async fn poll_engine(&self, upstream: Upstream) {
+        if !self.has(Safeguard::Leaving) {
+            return;
+        }
         if let Some(settings) = self.home_settings_of(upstream.key) {
             self.homes.ensure(upstream.key, settings);
         }
--- a/crates/cluster/src/node.rs
+++ b/crates/cluster/src/node.rs
@@ -31,6 +31,7 @@
 use crate::peers::Peers;
 use crate::permits::Held;
 use crate::publish::{Change, PublishError, Publisher};
+use crate::safeguard::Safeguard;
 
 /// What a node must know of itself.
 #[derive(Debug, Clone)]
@@ -45,6 +46,8 @@
     pub confirm_bound_ms: Millis,
     /// How the claim log is kept.
     pub claims: ClaimSettings,
+    /// A safeguard that a fault run takes away.
+    pub without: Option<Safeguard>,
 }
 
 /// Where peers find the generations that a host holds.
@@ -122,7 +125,7 @@
             slots: Mutex::default(),
             homes: HomeTable::new(epoch),
             peers: Peers::default(),
-            documents: Documents::new(),
+            documents: Documents::new(settings.without == Some(Safeguard::RevisionGrows)),
             claims: ClaimLog::new(object_api.clone(), settings.claims),
             object_api,
             host_list,
@@ -159,6 +162,11 @@
         &self.settings.host
     }
 
+    /// Whether a safeguard stands; it does unless a fault run has taken it away.
+    pub fn has(&self, safeguard: Safeguard) -> bool {
+        self.settings.without != Some(safeguard)
+    }
+
     /// The configuration in force here.
     pub fn in_force(&self) -> Option<Arc<InForce>> {
         self.documents.in_force()
@@ -305,6 +313,9 @@
     /// Which host writes is only a hint: a second one that believes to be home races on the
     /// conditional create, and one of the two loses.
     pub async fn claim(&self, ask: ClaimAsk) -> ClaimAnswer {
+        if !self.has(Safeguard::Claim) {
+            return ClaimAnswer::Claimed;
+        }
         let shard = self.settings.claims.shard(ask.key);
         let thing = xxh3_64(format!("claims/{shard}").as_bytes());
         let homes = self.members.lock().homes_of(thing, 2);
--- a/crates/cluster/src/spread.rs
+++ b/crates/cluster/src/spread.rs
@@ -16,6 +16,7 @@
 
 use crate::configuration::{InForce, ROOT_KEY, Root, part_hash, part_key};
 use crate::node::Node;
+use crate::safeguard::Safeguard;
 
 /// Watchers in each data centre; their number doesn't grow with the fleet.
 const WATCHERS: usize = 2;
@@ -109,7 +110,10 @@
 
     /// Fetches the missing parts of a newer root, takes it and passes it on.
     pub(crate) async fn take_root(self: &Arc<Self>, holder: Option<SocketAddr>, root: Root) {
-        if root.revision <= self.documents.versions().root {
+        let held = self.documents.versions().root;
+        let is_news =
+            root.revision > held || (root.revision < held && !self.has(Safeguard::RevisionGrows));
+        if !is_news {
             return;
         }
         let mut values = HashMap::new();
@@ -186,6 +190,9 @@
         document: Document,
         value: Vec<u8>,
     ) {
+        if !self.has(Safeguard::Spread) {
+            return;
+        }
         let targets = self.audience(holder);
         let node = self.clone();
         let calls = targets.into_iter().map(|address| {
@@ -237,6 +244,9 @@
 
     /// Fetches what a peer holds in a newer version.
     pub(crate) async fn compare(self: &Arc<Self>, peer: SocketAddr, theirs: Versions) {
+        if !self.has(Safeguard::Spread) {
+            return;
+        }
         let mine = self.documents.versions();
         let newer = [
             (Document::Root, theirs.root > mine.root),
--- a/crates/entry/src/drive.rs
+++ b/crates/entry/src/drive.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use fulmarpath_cluster::{Clock, Node, NotGranted, Permit, PermitWish};
+use fulmarpath_cluster::{Clock, Node, NotGranted, Permit, PermitWish, Safeguard};
 use fulmarpath_policy::{Millis, RetryBudget, UpstreamKey};
 use fulmarpath_upstream::{
     EngineError, Finish, GenerateRequest, ResumeRequest, StreamItem, TokenStream,
@@ -228,7 +228,12 @@
                 }
                 None
             }
-            Err(EngineError::Unknown | EngineError::Lost(_)) => self.resume(permit).await,
+            Err(EngineError::Unknown | EngineError::Lost(_)) => {
+                if !self.drivers.node.has(Safeguard::NotRunProof) {
+                    *unsent = Some(Unsent::refused_by_upstream());
+                }
+                self.resume(permit).await
+            }
         }
     }
 
@@ -271,10 +276,18 @@
         }
     }
 
+    fn silence_bound(&self) -> Duration {
+        if self.drivers.node.has(Safeguard::Silence) {
+            self.drivers.silence_bound
+        } else {
+            Duration::MAX
+        }
+    }
+
     async fn relay(&mut self, stream: &mut dyn TokenStream, permit: &Permit) -> Relayed {
         loop {
             let next = tokio::select! {
-                next = stream.next(self.drivers.silence_bound) => next,
+                next = stream.next(self.silence_bound()) => next,
                 () = self.left() => return Relayed::Left,
             };
             let Ok(Some(item)) = next else {
@@ -293,15 +306,15 @@
                     }
                     let wanted = self.job.generation.next_index();
                     // An engine that resumes too early repeats tokens that are out: drop them.
-                    if index < wanted {
+                    if index < wanted && self.drivers.node.has(Safeguard::TokenIndex) {
                         continue;
                     }
                     // A gap: the tokens between are lost on this stream, so read on from there.
                     if index > wanted {
                         return Relayed::Broken;
                     }
-                    self.take(index, &text);
-                    permit.advance(index + 1);
+                    self.take(wanted, &text);
+                    permit.advance(wanted + 1);
                 }
                 StreamItem::Done {
                     generation,
@@ -331,7 +344,8 @@
     /// Whether an item belongs to this generation and this dispatch of it. Without this check a
     /// late token of an older attempt, or of another request, would reach this caller.
     fn is_mine(&self, generation: &str, attempt: u32) -> bool {
-        generation == self.job.generation.name() && attempt == self.attempt
+        let is_mine = generation == self.job.generation.name() && attempt == self.attempt;
+        is_mine || !self.drivers.node.has(Safeguard::TokenOwner)
     }
 
     fn take(&mut self, index: u32, text: &str) {
--- a/crates/entry/src/plain.rs
+++ b/crates/entry/src/plain.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 
 use bytes::Bytes;
-use fulmarpath_cluster::InForce;
+use fulmarpath_cluster::{InForce, Safeguard};
 use fulmarpath_http::{Reply, full};
 use fulmarpath_policy::OrganisationKey;
 use fulmarpath_settings::{Organisation, ServiceKind};
@@ -75,8 +75,10 @@
             Ok(answer) => return Ok(answer),
             Err(PlainError::NotRun(_)) => {}
             Err(PlainError::OutcomeUnknown(_)) => {
-                unsent = None;
-                if !may_repeat {
+                if entry.node.has(Safeguard::NotRunProof) {
+                    unsent = None;
+                }
+                if !may_repeat && entry.node.has(Safeguard::PlainOnce) {
                     break;
                 }
             }
--- a/crates/entry/src/server.rs
+++ b/crates/entry/src/server.rs
@@ -4,12 +4,13 @@
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
 
-use fulmarpath_cluster::Node;
+use fulmarpath_cluster::{Node, Safeguard};
 use fulmarpath_policy::Millis;
 use spdlog::{info, warn};
 use tokio::net::TcpListener;
 use tokio::sync::watch;
 use tokio::task::JoinHandle;
+use tokio::time::Instant;
 
 use crate::drive::Drivers;
 use crate::metrics::{Metrics, UpstreamLabel};
@@ -33,6 +34,8 @@
     pub grace_ms: Millis,
     /// How long the answer of a keyed submission is kept.
     pub keyed_ms: Millis,
+    /// How long a stop goes on answering after the host has become unready.
+    pub linger: Duration,
     /// How long a stop waits for running requests.
     pub drain_bound: Duration,
     /// SHA-256, in hex, of the operators' key.
@@ -147,10 +150,12 @@
     /// meets a closed door; what runs past the bound, or past `hurry`, is cut and counted.
     pub async fn stop(self, hurry: impl Future<Output = ()>) -> Stopped {
         self.entry.node.leave().await;
+        let linger = Instant::now() + self.entry.settings.linger;
         let deadline = tokio::time::sleep(self.entry.settings.drain_bound);
         tokio::pin!(deadline, hurry);
         let busy = |entry: &Entry| entry.registry.running() + entry.open.load(Ordering::Relaxed);
-        while busy(&self.entry) > 0 {
+        let drains = self.entry.node.has(Safeguard::Drain);
+        while drains && (busy(&self.entry) > 0 || Instant::now() < linger) {
             tokio::select! {
                 () = tokio::time::sleep(DRAIN_CHECK) => {}
                 () = &mut deadline => break,
--- a/crates/settings/src/host.rs
+++ b/crates/settings/src/host.rs
@@ -30,6 +30,8 @@
     pub object_api_address: SocketAddr,
     /// The platform's host list.
     pub host_list_address: SocketAddr,
+    /// How long a stop goes on answering, so that the balancer has seen that the host is unready.
+    pub linger_ms: u64,
     /// How long a stop waits for running requests.
     pub drain_bound_ms: u64,
     /// Silence after which an engine's stream is resumed over a new connection.
@@ -72,6 +74,7 @@
     let peer_address = reader.address(fields, "peer_address");
     let object_api_address = reader.address(fields, "object_api_address");
     let host_list_address = reader.address(fields, "host_list_address");
+    let linger = reader.count(fields, "linger_ms", 0..=600_000, Some(5_000));
     let drain = reader.count(fields, "drain_bound_ms", 0..=3_600_000, Some(600_000));
     let silence = reader.count(fields, "silence_bound_ms", 50..=60_000, Some(2_000));
     let plain = reader.count(fields, "plain_bound_ms", 100..=600_000, Some(30_000));
@@ -97,6 +100,7 @@
         peer_address: peer_address?,
         object_api_address: object_api_address?,
         host_list_address: host_list_address?,
+        linger_ms: linger?,
         drain_bound_ms: drain?,
         silence_bound_ms: silence?,
         plain_bound_ms: plain?,
--- a/crates/standin/src/engine.rs
+++ b/crates/standin/src/engine.rs
@@ -1,10 +1,10 @@
 //! A stand-in engine over HTTP, with faults to order.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicU32, AtomicU64, Ordering};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use bytes::Bytes;
 use fulmarpath_http::{Reply, empty, json, serve, stream};
@@ -33,8 +33,8 @@
     pub crossed: AtomicBool,
     /// Nothing answers any more, as a dead process would.
     pub dead: AtomicBool,
-    /// The load report says leaving.
-    pub leaving: AtomicBool,
+    /// The load report says leaving, and nothing new is taken.
+    leaving: AtomicBool,
     /// A resumed stream starts so many tokens too early.
     pub resume_too_early_tokens: AtomicU32,
     /// Each stream breaks after so many tokens; 0 for never.
@@ -48,6 +48,10 @@
 pub struct EngineRecord {
     /// Starts by generation.
     pub starts: HashMap<String, u32>,
+    /// The generations that were started for a prompt.
+    pub generations: HashMap<String, HashSet<String>>,
+    /// How long after the engine began to leave the last start was asked of it.
+    pub last_ask_after_leaving_ms: u64,
     /// Tokens computed by generation.
     pub computed_tokens: HashMap<String, u32>,
     /// Generations that were cancelled.
@@ -76,6 +80,7 @@
     by_name: HashMap<String, u64>,
     record: EngineRecord,
     fencing: u64,
+    leaving_since: Option<Instant>,
 }
 
 /// A stand-in engine.
@@ -102,6 +107,7 @@
                 by_name: HashMap::new(),
                 record: EngineRecord::default(),
                 fencing: 0,
+                leaving_since: None,
             })),
             next_id: Arc::default(),
             work: Arc::default(),
@@ -127,6 +133,12 @@
         self.faults.silence.fetch_add(1, Ordering::Relaxed);
     }
 
+    /// The engine leaves: it says so in its load report and takes nothing new.
+    pub fn leave(&self) {
+        self.faults.leaving.store(true, Ordering::Relaxed);
+        self.state.lock().leaving_since = Some(Instant::now());
+    }
+
     /// Starts that were refused because the engine leaves.
     pub fn refused_starts(&self) -> u32 {
         self.state.lock().record.refused_starts
@@ -222,7 +234,11 @@
 
     fn generate(&self, request: GenerateRequest) -> Reply {
         if self.faults.leaving.load(Ordering::Relaxed) {
-            self.state.lock().record.refused_starts += 1;
+            let mut state = self.state.lock();
+            let since = state.leaving_since.map(|since| since.elapsed());
+            state.record.refused_starts += 1;
+            state.record.last_ask_after_leaving_ms =
+                since.map_or(0, |elapsed| elapsed.as_millis() as u64);
             return empty(StatusCode::SERVICE_UNAVAILABLE);
         }
         let id = self.next_id.fetch_add(1, Ordering::Relaxed);
@@ -231,6 +247,8 @@
         let mut state = self.state.lock();
         let starts = &mut state.record.starts;
         *starts.entry(request.generation.clone()).or_default() += 1;
+        let same = state.record.generations.entry(request.prompt.clone());
+        same.or_default().insert(request.generation.clone());
         if let Some(old) = state.by_name.insert(request.generation.clone(), id) {
             state.drop_run(old);
         }
--- a/crates/standin/src/plain.rs
+++ b/crates/standin/src/plain.rs
@@ -1,5 +1,6 @@
 //! A stand-in plain service that counts what it ran.
 
+use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU32, AtomicU64, Ordering};
@@ -7,6 +8,7 @@
 use fulmarpath_http::{full, serve};
 use http_body_util::BodyExt;
 use hyper::StatusCode;
+use parking_lot::Mutex;
 use tokio::net::TcpListener;
 use tokio::sync::watch;
 
@@ -20,6 +22,7 @@
     /// So many coming calls are run and never answered.
     pub lose_answers: Arc<AtomicU32>,
     runs: Arc<AtomicU64>,
+    by_path: Arc<Mutex<HashMap<String, u32>>>,
 }
 
 impl StandinPlain {
@@ -29,6 +32,7 @@
             address: listener.local_addr()?,
             lose_answers: Arc::default(),
             runs: Arc::default(),
+            by_path: Arc::default(),
         };
         let server = plain.clone();
         let (stop, stopped) = watch::channel(false);
@@ -48,11 +52,18 @@
         self.runs.load(Ordering::Relaxed)
     }
 
+    /// Runs by path.
+    pub fn runs_of(&self, path: &str) -> u32 {
+        self.by_path.lock().get(path).copied().unwrap_or(0)
+    }
+
     async fn answer(
         &self,
         request: hyper::Request<hyper::body::Incoming>,
     ) -> fulmarpath_http::Reply {
         self.runs.fetch_add(1, Ordering::Relaxed);
+        let path = request.uri().path().to_owned();
+        *self.by_path.lock().entry(path.clone()).or_default() += 1;
         let lost = self
             .lose_answers
             .fetch_update(Ordering::Relaxed, Ordering::Relaxed, |left| {
@@ -61,7 +72,6 @@
         if lost.is_ok() {
             std::future::pending::<()>().await;
         }
-        let path = request.uri().path().to_owned();
         let body = request.into_body().collect().await;
         let body = body.map(|body| body.to_bytes()).unwrap_or_default();
         let text = format!("{path} {}", String::from_utf8_lossy(&body));
--- a/src/dev.rs
+++ b/src/dev.rs
@@ -1,9 +1,11 @@
 //! A whole small deployment in one process on loopback, for trials and tests.
 
+pub mod caller;
+
 use std::net::{Ipv4Addr, SocketAddr};
 use std::time::Duration;
 
-use fulmarpath_cluster::Change;
+use fulmarpath_cluster::{Change, Safeguard};
 use fulmarpath_platform::{HostEntry, ListedState, Role};
 use fulmarpath_settings::{
     Declarations, HostSettings, LogForm, Model, Organisation, Preset, Service, ServiceKind,
@@ -39,6 +41,8 @@
     pub engine: EngineSpec,
     /// Silence after which a stream is resumed.
     pub silence_bound_ms: u64,
+    /// A safeguard that all hosts lack.
+    pub without: Option<Safeguard>,
 }
 
 impl Default for Size {
@@ -48,6 +52,7 @@
             engines: 4,
             engine: EngineSpec::default(),
             silence_bound_ms: 1_000,
+            without: None,
         }
     }
 }
@@ -153,7 +158,8 @@
             .enable_all()
             .build()?;
         let settings = self.host_settings(number, &name);
-        let start = async move { Host::start(&settings).await };
+        let without = self.size.without;
+        let start = async move { Host::start_without(&settings, without).await };
         let host = runtime
             .spawn(start)
             .await
@@ -192,6 +198,7 @@
             peer_address: any_port,
             object_api_address: self.object_api.address,
             host_list_address: self.host_list.address,
+            linger_ms: 200,
             drain_bound_ms: 30_000,
             silence_bound_ms: self.size.silence_bound_ms,
             plain_bound_ms: 1_500,
@@ -208,6 +215,11 @@
         self.hosts.iter().flatten().map(|running| &running.host)
     }
 
+    /// Hosts that were ever started.
+    pub fn host_count(&self) -> usize {
+        self.hosts.len()
+    }
+
     /// One host.
     ///
     /// # Panics
@@ -291,7 +303,7 @@
             organisation("rivals", RIVAL_KEY, 1.0),
         ],
         services: vec![
-            generation("reports", 8_000),
+            generation("reports", caller::OUTPUT_LIMIT_TOKENS),
             generation("classifications", 200),
             Service {
                 name: "lookup".to_owned(),
--- a/src/host.rs
+++ b/src/host.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use fulmarpath_cluster::{ClaimSettings, HttpEngines, Node, NodeSettings, StartError};
+use fulmarpath_cluster::{ClaimSettings, HttpEngines, Node, NodeSettings, Safeguard, StartError};
 use fulmarpath_entry::{EntryServer, EntrySettings, Stopped};
 use fulmarpath_platform::{HttpHostList, HttpObjectApi};
 use fulmarpath_settings::HostSettings;
@@ -49,6 +49,14 @@
     /// # Errors
     /// [`HostError`]
     pub async fn start(settings: &HostSettings) -> Result<Self, HostError> {
+        Self::start_without(settings, None).await
+    }
+
+    /// Starts a host that lacks a safeguard, for a fault run that must notice it.
+    pub(crate) async fn start_without(
+        settings: &HostSettings,
+        without: Option<Safeguard>,
+    ) -> Result<Self, HostError> {
         let callers = listen(settings.caller_address).await?;
         let peers = listen(settings.peer_address).await?;
         let local = |listener: &TcpListener, address: SocketAddr| {
@@ -64,6 +72,7 @@
             peer_address,
             confirm_bound_ms: CONFIRM_BOUND_MS,
             claims,
+            without,
         };
         let object_api = Arc::new(HttpObjectApi::new(settings.object_api_address));
         let host_list = Arc::new(HttpHostList::new(settings.host_list_address));
@@ -78,6 +87,7 @@
             silence_bound: Duration::from_millis(settings.silence_bound_ms),
             grace_ms: GRACE_MS,
             keyed_ms: claims.window_ms,
+            linger: Duration::from_millis(settings.linger_ms),
             drain_bound: Duration::from_millis(settings.drain_bound_ms),
             operator_key_sha256: settings.operator_key_sha256.clone(),
         };
--- a/tests/answers.rs
+++ b/tests/answers.rs
@@ -1,10 +1,7 @@
 //! Whole answers through a running deployment.
 
-mod common;
-
-use common::{Ask, complete, expected, open, read};
+use fulmarpath::dev::caller::{Ask, complete, expected, open, read};
 use fulmarpath::dev::{CALLER_KEY, Deployment, RIVAL_KEY, Size};
-use hyper::StatusCode;
 use rstest::rstest;
 
 async fn deployment() -> Deployment {
@@ -32,7 +29,7 @@
 async fn every_token_once_in_order(#[case] case: Answered) {
     let deployment = deployment().await;
     let got = complete(deployment.caller_address(case.host), &ask(case.prompt)).await;
-    assert_eq!(got.status, StatusCode::OK);
+    assert_eq!(got.status, 200);
     assert!(got.whole);
     assert_eq!(got.text(), expected(case.prompt));
 }
--- a/tests/failures_configuration.rs
+++ b/tests/failures_configuration.rs
@@ -1,12 +1,10 @@
 //! Accepted changes are in force everywhere in time and never revert; stops cut nothing.
 
-mod common;
-
 use std::sync::atomic::Ordering;
 use std::time::{Duration, Instant};
 
-use common::{Ask, complete, expected, open, read};
 use fulmarpath::cluster::{Change, PublishError};
+use fulmarpath::dev::caller::{Ask, complete, expected, open, read};
 use fulmarpath::dev::{CALLER_KEY, Deployment, Size, declarations};
 
 const IN_FORCE_BOUND: Duration = Duration::from_millis(3_000);
--- a/tests/failures_submissions.rs
+++ b/tests/failures_submissions.rs
@@ -1,16 +1,11 @@
 //! Submissions under a key run at most once, over all hosts and all failures of the platform.
 
-mod common;
-
 use std::sync::atomic::Ordering;
-use std::time::Duration;
 
-use common::{Ask, Got, complete, expected, open, post, read};
+use fulmarpath::dev::caller::{Ask, Got, call, complete, expected, open, read};
 use fulmarpath::dev::{CALLER_KEY, Deployment, Size};
-use fulmarpath_http::send;
 use fulmarpath_standin::StandinEngine;
-use http_body_util::Full;
-use hyper::{Request, StatusCode};
+use hyper::{Method, StatusCode};
 use rstest::rstest;
 
 fn keyed(prompt: &str, key: &str) -> Ask {
@@ -143,7 +138,7 @@
 }
 
 struct PlainCase {
-    method: &'static str,
+    method: Method,
     status: StatusCode,
     runs: u64,
 }
@@ -151,20 +146,17 @@
 /// A call to a plain service whose answer is lost. One that may not be repeated is sent once and
 /// said to be of unknown outcome; one that may be repeated is answered by another try.
 #[rstest]
-#[case::may_be_repeated(PlainCase { method: "GET", status: StatusCode::OK, runs: 2 })]
-#[case::not_repeatable(PlainCase { method: "POST", status: StatusCode::BAD_GATEWAY, runs: 1 })]
+#[case::may_be_repeated(PlainCase { method: Method::GET, status: StatusCode::OK, runs: 2 })]
+#[case::not_repeatable(PlainCase { method: Method::POST, status: StatusCode::BAD_GATEWAY, runs: 1 })]
 #[tokio::test(flavor = "multi_thread")]
 async fn plain_calls_are_sent_at_most_once(#[case] case: PlainCase) {
     let deployment = deployment().await;
     deployment.plain.lose_answers.store(1, Ordering::Relaxed);
-    let request = Request::builder()
-        .method(case.method)
-        .uri("/services/lookup/part/7")
-        .header("authorization", format!("Bearer {CALLER_KEY}"))
-        .body(Full::new("book".into()))
-        .expect("a request");
-    let bound = Duration::from_secs(60);
-    let answer = send(deployment.caller_address(0), request, bound).await;
+    let bearer = format!("Bearer {CALLER_KEY}");
+    let headers = [("authorization", bearer.as_str())];
+    let address = deployment.caller_address(0);
+    let path = "/services/lookup/part/7";
+    let answer = call(address, case.method, path, &headers, "book".into()).await;
     assert_eq!(answer.expect("an answer").status(), case.status);
     assert_eq!(deployment.plain.runs(), case.runs);
 }
@@ -174,14 +166,12 @@
 async fn a_wrong_key_runs_nothing() {
     let deployment = deployment().await;
     let headers = [("authorization", "Bearer nobody")];
-    let body = serde_json::json!({ "model": "reports", "prompt": "x" });
-    let call = post(
-        deployment.caller_address(0),
-        "/v1/completions",
-        &headers,
-        &body,
-    )
-    .await;
-    assert_eq!(call.status(), StatusCode::UNAUTHORIZED);
+    let body = serde_json::json!({ "model": "reports", "prompt": "x" }).to_string();
+    let address = deployment.caller_address(0);
+    let answer = call(address, Method::POST, "/v1/completions", &headers, body).await;
+    assert_eq!(
+        answer.expect("an answer").status(),
+        StatusCode::UNAUTHORIZED
+    );
     assert_eq!(starts(&deployment), 0);
 }
--- a/tests/failures_tokens.rs
+++ b/tests/failures_tokens.rs
@@ -1,11 +1,9 @@
 //! Every token once, in order, from one generation, whatever happens to engines and connections.
 
-mod common;
-
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
-use common::{Ask, complete, expected, open, read};
+use fulmarpath::dev::caller::{Ask, complete, expected, open, read};
 use fulmarpath::dev::{CALLER_KEY, Deployment, Size};
 use fulmarpath_standin::StandinEngine;
 use rstest::rstest;
@@ -75,7 +73,7 @@
     starts: 1,
 })]
 #[case::leaves_while_it_decodes(Failure {
-    strike: |engine| engine.faults.leaving.store(true, Ordering::Relaxed),
+    strike: StandinEngine::leave,
     starts: 1,
 })]
 #[tokio::test(flavor = "multi_thread")]
@@ -134,10 +132,7 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn a_leaving_engine_gets_nothing_new() {
     let deployment = deployment(2).await;
-    deployment.engines[0]
-        .faults
-        .leaving
-        .store(true, Ordering::Relaxed);
+    deployment.engines[0].leave();
     tokio::time::sleep(Duration::from_millis(3_000)).await;
     let before = deployment.engines[0].refused_starts();
     for number in 0..24 {
@@ -154,10 +149,7 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn without_engines_nothing_is_run() {
     let deployment = deployment(1).await;
-    deployment.engines[0]
-        .faults
-        .leaving
-        .store(true, Ordering::Relaxed);
+    deployment.engines[0].leave();
     tokio::time::sleep(Duration::from_millis(2_000)).await;
     let got = complete(deployment.caller_address(1), &ask("too late #5")).await;
     assert_eq!(got.problem.as_deref(), Some("not-run/no-room"));
--- a/tests/processes.rs
+++ b/tests/processes.rs
@@ -1,14 +1,12 @@
 //! Hosts as separate processes, with the signals that a machine gives them.
 
-mod common;
-
 use std::io::{BufRead, BufReader, Write};
 use std::net::{SocketAddr, TcpListener};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, ExitStatus, Stdio};
 use std::time::{Duration, Instant};
 
-use common::{Ask, complete, expected, open, read};
+use fulmarpath::dev::caller::{Ask, Got, complete, expected, open, read};
 
 const OPERATOR_KEY: &str = "change-me-operator";
 const CALLER_KEY: &str = "change-me-aerocert-ag";
@@ -83,7 +81,7 @@
             settings,
             "host: host-{number}\ndata_centre: {}\ncaller_address: {caller}\n\
              peer_address: {}\nobject_api_address: {object_api}\n\
-             host_list_address: {host_list}\nsilence_bound_ms: 500\n\
+             host_list_address: {host_list}\nsilence_bound_ms: 500\nlinger_ms: 200\n\
              operator_key_sha256: {}",
             centres[number],
             peers[number],
@@ -132,7 +130,7 @@
         }
     }
 
-    async fn answer(&self, host: usize, prompt: &str) -> common::Got {
+    async fn answer(&self, host: usize, prompt: &str) -> Got {
         let started = Instant::now();
         loop {
             let got = complete(self.hosts[host].1, &ask(prompt)).await;
