Take each safeguard away in turn and find it missing

Cause: a fault run that finds nothing proves nothing unless it would find something.

Two new faults were needed, since nothing drawn so far depended on them: an old announcement that arrives after a change, and a platform that goes down just after acceptance with watches that say nothing.

--- a/crates/bench/src/cmd/faults.rs
+++ b/crates/bench/src/cmd/faults.rs
@@ -4,7 +4,7 @@
 use fulmarpath::cluster::Safeguard;
 use futures::stream::{self, StreamExt};
 
-use crate::faults::{RoundSettings, Verdict, run};
+use crate::faults::{Fault, RoundSettings, Verdict, run};
 
 /// Play whole sessions under random faults and judge them from outside
 #[derive(Debug, Clone, Bpaf)]
@@ -28,6 +28,9 @@
     /// Take a safeguard away; the run must then find violations
     #[bpaf(long("break"), argument("NAME"))]
     without: Option<Safeguard>,
+    /// This fault in each round rather than drawn ones
+    #[bpaf(argument("NAME"))]
+    fault: Option<Fault>,
 }
 
 impl Faults {
@@ -51,6 +54,7 @@
                     hosts: self.hosts,
                     requests: self.requests,
                     without: self.without,
+                    fault: self.fault,
                 };
                 (seed, tokio::spawn(run(settings)).await)
             })
--- a/crates/bench/src/faults/fault.rs
+++ b/crates/bench/src/faults/fault.rs
@@ -5,8 +5,11 @@
 
 use fulmarpath::cluster::Change;
 use fulmarpath::dev::{Deployment, declarations};
+use fulmarpath_wire::{Document, PeerClient};
 use rand::Rng;
 use rand_chacha::ChaCha8Rng;
+use tarpc::client::Config;
+use tarpc::tokio_serde::formats::Bincode;
 
 /// One kind of fault.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
@@ -25,10 +28,12 @@
     PlainAnswersLost,
     OperatorsRace,
     PresetSwitched,
+    PlatformDownAfterChange,
+    OldAnnouncement,
 }
 
 impl Fault {
-    pub(crate) const ALL: [Self; 14] = [
+    pub(crate) const ALL: [Self; 16] = [
         Self::EngineDies,
         Self::EngineLeaves,
         Self::ConnectionsGoSilent,
@@ -43,6 +48,8 @@
         Self::PlainAnswersLost,
         Self::OperatorsRace,
         Self::PresetSwitched,
+        Self::PlatformDownAfterChange,
+        Self::OldAnnouncement,
     ];
 
     pub(crate) fn name(self) -> &'static str {
@@ -61,10 +68,26 @@
             Self::PlainAnswersLost => "plain_answers_lost",
             Self::OperatorsRace => "operators_race",
             Self::PresetSwitched => "preset_switched",
+            Self::PlatformDownAfterChange => "platform_down_after_change",
+            Self::OldAnnouncement => "old_announcement",
         }
     }
 }
 
+impl std::str::FromStr for Fault {
+    type Err = UnknownFault;
+
+    fn from_str(name: &str) -> Result<Self, UnknownFault> {
+        let found = Self::ALL.into_iter().find(|one| one.name() == name);
+        found.ok_or(UnknownFault)
+    }
+}
+
+/// No fault has this name.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, thiserror::Error)]
+#[error("could not find a fault of this name")]
+pub(crate) struct UnknownFault;
+
 /// What a fault did that the judge must know.
 #[derive(Debug, Default)]
 pub(crate) struct Struck {
@@ -74,7 +97,10 @@
 
 /// Outages of the platform last so long.
 const OUTAGE: Duration = Duration::from_millis(1_200);
-/// The last host is never killed or stopped; it makes the changes of the configuration.
+/// An outage longer than a change may take to be in force.
+const LONG_OUTAGE: Duration = Duration::from_millis(4_000);
+const CROSSED_AFTER: Duration = Duration::from_millis(300);
+/// The first host is never killed or stopped; it makes the changes of the configuration.
 const OPERATORS_HOST: usize = 0;
 
 /// Brings a fault about, on an engine or host that the draw chooses.
@@ -130,16 +156,46 @@
         }
         Fault::PlainAnswersLost => deployment.plain.lose_answers.store(3, Ordering::Relaxed),
         Fault::OperatorsRace => struck.accepted = race(deployment, rng).await,
-        Fault::PresetSwitched => {
-            let preset = ["peak", "ordinary"][rng.random_range(0..2)].to_owned();
-            let node = &deployment.host(OPERATORS_HOST).node;
-            let revision = node.publish(&Change::UsePreset { preset }).await;
-            struck.accepted.extend(revision.ok());
+        Fault::PresetSwitched => struck.accepted.extend(switch(deployment, rng).await),
+        Fault::PlatformDownAfterChange => {
+            platform.blind_watches.store(true, Ordering::Relaxed);
+            struck.accepted.extend(switch(deployment, rng).await);
+            platform.down.store(true, Ordering::Relaxed);
+            let down = platform.clone();
+            tokio::spawn(async move {
+                tokio::time::sleep(LONG_OUTAGE).await;
+                down.blind_watches.store(false, Ordering::Relaxed);
+                down.down.store(false, Ordering::Relaxed);
+            });
         }
+        Fault::OldAnnouncement => struck.accepted.extend(announce_old(deployment, rng).await),
     }
     struck
 }
 
+async fn switch(deployment: &Deployment, rng: &mut ChaCha8Rng) -> Option<u64> {
+    let preset = ["peak", "ordinary"][rng.random_range(0..2)].to_owned();
+    let node = &deployment.host(OPERATORS_HOST).node;
+    node.publish(&Change::UsePreset { preset }).await.ok()
+}
+
+/// An announcement that was sent before a change arrives after it, at every host.
+async fn announce_old(deployment: &Deployment, rng: &mut ChaCha8Rng) -> Option<u64> {
+    let held = deployment.host(OPERATORS_HOST).node.in_force()?;
+    let old = serde_json::to_vec(&held.root).ok()?;
+    let revision = switch(deployment, rng).await?;
+    tokio::time::sleep(CROSSED_AFTER).await;
+    for host in deployment.live() {
+        let address = host.peer_address;
+        let connect = tarpc::serde_transport::tcp::connect(address, Bincode::default).await;
+        let client = PeerClient::new(Config::default(), connect.ok()?).spawn();
+        let context = tarpc::context::current();
+        let announced = client.announce(context, address, Document::Root, old.clone());
+        let _ = announced.await;
+    }
+    Some(revision)
+}
+
 async fn race(deployment: &Deployment, rng: &mut ChaCha8Rng) -> Vec<u64> {
     let node = deployment.host(OPERATORS_HOST).node.clone();
     let onto = node.in_force().map(|held| held.root.revision);
--- a/crates/bench/src/faults/judge.rs
+++ b/crates/bench/src/faults/judge.rs
@@ -117,10 +117,10 @@
         }
         let wanted: HashSet<&str> = wanted.split_inclusive(' ').collect();
         let distinct: HashSet<&String> = got.texts.iter().collect();
-        if got.texts.iter().any(|text| !wanted.contains(text.as_str())) {
-            self.crossed += 1;
-        } else if distinct.len() < got.texts.len() {
+        if distinct.len() < got.texts.len() {
             self.doubled += 1;
+        } else if got.texts.iter().any(|text| !wanted.contains(text.as_str())) {
+            self.crossed += 1;
         } else if distinct.len() < wanted.len() {
             self.lost += 1;
         } else {
--- a/crates/bench/src/faults/mod.rs
+++ b/crates/bench/src/faults/mod.rs
@@ -5,5 +5,6 @@
 mod round;
 mod session;
 
+pub(crate) use fault::Fault;
 pub(crate) use judge::Verdict;
 pub(crate) use round::{RoundSettings, run};
--- a/crates/bench/src/faults/round.rs
+++ b/crates/bench/src/faults/round.rs
@@ -22,6 +22,8 @@
     pub(crate) hosts: usize,
     pub(crate) requests: usize,
     pub(crate) without: Option<Safeguard>,
+    /// This fault rather than drawn ones.
+    pub(crate) fault: Option<Fault>,
 }
 
 const IN_FORCE_BOUND: Duration = Duration::from_millis(3_000);
@@ -40,7 +42,8 @@
         ..Size::default()
     };
     let deployment = Deployment::start(size).await?;
-    let faults = draw_faults(&mut rng);
+    let drawn = draw_faults(&mut rng);
+    let faults = settings.fault.map_or(drawn, |fault| vec![fault]);
     let host_died = faults.contains(&Fault::HostKilled);
     let mut parts = draw(&mut rng, settings.seed, settings.requests, settings.hosts);
     if faults.contains(&Fault::EngineLeaves) {
--- a/crates/bench/src/faults/session.rs
+++ b/crates/bench/src/faults/session.rs
@@ -70,6 +70,8 @@
 
 /// Times a caller tries after an answer that never came or said to come back.
 const TRIES: usize = 8;
+/// Streams that end without a word before a caller gives up.
+const SILENCES: usize = 2;
 const PAUSE: Duration = Duration::from_millis(400);
 
 /// Plays one part: a caller that insists, as the protocol tells it to.
@@ -101,6 +103,7 @@
     };
     let mut sofar: Vec<String> = Vec::new();
     let mut last = None;
+    let mut silences = 0;
     for attempt in 0..TRIES {
         let address = addresses[(host + attempt) % addresses.len()];
         let mut got = read(open(address, &ask).await, usize::MAX).await;
@@ -116,8 +119,9 @@
         // a second request, which a caller without a key has to decide for itself.
         let unsure =
             got.status == 0 && !got.unsent && ask.idempotency_key.is_none() && sofar.is_empty();
+        silences += usize::from(!got.unsent && !got.whole && problem.is_empty());
         last = Some(got);
-        if final_word || unsure {
+        if final_word || unsure || silences >= SILENCES {
             break;
         }
         tokio::time::sleep(PAUSE).await;
--- a/crates/standin/src/object_api.rs
+++ b/crates/standin/src/object_api.rs
@@ -26,6 +26,8 @@
     pub down: AtomicBool,
     /// So many coming writes take effect and are never answered.
     pub lose_write_answers: AtomicU32,
+    /// Watches tell nothing new; reads still do.
+    pub blind_watches: AtomicBool,
     /// Time added to each call.
     pub delay_ms: AtomicU64,
 }
@@ -139,7 +141,8 @@
         let mut changed = self.changed.subscribe();
         let wait = async {
             loop {
-                let current = self.objects.lock().get(key).cloned();
+                let is_blind = self.faults.blind_watches.load(Ordering::Relaxed);
+                let current = self.objects.lock().get(key).cloned().filter(|_| !is_blind);
                 if let Some((version, value)) = current.filter(|(version, _)| *version > after) {
                     return found(version, value);
                 }
--- a/src/dev/caller.rs
+++ b/src/dev/caller.rs
@@ -8,9 +8,9 @@
 use hyper::{Method, Request, StatusCode};
 use serde_json::{Value, json};
 
-const BOUND: Duration = Duration::from_millis(30_000);
+const BOUND: Duration = Duration::from_millis(12_000);
 /// Silence after which a caller gives up on a streamed answer.
-const SILENCE_BOUND: Duration = Duration::from_millis(12_000);
+const SILENCE_BOUND: Duration = Duration::from_millis(3_000);
 
 /// What a caller asks for.
 #[derive(Debug, Clone, Default)]
