Keep a mass start from drowning the fleet, and halve the time of a pick

Cause: spread at 200 hosts in one process never became ready. Three reasons, found in turn: every version of the host list was announced to everybody while each starting host still believed to be a watcher; many peers' pings each started a fetch of the same list; every host that read its first configuration announced it to its data centre, and each host kept a connection to each other for ever (40,000 pairs against 20,000 open files).

Change: the host list is found by comparing versions only; one fetch at a time for each document; a host that held nothing announces nothing; connections idle for 3 s close. pick hashes only candidates that can still win, and the chance of having come so far is computed once for each forecast.

Ruled out: too few processors (8 cores were half idle).

--- /dev/null
+++ b/crates/bench/src/cmd/decide.rs
@@ -0,0 +1,139 @@
+//! `decide`: the time of one pick and of one admission.
+
+use std::hint::black_box;
+use std::time::Instant;
+
+use bpaf::Bpaf;
+use fulmarpath_policy::{
+    Ask, AskId, Candidate, EngineLoad, Home, HomeSettings, HostKey, Lengths, OrganisationKey,
+    ServiceKey, UpstreamKey, Weights, pick,
+};
+use serde::Serialize;
+
+/// Time a pick and an admission at today's and the two-year size
+#[derive(Debug, Clone, Bpaf)]
+#[bpaf(command)]
+pub(crate) struct Decide {
+    /// Decisions of each kind
+    #[bpaf(argument("N"), fallback(20_000))]
+    count: u32,
+}
+
+#[derive(Serialize)]
+struct Row {
+    size: &'static str,
+    engines_of_model: usize,
+    organisations: u64,
+    pick_us: f64,
+    admission_us: f64,
+    admission_ratio_to_pick: f64,
+}
+
+struct Size {
+    name: &'static str,
+    engines_of_model: usize,
+    organisations: u64,
+    running: u64,
+}
+
+/// At the two-year size 600 replicas are shared by 7 models; one model may still have them all.
+const SIZES: [Size; 3] = [
+    Size {
+        name: "today",
+        engines_of_model: 15,
+        organisations: 10,
+        running: 24,
+    },
+    Size {
+        name: "two years, a mean model",
+        engines_of_model: 86,
+        organisations: 1_300,
+        running: 64,
+    },
+    Size {
+        name: "two years, one model with all replicas",
+        engines_of_model: 600,
+        organisations: 1_300,
+        running: 64,
+    },
+];
+
+impl Decide {
+    pub(crate) fn run(&self) {
+        for size in &SIZES {
+            let pick_us = self.time_pick(size);
+            let admission_us = self.time_admission(size);
+            let row = Row {
+                size: size.name,
+                engines_of_model: size.engines_of_model,
+                organisations: size.organisations,
+                pick_us,
+                admission_us,
+                admission_ratio_to_pick: admission_us / pick_us,
+            };
+            println!("{}", serde_json::to_string(&row).unwrap_or_default());
+        }
+    }
+
+    fn time_pick(&self, size: &Size) -> f64 {
+        let candidates: Vec<Candidate> = (0..size.engines_of_model)
+            .map(|engine| Candidate {
+                upstream: UpstreamKey::of(&format!("engine-{engine}")),
+                near: engine % 9 == 0,
+                load: EngineLoad {
+                    running: 20,
+                    waiting: 0,
+                    used_tokens: 9_000 + 30 * engine as u32,
+                    memory_tokens: 30_000,
+                },
+                cached: false,
+            })
+            .collect();
+        let started = Instant::now();
+        for prefix in 0..u64::from(self.count) {
+            black_box(pick(black_box(prefix), &candidates));
+        }
+        started.elapsed().as_secs_f64() * 1e6 / f64::from(self.count)
+    }
+
+    /// An ask that is decided at a home with a full batch, then gives its permit back.
+    fn time_admission(&self, size: &Size) -> f64 {
+        let mut lengths = Lengths::new();
+        for number in 0..size.organisations * 8 {
+            let organisation = OrganisationKey(number % size.organisations);
+            let length = 20 + (number * 37 % 900) as u32;
+            lengths.record(number, organisation, ServiceKey(1), length);
+        }
+        let settings = HomeSettings::new(Weights::default(), 1.0, 1_000_000, 0.0);
+        let mut home = Home::new(settings);
+        let ask = |id: u64| Ask {
+            id: AskId(id),
+            host: HostKey(id % 410),
+            organisation: OrganisationKey(id % size.organisations),
+            service: ServiceKey(1),
+            weight: 1.0,
+            share: 0.01,
+            prompt_tokens: 900,
+            out_tokens: 0,
+            output_limit_tokens: 8_000,
+            patience_ms: 10_000,
+            only_now: false,
+            known_tokens: None,
+        };
+        let mut outcomes = Vec::new();
+        for id in 0..size.running {
+            home.ask(1_000, ask(id), &lengths);
+        }
+        home.step(1_000, &lengths, &mut outcomes);
+        let started = Instant::now();
+        for id in 0..u64::from(self.count) {
+            let id = id + 1_000_000;
+            outcomes.clear();
+            home.ask(1_000, ask(id), &lengths);
+            home.step(1_000, &lengths, &mut outcomes);
+            black_box(&outcomes);
+            home.withdraw(AskId(id));
+        }
+        started.elapsed().as_secs_f64() * 1e6 / f64::from(self.count)
+    }
+}
--- a/crates/bench/src/cmd/mod.rs
+++ b/crates/bench/src/cmd/mod.rs
@@ -1,7 +1,10 @@
 //! The measurements, one file each.
 
+mod decide;
 mod faults;
 mod policy;
+mod relay;
+mod spread;
 
 use bpaf::Bpaf;
 
@@ -9,6 +12,9 @@
 #[derive(Debug, Clone, Bpaf)]
 #[bpaf(options, generate(command))]
 pub(crate) enum Command {
+    Decide(#[bpaf(external(decide::decide))] decide::Decide),
+    Relay(#[bpaf(external(relay::relay))] relay::Relay),
+    Spread(#[bpaf(external(spread::spread))] spread::Spread),
     Faults(#[bpaf(external(faults::faults))] faults::Faults),
     Policy(#[bpaf(external(policy::policy))] policy::Policy),
 }
@@ -17,6 +23,9 @@
     /// Measures and prints.
     pub(crate) fn run(&self) {
         match self {
+            Self::Decide(one) => one.run(),
+            Self::Relay(one) => one.run(),
+            Self::Spread(one) => one.run(),
             Self::Faults(one) => one.run(),
             Self::Policy(one) => one.run(),
         }
--- a/crates/cluster/src/node.rs
+++ b/crates/cluster/src/node.rs
@@ -13,7 +13,8 @@
 };
 use fulmarpath_upstream::Plain;
 use fulmarpath_wire::{
-    ClaimAnswer, ClaimAsk, FetchAnswer, LimitAnswer, MemberNote, MemberState, PeerClient, SlotAsk,
+    ClaimAnswer, ClaimAsk, Document, FetchAnswer, LimitAnswer, MemberNote, MemberState, PeerClient,
+    SlotAsk,
 };
 use futures::future::join_all;
 use parking_lot::Mutex;
@@ -72,7 +73,7 @@
 
 /// One entry host's part in the cluster.
 ///
-/// Lock order: members, loads, held, homeless, limits, slots, then the home tables; none is held
+/// Lock order: members, loads, held, homeless, limits, slots, fetched, then the home tables; none is held
 /// across an await.
 pub struct Node {
     pub(crate) settings: NodeSettings,
@@ -84,6 +85,7 @@
     pub(crate) homeless: Mutex<HashMap<UpstreamKey, u32>>,
     pub(crate) limits: Mutex<LimitTable>,
     slots: Mutex<HashMap<OrganisationKey, u32>>,
+    pub(crate) fetched_at_ms: Mutex<HashMap<Document, Millis>>,
     pub(crate) homes: HomeTable,
     pub(crate) peers: Peers,
     pub(crate) documents: Documents,
@@ -123,6 +125,7 @@
             homeless: Mutex::default(),
             limits: Mutex::default(),
             slots: Mutex::default(),
+            fetched_at_ms: Mutex::default(),
             homes: HomeTable::new(epoch),
             peers: Peers::default(),
             documents: Documents::new(settings.without == Some(Safeguard::RevisionGrows)),
@@ -143,6 +146,7 @@
         tokio::spawn(node.clone().step_homes());
         tokio::spawn(node.clone().poll_engines());
         tokio::spawn(node.clone().report_progress());
+        tokio::spawn(node.clone().tidy_peers());
         info!("node: {} started", node.settings.host);
         Ok(node)
     }
@@ -363,7 +367,7 @@
         let in_force = publisher.publish(change).await?;
         let revision = in_force.root.revision;
         self.documents.confirm(self.clock.now_ms());
-        self.adopt(None, in_force).await;
+        self.adopt(None, in_force, true);
         Ok(revision)
     }
 
@@ -412,20 +416,17 @@
         }
     }
 
-    /// Closes connections to members that are gone, and waits a little.
-    pub async fn tidy(&self) {
-        let present: Vec<SocketAddr> = {
-            let members = self.members.lock();
-            members
-                .present()
-                .map(|rumour| rumour.member.address)
-                .collect()
-        };
-        self.peers.retain(|address| present.contains(&address));
-        tokio::time::sleep(Duration::from_millis(100)).await;
+    /// Closes connections that nothing uses any more.
+    async fn tidy_peers(self: Arc<Self>) {
+        loop {
+            tokio::time::sleep(TIDY_PERIOD).await;
+            self.peers.tidy();
+        }
     }
 }
 
+const TIDY_PERIOD: Duration = Duration::from_millis(1_000);
+
 /// The live entry hosts of a list.
 pub(crate) fn entry_hosts(listing: &HostListing) -> impl Iterator<Item = MemberNote> {
     listing
--- a/crates/cluster/src/peers.rs
+++ b/crates/cluster/src/peers.rs
@@ -22,10 +22,20 @@
     pub(crate) address: SocketAddr,
 }
 
-/// One connection to each peer, opened when first needed.
+/// A connection that nothing has used for so long is closed. Pings go to every member in turn, so
+/// without this each host of a large fleet would hold a connection to each other.
+const IDLE_BOUND: Duration = Duration::from_millis(3_000);
+
+#[derive(Debug)]
+struct Open {
+    client: PeerClient,
+    used_at: Instant,
+}
+
+/// Connections to the peers that this host speaks to, opened when needed.
 #[derive(Debug, Default)]
 pub(crate) struct Peers {
-    clients: Mutex<HashMap<SocketAddr, PeerClient>>,
+    clients: Mutex<HashMap<SocketAddr, Open>>,
 }
 
 impl Peers {
@@ -55,8 +65,9 @@
     }
 
     async fn client(&self, address: SocketAddr) -> Result<PeerClient, NoAnswer> {
-        if let Some(client) = self.clients.lock().get(&address) {
-            return Ok(client.clone());
+        if let Some(open) = self.clients.lock().get_mut(&address) {
+            open.used_at = Instant::now();
+            return Ok(open.client.clone());
         }
         let mut connect = tarpc::serde_transport::tcp::connect(address, Bincode::default);
         connect.config_mut().max_frame_length(FRAME_LIMIT_BYTES);
@@ -64,13 +75,18 @@
             return Err(NoAnswer { address });
         };
         let client = PeerClient::new(Config::default(), transport).spawn();
-        self.clients.lock().insert(address, client.clone());
+        let open = Open {
+            client: client.clone(),
+            used_at: Instant::now(),
+        };
+        self.clients.lock().insert(address, open);
         Ok(client)
     }
 
-    /// Closes connections to peers that are no longer present.
-    pub(crate) fn retain(&self, mut keep: impl FnMut(SocketAddr) -> bool) {
-        self.clients.lock().retain(|address, _| keep(*address));
+    /// Closes idle connections.
+    pub(crate) fn tidy(&self) {
+        let mut clients = self.clients.lock();
+        clients.retain(|_, open| open.used_at.elapsed() < IDLE_BOUND);
     }
 }
 
--- a/crates/cluster/src/spread.rs
+++ b/crates/cluster/src/spread.rs
@@ -22,6 +22,9 @@
 const WATCHERS: usize = 2;
 const WATCH_BOUND: Duration = Duration::from_millis(1_000);
 const HOST_LIST_PERIOD: Duration = Duration::from_millis(1_000);
+/// A fetch that failed is made up for with the next ping after so long.
+const ROOT_FETCH_PAUSE_MS: u64 = 100;
+const HOST_LIST_FETCH_PAUSE_MS: u64 = 700;
 const IDLE_PERIOD: Duration = Duration::from_millis(500);
 /// Back-off after a failed platform call; jittered, lest all hosts come back at once.
 const BACK_OFF_MS: std::ops::Range<u64> = 250..3_000;
@@ -74,7 +77,7 @@
             let needed = self.documents.versions().host_list == 0 || self.is_watcher();
             if needed {
                 match self.host_list.read().await {
-                    Ok(listing) => self.take_listing(None, listing).await,
+                    Ok(listing) => self.take_listing(listing),
                     Err(_) => self.back_off().await,
                 }
             }
@@ -102,7 +105,7 @@
             }
             Document::HostList => {
                 if let Ok(listing) = serde_json::from_slice(value) {
-                    self.take_listing(holder, listing).await;
+                    self.take_listing(listing);
                 }
             }
         }
@@ -131,32 +134,42 @@
             warn!("spread: could not read a newer revision");
             return;
         };
-        self.adopt(holder, in_force).await;
+        // A host that held nothing has not seen a change, it has just started: when many start at
+        // once, each passing on what all read for themselves would be a storm.
+        let has_started = held > 0;
+        self.adopt(holder, in_force, has_started);
     }
 
-    /// Takes a whole configuration and passes it on.
-    pub(crate) async fn adopt(self: &Arc<Self>, holder: Option<SocketAddr>, in_force: InForce) {
+    /// Takes a whole configuration, and passes it on where it is news to others.
+    pub(crate) fn adopt(
+        self: &Arc<Self>,
+        holder: Option<SocketAddr>,
+        in_force: InForce,
+        is_news: bool,
+    ) {
         let revision = in_force.root.revision;
         let value = serde_json::to_vec(&in_force.root).unwrap_or_default();
         if self.documents.adopt_root(in_force) {
             info!("spread: revision {} is in force here", revision);
             self.apply_preset();
-            self.pass_on(holder, Document::Root, value).await;
+            if is_news {
+                self.pass_on(holder, &value);
+            }
         }
     }
 
-    async fn take_listing(self: &Arc<Self>, holder: Option<SocketAddr>, listing: HostListing) {
+    /// Takes a newer host list. It isn't announced but found by comparing versions: when many
+    /// hosts start at once the list changes with each of them, every one still believes to be a
+    /// watcher, and announcing each version to all would drown the fleet in lists.
+    fn take_listing(&self, listing: HostListing) {
         if listing.version <= self.documents.versions().host_list {
             return;
         }
-        let value = serde_json::to_vec(&listing).unwrap_or_default();
         let now_ms = self.clock.now_ms();
         for note in crate::node::entry_hosts(&listing) {
             self.members.lock().seed(now_ms, note);
         }
-        if self.documents.adopt_listing(listing, &*self.engines) {
-            self.pass_on(holder, Document::HostList, value).await;
-        }
+        self.documents.adopt_listing(listing, &*self.engines);
     }
 
     /// A part from memory, from the peer that holds the root, or from the platform.
@@ -182,25 +195,18 @@
         (part_hash(&value) == hash).then_some(value)
     }
 
-    /// Announces a document: whoever has it from the platform tells its own data centre and one
+    /// Announces a root: whoever has it from the platform tells its own data centre and one
     /// watcher of each other one; whoever has it from another data centre tells its own.
-    async fn pass_on(
-        self: &Arc<Self>,
-        holder: Option<SocketAddr>,
-        document: Document,
-        value: Vec<u8>,
-    ) {
+    fn pass_on(self: &Arc<Self>, holder: Option<SocketAddr>, root: &[u8]) {
         if !self.has(Safeguard::Spread) {
             return;
         }
-        let targets = self.audience(holder);
-        let node = self.clone();
-        let calls = targets.into_iter().map(|address| {
-            let (node, value) = (node.clone(), value.clone());
-            let mine = self.settings.peer_address;
+        let mine = self.settings.peer_address;
+        let calls = self.audience(holder).into_iter().map(|address| {
+            let (node, root) = (self.clone(), root.to_vec());
             async move {
                 let call = |client: fulmarpath_wire::PeerClient, context| async move {
-                    client.announce(context, mine, document, value).await
+                    client.announce(context, mine, Document::Root, root).await
                 };
                 let _ = node.peers.call(address, call).await;
             }
@@ -242,6 +248,23 @@
         targets
     }
 
+    /// Whether to fetch a document from a peer now. Many peers show a newer version at about the
+    /// same time; fetching it from each of them would cost a hundred times what one fetch does.
+    fn may_fetch(&self, document: Document) -> bool {
+        let pause_ms = match document {
+            Document::Root => ROOT_FETCH_PAUSE_MS,
+            Document::HostList => HOST_LIST_FETCH_PAUSE_MS,
+        };
+        let now_ms = self.clock.now_ms();
+        let mut fetched = self.fetched_at_ms.lock();
+        let last_ms = fetched.entry(document).or_insert(0);
+        if now_ms.saturating_sub(*last_ms) < pause_ms {
+            return false;
+        }
+        *last_ms = now_ms;
+        true
+    }
+
     /// Fetches what a peer holds in a newer version.
     pub(crate) async fn compare(self: &Arc<Self>, peer: SocketAddr, theirs: Versions) {
         if !self.has(Safeguard::Spread) {
@@ -253,6 +276,9 @@
             (Document::HostList, theirs.host_list > mine.host_list),
         ];
         for (document, _) in newer.into_iter().filter(|(_, is_newer)| *is_newer) {
+            if !self.may_fetch(document) {
+                continue;
+            }
             let call = |client: fulmarpath_wire::PeerClient, context| async move {
                 client.document(context, document).await
             };
--- a/crates/entry/src/server.rs
+++ b/crates/entry/src/server.rs
@@ -185,6 +185,5 @@
     loop {
         tokio::time::sleep(TIDY_PERIOD).await;
         entry.registry.tidy();
-        entry.node.tidy().await;
     }
 }
--- a/crates/policy/src/fit.rs
+++ b/crates/policy/src/fit.rs
@@ -54,17 +54,20 @@
 }
 
 impl Footprint<'_> {
-    fn still_runs(&self, ahead_tokens: f32) -> f32 {
+    /// The chance of having reached the tokens that are out.
+    fn reached(&self) -> f32 {
+        self.curve.survive(self.out_tokens).max(1e-6)
+    }
+
+    /// The chance of still running `ahead_tokens` later, given the chance of having come so far.
+    fn still_runs(&self, ahead_tokens: f32, reached: f32) -> f32 {
         let then = self.out_tokens + ahead_tokens;
         if then > self.limit_tokens {
             return 0.0;
         }
         match self.known_tokens {
             Some(known) => f32::from(u8::from(then <= known)),
-            None => {
-                let now = self.curve.survive(self.out_tokens).max(1e-6);
-                (self.curve.survive(then) / now).min(1.0)
-            }
+            None => (self.curve.survive(then) / reached).min(1.0),
         }
     }
 
@@ -93,8 +96,9 @@
         match rule {
             FitRule::Open | FitRule::Cap { .. } => {}
             FitRule::Normal { .. } => {
+                let reached = footprint.reached();
                 for (index, ahead) in HORIZONS_TOKENS.into_iter().enumerate() {
-                    let (mean, variance) = moments(footprint, ahead);
+                    let (mean, variance) = moments(footprint, ahead, reached);
                     self.mean[index] += mean;
                     self.variance[index] += variance;
                 }
@@ -130,8 +134,9 @@
 
     fn peak_with(&self, footprint: &Footprint<'_>, z: f32) -> f32 {
         let mut peak = 0.0f32;
+        let reached = footprint.reached();
         for (index, ahead) in HORIZONS_TOKENS.into_iter().enumerate() {
-            let (mean, variance) = moments(footprint, ahead);
+            let (mean, variance) = moments(footprint, ahead, reached);
             let spread = (self.variance[index] + variance).sqrt();
             peak = peak.max(self.mean[index] + mean + z * spread);
         }
@@ -139,8 +144,8 @@
     }
 }
 
-fn moments(footprint: &Footprint<'_>, ahead_tokens: f32) -> (f32, f32) {
-    let chance = footprint.still_runs(ahead_tokens);
+fn moments(footprint: &Footprint<'_>, ahead_tokens: f32, reached: f32) -> (f32, f32) {
+    let chance = footprint.still_runs(ahead_tokens, reached);
     let size = footprint.prompt_tokens + footprint.out_tokens + ahead_tokens;
     (chance * size, chance * (1.0 - chance) * size * size)
 }
--- a/crates/policy/src/pick.rs
+++ b/crates/policy/src/pick.rs
@@ -35,35 +35,68 @@
 
 /// Picks the engines to ask for a prompt whose first blocks hash to `prefix`.
 pub fn pick(prefix: u64, candidates: &[Candidate]) -> Option<Pick> {
-    let total: f32 = candidates.iter().map(|one| share(one.load)).sum();
+    let shares = candidates.iter().map(|one| share(one.load));
+    let total: f32 = shares.sum();
     let bound = (total / candidates.len().max(1) as f32 * BOUND_OVER_MEAN).max(0.1);
-    let first = candidates
-        .iter()
-        .max_by_key(|one| preference(prefix, one, bound))?;
-    let second = candidates
-        .iter()
-        .filter(|one| one.upstream != first.upstream)
-        .min_by(|one, other| distance(one).total_cmp(&distance(other)));
-    Some(Pick {
-        first: first.upstream,
-        second: second.map(|one| one.upstream),
-    })
+    let mut first: Option<First> = None;
+    let mut nearest = Nearest::default();
+    for one in candidates {
+        let share = share(one.load);
+        let near = one.near && share < NEAR_SPILL_SHARE;
+        let class = u8::from(share <= bound) * 4 + u8::from(near) * 2 + u8::from(one.cached);
+        nearest.take(one.upstream, share + f32::from(u8::from(!near)));
+        // Hashing is most of the work: it is left out where the class decides.
+        if first.as_ref().is_some_and(|best| class < best.class) {
+            continue;
+        }
+        let rank = rank(prefix, one.upstream.0);
+        if first
+            .as_ref()
+            .is_none_or(|best| (class, rank) > (best.class, best.rank))
+        {
+            let upstream = one.upstream;
+            first = Some(First {
+                class,
+                rank,
+                upstream,
+            });
+        }
+    }
+    let first = first?.upstream;
+    let second = nearest.other_than(first);
+    Some(Pick { first, second })
 }
 
-fn preference(prefix: u64, one: &Candidate, bound: f32) -> (bool, bool, bool, u64) {
-    let share = share(one.load);
-    let near = one.near && share < NEAR_SPILL_SHARE;
-    (
-        share <= bound,
-        near,
-        one.cached,
-        rank(prefix, one.upstream.0),
-    )
+struct First {
+    class: u8,
+    rank: u64,
+    upstream: UpstreamKey,
 }
 
-fn distance(one: &Candidate) -> f32 {
-    let near = one.near && share(one.load) < NEAR_SPILL_SHARE;
-    share(one.load) + if near { 0.0 } else { 1.0 }
+/// The two least loaded engines, so that one is left when the other is the first pick.
+#[derive(Default)]
+struct Nearest {
+    best: Option<(UpstreamKey, f32)>,
+    next: Option<(UpstreamKey, f32)>,
+}
+
+impl Nearest {
+    fn take(&mut self, upstream: UpstreamKey, distance: f32) {
+        let one = Some((upstream, distance));
+        if self.best.is_none_or(|(_, best)| distance < best) {
+            self.next = std::mem::replace(&mut self.best, one);
+        } else if self.next.is_none_or(|(_, next)| distance < next) {
+            self.next = one;
+        }
+    }
+
+    fn other_than(self, first: UpstreamKey) -> Option<UpstreamKey> {
+        let pair = [self.best, self.next];
+        let others = pair.into_iter().flatten();
+        others
+            .map(|(upstream, _)| upstream)
+            .find(|upstream| *upstream != first)
+    }
 }
 
 /// Load as a share of memory; what waits inside the engine counts as well.
