Work out the two-year size from slopes, and halve what control sends

Cause: the slopes showed control at 110 KB/s a host, both ways, where 26 KB/s is allowed: two homes asked for each request, progress to each engine's home twice a second, homes anywhere in the fleet.

Change: an engine's home stands in the engine's data centre; one report goes to each home rather than each engine; a second home is asked only after 10 ms without a grant; a large fleet reports less often (5 ms a member, 0.5 to 2 s).

--- a/crates/bench/src/cmd/mod.rs
+++ b/crates/bench/src/cmd/mod.rs
@@ -4,6 +4,7 @@
 mod faults;
 mod policy;
 mod relay;
+mod slopes;
 mod spread;
 
 use bpaf::Bpaf;
@@ -14,6 +15,7 @@
 pub(crate) enum Command {
     Decide(#[bpaf(external(decide::decide))] decide::Decide),
     Relay(#[bpaf(external(relay::relay))] relay::Relay),
+    Slopes(#[bpaf(external(slopes::slopes))] slopes::Slopes),
     Spread(#[bpaf(external(spread::spread))] spread::Spread),
     Faults(#[bpaf(external(faults::faults))] faults::Faults),
     Policy(#[bpaf(external(policy::policy))] policy::Policy),
@@ -25,6 +27,7 @@
         match self {
             Self::Decide(one) => one.run(),
             Self::Relay(one) => one.run(),
+            Self::Slopes(one) => one.run(),
             Self::Spread(one) => one.run(),
             Self::Faults(one) => one.run(),
             Self::Policy(one) => one.run(),
--- a/crates/bench/src/cmd/policy.rs
+++ b/crates/bench/src/cmd/policy.rs
@@ -67,6 +67,12 @@
     /// Trial: refuse early where the predicted wait exceeds this multiple of the patience; 0 never
     #[bpaf(argument("F"))]
     early: Option<f32>,
+    /// Trial: time after which the second home is asked as well
+    #[bpaf(argument("MS"), fallback(10))]
+    hedge_ms: u64,
+    /// Trial: time between two reports of progress
+    #[bpaf(argument("MS"), fallback(500))]
+    progress_ms: u64,
     /// Half of the hosts believe in another home for each engine
     split: bool,
     /// json or text
@@ -165,6 +171,8 @@
             half_age_ms: self.age_ms,
             one_ask: self.one_ask,
             early: self.early,
+            hedge_ms: self.hedge_ms,
+            progress_ms: self.progress_ms,
         }
     }
 
--- a/crates/bench/src/main.rs
+++ b/crates/bench/src/main.rs
@@ -3,6 +3,7 @@
 mod cmd;
 mod faults;
 mod sim;
+mod slopes;
 
 fn main() {
     cmd::command().run().run();
--- a/crates/bench/src/sim/policies.rs
+++ b/crates/bench/src/sim/policies.rs
@@ -67,6 +67,10 @@
     pub(crate) half_age_ms: Option<u64>,
     pub(crate) one_ask: bool,
     pub(crate) early: Option<f32>,
+    /// After so long without a grant the second home is asked as well.
+    pub(crate) hedge_ms: u64,
+    /// Between two reports of progress.
+    pub(crate) progress_ms: u64,
 }
 
 /// How homes decide under a policy.
--- a/crates/bench/src/sim/stats.rs
+++ b/crates/bench/src/sim/stats.rs
@@ -29,6 +29,7 @@
     pub(crate) refused: u64,
     pub(crate) preemptions: u64,
     pub(crate) moves: u64,
+    pub(crate) asks: u64,
     pub(crate) stall_ms_p50: f64,
     pub(crate) stall_ms_p99: f64,
     pub(crate) stall_ms_total: f64,
@@ -61,6 +62,7 @@
     pub(crate) refused: u64,
     pub(crate) preemptions: u64,
     pub(crate) moves: u64,
+    pub(crate) asks: u64,
     stall_total_us: u64,
 }
 
@@ -88,6 +90,7 @@
             refused: 0,
             preemptions: 0,
             moves: 0,
+            asks: 0,
             stall_total_us: 0,
         }
     }
@@ -152,6 +155,7 @@
             refused: self.refused,
             preemptions: self.preemptions,
             moves: self.moves,
+            asks: self.asks,
             stall_ms_p50: ms(&self.stall_us, 0.5),
             stall_ms_p99: ms(&self.stall_us, 0.99),
             stall_ms_total: self.stall_total_us as f64 / 1_000.0,
--- a/crates/bench/src/sim/world.rs
+++ b/crates/bench/src/sim/world.rs
@@ -16,7 +16,6 @@
 const PEER_US: u64 = 1_500;
 const REPORT_PERIOD_US: u64 = 500_000;
 const REPORT_LAG_US: u64 = 700_000;
-const PROGRESS_PERIOD_US: u64 = 500_000;
 const TICK_US: u64 = 10_000;
 const PATIENCE_MS: Millis = 10_000;
 const DATA_CENTRES: usize = 3;
@@ -53,6 +52,11 @@
         permit: u64,
         priority: i32,
     },
+    Hedge {
+        request: usize,
+        ask: u64,
+        only_now: bool,
+    },
     Refused {
         request: usize,
         ask: u64,
@@ -93,6 +97,8 @@
 struct Request {
     arrival: Arrival,
     asks: Vec<(u64, usize)>,
+    /// The second pick, as long as it hasn't been asked.
+    spare: Option<usize>,
     /// Engine and permit of the running attempt.
     held: Option<(usize, u64)>,
     attempt: u32,
@@ -210,7 +216,8 @@
             let first_us = REPORT_PERIOD_US * engine as u64 / engines as u64;
             world.at(first_us, Event::Report(engine));
         }
-        world.at(PROGRESS_PERIOD_US, Event::Progress);
+        let progress_us = settings.tuning.progress_ms * 1_000;
+        world.at(progress_us, Event::Progress);
         world.at(TICK_US, Event::Tick);
         if settings.scenario == Scenario::EngineLost {
             world.at(world.end_us / 2, Event::LoseEngine(0));
@@ -273,6 +280,11 @@
             } => {
                 self.granted(home, request, ask, permit, priority);
             }
+            Event::Hedge {
+                request,
+                ask,
+                only_now,
+            } => self.hedge(request, ask, only_now),
             Event::Refused { request, ask } => self.refused(request, ask),
             Event::Withdraw { home, ask } => {
                 self.homes[home].withdraw(AskId(ask));
@@ -406,25 +418,54 @@
         let Some(picked) = pick(arrival.prefix, &candidates) else {
             return;
         };
+        let first = self.engine_named(picked.first);
         let second = picked.second.filter(|_| !self.settings.tuning.one_ask);
-        for upstream in [Some(picked.first), second].into_iter().flatten() {
-            let engine = (0..self.engines.len())
-                .find(|engine| upstream_key(*engine) == upstream)
-                .unwrap_or(0);
-            let ask = self.next_ask;
-            self.next_ask += 1;
-            let home = self.home_of(engine, arrival.host);
-            self.requests[request].asks.push((ask, home));
-            self.by_ask.insert(ask, request);
-            self.after(
-                PEER_US,
-                Event::AskAt {
-                    home,
-                    request,
-                    ask,
-                    only_now,
-                },
-            );
+        self.requests[request].spare = second.map(|second| self.engine_named(second));
+        let ask = self.send_ask(request, first, only_now);
+        let hedge_us = self.settings.tuning.hedge_ms * 1_000;
+        self.after(
+            hedge_us,
+            Event::Hedge {
+                request,
+                ask,
+                only_now,
+            },
+        );
+    }
+
+    fn engine_named(&self, upstream: UpstreamKey) -> usize {
+        let engines = 0..self.engines.len();
+        let mut named = engines.filter(|engine| upstream_key(*engine) == upstream);
+        named.next().unwrap_or(0)
+    }
+
+    fn send_ask(&mut self, request: usize, engine: usize, only_now: bool) -> u64 {
+        let ask = self.next_ask;
+        self.next_ask += 1;
+        self.stats.asks += 1;
+        let home = self.home_of(engine, self.requests[request].arrival.host);
+        self.requests[request].asks.push((ask, home));
+        self.by_ask.insert(ask, request);
+        self.after(
+            PEER_US,
+            Event::AskAt {
+                home,
+                request,
+                ask,
+                only_now,
+            },
+        );
+        ask
+    }
+
+    /// The first home hasn't granted in time: ask the second as well.
+    fn hedge(&mut self, request: usize, ask: u64, only_now: bool) {
+        let still_waits = self.requests[request]
+            .asks
+            .iter()
+            .any(|(one, _)| *one == ask);
+        if still_waits && let Some(engine) = self.requests[request].spare.take() {
+            self.send_ask(request, engine, only_now);
         }
     }
 
@@ -525,6 +566,7 @@
             self.after(PEER_US, Event::Left { home, permit });
             return;
         }
+        self.requests[request].spare = None;
         let others: Vec<(u64, usize)> = self.requests[request].asks.drain(..).collect();
         for (other, other_home) in others {
             if other != ask {
@@ -568,8 +610,14 @@
 
     fn refused(&mut self, request: usize, ask: u64) {
         let one = &mut self.requests[request];
+        let before = one.asks.len();
         one.asks.retain(|(other, _)| *other != ask);
-        if !one.asks.is_empty() || one.ended {
+        if one.asks.len() == before || !one.asks.is_empty() || one.ended {
+            return;
+        }
+        if let Some(engine) = one.spare.take() {
+            let only_now = one.moving;
+            self.send_ask(request, engine, only_now);
             return;
         }
         if one.moving {
@@ -723,7 +771,7 @@
 
     /// Entry hosts report how far their permits are, and heed the moves that homes ask for.
     fn progress(&mut self) {
-        self.after(PROGRESS_PERIOD_US, Event::Progress);
+        self.after(self.settings.tuning.progress_ms * 1_000, Event::Progress);
         if !self.settings.policy.admits() {
             return;
         }
@@ -772,6 +820,7 @@
         Self {
             arrival,
             asks: Vec::new(),
+            spare: None,
             held: None,
             attempt: 0,
             moving: false,
--- /dev/null
+++ b/crates/bench/src/slopes/bytes.rs
@@ -0,0 +1,160 @@
+//! The bytes of each control message as it goes over the wire.
+
+use fulmarpath_policy::{
+    Ask, AskId, Bounds, EngineLoad, HostKey, OrganisationKey, PermitKey, ServiceKey, UpstreamKey,
+};
+use fulmarpath_wire::{
+    AskAnswer, AskReply, ClaimAnswer, ClaimAsk, LimitAnswer, MemberNote, MemberState, PermitId,
+    Ping, Pong, Progress, ProgressReply, Rumour, RunState, SlotAsk, Versions,
+};
+use serde::Serialize;
+use tarpc::tokio_serde::Serializer;
+use tarpc::tokio_serde::formats::Bincode;
+
+/// TCP and IP headers of a segment, with time stamps. The call's acknowledgement rides on the
+/// answer, the answer's own goes alone.
+const SEGMENT_BYTES: usize = 52;
+/// The length that frames a message, the call's kind, id, deadline and trace.
+const CALL_BYTES: usize = 4 + 4 + 8 + 12 + 33;
+/// The same for an answer.
+const ANSWER_BYTES: usize = 4 + 8 + 4;
+
+/// One call and its answer.
+#[derive(Debug, Clone, Serialize)]
+pub(crate) struct CallBytes {
+    pub(crate) what: &'static str,
+    pub(crate) call_bytes: usize,
+    pub(crate) answer_bytes: usize,
+}
+
+impl CallBytes {
+    pub(crate) fn both(&self) -> f64 {
+        (self.call_bytes + self.answer_bytes) as f64
+    }
+
+    pub(crate) fn row(&self) -> String {
+        format!(
+            "| {} | {} | {} |",
+            self.what, self.call_bytes, self.answer_bytes
+        )
+    }
+}
+
+fn size<T: Serialize + Unpin>(message: &T) -> usize {
+    let mut codec = Bincode::<(), T>::default();
+    let bytes = std::pin::Pin::new(&mut codec).serialize(message);
+    bytes.map_or(0, |bytes| bytes.len())
+}
+
+fn call<C: Serialize + Unpin, A: Serialize + Unpin>(
+    what: &'static str,
+    call: &C,
+    answer: &A,
+) -> CallBytes {
+    CallBytes {
+        what,
+        call_bytes: size(call) + CALL_BYTES + SEGMENT_BYTES,
+        answer_bytes: size(answer) + ANSWER_BYTES + 2 * SEGMENT_BYTES,
+    }
+}
+
+/// Rumours in a ping of an ordinary second and of a bad one.
+const BAD_SECOND_RUMOURS: usize = 8;
+
+pub(crate) fn measure() -> Vec<CallBytes> {
+    let ask = Ask {
+        id: AskId(u64::MAX),
+        host: HostKey(u64::MAX),
+        organisation: OrganisationKey(u64::MAX),
+        service: ServiceKey(u64::MAX),
+        weight: 1.0,
+        share: 0.1,
+        prompt_tokens: 900,
+        out_tokens: 0,
+        output_limit_tokens: 8_000,
+        patience_ms: 10_000,
+        only_now: false,
+        known_tokens: None,
+    };
+    let permit = PermitId {
+        epoch: u64::MAX,
+        key: PermitKey::default(),
+    };
+    let granted = AskReply {
+        answer: AskAnswer::Granted {
+            permit,
+            priority: 1,
+        },
+        load: EngineLoad::default(),
+    };
+    let progress = Progress {
+        upstream: UpstreamKey(u64::MAX),
+        permit,
+        out_tokens: 400,
+        state: RunState::Running,
+    };
+    let report = |count| (HostKey(u64::MAX), vec![progress; count]);
+    let nothing = ProgressReply::default();
+    let slot = SlotAsk {
+        organisation: OrganisationKey(u64::MAX),
+        host: HostKey(u64::MAX),
+        bounds: Bounds {
+            requests_per_s: 40.0,
+            concurrent: 400,
+        },
+    };
+    let claim = ClaimAsk {
+        key: u128::MAX,
+        request_hash: u64::MAX,
+        generation: "0123456789abcdef.0123456789abcdef.0123456789abcdef0123456789abcdef".into(),
+        supersedes: None,
+    };
+    let slots = vec![(OrganisationKey(u64::MAX), 3u32); 10];
+    vec![
+        call("ping, nothing new", &ping(0), &pong(0)),
+        call(
+            "ping, 8 rumours",
+            &ping(BAD_SECOND_RUMOURS),
+            &pong(BAD_SECOND_RUMOURS),
+        ),
+        call("ask, granted", &(UpstreamKey(1), ask), &granted),
+        call("withdraw", &(UpstreamKey(1), AskId(1)), &()),
+        call("progress of 1 permit", &report(1), &nothing),
+        call("progress of 11 permits", &report(11), &nothing),
+        call("slot under a limit", &slot, &LimitAnswer::Taken),
+        call(
+            "slots restated, 10 organisations",
+            &(HostKey(1), slots),
+            &(),
+        ),
+        call("claim", &claim, &ClaimAnswer::Claimed),
+    ]
+}
+
+fn rumour() -> Rumour {
+    Rumour {
+        member: MemberNote {
+            name: "zrh-a-entry-117".into(),
+            data_centre: "zrh-a".into(),
+            address: ([10, 0, 0, 1], 7_080).into(),
+        },
+        state: MemberState::Alive,
+        incarnation: u64::MAX,
+    }
+}
+
+fn ping(rumours: usize) -> Ping {
+    Ping {
+        from: rumour(),
+        rumours: vec![rumour(); rumours],
+        versions: Versions::default(),
+    }
+}
+
+fn pong(rumours: usize) -> Pong {
+    Pong {
+        from: rumour(),
+        rumours: vec![rumour(); rumours],
+        versions: Versions::default(),
+    }
+}
--- /dev/null
+++ b/crates/bench/src/slopes/cpu.rs
@@ -0,0 +1,152 @@
+//! Processor time of each control call, over real connections between real hosts.
+
+use std::time::Instant;
+
+use fulmarpath::dev::{Deployment, Size};
+use fulmarpath_policy::{
+    Ask, AskId, Bounds, HostKey, OrganisationKey, PermitKey, ServiceKey, UpstreamKey,
+};
+use fulmarpath_wire::{
+    MemberNote, MemberState, PeerClient, PermitId, Ping, Progress, Rumour, RunState, SlotAsk,
+    Versions,
+};
+use tarpc::client::Config;
+use tarpc::context::{self, Context};
+use tarpc::tokio_serde::formats::Bincode;
+
+use super::{Slope, fit};
+
+/// Calls for one point.
+const CALLS: u32 = 4_000;
+/// One processor tick of /proc.
+const TICK_US: f64 = 10_000.0;
+
+/// Processor time that this process has used.
+fn used_us() -> f64 {
+    let stat = std::fs::read_to_string("/proc/self/stat").unwrap_or_default();
+    let fields = stat.rsplit(')').next().unwrap_or_default();
+    let ticks: f64 = fields
+        .split_whitespace()
+        .skip(11)
+        .take(2)
+        .filter_map(|field| field.parse::<f64>().ok())
+        .sum();
+    ticks * TICK_US
+}
+
+fn soon() -> Context {
+    context::current()
+}
+
+/// Time of the calling and the answering side together, for one call. What the deployment does by
+/// itself in that time is taken off.
+async fn time<F: Future>(idle_share: f64, mut call: impl FnMut(u32) -> F) -> f64 {
+    let (before_us, started) = (used_us(), Instant::now());
+    for number in 0..CALLS {
+        call(number).await;
+    }
+    let idle_us = started.elapsed().as_secs_f64() * 1e6 * idle_share;
+    (used_us() - before_us - idle_us) / f64::from(CALLS)
+}
+
+pub(crate) async fn measure() -> Vec<Slope> {
+    let size = Size {
+        hosts: 2,
+        engines: 1,
+        ..Size::default()
+    };
+    let deployment = Deployment::start(size).await.expect("a deployment");
+    let address = deployment.host(0).peer_address;
+    let transport = tarpc::serde_transport::tcp::connect(address, Bincode::default).await;
+    let client = PeerClient::new(Config::default(), transport.expect("a connection")).spawn();
+    let idle_share = idle().await;
+    let upstream = UpstreamKey::of("engine-0");
+    let point = |x: f64, y: f64| vec![(x, y), (x + 1.0, y)];
+    let ping = ping(deployment.host(1).peer_address);
+    let ping_us = time(idle_share, |_| client.ping(soon(), ping.clone())).await;
+    let ask_us = time(idle_share, |number| {
+        let client = &client;
+        async move {
+            let ask = ask(number);
+            let _ = client.ask(soon(), upstream, ask).await;
+            let _ = client.withdraw(soon(), upstream, ask.id).await;
+        }
+    })
+    .await;
+    let slot = SlotAsk {
+        organisation: OrganisationKey(1),
+        host: HostKey(1),
+        bounds: Bounds {
+            requests_per_s: 1e9,
+            concurrent: u32::MAX,
+        },
+    };
+    let slot_us = time(idle_share, |_| client.take_slot(soon(), slot)).await;
+    let mut progress = Vec::new();
+    for count in [1u32, 20, 80] {
+        let report = vec![unknown_permit(upstream); count as usize];
+        let us = time(idle_share, |_| {
+            client.progress(soon(), HostKey(1), report.clone())
+        })
+        .await;
+        progress.push((f64::from(count), us));
+    }
+    vec![
+        fit("ping", "us", &point(0.0, ping_us)),
+        fit("ask and withdraw", "us", &point(0.0, ask_us)),
+        fit("slot", "us", &point(0.0, slot_us)),
+        fit("progress, each permit", "us", &progress),
+    ]
+}
+
+async fn idle() -> f64 {
+    const WATCHED: std::time::Duration = std::time::Duration::from_millis(2_000);
+    let before_us = used_us();
+    tokio::time::sleep(WATCHED).await;
+    (used_us() - before_us) / WATCHED.as_micros() as f64
+}
+
+fn ask(number: u32) -> Ask {
+    Ask {
+        id: AskId(u64::from(number)),
+        host: HostKey(1),
+        organisation: OrganisationKey(u64::from(number % 10)),
+        service: ServiceKey(1),
+        weight: 1.0,
+        share: 0.1,
+        prompt_tokens: 60,
+        out_tokens: 0,
+        output_limit_tokens: 8_000,
+        patience_ms: 10_000,
+        only_now: true,
+        known_tokens: None,
+    }
+}
+
+fn unknown_permit(upstream: UpstreamKey) -> Progress {
+    Progress {
+        upstream,
+        permit: PermitId {
+            epoch: 0,
+            key: PermitKey::default(),
+        },
+        out_tokens: 7,
+        state: RunState::Running,
+    }
+}
+
+fn ping(address: std::net::SocketAddr) -> Ping {
+    Ping {
+        from: Rumour {
+            member: MemberNote {
+                name: "host-1".into(),
+                data_centre: "zrh-b".into(),
+                address,
+            },
+            state: MemberState::Alive,
+            incarnation: 1,
+        },
+        rumours: Vec::new(),
+        versions: Versions::default(),
+    }
+}
--- a/crates/cluster/src/homes.rs
+++ b/crates/cluster/src/homes.rs
@@ -338,22 +338,17 @@
         loop {
             tokio::time::sleep(LOAD_PERIOD).await;
             let listing = self.documents.listing();
-            let mine: Vec<Upstream> = {
-                let members = self.members.lock();
-                let all = listing.engines.values();
-                all.filter(|upstream| {
-                    let homes = members.homes().map(|(key, _)| key);
-                    fulmarpath_policy::highest(upstream.key.0, homes) == Some(self.key)
-                })
-                .cloned()
-                .collect()
-            };
-            let polls = mine.into_iter().map(|upstream| self.poll_engine(upstream));
+            let all = listing.engines.values();
+            let mine = all.filter(|upstream| {
+                let home = self.engine_homes(upstream.key, 1).pop();
+                home.is_some_and(|(key, _)| key == self.key)
+            });
+            let polls = mine.map(|upstream| self.poll_engine(upstream));
             join_all(polls).await;
         }
     }
 
-    async fn poll_engine(&self, upstream: Upstream) {
+    async fn poll_engine(&self, upstream: &Upstream) {
         if !self.has(Safeguard::Leaving) {
             return;
         }
--- a/crates/cluster/src/members.rs
+++ b/crates/cluster/src/members.rs
@@ -215,16 +215,27 @@
 
     /// The homes of a thing, best first.
     pub fn homes_of(&self, thing: u64, count: usize) -> Vec<(HostKey, MemberNote)> {
-        let mut homes: Vec<(u64, HostKey, &MemberNote)> = self
+        best(thing, self.homes(), count)
+    }
+
+    /// The homes of a thing that stands in a data centre: hosts there, or any where none is left.
+    ///
+    /// A host's streams run mostly on near engines; near homes save a way over the data centres
+    /// for each permit, and let one message report on many engines.
+    pub fn homes_near(
+        &self,
+        thing: u64,
+        data_centre: &str,
+        count: usize,
+    ) -> Vec<(HostKey, MemberNote)> {
+        let near = self
             .homes()
-            .map(|(key, note)| (rank(thing, key.0), key, note))
-            .collect();
-        homes.sort_by_key(|(rank, _, _)| std::cmp::Reverse(*rank));
-        homes.truncate(count);
-        homes
-            .into_iter()
-            .map(|(_, key, note)| (key, note.clone()))
-            .collect()
+            .filter(|(_, note)| note.data_centre == data_centre);
+        let near = best(thing, near, count);
+        if near.is_empty() {
+            return self.homes_of(thing, count);
+        }
+        near
     }
 
     /// Every member that isn't dead, this host with them.
@@ -282,3 +293,17 @@
         3 * (self.known.len() as u32 + 1).ilog2().max(1)
     }
 }
+
+fn best<'a>(
+    thing: u64,
+    members: impl Iterator<Item = (HostKey, &'a MemberNote)>,
+    count: usize,
+) -> Vec<(HostKey, MemberNote)> {
+    let mut ranked: Vec<(u64, HostKey, &MemberNote)> = members
+        .map(|(key, note)| (rank(thing, key.0), key, note))
+        .collect();
+    ranked.sort_by_key(|(rank, _, _)| std::cmp::Reverse(*rank));
+    ranked.truncate(count);
+    let ranked = ranked.into_iter();
+    ranked.map(|(_, key, note)| (key, note.clone())).collect()
+}
--- a/crates/cluster/src/permits.rs
+++ b/crates/cluster/src/permits.rs
@@ -7,19 +7,25 @@
 use std::time::Duration;
 
 use fulmarpath_policy::{
-    Ask, AskId, Candidate, EngineLoad, Millis, OrganisationKey, RefusalReason, ServiceKey,
+    Ask, AskId, Candidate, EngineLoad, HostKey, Millis, OrganisationKey, RefusalReason, ServiceKey,
     UpstreamKey, pick,
 };
 use fulmarpath_upstream::Engine;
-use fulmarpath_wire::{AskAnswer, AskReply, PeerClient, PermitId, Progress, RunState};
+use fulmarpath_wire::{AskAnswer, AskReply, MemberNote, PeerClient, PermitId, Progress, RunState};
 use futures::future::{join_all, select_ok};
 use parking_lot::Mutex;
 use rand::Rng;
 use spdlog::{info, warn};
+use tokio::time::timeout;
 
 use crate::node::Node;
 
-const PROGRESS_PERIOD: Duration = Duration::from_millis(500);
+/// Between two reports of progress, for each member; a larger fleet reports less often, so that
+/// what a host sends and hears stays bounded.
+const PROGRESS_MS_PER_MEMBER: u64 = 5;
+const PROGRESS_MS: std::ops::RangeInclusive<u64> = 500..=2_000;
+/// After so long without a grant the second home is asked as well.
+const HEDGE: Duration = Duration::from_millis(10);
 const REASK_PAUSE: Duration = Duration::from_millis(20);
 /// Homes tried for one engine: the best and the next, since views of who is alive may differ.
 const HOMES: usize = 2;
@@ -96,6 +102,18 @@
     had_better_move: AtomicBool,
 }
 
+impl Held {
+    /// What there is to report; nothing for a start without a home.
+    fn progress(&self) -> Option<Progress> {
+        Some(Progress {
+            upstream: self.upstream,
+            permit: (*self.id.lock())?,
+            out_tokens: self.out_tokens.load(Ordering::Relaxed),
+            state: RunState::Running,
+        })
+    }
+}
+
 /// Leave to run one generation on one engine; given back when dropped.
 pub struct Permit {
     node: Arc<Node>,
@@ -143,7 +161,9 @@
             state,
         };
         tokio::spawn(async move {
-            node.send_progress(held.upstream, vec![progress]).await;
+            if let Some((home, note)) = node.engine_homes(held.upstream, 1).pop() {
+                node.send_progress(home, note.address, vec![progress]).await;
+            }
         });
     }
 }
@@ -189,13 +209,20 @@
         let candidates = self.candidates(wish);
         let picked = pick(wish.prefix, &candidates).ok_or(NotGranted::NoEngine)?;
         let deadline_ms = self.clock.now_ms() + wish.patience_ms;
-        let asks = [Some(picked.first), picked.second];
-        let asks = asks.into_iter().flatten().map(|upstream| {
-            let node = self.clone();
-            Box::pin(node.ask_until(upstream, wish.clone(), deadline_ms))
-        });
-        let grant = match select_ok(asks).await {
-            Ok((grant, _others)) => grant,
+        let ask = |upstream| Box::pin(self.clone().ask_until(upstream, wish.clone(), deadline_ms));
+        let mut first = ask(picked.first);
+        // Most first asks are granted at once; a second home is troubled only by the others.
+        let granted = match (timeout(HEDGE, &mut first).await, picked.second) {
+            (Ok(Ok(grant)), _) => Ok(grant),
+            (Ok(Err(error)), None) => Err(error),
+            (Ok(Err(_)), Some(second)) => ask(second).await,
+            (Err(_), None) => first.await,
+            (Err(_), Some(second)) => select_ok([first, ask(second)])
+                .await
+                .map(|(grant, _)| grant),
+        };
+        let grant = match granted {
+            Ok(grant) => grant,
             Err(NotGranted::NoHome) => self.homeless(picked.first, wish)?,
             Err(refused) => return Err(refused),
         };
@@ -316,8 +343,7 @@
 
     /// Asks the best home that answers.
     async fn ask_home(&self, upstream: UpstreamKey, ask: Ask) -> Option<AskReply> {
-        let homes = self.members.lock().homes_of(upstream.0, HOMES);
-        for (key, note) in homes {
+        for (key, note) in self.engine_homes(upstream, HOMES) {
             if key == self.key {
                 return self.answer_ask(upstream, ask).await;
             }
@@ -366,8 +392,7 @@
     }
 
     async fn withdraw(&self, upstream: UpstreamKey, ask: AskId) {
-        let homes = self.members.lock().homes_of(upstream.0, HOMES);
-        for (key, note) in homes {
+        for (key, note) in self.engine_homes(upstream, HOMES) {
             if key == self.key {
                 self.homes.withdraw(self.clock.now_ms(), upstream, ask);
                 return;
@@ -381,37 +406,54 @@
         }
     }
 
-    /// Reports all permits to their homes once a period.
+    /// The homes of an engine, best first.
+    pub(crate) fn engine_homes(
+        &self,
+        upstream: UpstreamKey,
+        count: usize,
+    ) -> Vec<(HostKey, MemberNote)> {
+        let listing = self.documents.listing();
+        let listed = listing.engines.get(&upstream);
+        let members = self.members.lock();
+        match listed {
+            Some(listed) => members.homes_near(upstream.0, &listed.entry.data_centre, count),
+            None => members.homes_of(upstream.0, count),
+        }
+    }
+
+    fn progress_period(&self) -> Duration {
+        let wanted_ms = self.member_count() as u64 * PROGRESS_MS_PER_MEMBER;
+        Duration::from_millis(wanted_ms.clamp(*PROGRESS_MS.start(), *PROGRESS_MS.end()))
+    }
+
+    /// Reports all permits to their homes once a period, one message to each home.
     pub(crate) async fn report_progress(self: Arc<Self>) {
         loop {
-            tokio::time::sleep(PROGRESS_PERIOD).await;
-            let mut by_upstream: HashMap<UpstreamKey, Vec<Progress>> = HashMap::new();
-            for held in self.held.lock().values() {
-                let Some(permit) = *held.id.lock() else {
+            tokio::time::sleep(self.progress_period()).await;
+            let running: Vec<Progress> = {
+                let held = self.held.lock();
+                held.values().filter_map(|one| one.progress()).collect()
+            };
+            let mut by_home: HashMap<HostKey, (SocketAddr, Vec<Progress>)> = HashMap::new();
+            for progress in running {
+                let Some((key, note)) = self.engine_homes(progress.upstream, 1).pop() else {
                     continue;
                 };
-                by_upstream
-                    .entry(held.upstream)
-                    .or_default()
-                    .push(Progress {
-                        upstream: held.upstream,
-                        permit,
-                        out_tokens: held.out_tokens.load(Ordering::Relaxed),
-                        state: RunState::Running,
-                    });
+                let (_, same) = by_home
+                    .entry(key)
+                    .or_insert_with(|| (note.address, Vec::new()));
+                same.push(progress);
             }
-            let sends = by_upstream
+            let sends = by_home
                 .into_iter()
-                .map(|(upstream, progress)| self.send_progress(upstream, progress));
+                .map(|(key, (address, progress))| self.send_progress(key, address, progress));
             join_all(sends).await;
             self.restate_slots().await;
         }
     }
 
-    async fn send_progress(&self, upstream: UpstreamKey, progress: Vec<Progress>) {
-        let home = self.members.lock().homes_of(upstream.0, 1).pop();
-        let Some((key, note)) = home else { return };
-        let reply = if key == self.key {
+    async fn send_progress(&self, home: HostKey, address: SocketAddr, progress: Vec<Progress>) {
+        let reply = if home == self.key {
             let mut reply = self.homes.progress(self.clock.now_ms(), &progress);
             reply.moves = self.homes.take_moves(self.key);
             reply
@@ -420,14 +462,14 @@
             let call = |client: PeerClient, context| async move {
                 client.progress(context, mine, progress).await
             };
-            match self.peers.call(note.address, call).await {
+            match self.peers.call(address, call).await {
                 Ok(reply) => reply,
                 Err(_) => return,
             }
         };
         self.heed_moves(&reply.moves);
         for permit in reply.unknown {
-            self.restore(upstream, key, note.address, permit).await;
+            self.restore(home, address, permit).await;
         }
     }
 
@@ -441,19 +483,14 @@
     }
 
     /// Tells a new home of a permit that an earlier one gave.
-    async fn restore(
-        &self,
-        upstream: UpstreamKey,
-        home: fulmarpath_policy::HostKey,
-        address: SocketAddr,
-        permit: PermitId,
-    ) {
+    async fn restore(&self, home: HostKey, address: SocketAddr, permit: PermitId) {
         let held = {
             let all = self.held.lock();
             let mut all = all.values();
             all.find(|one| *one.id.lock() == Some(permit)).cloned()
         };
         let Some(held) = held else { return };
+        let upstream = held.upstream;
         let mut ask = held.ask;
         ask.out_tokens = held.out_tokens.load(Ordering::Relaxed);
         let id = if home == self.key {
--- a/crates/policy/src/home.rs
+++ b/crates/policy/src/home.rs
@@ -90,7 +90,7 @@
 const EARLY: f32 = 0.4;
 const PACE: f32 = 1.5;
 const QUEUE_LIMIT: usize = 256;
-const LAPSE_MS: Millis = 4_000;
+const LAPSE_MS: Millis = 6_000;
 
 impl HomeSettings {
     /// What the product uses under a preset; docs/POLICY.md has the figures behind each constant.
--- a/crates/policy/src/limits.rs
+++ b/crates/policy/src/limits.rs
@@ -46,7 +46,7 @@
     heard_at_ms: Millis,
 }
 
-const LAPSE_MS: Millis = 5_000;
+const LAPSE_MS: Millis = 6_000;
 const CONCURRENCY_RETRY_MS: Millis = 1_000;
 
 /// The usage of those organisations whose home this host is.
