--- /dev/null
+++ b/crates/cluster/tests/members.rs
@@ -0,0 +1,121 @@
+//! Beliefs about members, with the time as an argument.
+
+use fulmarpath_cluster::Members;
+use fulmarpath_policy::HostKey;
+use fulmarpath_wire::{MemberNote, MemberState, Rumour};
+
+fn note(name: &str) -> MemberNote {
+    MemberNote {
+        name: name.to_owned(),
+        data_centre: name.split('/').next().unwrap_or_default().to_owned(),
+        address: ([127, 0, 0, 1], 1).into(),
+    }
+}
+
+fn rumour(name: &str, state: MemberState, incarnation: u64) -> Rumour {
+    Rumour {
+        member: note(name),
+        state,
+        incarnation,
+    }
+}
+
+fn state_of(members: &Members, name: &str) -> Option<MemberState> {
+    members.find(HostKey::of(name)).map(|rumour| rumour.state)
+}
+
+struct Heard {
+    first: (MemberState, u64),
+    then: (MemberState, u64),
+    believed: Option<MemberState>,
+}
+
+#[test]
+fn the_higher_incarnation_goes_before_and_then_the_worse_state() {
+    use MemberState::{Alive, Dead, Leaving, Suspect};
+    let cases = [
+        Heard {
+            first: (Alive, 1),
+            then: (Suspect, 1),
+            believed: Some(Suspect),
+        },
+        Heard {
+            first: (Suspect, 1),
+            then: (Alive, 1),
+            believed: Some(Suspect),
+        },
+        Heard {
+            first: (Suspect, 1),
+            then: (Alive, 2),
+            believed: Some(Alive),
+        },
+        Heard {
+            first: (Leaving, 2),
+            then: (Alive, 2),
+            believed: Some(Leaving),
+        },
+        Heard {
+            first: (Dead, 1),
+            then: (Alive, 1),
+            believed: None,
+        },
+        Heard {
+            first: (Dead, 1),
+            then: (Alive, 2),
+            believed: Some(Alive),
+        },
+    ];
+    for case in cases {
+        let mut members = Members::new(note("zrh-a/me"), 1);
+        members.hear(1, rumour("zrh-a/other", case.first.0, case.first.1));
+        members.hear(2, rumour("zrh-a/other", case.then.0, case.then.1));
+        assert_eq!(state_of(&members, "zrh-a/other"), case.believed);
+    }
+}
+
+/// A member stops answering: it is suspected, still home of its things, and dead after the time
+/// it had to refute.
+#[test]
+fn a_silent_member_dies_after_suspicion() {
+    let mut members = Members::new(note("zrh-a/me"), 1);
+    members.seed(1_000, note("zrh-a/other"));
+    members.suspect(2_000, HostKey::of("zrh-a/other"));
+    members.expire(3_000);
+    assert_eq!(
+        state_of(&members, "zrh-a/other"),
+        Some(MemberState::Suspect)
+    );
+    assert_eq!(members.homes().count(), 2);
+    members.expire(3_500);
+    assert_eq!(state_of(&members, "zrh-a/other"), None);
+    assert_eq!(members.homes().count(), 1);
+}
+
+/// A host that was paused hears that it is dead: it raises its incarnation above the rumour's.
+#[test]
+fn a_paused_host_refutes_its_death() {
+    let mut members = Members::new(note("zrh-a/me"), 4);
+    members.hear(1, rumour("zrh-a/me", MemberState::Dead, 4));
+    assert_eq!(members.me().incarnation, 5);
+    assert_eq!(members.me().state, MemberState::Alive);
+}
+
+#[test]
+fn a_leaving_host_is_home_of_nothing() {
+    let mut members = Members::new(note("zrh-a/me"), 1);
+    members.seed(1, note("zrh-a/other"));
+    members.leave();
+    let homes = members.homes_of(77, 5);
+    assert_eq!(homes.len(), 1);
+    assert_eq!(homes[0].1.name, "zrh-a/other");
+}
+
+#[test]
+fn homes_are_near_where_anybody_is() {
+    let mut members = Members::new(note("zrh-a/me"), 1);
+    members.seed(1, note("zrh-b/one"));
+    members.seed(1, note("zrh-b/two"));
+    let near = members.homes_near(5, "zrh-b", 3);
+    assert_eq!(near.len(), 2);
+    assert_eq!(members.homes_near(5, "zrh-c", 3).len(), 3);
+}
--- /dev/null
+++ b/crates/policy/tests/home.rs
@@ -0,0 +1,267 @@
+//! The decisions of one home, with the time as an argument.
+
+use fulmarpath_policy::{
+    Ask, AskId, Bounds, Candidate, EngineLoad, Home, HomeSettings, HostKey, Lengths, LimitTable,
+    OrganisationKey, Outcome, Over, RefusalReason, RetryBudget, ServiceKey, UpstreamKey, Weights,
+    pick,
+};
+
+const MEMORY_TOKENS: u32 = 10_000;
+
+fn home() -> Home {
+    Home::new(HomeSettings::new(
+        Weights::default(),
+        1.0,
+        MEMORY_TOKENS,
+        0.0,
+    ))
+}
+
+fn ask(id: u64, organisation: u64, prompt_tokens: u32) -> Ask {
+    Ask {
+        id: AskId(id),
+        host: HostKey(1),
+        organisation: OrganisationKey(organisation),
+        service: ServiceKey(1),
+        weight: 1.0,
+        share: 0.5,
+        prompt_tokens,
+        out_tokens: 0,
+        output_limit_tokens: 500,
+        patience_ms: 10_000,
+        only_now: false,
+        known_tokens: Some(100),
+    }
+}
+
+fn step(home: &mut Home, now_ms: u64) -> Vec<Outcome> {
+    let mut outcomes = Vec::new();
+    home.step(now_ms, &Lengths::new(), &mut outcomes);
+    outcomes
+}
+
+fn granted(outcomes: &[Outcome]) -> Vec<u64> {
+    let granted = outcomes.iter().filter_map(|outcome| match outcome {
+        Outcome::Granted { ask, .. } => Some(ask.0),
+        _ => None,
+    });
+    granted.collect()
+}
+
+fn refused(outcomes: &[Outcome]) -> Vec<(u64, RefusalReason)> {
+    let refused = outcomes.iter().filter_map(|outcome| match outcome {
+        Outcome::Refused { ask, reason, .. } => Some((ask.0, *reason)),
+        _ => None,
+    });
+    refused.collect()
+}
+
+#[test]
+fn what_fits_starts_and_the_rest_waits() {
+    let (mut home, lengths) = (home(), Lengths::new());
+    for id in 0..5 {
+        home.ask(1_000, ask(id, id, 3_000), &lengths);
+    }
+    assert_eq!(granted(&step(&mut home, 1_000)).len(), 3);
+    assert_eq!(home.load().queued, 2);
+}
+
+/// The answer to an ask is lost and the entry host asks again: it gets the same permit, and the
+/// engine's memory is counted once.
+#[test]
+fn an_ask_that_comes_twice_holds_once() {
+    let (mut home, lengths) = (home(), Lengths::new());
+    home.ask(1_000, ask(1, 1, 3_000), &lengths);
+    step(&mut home, 1_000);
+    home.ask(1_300, ask(1, 1, 3_000), &lengths);
+    assert!(step(&mut home, 1_300).is_empty());
+    assert_eq!(home.load().held_tokens, 3_000);
+    assert!(home.granted(AskId(1)).is_some());
+}
+
+/// Another host believes to be home as well and fills the engine: its report shows more than this
+/// home ever held, and so much is kept free.
+#[test]
+fn memory_that_no_permit_explains_is_kept_free() {
+    let (mut home, lengths) = (home(), Lengths::new());
+    home.ask(1_000, ask(1, 1, 100), &lengths);
+    step(&mut home, 1_000);
+    let load = EngineLoad {
+        used_tokens: 9_000,
+        memory_tokens: MEMORY_TOKENS,
+        ..EngineLoad::default()
+    };
+    for report in 0..8 {
+        home.report(1_100 + report * 500, load);
+    }
+    home.ask(5_200, ask(2, 2, 3_000), &lengths);
+    assert!(granted(&step(&mut home, 5_200)).is_empty());
+}
+
+/// An entry host dies: its permits are given out again once nothing was heard of them.
+#[test]
+fn permits_of_a_dead_host_lapse() {
+    let (mut home, lengths) = (home(), Lengths::new());
+    home.ask(1_000, ask(1, 1, 9_000), &lengths);
+    step(&mut home, 1_000);
+    home.ask(2_000, ask(2, 2, 9_000), &lengths);
+    assert!(granted(&step(&mut home, 2_000)).is_empty());
+    assert_eq!(granted(&step(&mut home, 7_100)), [2]);
+}
+
+#[test]
+fn refusals_say_why_and_come_at_once_where_nothing_can_help() {
+    let (mut home, lengths) = (home(), Lengths::new());
+    home.ask(1_000, ask(1, 1, MEMORY_TOKENS), &lengths);
+    assert_eq!(
+        refused(&step(&mut home, 1_000)),
+        [(1, RefusalReason::TooLarge)]
+    );
+    home.ask(1_000, ask(2, 1, 9_000), &lengths);
+    step(&mut home, 1_000);
+    let hurried = Ask {
+        only_now: true,
+        ..ask(3, 1, 9_000)
+    };
+    home.ask(1_000, hurried, &lengths);
+    assert_eq!(
+        refused(&step(&mut home, 1_000)),
+        [(3, RefusalReason::NoRoomNow)]
+    );
+    home.set_leaving(true);
+    home.ask(1_000, ask(4, 1, 10), &lengths);
+    assert_eq!(
+        refused(&step(&mut home, 1_000)),
+        [(4, RefusalReason::Leaving)]
+    );
+}
+
+/// A rival holds more than its share and has many small asks in the queue. An organisation within
+/// its share comes with a large one and is served first; nothing running is touched.
+#[test]
+fn an_owner_goes_before_borrowers() {
+    let (mut home, lengths) = (home(), Lengths::new());
+    let mut permits = Vec::new();
+    for id in 0..3 {
+        home.ask(1_000, ask(id, 1, 3_000), &lengths);
+    }
+    for outcome in step(&mut home, 1_000) {
+        if let Outcome::Granted { permit, .. } = outcome {
+            permits.push(permit);
+        }
+    }
+    home.ask(1_100, ask(10, 1, 200), &lengths);
+    home.ask(1_100, ask(11, 1, 200), &lengths);
+    home.ask(1_200, ask(20, 2, 2_500), &lengths);
+    assert!(granted(&step(&mut home, 1_200)).is_empty());
+    home.cancel(permits[0]);
+    assert_eq!(granted(&step(&mut home, 1_300))[0], 20);
+}
+
+#[test]
+fn resumptions_go_before_new_work() {
+    let (mut home, lengths) = (home(), Lengths::new());
+    home.ask(1_000, ask(1, 1, 9_000), &lengths);
+    let permit = match step(&mut home, 1_000)[0] {
+        Outcome::Granted { permit, .. } => permit,
+        other => panic!("{other:?}"),
+    };
+    home.ask(1_100, ask(2, 2, 100), &lengths);
+    let resumed = Ask {
+        out_tokens: 50,
+        ..ask(3, 1, 8_000)
+    };
+    home.ask(1_200, resumed, &lengths);
+    home.cancel(permit);
+    assert_eq!(granted(&step(&mut home, 1_300))[0], 3);
+}
+
+#[test]
+fn lengths_learn_and_back_off_to_the_service() {
+    let mut lengths = Lengths::new();
+    let (known, new) = (OrganisationKey(1), OrganisationKey(2));
+    for number in 0..400 {
+        lengths.record(number, known, ServiceKey(1), 20);
+    }
+    assert!(lengths.expected(known, ServiceKey(1)) < 60.0);
+    assert!(lengths.expected(new, ServiceKey(1)) < 120.0);
+    let fresh = Lengths::new().expected(new, ServiceKey(2));
+    assert!((50.0..2_000.0).contains(&fresh), "{fresh}");
+    // A shift shows within minutes.
+    for number in 0..400 {
+        lengths.record(60_000 + number * 300, known, ServiceKey(1), 900);
+    }
+    assert!(lengths.expected(known, ServiceKey(1)) > 400.0);
+}
+
+#[test]
+fn limits_hold_and_lapse() {
+    let mut limits = LimitTable::default();
+    let bounds = Bounds {
+        requests_per_s: 10.0,
+        concurrent: 2,
+    };
+    let (one, host) = (OrganisationKey(1), HostKey(1));
+    assert!(limits.take(1_000, one, host, bounds).is_ok());
+    assert!(limits.take(1_000, one, HostKey(2), bounds).is_ok());
+    let over = limits.take(1_100, one, host, bounds);
+    assert!(matches!(over, Err(Over::Concurrency { .. })));
+    // The first host restates that nothing runs any more; the second has died.
+    limits.restate(4_000, one, host, 0);
+    assert!(limits.take(8_000, one, host, bounds).is_ok());
+    let quick = Bounds {
+        requests_per_s: 1.0,
+        concurrent: 100,
+    };
+    let two = OrganisationKey(2);
+    assert!(limits.take(1_000, two, host, quick).is_ok());
+    let over = limits.take(1_250, two, host, quick);
+    assert_eq!(
+        over,
+        Err(Over::Rate {
+            retry_after_ms: 750
+        })
+    );
+}
+
+#[test]
+fn retries_are_a_share_of_first_tries() {
+    let mut budget = RetryBudget::new(0.1, 2.0);
+    let mut made = 0;
+    for _ in 0..100 {
+        budget.first_try();
+        made += u32::from(budget.retry());
+    }
+    assert!((10..=12).contains(&made), "{made}");
+}
+
+#[test]
+fn a_prefix_stays_with_its_engine_until_that_is_loaded() {
+    let candidate = |engine: u64, used_tokens| Candidate {
+        upstream: UpstreamKey(engine),
+        near: true,
+        load: EngineLoad {
+            used_tokens,
+            memory_tokens: 1_000,
+            ..EngineLoad::default()
+        },
+        cached: false,
+    };
+    let even: Vec<Candidate> = (1..6).map(|engine| candidate(engine, 300)).collect();
+    let first = pick(42, &even).expect("a pick").first;
+    assert_eq!(pick(42, &even).expect("a pick").first, first);
+    let loaded: Vec<Candidate> = (1..6)
+        .map(|engine| {
+            candidate(
+                engine,
+                if UpstreamKey(engine) == first {
+                    900
+                } else {
+                    300
+                },
+            )
+        })
+        .collect();
+    assert_ne!(pick(42, &loaded).expect("a pick").first, first);
+    assert_ne!(pick(42, &even).expect("a pick").second, Some(first));
+}
