--- a/crates/cluster/src/homes.rs
+++ b/crates/cluster/src/homes.rs
@@ -27,9 +27,22 @@
 /// Polls without an answer after which an engine gets nothing new.
 const SILENT_POLLS: u32 = 2;
 
+/// What the metrics page shows of an engine whose home this host is.
+#[derive(Debug, Clone, Copy)]
+pub struct EngineSeen {
+    /// The engine.
+    pub upstream: UpstreamKey,
+    /// Its load as the home counts it.
+    pub load: EngineLoad,
+    /// Its own count of preemptions.
+    pub preemptions: u64,
+}
+
 struct Entry {
     home: Home,
     load: EngineLoad,
+    /// The engine's own count since it started.
+    preemptions: u64,
     silent_polls: u32,
     said_leaving: bool,
 }
@@ -242,6 +255,7 @@
         match report {
             Some(report) => {
                 entry.silent_polls = 0;
+                entry.preemptions = report.preemptions;
                 entry.said_leaving = report.state == EngineState::Leaving;
                 entry.load = EngineLoad {
                     running: report.running,
@@ -280,10 +294,16 @@
     }
 
     /// The home's count of each engine, for the metrics page.
-    pub(crate) fn loads(&self) -> Vec<(UpstreamKey, EngineLoad)> {
+    pub(crate) fn loads(&self) -> Vec<EngineSeen> {
         let tables = self.tables.lock();
         let entries = tables.entries.iter();
-        entries.map(|(key, entry)| (*key, entry.load())).collect()
+        entries
+            .map(|(key, entry)| EngineSeen {
+                upstream: *key,
+                load: entry.load(),
+                preemptions: entry.preemptions,
+            })
+            .collect()
     }
 }
 
@@ -294,6 +314,7 @@
             memory_tokens: settings.memory_tokens,
             ..EngineLoad::default()
         },
+        preemptions: 0,
         silent_polls: 0,
         said_leaving: false,
     }
--- a/crates/cluster/src/lib.rs
+++ b/crates/cluster/src/lib.rs
@@ -21,6 +21,7 @@
 pub use clock::Clock;
 pub use configuration::{ChangeKind, Entry, InForce, Parts, Root};
 pub use engines::{Engines, HttpEngines};
+pub use homes::EngineSeen;
 pub use members::Members;
 pub use node::{Generations, Node, NodeSettings, StartError};
 pub use permits::{NotGranted, Permit, PermitWish};
--- a/crates/cluster/src/permits.rs
+++ b/crates/cluster/src/permits.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 
 use fulmarpath_policy::{
-    Ask, AskId, Candidate, EngineLoad, HostKey, Millis, OrganisationKey, RefusalReason, ServiceKey,
+    Ask, AskId, Candidate, HostKey, Millis, OrganisationKey, RefusalReason, ServiceKey,
     UpstreamKey, pick,
 };
 use fulmarpath_upstream::Engine;
@@ -18,6 +18,7 @@
 use spdlog::{info, warn};
 use tokio::time::timeout;
 
+use crate::homes::EngineSeen;
 use crate::node::Node;
 
 /// Between two reports of progress, for each member; a larger fleet reports less often, so that
@@ -510,7 +511,7 @@
     }
 
     /// The last known loads, for the metrics page.
-    pub fn known_loads(&self) -> Vec<(UpstreamKey, EngineLoad)> {
+    pub fn known_loads(&self) -> Vec<EngineSeen> {
         self.homes.loads()
     }
 }
--- a/crates/entry/src/metrics.rs
+++ b/crates/entry/src/metrics.rs
@@ -61,6 +61,7 @@
     pub(crate) engine_running: Family<UpstreamLabel, Gauge>,
     pub(crate) engine_queued: Family<UpstreamLabel, Gauge>,
     pub(crate) engine_used_tokens: Family<UpstreamLabel, Gauge>,
+    pub(crate) engine_preemptions: Family<UpstreamLabel, Gauge>,
     pub(crate) cut_by_stop: Counter,
 }
 
@@ -86,6 +87,7 @@
             engine_running: Family::default(),
             engine_queued: Family::default(),
             engine_used_tokens: Family::default(),
+            engine_preemptions: Family::default(),
             cut_by_stop: Counter::default(),
         };
         metrics.register();
@@ -132,6 +134,11 @@
             "Engine memory in use, by engine whose home this host is",
             self.engine_used_tokens.clone(),
         );
+        registry.register(
+            "engine_preemptions",
+            "Generations that the engine paused since it started, by its own count",
+            self.engine_preemptions.clone(),
+        );
         registry.register(
             "cut_by_stop",
             "Requests that a stop cut at its bound",
--- a/crates/entry/src/server.rs
+++ b/crates/entry/src/server.rs
@@ -73,19 +73,21 @@
 
     pub(crate) fn metrics_page(&self) -> String {
         let metrics = &self.drivers.metrics;
-        for (upstream, load) in self.node.known_loads() {
-            let upstream = self.node.upstream_name(upstream);
+        for seen in self.node.known_loads() {
+            let upstream = self.node.upstream_name(seen.upstream);
             let label = UpstreamLabel { upstream };
-            let set = |family: &prometheus_client::metrics::family::Family<
-                UpstreamLabel,
-                prometheus_client::metrics::gauge::Gauge,
-            >,
-                       value: u32| {
-                family.get_or_create(&label).set(i64::from(value));
-            };
-            set(&metrics.engine_running, load.running);
-            set(&metrics.engine_queued, load.waiting);
-            set(&metrics.engine_used_tokens, load.used_tokens);
+            let gauges = [
+                (&metrics.engine_running, i64::from(seen.load.running)),
+                (&metrics.engine_queued, i64::from(seen.load.waiting)),
+                (
+                    &metrics.engine_used_tokens,
+                    i64::from(seen.load.used_tokens),
+                ),
+                (&metrics.engine_preemptions, seen.preemptions as i64),
+            ];
+            for (gauge, value) in gauges {
+                gauge.get_or_create(&label).set(value);
+            }
         }
         metrics.page()
     }
--- a/crates/policy/src/backlog.rs
+++ b/crates/policy/src/backlog.rs
@@ -1,6 +1,6 @@
 //! How fast a home's queue is served, and who in it can't start in time.
 
-use crate::home::AskId;
+use crate::ask::AskId;
 use crate::key::Millis;
 use crate::queue::{OrderRule, Rank, Waiting, rank};
 
--- a/crates/policy/src/home.rs
+++ b/crates/policy/src/home.rs
@@ -1,173 +1,19 @@
 //! The home of an engine: its permits, its queue, and who starts next.
 
 use serde::{Deserialize, Serialize};
-use slotmap::{SlotMap, new_key_type};
+use slotmap::SlotMap;
 
+use crate::ask::{Ask, AskId, Outcome, PermitKey, RefusalReason};
 use crate::backlog::Backlog;
 use crate::fair::Fairness;
-use crate::fit::{FitRule, Footprint, Forecast};
-use crate::key::{HostKey, Millis, OrganisationKey, ServiceKey};
+use crate::fit::Forecast;
+use crate::home_settings::HomeSettings;
+use crate::key::Millis;
 use crate::lengths::Lengths;
 use crate::load::EngineLoad;
-use crate::queue::{OrderRule, Waiting, next};
+use crate::permit::{Permit, wanted};
+use crate::queue::{Waiting, next};
 use crate::unexplained::Unexplained;
-use crate::weights::Weights;
-
-new_key_type! {
-    /// A permit in its home's arena.
-    pub struct PermitKey;
-}
-
-/// Names an ask; chosen by the entry host, unique over all hosts.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
-pub struct AskId(pub u64);
-
-/// A wish to start a generation on the engine.
-#[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
-pub struct Ask {
-    /// Names this ask.
-    pub id: AskId,
-    /// The entry host that asks.
-    pub host: HostKey,
-    /// For whom.
-    pub organisation: OrganisationKey,
-    /// For which service.
-    pub service: ServiceKey,
-    /// The organisation's weight in the preset in force.
-    pub weight: f32,
-    /// Its guaranteed share of the engine's memory.
-    pub share: f32,
-    /// Prompt tokens.
-    pub prompt_tokens: u32,
-    /// Tokens that are out already, where a generation is resumed.
-    pub out_tokens: u32,
-    /// The answer's bound.
-    pub output_limit_tokens: u32,
-    /// How long the ask may wait.
-    pub patience_ms: Millis,
-    /// Whether to refuse at once rather than queue.
-    pub only_now: bool,
-    /// The whole length, where it is known (the bench's oracle).
-    pub known_tokens: Option<u32>,
-}
-
-impl Ask {
-    /// Whether the caller has tokens of this generation already.
-    pub fn is_resumption(&self) -> bool {
-        self.out_tokens > 0
-    }
-}
-
-/// How a home decides; follows from the preset in force.
-#[derive(Debug, Clone, Copy, PartialEq)]
-pub struct HomeSettings {
-    /// The engine's memory.
-    pub memory_tokens: u32,
-    /// How memory is kept from filling up.
-    pub fit: FitRule,
-    /// Who is served next.
-    pub order: OrderRule,
-    /// How far an organisation may run ahead of one that waits, in tokens a weight.
-    pub lead_bound_tokens: f64,
-    /// The share of memory up to which work above an organisation's own share may start.
-    pub lend_share: f32,
-    /// Time that the engine spends on a prompt's token; 0 turns pacing off.
-    pub prompt_ms_per_token: f32,
-    /// Whether to move a generation off an engine about to fill.
-    pub moves: bool,
-    /// An ask whose predicted wait exceeds this multiple of its patience is refused at once; 0
-    /// waits for each to run out.
-    pub early: f32,
-    /// The longest queue.
-    pub queue_limit: usize,
-    /// A permit without a word from its host for so long lapses.
-    pub lapse_ms: Millis,
-}
-
-/// After so long a footprint counts for half in the queue's order.
-const HALF_AGE_MS: Millis = 30_000;
-const LEAD_BOUND_TOKENS: f64 = 20_000.0;
-const EARLY: f32 = 0.4;
-const PACE: f32 = 1.5;
-const QUEUE_LIMIT: usize = 256;
-const LAPSE_MS: Millis = 6_000;
-
-impl HomeSettings {
-    /// What the product uses under a preset; docs/POLICY.md has the figures behind each constant.
-    pub fn new(
-        weights: Weights,
-        lend_share: f32,
-        memory_tokens: u32,
-        prompt_ms_per_token: f32,
-    ) -> Self {
-        Self {
-            memory_tokens,
-            fit: FitRule::Normal {
-                z: weights.caution(),
-                share: 1.0,
-            },
-            order: OrderRule::SmallestFirst {
-                half_age_ms: HALF_AGE_MS,
-            },
-            lead_bound_tokens: LEAD_BOUND_TOKENS,
-            lend_share,
-            prompt_ms_per_token: prompt_ms_per_token * PACE,
-            moves: true,
-            early: EARLY,
-            queue_limit: QUEUE_LIMIT,
-            lapse_ms: LAPSE_MS,
-        }
-    }
-}
-
-/// Why a home refuses. A refused ask was certainly not run.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
-pub enum RefusalReason {
-    /// The queue is at its bound.
-    QueueFull,
-    /// It could not start within its patience.
-    TooLate,
-    /// It asked to start at once and can't.
-    NoRoomNow,
-    /// It can never fit into this engine.
-    TooLarge,
-    /// The engine takes nothing new.
-    Leaving,
-}
-
-/// What a home has decided.
-#[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
-pub enum Outcome {
-    /// The generation may start.
-    Granted {
-        /// The ask.
-        ask: AskId,
-        /// The host that asked.
-        host: HostKey,
-        /// Names the permit from now on.
-        permit: PermitKey,
-        /// The engine's priority for it.
-        priority: i32,
-    },
-    /// The generation may not start here.
-    Refused {
-        /// The ask.
-        ask: AskId,
-        /// The host that asked.
-        host: HostKey,
-        /// Why.
-        reason: RefusalReason,
-        /// When to come back.
-        retry_after_ms: Millis,
-    },
-    /// The engine is about to fill: resume this generation elsewhere if another has room now.
-    Move {
-        /// The permit to move.
-        permit: PermitKey,
-        /// The host that holds it.
-        host: HostKey,
-    },
-}
 
 /// A home's own count of its engine.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
@@ -180,57 +26,8 @@
     pub held_tokens: u32,
 }
 
-#[derive(Debug)]
-struct Permit {
-    ask: Ask,
-    out_tokens: u32,
-    heard_at_ms: Millis,
-    draw: f32,
-    priority: i32,
-    /// When a move was last asked for.
-    moved_at_ms: Option<Millis>,
-}
-
-impl Permit {
-    fn held_tokens(&self) -> u32 {
-        self.ask.prompt_tokens + self.out_tokens
-    }
-
-    /// Tokens out by now: the last report, and what the engine's pace adds to it. Without that a
-    /// home would overfill its engine by what a whole batch decodes between two reports.
-    fn likely_out_tokens(&self, now_ms: Millis, tokens_per_ms: f32) -> u32 {
-        let since_ms = now_ms.saturating_sub(self.heard_at_ms).min(PACE_BOUND_MS);
-        let likely = self.out_tokens + (since_ms as f32 * tokens_per_ms) as u32;
-        let most = self.ask.known_tokens.unwrap_or(u32::MAX);
-        likely.min(self.ask.output_limit_tokens).min(most)
-    }
-
-    fn footprint<'a>(&self, out_tokens: u32, lengths: &'a Lengths) -> Footprint<'a> {
-        footprint(&self.ask, out_tokens, self.draw, lengths)
-    }
-}
-
-fn footprint<'a>(ask: &Ask, out_tokens: u32, draw: f32, lengths: &'a Lengths) -> Footprint<'a> {
-    Footprint {
-        prompt_tokens: ask.prompt_tokens as f32,
-        out_tokens: out_tokens as f32,
-        limit_tokens: ask.output_limit_tokens as f32,
-        curve: lengths.curve(ask.organisation, ask.service),
-        known_tokens: ask.known_tokens.map(|tokens| tokens as f32),
-        draw,
-    }
-}
-
-/// A draw that stays with its ask, so that a prediction doesn't jump from step to step.
-fn draw(ask: AskId) -> f32 {
-    let hash = xxhash_rust::xxh3::xxh3_64(&ask.0.to_le_bytes());
-    (hash >> 40) as f32 / (1u64 << 24) as f32
-}
-
 /// Steps ahead at which an engine counts as about to fill.
 const FILLING_STEPS: u32 = 24;
-/// The pace of a batch is trusted for so long after a report.
-const PACE_BOUND_MS: Millis = 1_500;
 const PACE_GAIN: f32 = 0.05;
 const MOVE_PAUSE_MS: Millis = 200;
 const MOVE_AGAIN_MS: Millis = 2_000;
@@ -526,7 +323,7 @@
             } else {
                 memory
             };
-            let wanted = footprint(&ask, ask.out_tokens, draw(ask.id), lengths);
+            let wanted = wanted(&ask, lengths);
             // An empty engine takes anything that isn't too large, or a careful rule would leave
             // a caller waiting before an idle engine.
             let idle = self.permits.is_empty() && self.unexplained.tokens() < 1.0;
@@ -574,14 +371,7 @@
         let tokens = ask.prompt_tokens + ask.out_tokens;
         self.fairness.start(ask.organisation, tokens);
         self.held_tokens += u64::from(tokens);
-        self.permits.insert(Permit {
-            ask,
-            out_tokens: ask.out_tokens,
-            heard_at_ms: now_ms,
-            draw: draw(ask.id),
-            priority,
-            moved_at_ms: None,
-        })
+        self.permits.insert(Permit::new(now_ms, ask, priority))
     }
 
     /// Asks for the move that loses least, where the engine would fill within a few steps.
@@ -607,7 +397,7 @@
                 .is_none_or(|at_ms| now_ms.saturating_sub(at_ms) > MOVE_AGAIN_MS)
         });
         let best = candidates.min_by(|(_, one), (_, other)| {
-            move_loss(one, lengths).total_cmp(&move_loss(other, lengths))
+            one.move_loss(lengths).total_cmp(&other.move_loss(lengths))
         });
         let Some((permit, _)) = best else { return };
         let entry = &mut self.permits[permit];
@@ -642,11 +432,3 @@
         sum == self.held_tokens
     }
 }
-
-/// Tokens computed anew for each token of memory freed over the time to come.
-fn move_loss(permit: &Permit, lengths: &Lengths) -> f32 {
-    let footprint = permit.footprint(permit.out_tokens, lengths);
-    let remaining =
-        (footprint.curve.expected(footprint.out_tokens) - footprint.out_tokens).max(1.0);
-    permit.held_tokens() as f32 / remaining
-}
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -3,14 +3,17 @@
 //! Nothing here performs input or output or reads a clock: the present time is an argument, in
 //! milliseconds since a start that the caller chooses.
 
+mod ask;
 mod backlog;
 mod fair;
 mod fit;
 mod home;
+mod home_settings;
 mod key;
 mod lengths;
 mod limits;
 mod load;
+mod permit;
 mod pick;
 mod queue;
 mod rendezvous;
@@ -18,9 +21,11 @@
 mod unexplained;
 mod weights;
 
+pub use ask::{Ask, AskId, Outcome, PermitKey, RefusalReason};
 pub use fair::Fairness;
 pub use fit::{FitRule, Footprint};
-pub use home::{Ask, AskId, Home, HomeLoad, HomeSettings, Outcome, PermitKey, RefusalReason};
+pub use home::{Home, HomeLoad};
+pub use home_settings::HomeSettings;
 pub use key::{HostKey, Millis, ModelKey, OrganisationKey, ServiceKey, UpstreamKey};
 pub use lengths::{Curve, Lengths};
 pub use limits::{Bounds, LimitTable, Over};
--- a/crates/policy/src/queue.rs
+++ b/crates/policy/src/queue.rs
@@ -1,7 +1,7 @@
 //! The order in which a home's queue is served.
 
+use crate::ask::Ask;
 use crate::fair::Fairness;
-use crate::home::Ask;
 use crate::key::Millis;
 
 /// Which ask is served next, among those that fairness allows.
