Give engines orders under a fenced lease

Cause: versions of models were declared and nobody told the engines; some engines refuse an old fencing number and some ignore it.

Change: one orderer a model, at the model's home, holds a lease in the object API; its fencing number grows with each new holder. Clocks are never compared: the holder counts from before it sent its renewal, the successor from when it last saw the record change, and waits out the lease and an order's way. At most two loads a period for each model.

Measured: a holder paused past its lease gives no order, to engines that check and to those that ignore the number; without the platform no order outlives the lease. With the check of the remaining time taken out the test of the paused holder and that of the outage fail.

--- a/crates/cluster/src/node.rs
+++ b/crates/cluster/src/node.rs
@@ -147,6 +147,7 @@
         tokio::spawn(node.clone().poll_engines());
         tokio::spawn(node.clone().report_progress());
         tokio::spawn(node.clone().tidy_peers());
+        tokio::spawn(node.clone().give_orders());
         info!("node: {} started", node.settings.host);
         Ok(node)
     }
--- /dev/null
+++ b/crates/cluster/tests/common/mod.rs
@@ -0,0 +1,89 @@
+//! An object API in memory.
+
+use std::collections::HashMap;
+use std::time::Duration;
+
+use async_trait::async_trait;
+use bytes::Bytes;
+use fulmarpath_http::HttpError;
+use fulmarpath_platform::{Object, ObjectApi, PlatformError, Version};
+use parking_lot::Mutex;
+
+/// An object API in memory, with answers to lose.
+#[derive(Default)]
+pub(crate) struct Fake {
+    pub(crate) objects: Mutex<HashMap<String, (Version, Bytes)>>,
+    pub(crate) lose_answers: Mutex<u32>,
+    pub(crate) down: Mutex<bool>,
+}
+
+const FAILED: HttpError = HttpError::Unanswered {
+    address: std::net::SocketAddr::new(std::net::IpAddr::V4(std::net::Ipv4Addr::LOCALHOST), 1),
+};
+
+impl Fake {
+    fn write(
+        &self,
+        key: &str,
+        value: Bytes,
+        expected: Option<Version>,
+    ) -> Result<Version, PlatformError> {
+        if *self.down.lock() {
+            return Err(PlatformError::NotDone(FAILED));
+        }
+        let mut objects = self.objects.lock();
+        let held = objects.get(key).map(|(version, _)| *version);
+        if held != expected {
+            return Err(PlatformError::Conflict { key: key.into() });
+        }
+        let version = held.unwrap_or(0) + 1;
+        objects.insert(key.to_owned(), (version, value));
+        let mut lose = self.lose_answers.lock();
+        if *lose > 0 {
+            *lose -= 1;
+            return Err(PlatformError::Unsure(FAILED));
+        }
+        Ok(version)
+    }
+}
+
+#[async_trait]
+impl ObjectApi for Fake {
+    async fn read(&self, key: &str) -> Result<Option<Object>, PlatformError> {
+        if *self.down.lock() {
+            return Err(PlatformError::NotDone(FAILED));
+        }
+        let objects = self.objects.lock();
+        Ok(objects.get(key).map(|(version, value)| Object {
+            version: *version,
+            value: value.clone(),
+        }))
+    }
+
+    async fn create(&self, key: &str, value: Bytes) -> Result<Version, PlatformError> {
+        self.write(key, value, None)
+    }
+
+    async fn replace(
+        &self,
+        key: &str,
+        value: Bytes,
+        expected: Version,
+    ) -> Result<Version, PlatformError> {
+        self.write(key, value, Some(expected))
+    }
+
+    async fn delete(&self, key: &str) -> Result<(), PlatformError> {
+        self.objects.lock().remove(key);
+        Ok(())
+    }
+
+    async fn watch(
+        &self,
+        key: &str,
+        _seen: Version,
+        _bound: Duration,
+    ) -> Result<Option<Object>, PlatformError> {
+        self.read(key).await
+    }
+}
