--- a/crates/cluster/tests/orders.rs
+++ b/crates/cluster/tests/orders.rs
@@ -18,6 +18,8 @@
 struct FakeEngine {
     checks: bool,
     taken: Mutex<Vec<Order>>,
+    /// The orderer's process is paused for so long while this engine takes an order.
+    pause_ms: u64,
 }
 
 #[async_trait]
@@ -43,6 +45,7 @@
     }
 
     async fn order(&self, order: &Order) -> Result<bool, EngineError> {
+        tokio::time::advance(Duration::from_millis(self.pause_ms)).await;
         let mut taken = self.taken.lock();
         let newest = taken.iter().map(|order| order.fencing).max().unwrap_or(0);
         if self.checks && order.fencing < newest {
@@ -83,6 +86,7 @@
         let engine = Arc::new(FakeEngine {
             checks,
             taken: Mutex::default(),
+            pause_ms: 0,
         });
         let mut paused = Orderer::new(api.clone(), clock, "host-1", "gutachter-lm");
         let mut other = Orderer::new(api.clone(), clock, "host-2", "gutachter-lm");
@@ -95,14 +99,37 @@
     }
 }
 
-/// The platform is down: the holder goes on while its last renewal lasts, and then stops.
+/// The holder is paused in the middle of a turn, after it has read and renewed its lease and given
+/// a first order. When it wakes the lease is over, and the second engine, which ignores the
+/// number, must get no order.
 #[tokio::test(start_paused = true)]
-async fn without_the_platform_no_order_outlives_the_lease() {
+async fn a_pause_between_two_orders_stops_the_second() {
+    let api = Arc::new(Fake::default());
+    let engine = |pause_ms| {
+        Arc::new(FakeEngine {
+            checks: false,
+            taken: Mutex::default(),
+            pause_ms,
+        })
+    };
+    let (first, second) = (engine(LEASE_MS - ORDER_MS), engine(0));
+    let mut wanted_of_both = wanted(&first, "1");
+    wanted_of_both.extend(wanted(&second, "1"));
+    wanted_of_both[1].engine = "engine-2".to_owned();
+    let mut holder = Orderer::new(api, Clock::start(), "host-1", "gutachter-lm");
+    assert_eq!(holder.turn(&wanted_of_both).await, Ok(1));
+    assert_eq!((numbers(&first), numbers(&second)), (vec![1], vec![]));
+}
+
+/// The platform is down: the holder can't read its lease, and gives no order.
+#[tokio::test(start_paused = true)]
+async fn without_the_platform_no_order_is_given() {
     let api = Arc::new(Fake::default());
     let clock = Clock::start();
     let engine = Arc::new(FakeEngine {
         checks: false,
         taken: Mutex::default(),
+        pause_ms: 0,
     });
     let mut holder = Orderer::new(api.clone(), clock, "host-1", "gutachter-lm");
     assert_eq!(holder.turn(&wanted(&engine, "1")).await, Ok(1));
