Trace each hop, and carry the caller's trace to the engine

Cause: the house style asks for a span for each hop; there was none.

Change: spans entry.request, home.permit, tarpc's own for each call between hosts, and engine.generate, below the caller's traceparent; sent by OTLP where otlp_address is set. Without it the caller's trace goes on unchanged.

Measured: after SIGTERM a collector has the three spans and the caller's trace id; a stand-in engine has the caller's traceparent as it was sent.

Conclusion: plain services don't carry the trace yet.

--- a/crates/bench/src/cmd/relay.rs
+++ b/crates/bench/src/cmd/relay.rs
@@ -109,6 +109,7 @@
 
     async fn direct(&self, engine: SocketAddr, number: usize) -> Result<Call, HttpError> {
         let request = GenerateRequest {
+            traceparent: None,
             generation: format!("direct-{number}"),
             attempt: 1,
             model: "gutachter-lm".to_owned(),
--- a/crates/bench/src/faults/session.rs
+++ b/crates/bench/src/faults/session.rs
@@ -100,6 +100,7 @@
         prompt: part.prompt(),
         idempotency_key: key,
         last_event_id: None,
+        traceparent: None,
     };
     let mut sofar: Vec<String> = Vec::new();
     let mut last = None;
--- a/crates/entry/src/drive.rs
+++ b/crates/entry/src/drive.rs
@@ -11,8 +11,10 @@
 };
 use parking_lot::Mutex;
 use spdlog::{info, warn};
+use tracing::{Instrument, info_span};
 
 use crate::generation::Generation;
+use crate::hop::Hop;
 use crate::metrics::{CallerLabels, Metrics, ServiceLabel};
 use crate::outcome::{End, NotRun, NotRunReason, Unsent};
 
@@ -69,6 +71,7 @@
     pub(crate) prompt: String,
     pub(crate) labels: CallerLabels,
     pub(crate) since_ms: Millis,
+    pub(crate) hop: Hop,
 }
 
 /// How relaying from one stream ended.
@@ -167,7 +170,7 @@
             wish.without = without.clone();
             wish.out_tokens = self.job.generation.next_index();
             let asked = tokio::select! {
-                asked = self.drivers.node.permit(&wish) => asked,
+                asked = self.drivers.node.permit(&wish).instrument(info_span!("home.permit")) => asked,
                 () = self.left() => return Err(self.end_left(unsent)),
             };
             let error = match asked {
@@ -210,7 +213,9 @@
     ) -> Option<Box<dyn TokenStream>> {
         self.attempt += 1;
         self.drivers.budget(permit.upstream, RetryBudget::first_try);
+        let span = info_span!("engine.generate", attempt = self.attempt);
         let request = GenerateRequest {
+            traceparent: self.job.hop.traceparent(&span),
             generation: self.job.generation.name().to_owned(),
             attempt: self.attempt,
             model: self.job.wish.model.clone(),
@@ -220,7 +225,8 @@
             priority: permit.priority,
         };
         let first = unsent.take().is_some();
-        match permit.engine.generate(&request).await {
+        let sent = permit.engine.generate(&request);
+        match sent.instrument(span).await {
             Ok(stream) => Some(stream),
             Err(EngineError::NotRun(_)) => {
                 if first {
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -4,6 +4,7 @@
 mod attach;
 mod drive;
 mod generation;
+mod hop;
 mod identity;
 mod metrics;
 mod operator;
--- a/crates/entry/src/routes.rs
+++ b/crates/entry/src/routes.rs
@@ -12,6 +12,7 @@
 use hyper::{Method, Request, StatusCode};
 
 use crate::answer::{Writing, answer};
+use crate::hop::Hop;
 use crate::identity::parse_event_id;
 use crate::outcome::{NotRun, NotRunReason, Unsent};
 use crate::plain;
@@ -130,7 +131,8 @@
         return Ok(answer(generation, writing, clock).await);
     }
     let _stream = entry.open_stream()?;
-    let checked = check(entry, in_force, organisation, wanted)?;
+    let hop = Hop::start(&parts.headers, &wanted.service);
+    let checked = check(entry, in_force, organisation, wanted, hop)?;
     let generation = match header(&parts.headers, "idempotency-key") {
         Some(key) if key.is_empty() || key.len() > KEY_LIMIT_BYTES => {
             return Err(Problem::Malformed {
--- a/crates/entry/src/submit.rs
+++ b/crates/entry/src/submit.rs
@@ -6,11 +6,13 @@
 use fulmarpath_policy::{Bounds, HostKey, OrganisationKey, ServiceKey};
 use fulmarpath_settings::{Organisation, ServiceKind};
 use fulmarpath_wire::{ClaimAnswer, ClaimAsk};
+use tracing::Instrument;
 use xxhash_rust::xxh3::xxh3_128;
 
 use crate::attach::{Standing, mirror, standing};
 use crate::drive::{Job, drive};
 use crate::generation::Generation;
+use crate::hop::Hop;
 use crate::identity::{new_name, parse_name};
 use crate::outcome::{End, NotRun, NotRunReason, Unsent};
 use crate::problem::Problem;
@@ -24,6 +26,7 @@
     pub(crate) model: String,
     pub(crate) output_limit_tokens: u32,
     pub(crate) wanted: Wanted,
+    pub(crate) hop: Hop,
 }
 
 /// Checks a request against the declarations in force.
@@ -32,6 +35,7 @@
     in_force: Arc<InForce>,
     organisation: Organisation,
     wanted: Wanted,
+    hop: Hop,
 ) -> Result<Checked, Problem> {
     const NO_SERVICE: Problem = Problem::NotFound {
         what: "a generation service of this name",
@@ -61,6 +65,7 @@
         model,
         output_limit_tokens,
         wanted,
+        hop,
     })
 }
 
@@ -214,12 +219,15 @@
         labels: metrics.caller(&checked.organisation.name, &wanted.service),
         prompt: wanted.prompt,
         since_ms: now_ms,
+        hop: checked.hop,
     };
+    let span = job.hop.span.clone();
     let entry = entry.clone();
-    tokio::spawn(async move {
+    let driving = async move {
         drive(entry.drivers.clone(), job, unsent).await;
         entry.node.give_slot(organisation);
-    });
+    };
+    tokio::spawn(driving.instrument(span));
     generation
 }
 
--- a/crates/settings/src/host.rs
+++ b/crates/settings/src/host.rs
@@ -46,6 +46,8 @@
     pub stream_limit: usize,
     /// SHA-256, in hex, of the operators' key.
     pub operator_key_sha256: String,
+    /// Where to send traces by OTLP; nowhere if it isn't written.
+    pub otlp_address: Option<SocketAddr>,
     /// The form of log lines.
     pub log_form: LogForm,
 }
@@ -92,6 +94,11 @@
     );
     let streams = reader.count(fields, "stream_limit", 1..=1_000_000, Some(4_096));
     let operator_key = reader.text(fields, "operator_key_sha256");
+    let otlp_address = if reader.has(fields, "otlp_address") {
+        reader.address(fields, "otlp_address")
+    } else {
+        None
+    };
     let log_form = log_form(reader, fields);
     Some(HostSettings {
         host: host?.0,
@@ -108,6 +115,7 @@
         body_limit_bytes: body? as usize,
         stream_limit: streams? as usize,
         operator_key_sha256: operator_key?.0,
+        otlp_address,
         log_form: log_form?,
     })
 }
--- a/crates/standin/src/engine.rs
+++ b/crates/standin/src/engine.rs
@@ -50,6 +50,8 @@
     pub starts: HashMap<String, u32>,
     /// The generations that were started for a prompt.
     pub generations: HashMap<String, HashSet<String>>,
+    /// The traces that starts belonged to.
+    pub traceparents: Vec<String>,
     /// How long after the engine began to leave the last start was asked of it.
     pub last_ask_after_leaving_ms: u64,
     /// Tokens computed by generation.
@@ -247,6 +249,7 @@
         let mut state = self.state.lock();
         let starts = &mut state.record.starts;
         *starts.entry(request.generation.clone()).or_default() += 1;
+        state.record.traceparents.extend(request.traceparent);
         let same = state.record.generations.entry(request.prompt.clone());
         same.or_default().insert(request.generation.clone());
         if let Some(old) = state.by_name.insert(request.generation.clone(), id) {
--- a/crates/upstream/src/message.rs
+++ b/crates/upstream/src/message.rs
@@ -5,6 +5,8 @@
 /// Starts a generation, or goes on with one that another engine began.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct GenerateRequest {
+    /// The trace that the generation belongs to (W3C Trace Context).
+    pub traceparent: Option<String>,
     /// Names the generation; every token carries it back.
     pub generation: String,
     /// Which dispatch of the generation this is; every token carries it back.
--- a/src/cmd/serve.rs
+++ b/src/cmd/serve.rs
@@ -4,7 +4,7 @@
 
 use bpaf::Bpaf;
 use fulmarpath::settings::read_host;
-use fulmarpath::{Host, init_log};
+use fulmarpath::{Host, init_log, init_traces};
 use tokio::signal::unix::{Signal, SignalKind, signal};
 
 use super::{Run, block_on};
@@ -23,6 +23,10 @@
     fn run(&self) -> Result<(), CommandError> {
         let settings = read_host(&self.settings)?;
         init_log(settings.log_form)?;
+        let traces = settings
+            .otlp_address
+            .map(|address| init_traces(address, &settings.host));
+        let _traces = traces.transpose()?;
         block_on(async {
             let mut terminate = listen(SignalKind::terminate())?;
             let mut interrupt = listen(SignalKind::interrupt())?;
--- a/src/dev.rs
+++ b/src/dev.rs
@@ -206,6 +206,7 @@
             body_limit_bytes: 1_048_576,
             stream_limit: 4_096,
             operator_key_sha256: key_hash(OPERATOR_KEY),
+            otlp_address: None,
             log_form: LogForm::Text,
         }
     }
--- a/src/dev/caller.rs
+++ b/src/dev/caller.rs
@@ -23,6 +23,8 @@
     pub idempotency_key: Option<String>,
     /// Goes on after this event.
     pub last_event_id: Option<String>,
+    /// The caller's own trace.
+    pub traceparent: Option<String>,
 }
 
 /// What a caller got.
@@ -93,6 +95,9 @@
     if let Some(id) = &ask.last_event_id {
         headers.push(("last-event-id", id));
     }
+    if let Some(trace) = &ask.traceparent {
+        headers.push(("traceparent", trace));
+    }
     let body = json!({ "model": "reports", "prompt": ask.prompt, "stream": true });
     let path = "/v1/completions";
     call(address, Method::POST, path, &headers, body.to_string()).await
--- a/src/error.rs
+++ b/src/error.rs
@@ -4,7 +4,7 @@
 use std::path::PathBuf;
 
 use fulmarpath::settings::Mistakes;
-use fulmarpath::{HostError, LogError, dev::DevError};
+use fulmarpath::{HostError, LogError, TraceError, dev::DevError};
 use miette::Diagnostic;
 
 /// A command failed.
@@ -23,6 +23,9 @@
     /// The log could not be set up.
     #[error("could not log")]
     Log(#[from] LogError),
+    /// Traces could not be set up.
+    #[error("could not trace")]
+    Trace(#[from] TraceError),
     /// The runtime could not start.
     #[error("could not start the runtime")]
     Runtime(#[source] std::io::Error),
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -5,9 +5,11 @@
 pub mod dev;
 mod host;
 mod log;
+mod trace;
 
 pub use fulmarpath_cluster as cluster;
 pub use fulmarpath_entry as entry;
 pub use fulmarpath_settings as settings;
 pub use host::{Host, HostError};
 pub use log::{LogError, init as init_log};
+pub use trace::{TraceError, Traces, init as init_traces};
--- a/tests/answers.rs
+++ b/tests/answers.rs
@@ -72,3 +72,18 @@
     let refused = complete(deployment.caller_address(1), &rival).await;
     assert_eq!(refused.problem.as_deref(), Some("not-found"));
 }
+
+/// Without a collector the caller's trace goes on unchanged to the engine.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_trace_goes_on_to_the_engine() {
+    let deployment = deployment().await;
+    let trace = "00-0af7651916cd43dd8448eb211c80319c-b7ad6b7169203331-01";
+    let traced = Ask {
+        traceparent: Some(trace.to_owned()),
+        ..ask("traced #2")
+    };
+    complete(deployment.caller_address(0), &traced).await;
+    let records = deployment.engines.iter().map(|engine| engine.record());
+    let traces: Vec<String> = records.flat_map(|record| record.traceparents).collect();
+    assert_eq!(traces, [trace]);
+}
--- a/tests/processes.rs
+++ b/tests/processes.rs
@@ -1,9 +1,10 @@
 //! Hosts as separate processes, with the signals that a machine gives them.
 
-use std::io::{BufRead, BufReader, Write};
+use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpListener};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, ExitStatus, Stdio};
+use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
 use fulmarpath::dev::caller::{Ask, Got, complete, expected, open, read};
@@ -44,7 +45,42 @@
     }
 }
 
+/// Takes whatever comes and answers 200, as a collector of traces would.
+struct Collector {
+    address: SocketAddr,
+    received: Arc<Mutex<Vec<u8>>>,
+}
+
+impl Collector {
+    fn start() -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
+        let address = listener.local_addr().expect("an address");
+        let received = Arc::new(Mutex::new(Vec::new()));
+        let sink = received.clone();
+        std::thread::spawn(move || {
+            for mut socket in listener.incoming().flatten() {
+                let sink = sink.clone();
+                std::thread::spawn(move || {
+                    let mut buffer = [0; 65_536];
+                    while let Ok(count @ 1..) = socket.read(&mut buffer) {
+                        sink.lock().expect("a lock").extend(&buffer[..count]);
+                        let answer = b"HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n";
+                        let _ = socket.write_all(answer);
+                    }
+                });
+            }
+        });
+        Self { address, received }
+    }
+
+    fn has(&self, wanted: &[u8]) -> bool {
+        let received = self.received.lock().expect("a lock");
+        received.windows(wanted.len()).any(|part| part == wanted)
+    }
+}
+
 struct Hosts {
+    collector: Collector,
     directory: PathBuf,
     hosts: Vec<(Process, SocketAddr)>,
     _standin: Process,
@@ -73,6 +109,7 @@
     };
     let (object_api, host_list) = (address(), address());
     std::fs::write(directory.join("operator.key"), OPERATOR_KEY).expect("the key is written");
+    let collector = Collector::start();
     let hosts = (0..centres.len()).map(|number| {
         let caller = free_address();
         let file = directory.join(format!("host-{number}.yaml"));
@@ -82,9 +119,10 @@
             "host: host-{number}\ndata_centre: {}\ncaller_address: {caller}\n\
              peer_address: {}\nobject_api_address: {object_api}\n\
              host_list_address: {host_list}\nsilence_bound_ms: 500\nlinger_ms: 200\n\
-             operator_key_sha256: {}",
+             otlp_address: {}\noperator_key_sha256: {}",
             centres[number],
             peers[number],
+            collector.address,
             fulmarpath::settings::key_hash(OPERATOR_KEY),
         )
         .expect("the settings are written");
@@ -97,6 +135,7 @@
     });
     Hosts {
         hosts: hosts.collect(),
+        collector,
         directory,
         _standin: Process(standin),
     }
@@ -174,20 +213,34 @@
     );
 }
 
-/// SIGTERM while an answer streams: the answer is finished, then the process ends with 0.
+/// SIGTERM while an answer streams: the answer is finished, then the process ends with 0. The
+/// spans of its hops, in the caller's own trace, have reached the collector by then.
 #[tokio::test(flavor = "multi_thread")]
 async fn a_terminated_process_finishes_its_answers() {
     let mut hosts = start("terminate");
     hosts.apply();
     hosts.answer(0, "ready? #2").await;
     let prompt = "runs into SIGTERM #120";
-    let call = open(hosts.hosts[0].1, &ask(prompt)).await;
+    let traced = Ask {
+        traceparent: Some("00-0af7651916cd43dd8448eb211c80319c-b7ad6b7169203331-01".to_owned()),
+        ..ask(prompt)
+    };
+    let call = open(hosts.hosts[0].1, &traced).await;
     let reading = tokio::spawn(read(call, usize::MAX));
     hosts.hosts[0].0.signal("TERM");
     let got = reading.await.expect("the caller reads");
     assert_eq!(got.text(), expected(prompt));
-    let status = tokio::task::spawn_blocking(move || hosts.hosts[0].0.wait()).await;
-    assert!(status.expect("it is waited for").success());
+    let ended = tokio::task::spawn_blocking(move || (hosts.hosts[0].0.wait(), hosts)).await;
+    let (status, hosts) = ended.expect("it is waited for");
+    assert!(status.success());
+    for span in ["entry.request", "home.permit", "engine.generate"] {
+        assert!(hosts.collector.has(span.as_bytes()), "{span}");
+    }
+    let trace_id = [
+        0x0a, 0xf7, 0x65, 0x19, 0x16, 0xcd, 0x43, 0xdd, 0x84, 0x48, 0xeb, 0x21, 0x1c, 0x80, 0x31,
+        0x9c,
+    ];
+    assert!(hosts.collector.has(&trace_id));
 }
 
 /// One process is killed and another is paused for 4 s, past everybody's patience. Callers of the
