Take the connections that wait before closing a listener

Ruled out: a busy machine (it came again on an idle one).

Change: after the stop the system itself is asked for connections that wait; and a connection that was just taken has 200 ms to bring its first request before hyper is told to stop, which closes an idle one at once.

Conclusion: what remains is the moment between the last question and the close, and a balancer has left the host by then.

--- a/crates/http/src/server.rs
+++ b/crates/http/src/server.rs
@@ -2,6 +2,7 @@
 
 use std::convert::Infallible;
 use std::sync::Arc;
+use std::time::Duration;
 
 use bytes::Bytes;
 use futures::Stream;
@@ -13,16 +14,19 @@
 use hyper::service::service_fn;
 use hyper::{Request, Response, StatusCode};
 use hyper_util::rt::{TokioIo, TokioTimer};
-use hyper_util::server::graceful::GracefulShutdown;
 use serde::Serialize;
-use tokio::net::TcpListener;
+use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
+use tokio_util::task::TaskTracker;
 
 /// The body of a reply.
 pub type Body = UnsyncBoxBody<Bytes, Infallible>;
 /// A whole reply.
 pub type Reply = Response<Body>;
 
+/// How long a connection that has just been taken may keep its first request to itself.
+const FIRST_REQUEST_GRACE: Duration = Duration::from_millis(200);
+
 /// Serves connections until `stop` turns true, then finishes the exchanges that run.
 ///
 /// `header_limit_bytes` bounds a request's head; a longer one is refused by hyper with status 431.
@@ -36,29 +40,74 @@
     F: Future<Output = Reply> + Send + 'static,
 {
     let handler = Arc::new(handler);
-    let graceful = GracefulShutdown::new();
+    let connections = TaskTracker::new();
+    let stopped = stop.clone();
+    let take = |socket: TcpStream| {
+        let _ = socket.set_nodelay(true);
+        let (handler, stopped) = (handler.clone(), stopped.clone());
+        connections.spawn(serve_one(socket, header_limit_bytes, stopped, handler));
+    };
     loop {
         let accepted = tokio::select! {
             accepted = listener.accept() => accepted,
             _ = stop.wait_for(|stopped| *stopped) => break,
         };
-        let Ok((socket, _)) = accepted else { continue };
-        let _ = socket.set_nodelay(true);
-        let handler = handler.clone();
-        let service = service_fn(move |request| {
-            let reply = handler(request);
-            async move { Ok::<_, Infallible>(reply.await) }
-        });
-        let connection = http1::Builder::new()
-            .timer(TokioTimer::new())
-            .max_buf_size(header_limit_bytes.max(8_192))
-            .serve_connection(TokioIo::new(socket), service);
-        let connection = graceful.watch(connection);
-        tokio::spawn(async move {
-            let _ = connection.await;
-        });
+        if let Ok((socket, _)) = accepted {
+            take(socket);
+        }
+    }
+    waiting(listener).into_iter().for_each(take);
+    connections.close();
+    connections.wait().await;
+}
+
+/// Closes a listener and returns the connections that wait to be taken.
+///
+/// Closing it over them would reset callers who have sent their requests already. The system is
+/// asked itself, since the runtime hears of a new connection some time after it was made.
+fn waiting(listener: TcpListener) -> Vec<TcpStream> {
+    let Ok(listener) = listener.into_std() else {
+        return Vec::new();
+    };
+    let sockets = std::iter::from_fn(|| listener.accept().ok());
+    let sockets = sockets.filter_map(|(socket, _)| {
+        socket.set_nonblocking(true).ok()?;
+        TcpStream::from_std(socket).ok()
+    });
+    sockets.collect()
+}
+
+async fn serve_one<H, F>(
+    socket: TcpStream,
+    header_limit_bytes: usize,
+    mut stop: watch::Receiver<bool>,
+    handler: Arc<H>,
+) where
+    H: Fn(Request<Incoming>) -> F,
+    F: Future<Output = Reply>,
+{
+    let service = service_fn(move |request| {
+        let reply = handler(request);
+        async move { Ok::<_, Infallible>(reply.await) }
+    });
+    let connection = http1::Builder::new()
+        .timer(TokioTimer::new())
+        .max_buf_size(header_limit_bytes.max(8_192))
+        .serve_connection(TokioIo::new(socket), service);
+    tokio::pin!(connection);
+    // hyper closes a connection without a request at once when it is told to stop. One that was
+    // taken a moment ago may have its request on the way: without this wait a caller would hear
+    // nothing from a host that stopped as planned.
+    let stopped = async {
+        tokio::time::sleep(FIRST_REQUEST_GRACE).await;
+        let _ = stop.wait_for(|stopped| *stopped).await;
+    };
+    tokio::select! {
+        _ = &mut connection => return,
+        () = stopped => {}
     }
-    graceful.shutdown().await;
+    connection.as_mut().graceful_shutdown();
+    let _ = connection.await;
 }
 
 /// A reply with a whole body.
