Start a new home of an organisation with a whole burst

When the home of an organisation moves, the new one hears other hosts' statements of what they hold before any request, and that made its account with an empty allowance.

Change: such an account starts with a whole burst.

Measured: the new test fails without the change and passes with it.

Conclusion: a move of a home admits at most one burst too much and refuses nobody for nothing.

--- a/crates/policy/src/limits.rs
+++ b/crates/policy/src/limits.rs
@@ -105,7 +105,9 @@
         slots: u32,
     ) {
         let usage = self.usage.entry(organisation).or_insert(Usage {
-            allowance: 0.0,
+            // A home that has just taken over knows of no use: it starts with a whole burst, or the
+            // first callers after each move of a home would be refused for nothing.
+            allowance: f32::MAX,
             refilled_at_ms: now_ms,
             held: HashMap::new(),
         });
--- a/crates/policy/tests/home.rs
+++ b/crates/policy/tests/home.rs
@@ -224,6 +224,23 @@
     );
 }
 
+/// An organisation's home dies; the next one hears first what other hosts hold, and then a request:
+/// that is within the limits and must not be refused.
+#[test]
+fn a_new_home_of_an_organisation_refuses_nobody_for_nothing() {
+    let mut limits = LimitTable::default();
+    let bounds = Bounds {
+        requests_per_s: 10.0,
+        concurrent: 5,
+    };
+    limits.restate(1_000, OrganisationKey(1), HostKey(1), 2);
+    assert!(
+        limits
+            .take(1_000, OrganisationKey(1), HostKey(2), bounds)
+            .is_ok()
+    );
+}
+
 #[test]
 fn retries_are_a_share_of_first_tries() {
     let mut budget = RetryBudget::new(0.1, 2.0);
