Tell a stranger's token from a repeated one by the prompt itself

Change: a token is a stranger's if the answer to the caller's own prompt has no such token at its place; that is looked for first, repeats after it.

--- a/crates/bench/src/faults/judge.rs
+++ b/crates/bench/src/faults/judge.rs
@@ -4,6 +4,7 @@
 
 use fulmarpath::dev::Deployment;
 use fulmarpath::dev::caller::{Got, expected};
+use fulmarpath_standin::answer_token;
 use serde::Serialize;
 
 use super::session::{Kind, Outcome};
@@ -115,13 +116,14 @@
         if got.text() == wanted {
             return;
         }
-        let wanted: HashSet<&str> = wanted.split_inclusive(' ').collect();
+        let wanted = wanted.split_inclusive(' ').count();
         let distinct: HashSet<&String> = got.texts.iter().collect();
-        if distinct.len() < got.texts.len() {
-            self.doubled += 1;
-        } else if got.texts.iter().any(|text| !wanted.contains(text.as_str())) {
+        let prompt = outcome.part.prompt();
+        if got.texts.iter().any(|text| !is_own(&prompt, text)) {
             self.crossed += 1;
-        } else if distinct.len() < wanted.len() {
+        } else if distinct.len() < got.texts.len() {
+            self.doubled += 1;
+        } else if distinct.len() < wanted {
             self.lost += 1;
         } else {
             self.out_of_order += 1;
@@ -137,6 +139,13 @@
     }
 }
 
+/// Whether a token belongs to the answer to a prompt, at whatever place.
+fn is_own(prompt: &str, text: &str) -> bool {
+    let index = text.trim_end().trim_start_matches(char::is_alphabetic);
+    let index = index.parse().ok();
+    index.is_some_and(|index| answer_token(prompt, index) == text)
+}
+
 fn is_answered(outcome: &Outcome, got: &Got) -> bool {
     match outcome.part.kind {
         Kind::Plain | Kind::Keyed => got.whole,
