Move reports of progress out of permits into a module of their own

Change: progress.rs has the period, the reports, the moves heeded and the restoring of permits at a new home; nothing but its place and visibility.

--- a/crates/cluster/src/lib.rs
+++ b/crates/cluster/src/lib.rs
@@ -13,6 +13,7 @@
 mod orders;
 mod peers;
 mod permits;
+mod progress;
 mod publish;
 mod safeguard;
 mod server;
--- a/crates/cluster/src/permits.rs
+++ b/crates/cluster/src/permits.rs
@@ -1,7 +1,5 @@
 //! The entry host's side of permits: ask two homes, take the first grant, report progress.
 
-use std::collections::HashMap;
-use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
 use std::time::Duration;
@@ -12,7 +10,7 @@
 };
 use fulmarpath_upstream::Engine;
 use fulmarpath_wire::{AskAnswer, AskReply, MemberNote, PeerClient, PermitId, Progress, RunState};
-use futures::future::{join_all, select_ok};
+use futures::future::select_ok;
 use parking_lot::Mutex;
 use rand::Rng;
 use spdlog::{info, warn};
@@ -21,10 +19,6 @@
 use crate::homes::EngineSeen;
 use crate::node::Node;
 
-/// Between two reports of progress, for each member; a larger fleet reports less often, so that
-/// what a host sends and hears stays bounded.
-const PROGRESS_MS_PER_MEMBER: u64 = 5;
-const PROGRESS_MS: std::ops::RangeInclusive<u64> = 500..=2_000;
 /// After so long without a grant the second home is asked as well.
 const HEDGE: Duration = Duration::from_millis(10);
 const REASK_PAUSE: Duration = Duration::from_millis(20);
@@ -95,17 +89,17 @@
 /// What the entry host knows of a permit between reports.
 #[derive(Debug)]
 pub(crate) struct Held {
-    upstream: UpstreamKey,
-    ask: Ask,
+    pub(crate) upstream: UpstreamKey,
+    pub(crate) ask: Ask,
     /// `None` where the generation started without a home; changes when a new home takes over.
-    id: Mutex<Option<PermitId>>,
-    out_tokens: AtomicU32,
-    had_better_move: AtomicBool,
+    pub(crate) id: Mutex<Option<PermitId>>,
+    pub(crate) out_tokens: AtomicU32,
+    pub(crate) had_better_move: AtomicBool,
 }
 
 impl Held {
     /// What there is to report; nothing for a start without a home.
-    fn progress(&self) -> Option<Progress> {
+    pub(crate) fn progress(&self) -> Option<Progress> {
         Some(Progress {
             upstream: self.upstream,
             permit: (*self.id.lock())?,
@@ -422,94 +416,6 @@
         }
     }
 
-    fn progress_period(&self) -> Duration {
-        let wanted_ms = self.member_count() as u64 * PROGRESS_MS_PER_MEMBER;
-        Duration::from_millis(wanted_ms.clamp(*PROGRESS_MS.start(), *PROGRESS_MS.end()))
-    }
-
-    /// Reports all permits to their homes once a period, one message to each home.
-    pub(crate) async fn report_progress(self: Arc<Self>) {
-        loop {
-            tokio::time::sleep(self.progress_period()).await;
-            let running: Vec<Progress> = {
-                let held = self.held.lock();
-                held.values().filter_map(|one| one.progress()).collect()
-            };
-            let mut by_home: HashMap<HostKey, (SocketAddr, Vec<Progress>)> = HashMap::new();
-            for progress in running {
-                let Some((key, note)) = self.engine_homes(progress.upstream, 1).pop() else {
-                    continue;
-                };
-                let (_, same) = by_home
-                    .entry(key)
-                    .or_insert_with(|| (note.address, Vec::new()));
-                same.push(progress);
-            }
-            let sends = by_home
-                .into_iter()
-                .map(|(key, (address, progress))| self.send_progress(key, address, progress));
-            join_all(sends).await;
-            self.restate_slots().await;
-        }
-    }
-
-    async fn send_progress(&self, home: HostKey, address: SocketAddr, progress: Vec<Progress>) {
-        let reply = if home == self.key {
-            let mut reply = self.homes.progress(self.clock.now_ms(), &progress);
-            reply.moves = self.homes.take_moves(self.key);
-            reply
-        } else {
-            let mine = self.key;
-            let call = |client: PeerClient, context| async move {
-                client.progress(context, mine, progress).await
-            };
-            match self.peers.call(address, call).await {
-                Ok(reply) => reply,
-                Err(_) => return,
-            }
-        };
-        self.heed_moves(&reply.moves);
-        for permit in reply.unknown {
-            self.restore(home, address, permit).await;
-        }
-    }
-
-    fn heed_moves(&self, moves: &[PermitId]) {
-        let held = self.held.lock();
-        for one in held.values() {
-            if one.id.lock().is_some_and(|id| moves.contains(&id)) {
-                one.had_better_move.store(true, Ordering::Relaxed);
-            }
-        }
-    }
-
-    /// Tells a new home of a permit that an earlier one gave.
-    async fn restore(&self, home: HostKey, address: SocketAddr, permit: PermitId) {
-        let held = {
-            let all = self.held.lock();
-            let mut all = all.values();
-            all.find(|one| *one.id.lock() == Some(permit)).cloned()
-        };
-        let Some(held) = held else { return };
-        let upstream = held.upstream;
-        let mut ask = held.ask;
-        ask.out_tokens = held.out_tokens.load(Ordering::Relaxed);
-        let id = if home == self.key {
-            self.home_settings_of(upstream).map(|settings| {
-                let now_ms = self.clock.now_ms();
-                self.homes.restore(now_ms, upstream, settings, ask)
-            })
-        } else {
-            let call = |client: PeerClient, context| async move {
-                client.restore(context, upstream, ask).await
-            };
-            self.peers.call(address, call).await.ok().flatten()
-        };
-        if id.is_some() {
-            *held.id.lock() = id;
-        }
-    }
-
     /// The last known loads, for the metrics page.
     pub fn known_loads(&self) -> Vec<EngineSeen> {
         self.homes.loads()
