Let hosts of the platform find each other and follow their peers

Cause: a host that the store turns away knew nothing of new versions and of upstreams that left, for as long as that lasts.

Change: hosts register in the store and meet by these entries and the seeds; pings compare versions, and a host fetches what a peer holds in a later one. The pool of connections to peers moved to wire and serves both protocols.

--- a/crates/cluster/src/lib.rs
+++ b/crates/cluster/src/lib.rs
@@ -11,7 +11,6 @@
 mod members;
 mod node;
 mod orders;
-mod peers;
 mod permits;
 mod progress;
 mod publish;
--- a/crates/cluster/src/node.rs
+++ b/crates/cluster/src/node.rs
@@ -14,7 +14,7 @@
 use fulmarpath_upstream::Plain;
 use fulmarpath_wire::{
     ClaimAnswer, ClaimAsk, Document, FetchAnswer, LimitAnswer, MemberNote, MemberState, PeerClient,
-    SlotAsk,
+    Peers, SlotAsk,
 };
 use futures::future::join_all;
 use parking_lot::Mutex;
@@ -29,7 +29,6 @@
 use crate::engines::Engines;
 use crate::homes::HomeTable;
 use crate::members::Members;
-use crate::peers::Peers;
 use crate::permits::Held;
 use crate::publish::{Change, PublishError, Publisher};
 use crate::safeguard::Safeguard;
@@ -87,7 +86,7 @@
     slots: Mutex<HashMap<OrganisationKey, u32>>,
     pub(crate) fetched_at_ms: Mutex<HashMap<Document, Millis>>,
     pub(crate) homes: HomeTable,
-    pub(crate) peers: Peers,
+    pub(crate) peers: Peers<PeerClient>,
     pub(crate) documents: Documents,
     pub(crate) object_api: Arc<dyn ObjectApi>,
     pub(crate) host_list: Arc<dyn HostList>,
@@ -127,7 +126,7 @@
             slots: Mutex::default(),
             fetched_at_ms: Mutex::default(),
             homes: HomeTable::new(epoch),
-            peers: Peers::default(),
+            peers: Peers::new(crate::server::client),
             documents: Documents::new(settings.without == Some(Safeguard::RevisionGrows)),
             claims: ClaimLog::new(object_api.clone(), settings.claims),
             object_api,
--- a/crates/cluster/src/server.rs
+++ b/crates/cluster/src/server.rs
@@ -5,18 +5,22 @@
 
 use fulmarpath_policy::{Ask, AskId, HostKey, OrganisationKey, UpstreamKey};
 use fulmarpath_wire::{
-    AskAnswer, AskReply, ClaimAnswer, ClaimAsk, Document, FetchAnswer, LimitAnswer, Peer, PermitId,
-    Ping, Pong, Progress, ProgressReply, SlotAsk,
+    AskAnswer, AskReply, ClaimAnswer, ClaimAsk, Document, FetchAnswer, LimitAnswer, Peer,
+    PeerClient, PermitId, Ping, Pong, Progress, ProgressReply, SlotAsk, framed,
 };
 use futures::StreamExt;
 use tarpc::context::Context;
 use tarpc::server::{BaseChannel, Channel};
 use tarpc::tokio_serde::formats::Bincode;
-use tarpc::tokio_util::codec::LengthDelimitedCodec;
-use tokio::net::TcpListener;
+use tokio::net::{TcpListener, TcpStream};
 
 use crate::node::Node;
-use crate::peers::FRAME_LIMIT_BYTES;
+
+/// A client of the peer at the other end of a connection.
+pub(crate) fn client(socket: TcpStream) -> PeerClient {
+    let transport = tarpc::serde_transport::new(framed(socket), Bincode::default());
+    PeerClient::new(tarpc::client::Config::default(), transport).spawn()
+}
 
 /// Serves peers on `listener` until the process ends.
 pub(crate) async fn listen(node: Arc<Node>, listener: TcpListener) -> std::io::Result<()> {
@@ -27,10 +31,7 @@
                 continue;
             };
             let _ = socket.set_nodelay(true);
-            let codec = LengthDelimitedCodec::builder()
-                .max_frame_length(FRAME_LIMIT_BYTES)
-                .new_framed(socket);
-            let transport = tarpc::serde_transport::new(codec, Bincode::default());
+            let transport = tarpc::serde_transport::new(framed(socket), Bincode::default());
             let server = Server { node: node.clone() };
             let requests = BaseChannel::with_defaults(transport).execute(server.serve());
             tokio::spawn(requests.for_each(|request| async {
--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -4,11 +4,14 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use fulmarpath_policy::Millis;
 use rand::Rng;
 use spdlog::{info, warn};
 
+use crate::directory::Directory;
 use crate::gateway::Gateway;
 use crate::metadata::{Change, StoreError};
+use crate::roster::Roster;
 
 /// How long a watch waits. A watch whose answer was lost tells nothing until it ends, so it bounds
 /// how old a belief can be; each one costs a call.
@@ -134,7 +137,18 @@
         }
     }
 
-    fn roster_step(&self, step: impl FnOnce(&mut crate::roster::Roster, u64) -> bool) {
+    /// Takes a peer's later list of the upstreams.
+    pub(crate) fn take_directory(&self, directory: Directory) {
+        let now_ms = self.clock.now_ms();
+        let mut roster = self.roster.lock();
+        if roster.replace_by_peer(now_ms, directory) {
+            let revision = roster.revision();
+            info!("upstreams: revision {revision} is a peer's");
+            self.instances.adopt(&roster.directory());
+        }
+    }
+
+    fn roster_step(&self, step: impl FnOnce(&mut Roster, Millis) -> bool) {
         let now_ms = self.clock.now_ms();
         let mut roster = self.roster.lock();
         roster.heard(now_ms);
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -1,6 +1,7 @@
 //! The state of one host's gateway.
 
 use std::collections::HashMap;
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
@@ -28,6 +29,8 @@
     pub host: HostRegistration,
     /// The operator's bound on retries.
     pub retries: RetryBound,
+    /// Other hosts to try before the store has told of any.
+    pub seeds: Vec<SocketAddr>,
     /// The time between a stop's signal and the end of the process.
     pub grace_ms: Millis,
 }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -19,6 +19,7 @@
 mod journey;
 mod metadata;
 mod metrics;
+mod peer;
 mod problem;
 mod roster;
 mod serve;
--- a/crates/gateway/src/roster.rs
+++ b/crates/gateway/src/roster.rs
@@ -81,6 +81,20 @@
         changed
     }
 
+    /// Takes what a peer holds, where that is later; true where it changed anything.
+    ///
+    /// A host that the store turns away would otherwise go on sending to upstreams that have left.
+    pub fn replace_by_peer(&mut self, now_ms: Millis, directory: Directory) -> bool {
+        if directory.revision <= self.revision {
+            return false;
+        }
+        let snapshot = Snapshot {
+            revision: directory.revision,
+            items: directory.registrations,
+        };
+        self.replace(now_ms, snapshot)
+    }
+
     /// Takes the changes since the revision; true where they changed anything.
     pub fn apply(&mut self, now_ms: Millis, changes: Changes<Registration>) -> bool {
         if changes.revision < self.revision {
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -66,7 +66,7 @@
         tokio::spawn(self.clone().follow_configuration());
         tokio::spawn(self.clone().follow_registrations());
         tokio::spawn(self.clone().expire_registrations());
-        tokio::spawn(self.clone().join_fleet());
+        tokio::spawn(self.clone().join_fleet(self.settings.seeds.clone()));
         let gateway = self.clone();
         let handler = move |request| gateway.clone().answer(request);
         let server = tokio::spawn(serve_by(callers, self.clone(), stops, handler));
