--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -1,5 +1,6 @@
 //! One dispatch of a request to one upstream.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -33,6 +34,17 @@
     pub(crate) connection: Connection,
 }
 
+/// What a dispatch is sent with, beside the caller's own request.
+#[derive(Debug, Clone, Default)]
+pub(crate) struct Terms {
+    /// Until when the head of the answer is waited for.
+    pub(crate) until_ms: Millis,
+    /// The engine that keeps a running copy.
+    pub(crate) backup: Option<SocketAddr>,
+    /// Set where the generation began elsewhere.
+    pub(crate) continuation: Option<Continuation>,
+}
+
 /// Why a dispatch has no answer.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) enum Failure {
@@ -63,24 +75,20 @@
 }
 
 impl Gateway {
-    /// Sends a request to the chosen upstream and waits for the head of its answer until
-    /// `until_ms`.
+    /// Sends a request to the chosen upstream and waits for the head of its answer.
     pub(crate) async fn dispatch(
         self: &Arc<Self>,
         inquiry: &Inquiry,
         journey: &mut Journey,
         chosen: Chosen,
-        until_ms: Millis,
-        continuation: Option<Continuation>,
+        terms: Terms,
     ) -> Result<Answer, Failure> {
         journey.dispatched(Dispatch {
             instance: chosen.instance.clone(),
             at_ms: self.clock.now_ms().saturating_sub(journey.arrived_ms),
             outcome: "sent",
         });
-        let answer = self
-            .exchange(inquiry, chosen, until_ms, continuation, &journey.id)
-            .await;
+        let answer = self.exchange(inquiry, chosen, terms, &journey.id).await;
         match &answer {
             Ok(answer) => journey.dispatch_ended(if answer.response.status().is_success() {
                 "answered"
@@ -96,21 +104,20 @@
         self: &Arc<Self>,
         inquiry: &Inquiry,
         chosen: Chosen,
-        until_ms: Millis,
-        continuation: Option<Continuation>,
+        terms: Terms,
         id: &str,
     ) -> Result<Answer, Failure> {
         let (address, key) = (chosen.address, chosen.key);
         let mut flight = Flight::new(self.clone(), chosen);
         let started_ms = self.clock.now_ms();
-        let connect_ms = until_ms.saturating_sub(started_ms).min(CONNECT_MS);
+        let connect_ms = terms.until_ms.saturating_sub(started_ms).min(CONNECT_MS);
         let opened = Connection::open(address, Duration::from_millis(connect_ms)).await;
         let Ok(mut connection) = opened else {
             self.instances.unreachable(self.clock.now_ms(), key);
             return Err(Failure::Unsent);
         };
-        let request = self.outbound(inquiry, &flight.chosen, continuation);
-        let left_ms = until_ms.saturating_sub(self.clock.now_ms());
+        let request = self.outbound(inquiry, &flight.chosen, &terms);
+        let left_ms = terms.until_ms.saturating_sub(self.clock.now_ms());
         let exchanged = timeout(Duration::from_millis(left_ms), connection.exchange(request)).await;
         let response = match exchanged {
             Ok(Ok(response)) => response,
@@ -160,14 +167,14 @@
         &self,
         inquiry: &Inquiry,
         chosen: &Chosen,
-        continuation: Option<Continuation>,
+        terms: &Terms,
     ) -> Request<Full<bytes::Bytes>> {
         let outbound = Outbound {
             time_left_ms: inquiry.deadline_ms.saturating_sub(self.clock.now_ms()),
             instance: chosen.instance.clone(),
             organisation: inquiry.organisation.clone(),
-            backup: None,
-            continuation,
+            backup: terms.backup,
+            continuation: terms.continuation.clone(),
         };
         let mut request = Request::new(Full::new(inquiry.body.clone()));
         *request.method_mut() = inquiry.method.clone();
--- /dev/null
+++ b/crates/gateway/src/carry.rs
@@ -0,0 +1,122 @@
+//! One generation's way to another engine: a long copy while it goes on, then a short last one that
+//! stops it.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use fulmarpath_wire::CarryAnswer;
+use futures::future::BoxFuture;
+use tokio::sync::oneshot;
+
+use crate::instances::Destination;
+use crate::mover::{Copied, CopyError, Mover};
+use crate::runs::CarryOrder;
+
+/// What a step of a carry has come to.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(crate) enum Step {
+    /// The long copy is there; the short one is under way.
+    Copied,
+    /// The generation goes on where it is.
+    Stayed,
+    /// The generation is over.
+    Over,
+    /// The generation is stopped and its memory is at the destination.
+    Stopped { to: Destination, copy: String },
+    /// The generation is stopped and its memory is still at the source.
+    StoppedHere { copy: String },
+}
+
+/// A carry under way.
+pub(crate) struct Carrying {
+    mover: Arc<dyn Mover>,
+    source: SocketAddr,
+    request_id: String,
+    to: Destination,
+    /// Names the copy at the destination, once there is one.
+    copy: Option<String>,
+    answer: oneshot::Sender<CarryAnswer>,
+    call: BoxFuture<'static, Result<Copied, CopyError>>,
+}
+
+impl Carrying {
+    pub(crate) fn begin(
+        mover: Arc<dyn Mover>,
+        source: SocketAddr,
+        request_id: String,
+        order: CarryOrder,
+    ) -> Self {
+        let call = {
+            let (mover, id, to) = (mover.clone(), request_id.clone(), order.to.address);
+            Box::pin(async move { mover.copy(source, &id, to).await })
+        };
+        Self {
+            mover,
+            source,
+            request_id,
+            to: order.to,
+            copy: None,
+            answer: order.answer,
+            call,
+        }
+    }
+
+    /// Whether the source has been told to stop the generation.
+    pub(crate) fn is_stopping(&self) -> bool {
+        self.copy.is_some()
+    }
+
+    /// The copy at the destination, once there is one.
+    pub(crate) fn copied(&self) -> Option<(Destination, String)> {
+        self.copy.clone().map(|copy| (self.to.clone(), copy))
+    }
+
+    /// Tells the cell's home how it ended. A home that no longer waits learns it by statement.
+    pub(crate) fn answer(self, answer: CarryAnswer) {
+        let _ = self.answer.send(answer);
+    }
+
+    /// Waits for the call under way and begins the next one.
+    pub(crate) async fn step(carrying: &mut Option<Self>) -> Step {
+        let Some(carrying) = carrying else {
+            return std::future::pending().await;
+        };
+        let answer = (&mut carrying.call).await;
+        match carrying.copy.clone() {
+            None => carrying.copied_first(answer),
+            Some(copy) => carrying.copied_last(answer, copy),
+        }
+    }
+
+    fn copied_first(&mut self, answer: Result<Copied, CopyError>) -> Step {
+        let copied = match answer {
+            Ok(copied) => copied,
+            Err(CopyError::NotThere) => return Step::Over,
+            Err(CopyError::Busy | CopyError::NoRoom { .. } | CopyError::Unknown) => {
+                return Step::Stayed;
+            }
+        };
+        self.copy = Some(copied.copy);
+        let (mover, source) = (self.mover.clone(), self.source);
+        let (id, to) = (self.request_id.clone(), self.to.address);
+        self.call = Box::pin(async move { mover.stop_and_copy(source, &id, to).await });
+        Step::Copied
+    }
+
+    fn copied_last(&mut self, answer: Result<Copied, CopyError>, first: String) -> Step {
+        match answer {
+            Ok(copied) => Step::Stopped {
+                to: self.to.clone(),
+                copy: copied.copy,
+            },
+            Err(CopyError::NotThere) => Step::Over,
+            Err(CopyError::NoRoom { copy: Some(copy) }) => Step::StoppedHere { copy },
+            Err(CopyError::Busy | CopyError::NoRoom { copy: None }) => Step::Stayed,
+            // It may have been stopped: the first copy and the source's own memory are tried.
+            Err(CopyError::Unknown) => Step::Stopped {
+                to: self.to.clone(),
+                copy: first,
+            },
+        }
+    }
+}
--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -132,7 +132,7 @@
             tokio::time::sleep(EXPIRE_PERIOD).await;
             let mut roster = self.roster.lock();
             if roster.expire(self.clock.now_ms()) {
-                self.instances.adopt(&roster.directory());
+                self.adopt_directory(&roster.directory());
             }
         }
     }
@@ -144,7 +144,7 @@
         if roster.replace_by_peer(now_ms, directory) {
             let revision = roster.revision();
             info!("upstreams: revision {revision} is a peer's");
-            self.instances.adopt(&roster.directory());
+            self.adopt_directory(&roster.directory());
         }
     }
 
@@ -159,7 +159,7 @@
                 directory.registrations.len(),
                 directory.revision
             );
-            self.instances.adopt(&directory);
+            self.adopt_directory(&directory);
         }
     }
 }
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -12,7 +12,7 @@
 use hyper::{HeaderMap, Request, Response, StatusCode};
 use tokio::time::timeout;
 
-use crate::attempt::{Answer, Failure};
+use crate::attempt::{Answer, Failure, Terms};
 use crate::configuration::RouteKind;
 use crate::gateway::Gateway;
 use crate::hop;
@@ -174,9 +174,11 @@
         chosen: Chosen,
         until_ms: Millis,
     ) -> Result<Whole, Failure> {
-        let answer = self
-            .dispatch(inquiry, journey, chosen, until_ms, None)
-            .await?;
+        let terms = Terms {
+            until_ms,
+            ..Terms::default()
+        };
+        let answer = self.dispatch(inquiry, journey, chosen, terms).await?;
         let outcome = self.read_whole(answer, inquiry.deadline_ms).await;
         if outcome.is_err() {
             journey.dispatch_ended("broken");
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -13,14 +13,18 @@
 use parking_lot::Mutex;
 use spdlog::info;
 
+use crate::cells::Cells;
 use crate::configuration::{Configuration, InForce};
-use crate::directory::HostRegistration;
+use crate::directory::{Directory, HostRegistration};
 use crate::fleet::Fleet;
 use crate::head::Dialect;
+use crate::homes::Duties;
 use crate::instances::Instances;
 use crate::metadata::Metadata;
 use crate::metrics::Metrics;
+use crate::mover::Mover;
 use crate::roster::Roster;
+use crate::runs::Runs;
 
 /// What a gateway must know of itself.
 #[derive(Debug, Clone)]
@@ -37,7 +41,7 @@
 
 /// One host's gateway.
 ///
-/// Lock order: roster, instances, retries, retry bound; none is held across an await.
+/// Lock order: roster, instances, cells, runs, members, retries, retry bound; none is held across an await.
 pub struct Gateway {
     pub(crate) settings: GatewaySettings,
     pub(crate) clock: Clock,
@@ -47,6 +51,10 @@
     pub(crate) instances: Instances,
     pub(crate) metrics: Metrics,
     pub(crate) fleet: Fleet,
+    pub(crate) cells: Cells,
+    pub(crate) runs: Runs,
+    pub(crate) duties: Duties,
+    pub(crate) mover: Arc<dyn Mover>,
     in_force: ArcSwapOption<InForce>,
     retries: Mutex<HashMap<String, RetryWindow>>,
     retry_bound: Mutex<RetryBound>,
@@ -55,11 +63,20 @@
 
 impl Gateway {
     /// A gateway that knows nothing yet.
-    pub fn new(settings: GatewaySettings, dialect: Arc<dyn Dialect>, metadata: Metadata) -> Self {
+    pub fn new(
+        settings: GatewaySettings,
+        dialect: Arc<dyn Dialect>,
+        mover: Arc<dyn Mover>,
+        metadata: Metadata,
+    ) -> Self {
         Self {
             clock: Clock::start(),
             instances: Instances::new(&settings.host.data_centre),
             fleet: Fleet::new(&settings.host),
+            cells: Cells::default(),
+            runs: Runs::default(),
+            duties: Duties::default(),
+            mover,
             dialect,
             metadata,
             roster: Mutex::default(),
@@ -100,9 +117,22 @@
         }
         self.metrics.configuration_version.set(version as i64);
         info!("configuration: version {version} from {source} replaces {held}");
+        let directory = self.roster.lock().directory();
+        self.adopt_directory(&directory);
         true
     }
 
+    /// Takes what the roster says now.
+    pub(crate) fn adopt_directory(&self, directory: &Directory) {
+        self.instances.adopt(directory);
+        if let Some(in_force) = self.in_force() {
+            self.cells.adopt(self.clock.now_ms(), &in_force, directory);
+        }
+        if !self.cells.leaving().is_empty() {
+            self.duties.restate_now.notify_one();
+        }
+    }
+
     /// Whether the balancer should send callers here.
     pub fn is_ready(&self) -> bool {
         self.in_force.load().is_some() && !self.is_draining()
--- /dev/null
+++ b/crates/gateway/src/homes.rs
@@ -0,0 +1,221 @@
+//! Which host is home of a cell, and what passes between it and the others.
+
+use std::collections::HashSet;
+use std::sync::Arc;
+use std::time::Duration;
+
+use fulmarpath_policy::{
+    Carry, CarryEnd, HostKey, Placement, PlacementRequest, RunKey, UpstreamKey,
+};
+use fulmarpath_wire::{CarryAnswer, CellKey, GatewayPeerClient, MemberNote, Restatement};
+use parking_lot::Mutex;
+use spdlog::{info, warn};
+
+use crate::gateway::Gateway;
+
+/// Between two statements of what this host relays: how long a new home knows too little.
+const RESTATE_PERIOD: Duration = Duration::from_millis(1_000);
+/// A home that doesn't answer in time costs its caller this much of the time to a first token.
+const PLACE_BOUND: Duration = Duration::from_millis(150);
+/// A transfer takes some 200 ms in a data centre, and waits for another at its destination.
+const CARRY_BOUND: Duration = Duration::from_millis(2_500);
+/// Between two looks at a leaving engine without anything to carry off now.
+const LOOK_PERIOD: Duration = Duration::from_millis(25);
+
+/// What this host does for cells.
+#[derive(Default)]
+pub(crate) struct Duties {
+    /// Engines whose generations this host is carrying off.
+    evacuating: Mutex<HashSet<UpstreamKey>>,
+    /// Cells whose home did not answer lately: this host acts for its own generations.
+    homeless: Mutex<HashSet<CellKey>>,
+    /// Wakes the statement of what this host relays.
+    pub(crate) restate_now: tokio::sync::Notify,
+}
+
+impl Gateway {
+    fn home_of(&self, cell: CellKey) -> Option<(HostKey, MemberNote)> {
+        self.fleet.members.lock().homes_of(cell.0, 1).pop()
+    }
+
+    pub(crate) fn host_key(&self) -> HostKey {
+        self.fleet.members.lock().my_key()
+    }
+
+    fn is_home(&self, cell: CellKey) -> bool {
+        let home = self.home_of(cell);
+        home.is_none_or(|(key, _)| key == self.host_key())
+    }
+
+    /// Asks the cell's home where a generation starts. Without a home this host decides by what it
+    /// knows itself: it sees its own generations only, and that is better than no answer.
+    pub(crate) async fn place(&self, cell: CellKey, request: PlacementRequest) -> Placement {
+        if let Some((key, note)) = self.home_of(cell)
+            && key != self.host_key()
+        {
+            let asked = request.clone();
+            let call = |client: GatewayPeerClient, context| async move {
+                client.place(context, cell, asked).await
+            };
+            let peers = &self.fleet.peers;
+            match peers.call_within(note.address, PLACE_BOUND, call).await {
+                Ok(Some(placement)) => return placement,
+                Ok(None) => {}
+                Err(error) => warn!("cells: placed without a home: {error}"),
+            }
+        }
+        self.cells.place(self.clock.now_ms(), cell, &request)
+    }
+
+    /// Places as the cell's home.
+    pub(crate) fn answer_place(
+        &self,
+        cell: CellKey,
+        request: &PlacementRequest,
+    ) -> Option<Placement> {
+        let now_ms = self.clock.now_ms();
+        self.is_home(cell)
+            .then(|| self.cells.place(now_ms, cell, request))
+    }
+
+    /// Tells the cell's home that a generation is over.
+    pub(crate) fn tell_end(self: &Arc<Self>, cell: CellKey, run: RunKey) {
+        self.cells.end(cell, run);
+        let Some((key, note)) = self.home_of(cell) else {
+            return;
+        };
+        if key == self.host_key() {
+            return;
+        }
+        let gateway = self.clone();
+        tokio::spawn(async move {
+            let call = |client: GatewayPeerClient, context| async move {
+                client.ended(context, cell, run).await
+            };
+            if gateway.fleet.peers.call(note.address, call).await.is_err() {
+                // The next statement tells it all the same.
+                warn!("cells: the home did not hear of an end");
+            }
+        });
+    }
+
+    /// States to each cell's home what this host relays, again and again and when it matters.
+    pub(crate) async fn restate_runs(self: Arc<Self>) {
+        loop {
+            let notified = self.duties.restate_now.notified();
+            let _ = tokio::time::timeout(RESTATE_PERIOD, notified).await;
+            let present: HashSet<HostKey> = {
+                let members = self.fleet.members.lock();
+                members.homes().map(|(key, _)| key).collect()
+            };
+            self.cells.keep_hosts(|host| present.contains(&host));
+            for restatement in self.runs.restatements(self.host_key()) {
+                self.restate(restatement).await;
+            }
+        }
+    }
+
+    async fn restate(&self, restatement: Restatement) {
+        let cell = restatement.cell;
+        self.cells.restate(self.clock.now_ms(), &restatement);
+        let Some((key, note)) = self.home_of(cell) else {
+            return;
+        };
+        if key == self.host_key() {
+            self.duties.homeless.lock().remove(&cell);
+            return;
+        }
+        let call = |client: GatewayPeerClient, context| async move {
+            client.restate(context, restatement).await
+        };
+        let heard = self.fleet.peers.call(note.address, call).await;
+        let mut homeless = self.duties.homeless.lock();
+        let changed = match heard {
+            Ok(()) => homeless.remove(&cell),
+            Err(_) => homeless.insert(cell),
+        };
+        if changed && heard.is_err() {
+            warn!("cells: {} is home of a cell and does not answer", note.name);
+        }
+    }
+
+    /// Whether this host carries generations of a cell off: as the home, or in its place for those
+    /// that this host relays itself.
+    fn acts_for(&self, cell: CellKey) -> bool {
+        self.is_home(cell) || self.duties.homeless.lock().contains(&cell)
+    }
+
+    /// Looks for leaving engines whose generations are to be carried off.
+    pub(crate) async fn evacuate_engines(self: Arc<Self>) {
+        loop {
+            tokio::time::sleep(LOOK_PERIOD).await;
+            for (cell, engine) in self.cells.leaving() {
+                if !self.acts_for(cell) || !self.duties.evacuating.lock().insert(engine) {
+                    continue;
+                }
+                let gateway = self.clone();
+                tokio::spawn(async move {
+                    gateway.evacuate(cell, engine).await;
+                    gateway.duties.evacuating.lock().remove(&engine);
+                });
+            }
+        }
+    }
+
+    /// Carries off one generation after the other while there are any.
+    async fn evacuate(self: &Arc<Self>, cell: CellKey, engine: UpstreamKey) {
+        let mut moved = 0;
+        while self.cells.leaving().contains(&(cell, engine)) && self.acts_for(cell) {
+            let now_ms = self.clock.now_ms();
+            let Some(carry) = self.cells.next_carry(now_ms, cell, engine) else {
+                tokio::time::sleep(LOOK_PERIOD).await;
+                continue;
+            };
+            let end = self.order(carry).await;
+            moved += u32::from(end == CarryEnd::Moved);
+            self.cells.carried(self.clock.now_ms(), cell, carry, end);
+        }
+        info!("cells: {moved} generations carried off {:016x}", engine.0);
+    }
+
+    async fn order(self: &Arc<Self>, carry: Carry) -> CarryEnd {
+        let Carry { run, to, host, .. } = carry;
+        if host == self.host_key() {
+            return end(self.carry_here(run, to).await);
+        }
+        let note = {
+            let members = self.fleet.members.lock();
+            members.find(host).map(|rumour| rumour.member.clone())
+        };
+        let Some(note) = note else {
+            return CarryEnd::Over;
+        };
+        let call = |client: GatewayPeerClient, context| async move {
+            client.carry(context, run, to).await
+        };
+        let peers = &self.fleet.peers;
+        match peers.call_within(note.address, CARRY_BOUND, call).await {
+            Ok(answer) => end(answer),
+            Err(error) => {
+                warn!("cells: a generation may not have moved: {error}");
+                CarryEnd::Stayed
+            }
+        }
+    }
+
+    /// Carries a generation that this host relays to another engine.
+    pub(crate) async fn carry_here(&self, run: RunKey, to: UpstreamKey) -> CarryAnswer {
+        let Some(destination) = self.instances.find(to) else {
+            return CarryAnswer::Stayed;
+        };
+        self.runs.carry(run, destination).await
+    }
+}
+
+fn end(answer: CarryAnswer) -> CarryEnd {
+    match answer {
+        CarryAnswer::Moved => CarryEnd::Moved,
+        CarryAnswer::Stayed => CarryEnd::Stayed,
+        CarryAnswer::Over => CarryEnd::Over,
+    }
+}
--- a/crates/gateway/src/instances.rs
+++ b/crates/gateway/src/instances.rs
@@ -3,11 +3,14 @@
 use std::collections::HashMap;
 use std::net::SocketAddr;
 
-use fulmarpath_policy::{Choice, FlightId, Gauge, Millis, StatedLoad, Verdict, choose};
+use fulmarpath_policy::{
+    Choice, FlightId, Gauge, Millis, StatedLoad, UpstreamKey, Verdict, choose,
+};
 use parking_lot::Mutex;
 use slotmap::{SlotMap, new_key_type};
 
 use crate::directory::{Directory, RegisteredState, Registration};
+use crate::key::upstream_of;
 
 new_key_type! {
     /// An upstream's start in this host's arena.
@@ -22,6 +25,12 @@
     is_leaving: bool,
 }
 
+impl Instance {
+    fn takes_work(&self) -> bool {
+        self.registration.state == RegisteredState::Ready && !self.is_leaving
+    }
+}
+
 /// An upstream that was chosen for a request.
 #[derive(Debug, Clone)]
 pub(crate) struct Chosen {
@@ -31,10 +40,18 @@
     flight: FlightId,
 }
 
+/// An engine that a generation may go on at.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(crate) struct Destination {
+    pub(crate) upstream: UpstreamKey,
+    pub(crate) address: SocketAddr,
+}
+
 #[derive(Debug, Default)]
 struct Table {
     arena: SlotMap<InstanceKey, Instance>,
     by_name: HashMap<String, InstanceKey>,
+    by_upstream: HashMap<UpstreamKey, InstanceKey>,
     by_service: HashMap<String, Vec<InstanceKey>>,
 }
 
@@ -57,6 +74,7 @@
     pub(crate) fn adopt(&self, directory: &Directory) {
         let mut table = self.table.lock();
         let mut by_name = HashMap::new();
+        let mut by_upstream = HashMap::new();
         let mut by_service: HashMap<String, Vec<InstanceKey>> = HashMap::new();
         for registration in &directory.registrations {
             let known = table.by_name.remove(&registration.instance);
@@ -71,6 +89,7 @@
                     is_leaving: false,
                 }),
             };
+            by_upstream.insert(upstream_of(&registration.instance), key);
             by_name.insert(registration.instance.clone(), key);
             let same = by_service.entry(registration.service.clone()).or_default();
             same.push(key);
@@ -80,6 +99,7 @@
             table.arena.remove(key);
         }
         table.by_name = by_name;
+        table.by_upstream = by_upstream;
         table.by_service = by_service;
     }
 
@@ -98,7 +118,7 @@
             .iter()
             .filter(|key| !without.contains(key))
             .map(|key| (*key, &table.arena[*key]))
-            .filter(|(_, one)| one.registration.state == RegisteredState::Ready && !one.is_leaving)
+            .filter(|(_, one)| one.takes_work())
             .map(|(key, one)| Choice {
                 key,
                 cost: one.gauge.cost(now_ms),
@@ -115,6 +135,45 @@
         })
     }
 
+    /// Counts a request at the upstream that its home has chosen; `None` where this host knows that
+    /// it takes nothing new.
+    pub(crate) fn take(&self, now_ms: Millis, upstream: UpstreamKey) -> Option<Chosen> {
+        self.take_if(now_ms, upstream, Instance::takes_work)
+    }
+
+    /// Counts a generation that goes on at an upstream, also at one that is leaving: it may have to
+    /// go on where it was.
+    pub(crate) fn take_again(&self, now_ms: Millis, upstream: UpstreamKey) -> Option<Chosen> {
+        self.take_if(now_ms, upstream, |_| true)
+    }
+
+    fn take_if(
+        &self,
+        now_ms: Millis,
+        upstream: UpstreamKey,
+        may_take: impl FnOnce(&Instance) -> bool,
+    ) -> Option<Chosen> {
+        let mut table = self.table.lock();
+        let key = *table.by_upstream.get(&upstream)?;
+        let one = &mut table.arena[key];
+        may_take(one).then(|| Chosen {
+            key,
+            instance: one.registration.instance.clone(),
+            address: one.registration.address,
+            flight: one.gauge.start(now_ms),
+        })
+    }
+
+    /// Where an upstream listens.
+    pub(crate) fn find(&self, upstream: UpstreamKey) -> Option<Destination> {
+        let table = self.table.lock();
+        let one = &table.arena[*table.by_upstream.get(&upstream)?];
+        Some(Destination {
+            upstream,
+            address: one.registration.address,
+        })
+    }
+
     /// A request to a chosen upstream is over.
     pub(crate) fn end(&self, now_ms: Millis, chosen: &Chosen, verdict: Verdict) {
         self.with(chosen.key, |one| {
--- a/crates/gateway/src/intake.rs
+++ b/crates/gateway/src/intake.rs
@@ -27,7 +27,6 @@
     pub(crate) route: Route,
     pub(crate) service: String,
     pub(crate) organisation: Option<String>,
-    #[expect(dead_code, reason = "admission by memory reads it")]
     pub(crate) generation: Option<GenerationHead>,
     pub(crate) method: Method,
     pub(crate) uri: Uri,
--- /dev/null
+++ b/crates/gateway/src/key.rs
@@ -0,0 +1,31 @@
+//! Keys that every host derives alike from names.
+
+use fulmarpath_policy::{ModelKey, RunKey, UpstreamKey};
+use fulmarpath_wire::CellKey;
+
+/// The key of an upstream's start.
+pub(crate) fn upstream_of(instance: &str) -> UpstreamKey {
+    UpstreamKey::of(instance)
+}
+
+/// The key of a generation, from its caller's request.
+pub(crate) fn run_of(request_id: &str) -> RunKey {
+    RunKey(hash(request_id))
+}
+
+/// The key of a data centre.
+pub(crate) fn centre_of(data_centre: &str) -> u64 {
+    hash(data_centre)
+}
+
+/// The key of a cell: of the whole service, or of its part in one data centre.
+pub(crate) fn cell_of(service: &str, data_centre: &str, is_divided: bool) -> CellKey {
+    CellKey(match is_divided {
+        true => hash(&format!("{service}/{data_centre}")),
+        false => hash(service),
+    })
+}
+
+fn hash(name: &str) -> u64 {
+    ModelKey::of(name).0
+}
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -5,6 +5,8 @@
 //! writes heads, [`Metadata`] reads the operator's and the upstreams' own entries.
 
 mod attempt;
+mod carry;
+mod cells;
 mod configuration;
 mod directory;
 mod events;
@@ -13,15 +15,20 @@
 mod forward;
 mod gateway;
 mod head;
+mod homes;
 mod hop;
 mod instances;
 mod intake;
 mod journey;
+mod key;
 mod metadata;
 mod metrics;
+mod mover;
 mod peer;
 mod problem;
+mod relay;
 mod roster;
+mod runs;
 mod serve;
 mod stream;
 
@@ -35,6 +42,7 @@
     AnswerHead, Continuation, Dialect, GenerationHead, HeadError, Outbound, PromptPart, RequestHead,
 };
 pub use metadata::{Change, Changes, Collection, HostRegistry, Metadata, Snapshot, StoreError};
+pub use mover::{Copied, CopyError, Mover};
 pub use problem::Problem;
 pub use roster::Roster;
 pub use serve::{Listen, ListenError};
--- /dev/null
+++ b/crates/gateway/src/mover.rs
@@ -0,0 +1,56 @@
+//! Engines' own calls that carry a generation's memory to another engine.
+
+use std::net::SocketAddr;
+
+use async_trait::async_trait;
+
+/// Why a copy isn't there.
+#[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
+pub enum CopyError {
+    /// The engine doesn't run the generation, or no more.
+    #[error("could not find the generation on the engine")]
+    NotThere,
+    /// Another copy of the generation is under way.
+    #[error("could not copy while another copy is under way")]
+    Busy,
+    /// The destination has no room or can't be reached. A generation that was stopped for it keeps
+    /// its memory at the source under this name.
+    #[error("could not copy to the destination")]
+    NoRoom {
+        /// Names the memory at the source, where the generation was stopped.
+        copy: Option<String>,
+    },
+    /// No answer: the generation may have been stopped.
+    #[error("could not learn what became of the copy")]
+    Unknown,
+}
+
+/// A copy at its destination.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Copied {
+    /// Names the copy.
+    pub copy: String,
+    /// Events that the generation had made.
+    pub events: u64,
+}
+
+/// Engines' own calls that carry a generation's memory to another engine.
+#[async_trait]
+pub trait Mover: Send + Sync {
+    /// Copies what is new of a generation's memory while it goes on.
+    async fn copy(
+        &self,
+        source: SocketAddr,
+        request_id: &str,
+        to: SocketAddr,
+    ) -> Result<Copied, CopyError>;
+    /// Stops a generation, then copies the rest of its memory.
+    async fn stop_and_copy(
+        &self,
+        source: SocketAddr,
+        request_id: &str,
+        to: SocketAddr,
+    ) -> Result<Copied, CopyError>;
+    /// Gives up a copy that nothing will use.
+    async fn give_up(&self, source: SocketAddr, copy: &str);
+}
--- a/crates/gateway/src/peer.rs
+++ b/crates/gateway/src/peer.rs
@@ -2,7 +2,10 @@
 
 use std::sync::Arc;
 
-use fulmarpath_wire::{GatewayPeer, GatewayPeerClient, Holding, Ping, Pong, framed};
+use fulmarpath_policy::{Placement, PlacementRequest, RunKey, UpstreamKey};
+use fulmarpath_wire::{
+    CarryAnswer, CellKey, GatewayPeer, GatewayPeerClient, Holding, Ping, Pong, Restatement, framed,
+};
 use futures::StreamExt;
 use tarpc::client::Config;
 use tarpc::context::Context;
@@ -61,4 +64,26 @@
             Vec::new()
         })
     }
+
+    async fn place(
+        self,
+        _: Context,
+        cell: CellKey,
+        request: PlacementRequest,
+    ) -> Option<Placement> {
+        self.gateway.answer_place(cell, &request)
+    }
+
+    async fn ended(self, _: Context, cell: CellKey, run: RunKey) {
+        self.gateway.cells.end(cell, run);
+    }
+
+    async fn restate(self, _: Context, restatement: Restatement) {
+        let now_ms = self.gateway.clock.now_ms();
+        self.gateway.cells.restate(now_ms, &restatement);
+    }
+
+    async fn carry(self, _: Context, run: RunKey, to: UpstreamKey) -> CarryAnswer {
+        self.gateway.carry_here(run, to).await
+    }
 }
--- a/crates/gateway/src/problem.rs
+++ b/crates/gateway/src/problem.rs
@@ -28,6 +28,11 @@
     NoUpstream,
     /// Every upstream that was asked refused.
     AllRefused,
+    /// Every engine is full and stays so for longer than the caller's patience.
+    Full {
+        /// When to come back.
+        retry_after_ms: Millis,
+    },
     /// No upstream could be reached.
     Unreachable,
     /// The time ran out before the request was sent.
@@ -49,6 +54,7 @@
             Self::NoConfiguration
             | Self::NoUpstream
             | Self::AllRefused
+            | Self::Full { .. }
             | Self::Unreachable
             | Self::TooLateToSend => StatusCode::SERVICE_UNAVAILABLE,
             Self::Timeout => StatusCode::GATEWAY_TIMEOUT,
@@ -67,6 +73,7 @@
             Self::NoConfiguration => "no_configuration",
             Self::NoUpstream => "no_upstream",
             Self::AllRefused => "all_refused",
+            Self::Full { .. } => "full",
             Self::Unreachable => "unreachable",
             Self::TooLateToSend => "too_late_to_send",
             Self::Timeout => "timeout",
@@ -83,6 +90,7 @@
             Self::NoUpstream | Self::Unreachable => Some(400),
             // A place frees in about the time of one small request.
             Self::AllRefused => Some(150),
+            Self::Full { retry_after_ms } => Some(retry_after_ms),
             Self::TooLateToSend => Some(0),
             _ => None,
         }
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -1,76 +1,61 @@
-//! Generations: run once at most, and passed on event by event.
+//! Generations: placed by their cell's home, run once at most.
 
 use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
-use fulmarpath_http::{BodyBroken, Connection, Reply, streamed, whole};
-use fulmarpath_policy::{Millis, Verdict};
+use fulmarpath_http::{Reply, streamed, whole};
+use fulmarpath_policy::{Millis, Placement, PlacementRequest, RunStatement, UpstreamKey};
 use futures::stream::unfold;
-use http_body_util::BodyExt;
 use hyper::Response;
-use hyper::body::Incoming;
-use tokio::time::timeout;
+use tokio::time::sleep;
 
-use crate::attempt::{Answer, Failure};
-use crate::events::Events;
+use crate::attempt::{Answer, Failure, Terms};
+use crate::configuration::EngineTraits;
 use crate::gateway::Gateway;
 use crate::hop;
+use crate::instances::{Chosen, Destination};
 use crate::intake::Inquiry;
-use crate::journey::{Flight, Journey};
+use crate::journey::Journey;
+use crate::key::{centre_of, run_of, upstream_of};
 use crate::problem::Problem;
+use crate::relay::{Relay, Ticket};
 
 /// Upstreams asked for one generation until one takes it.
-const DISPATCHES: u32 = 4;
+const DISPATCHES: usize = 4;
+/// The part of the time to a first event for which a generation waits for room. What is left has
+/// to be enough for its prompt to be read.
+const WAIT_SHARE: f32 = 0.55;
+/// Between two questions for room.
+const WAIT_PERIOD: Duration = Duration::from_millis(60);
 
-/// A generation on its way to its caller.
-struct Relay {
-    gateway: Arc<Gateway>,
-    journey: Journey,
-    flight: Flight,
-    body: Incoming,
-    _connection: Connection,
-    events: Events,
-    status: u16,
-    deadline_ms: Millis,
-    heard_ms: Millis,
+/// Where a generation starts.
+struct Start {
+    chosen: Chosen,
+    backup: Option<Destination>,
 }
 
 impl Gateway {
     /// Starts a generation and passes its events on.
     pub(crate) async fn stream(self: Arc<Self>, inquiry: Inquiry, mut journey: Journey) -> Reply {
-        let answer = match self.start(&inquiry, &mut journey).await {
-            Ok(answer) => answer,
+        let ticket = Ticket::new(self.clone(), &inquiry, &journey.id);
+        let started = self.start(&inquiry, &ticket, &mut journey).await;
+        let (answer, backup) = match started {
+            Ok(started) => started,
             Err(problem) => return self.decline(journey, problem),
         };
-        let Answer {
-            response,
-            flight,
-            connection,
-            ..
-        } = answer;
-        let (parts, body) = response.into_parts();
-        let relay = Relay {
-            deadline_ms: inquiry.deadline_ms,
-            heard_ms: self.clock.now_ms(),
-            status: parts.status.as_u16(),
-            gateway: self,
-            journey,
-            flight,
-            body,
-            _connection: connection,
-            events: Events::default(),
-        };
+        let mut reply = Response::new(whole(Bytes::new()));
+        *reply.status_mut() = answer.response.status();
+        *reply.headers_mut() = answer.response.headers().clone();
+        hop::strip(reply.headers_mut());
+        let statement = statement(&inquiry, &ticket, &answer, backup.as_ref());
+        let relay = Relay::new(inquiry, journey, ticket, answer, backup, statement);
         let chunks = unfold(Some(relay), |relay| async {
             let mut relay = relay?;
             let chunk = relay.next().await?;
             let goes_on = chunk.is_ok().then_some(relay);
             Some((chunk, goes_on))
         });
-        let mut reply = Response::new(whole(Bytes::new()));
-        *reply.status_mut() = parts.status;
-        *reply.headers_mut() = parts.headers;
-        hop::strip(reply.headers_mut());
         *reply.body_mut() = streamed(chunks);
         reply
     }
@@ -78,30 +63,33 @@
     async fn start(
         self: &Arc<Self>,
         inquiry: &Inquiry,
+        ticket: &Ticket,
         journey: &mut Journey,
-    ) -> Result<Answer, Problem> {
-        let mut tried = Vec::new();
+    ) -> Result<(Answer, Option<Destination>), Problem> {
+        let mut tried: Vec<Chosen> = Vec::new();
         let mut problem = Problem::NoUpstream;
-        for dispatch in 0..DISPATCHES {
+        while tried.len() < DISPATCHES {
             let now_ms = self.clock.now_ms();
             if now_ms >= inquiry.deadline_ms {
                 return Err(Problem::TooLateToSend);
             }
-            if dispatch > 0 && !self.may_retry(now_ms, &inquiry.service) {
+            if !tried.is_empty() && !self.may_retry(now_ms, &inquiry.service) {
                 break;
             }
-            let draw = rand::random();
-            let chosen = self
-                .instances
-                .choose(now_ms, &inquiry.service, &tried, draw);
-            let Some(chosen) = chosen else { break };
-            tried.push(chosen.key);
-            let sent = self.dispatch(inquiry, journey, chosen, inquiry.deadline_ms, None);
-            match sent.await {
+            let Some(start) = self.find_start(inquiry, ticket, journey, &tried).await? else {
+                break;
+            };
+            tried.push(start.chosen.clone());
+            let terms = Terms {
+                until_ms: inquiry.deadline_ms,
+                backup: start.backup.as_ref().map(|backup| backup.address),
+                continuation: None,
+            };
+            match self.dispatch(inquiry, journey, start.chosen, terms).await {
                 Ok(answer) if answer.response.status().is_success() && !answer.head.is_signed => {
                     return Err(Problem::Broken);
                 }
-                Ok(answer) => return Ok(answer),
+                Ok(answer) => return Ok((answer, start.backup)),
                 Err(Failure::Unsent) => problem = Problem::Unreachable,
                 Err(Failure::Shed) => problem = Problem::AllRefused,
                 Err(Failure::Unknown) => return Err(Problem::Broken),
@@ -110,55 +98,106 @@
         }
         Err(problem)
     }
-}
 
-impl Relay {
-    /// The next whole events; `None` behind the last.
-    async fn next(&mut self) -> Option<Result<Bytes, BodyBroken>> {
+    /// Asks the cell's home until there is room; `None` where no engine is left to try.
+    async fn find_start(
+        &self,
+        inquiry: &Inquiry,
+        ticket: &Ticket,
+        journey: &Journey,
+        tried: &[Chosen],
+    ) -> Result<Option<Start>, Problem> {
+        let mut without: Vec<UpstreamKey> =
+            tried.iter().map(|one| upstream_of(&one.instance)).collect();
+        let wait_ms = (inquiry.route.target_ms as f32 * WAIT_SHARE) as Millis;
+        let until_ms = inquiry.deadline_ms.min(journey.arrived_ms + wait_ms);
         loop {
-            if let Some(events) = self.events.take_whole() {
-                self.count(&events);
-                return Some(Ok(events));
-            }
-            let now_ms = self.gateway.clock.now_ms();
-            let left_ms = self.deadline_ms.saturating_sub(now_ms);
-            let frame = timeout(Duration::from_millis(left_ms), self.body.frame()).await;
-            match frame {
-                Ok(Some(Ok(frame))) => {
-                    if let Some(data) = frame.data_ref() {
-                        self.events.push(data);
+            let request = self.placement_request(inquiry, ticket, without.clone());
+            let placement = match &request {
+                Some(request) => self.place(ticket.cell, request.clone()).await,
+                None => Placement::NoEngine,
+            };
+            let now_ms = self.clock.now_ms();
+            match placement {
+                Placement::On { engine, backup } => {
+                    if let Some(chosen) = self.instances.take(now_ms, engine) {
+                        let backup = backup.and_then(|backup| self.instances.find(backup));
+                        return Ok(Some(Start { chosen, backup }));
                     }
+                    without.push(engine);
                 }
-                Ok(None) => return self.finish(),
-                Ok(Some(Err(_))) => {
-                    self.flight.judge(Verdict::Failed);
-                    self.journey.end("stream_broken", self.status);
-                    return Some(Err(BodyBroken));
+                Placement::Full { retry_after_ms } if now_ms >= until_ms => {
+                    return Err(Problem::Full { retry_after_ms });
                 }
-                Err(_) => {
-                    self.journey.end("stream_overdue", self.status);
-                    return Some(Err(BodyBroken));
+                Placement::Full { .. } => sleep(WAIT_PERIOD).await,
+                Placement::NoEngine => {
+                    let tried: Vec<_> = tried.iter().map(|one| one.key).collect();
+                    let draw = rand::random();
+                    let chosen = self
+                        .instances
+                        .choose(now_ms, &inquiry.service, &tried, draw);
+                    return Ok(chosen.map(|chosen| Start {
+                        chosen,
+                        backup: None,
+                    }));
                 }
             }
         }
     }
 
-    fn finish(&mut self) -> Option<Result<Bytes, BodyBroken>> {
-        if let Some(rest) = self.events.take_rest() {
-            return Some(Ok(rest));
-        }
-        self.flight.judge(Verdict::Good);
-        self.journey.end("answered", self.status);
-        None
+    /// What the cell's home must know; `None` for a stream that isn't a generation.
+    fn placement_request(
+        &self,
+        inquiry: &Inquiry,
+        ticket: &Ticket,
+        without: Vec<UpstreamKey>,
+    ) -> Option<PlacementRequest> {
+        let generation = inquiry.generation.as_ref()?;
+        let traits = self.engine_traits(&inquiry.service)?;
+        Some(PlacementRequest {
+            run: ticket.run,
+            host: self.host_key(),
+            data_centre: centre_of(&self.settings.host.data_centre),
+            prompt_tokens: generation.prompt_tokens,
+            limit_tokens: generation.output_limit_tokens,
+            hint_tokens: generation.length_hint_tokens,
+            without,
+            can_back_up: traits.can_back_up,
+        })
+    }
+
+    /// What engines of a service can do; `None` where its upstreams aren't engines.
+    pub(crate) fn engine_traits(&self, service: &str) -> Option<EngineTraits> {
+        let in_force = self.in_force()?;
+        in_force.service(service)?.engine.clone()
     }
+}
+
+fn statement(
+    inquiry: &Inquiry,
+    ticket: &Ticket,
+    answer: &Answer,
+    backup: Option<&Destination>,
+) -> RunStatement {
+    let generation = inquiry.generation.clone().unwrap_or_default();
+    RunStatement {
+        run: ticket.run,
+        engine: upstream_of(&answer.flight.chosen.instance),
+        backup: backup.map(|backup| backup.upstream),
+        prompt_tokens: generation.prompt_tokens,
+        out_tokens: 0,
+        limit_tokens: generation.output_limit_tokens,
+        hint_tokens: generation.length_hint_tokens,
+    }
+}
 
-    fn count(&mut self, events: &Bytes) {
-        let now_ms = self.gateway.clock.now_ms();
-        if self.journey.events > 0 {
-            let pause_ms = now_ms.saturating_sub(self.heard_ms);
-            self.gateway.metrics.pause_ms.observe(pause_ms as f64);
+impl Ticket {
+    fn new(gateway: Arc<Gateway>, inquiry: &Inquiry, id: &str) -> Self {
+        let data_centre = &gateway.settings.host.data_centre;
+        Self {
+            cell: gateway.cells.cell_for(&inquiry.service, data_centre),
+            run: run_of(id),
+            gateway,
         }
-        self.heard_ms = now_ms;
-        self.journey.events += crate::events::split(events).len() as u32;
     }
 }
--- /dev/null
+++ b/crates/policy/src/cell/evacuation.rs
@@ -0,0 +1,152 @@
+//! Which generation of a leaving engine is carried off next, and where to.
+//!
+//! An engine's notice is short and its link carries one transfer after another, so what moves first
+//! is what loses most for each millisecond of the link. One transfer at a time: the first long copy
+//! and the last short one, which stops the generation, must follow each other at once. When several
+//! copies share a link, stopped generations wait behind other ones' long copies, which their
+//! callers see as pauses of up to a second.
+
+use super::Cell;
+use super::engine::{Engine, TOKEN_MS};
+use super::run::{Run, RunKey};
+use crate::key::{HostKey, Millis, UpstreamKey};
+
+/// A transfer's fixed part: two calls to the engine and the start at the destination.
+const SETUP_MS: f32 = 15.0;
+/// A generation whose move has failed is left alone for so long, while others go.
+const REST_MS: Millis = 150;
+/// A destination may be filled up to this share by what is carried there.
+const ROOM_SHARE: f32 = 0.97;
+/// A generation is left where it is if its rest would take less than this part of the time left;
+/// guesses at lengths are often far off, and a move costs little.
+const ENDS_SHARE: f32 = 0.25;
+
+/// One generation to carry off.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Carry {
+    /// The generation.
+    pub run: RunKey,
+    /// The host that relays it.
+    pub host: HostKey,
+    /// The engine that leaves.
+    pub from: UpstreamKey,
+    /// The engine to go on at.
+    pub to: UpstreamKey,
+}
+
+/// How a transfer ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum CarryEnd {
+    /// It goes on at the destination.
+    Moved,
+    /// It still runs where it was.
+    Stayed,
+    /// It is over.
+    Over,
+}
+
+impl Cell {
+    /// Engines that are leaving with generations on them.
+    pub fn leaving(&self) -> Vec<UpstreamKey> {
+        let engines = self.engines.values().filter(|engine| engine.is_leaving());
+        engines
+            .map(|engine| engine.entry.key)
+            .filter(|key| self.runs_on(*key).next().is_some())
+            .collect()
+    }
+
+    /// The next transfer off a leaving engine; counts it on both links and at the destination.
+    pub fn next_carry(&mut self, now_ms: Millis, from: UpstreamKey) -> Option<Carry> {
+        let engine = self.engines.get(&from)?;
+        let gone_at_ms = engine.gone_at_ms()?;
+        let left_ms = gone_at_ms.saturating_sub(now_ms) as f32;
+        let waiting = self.runs.iter().filter(|(_, run)| {
+            run.is_on(from)
+                && !run.is_moving()
+                && run.has_begun(now_ms)
+                && now_ms >= run.rest_until_ms
+        });
+        let best = waiting
+            .map(|(key, run)| (loss_rate(run, engine, now_ms, left_ms), *key))
+            .filter(|(rate, _)| *rate > 0.0)
+            .max_by(|one, other| one.0.total_cmp(&other.0).then(one.1.cmp(&other.1)));
+        let (_, key) = best?;
+        let to = self.destination(now_ms, from, &self.runs[&key])?;
+        self.take_links(now_ms, from, to, key);
+        let run = self.runs.get_mut(&key)?;
+        run.move_to(to);
+        Some(Carry {
+            run: key,
+            host: run.host(),
+            from,
+            to,
+        })
+    }
+
+    /// A transfer is over.
+    pub fn carried(&mut self, now_ms: Millis, carry: Carry, end: CarryEnd) {
+        if end == CarryEnd::Over {
+            self.runs.remove(&carry.run);
+            return;
+        }
+        if let Some(run) = self.runs.get_mut(&carry.run) {
+            run.moved(end == CarryEnd::Moved);
+            if end == CarryEnd::Stayed {
+                run.rest_until_ms = now_ms + REST_MS;
+            }
+        }
+    }
+
+    /// The engine whose link is free soonest and that has most room; near ones first, since the
+    /// way between data centres takes twice as long.
+    fn destination(&self, now_ms: Millis, from: UpstreamKey, run: &Run) -> Option<UpstreamKey> {
+        let source = self.engines.get(&from)?;
+        let tokens = run.held_tokens(now_ms);
+        let open = self.engines.values().filter(|engine| !engine.is_leaving());
+        let with_room = open.filter_map(|engine| {
+            let share = self.peak_share(now_ms, engine, tokens, run.rest_tokens(now_ms));
+            (share <= ROOM_SHARE).then_some((engine, share))
+        });
+        let costs = with_room.map(|(engine, share)| {
+            let near = engine.entry.data_centre == source.entry.data_centre;
+            let wait_ms = engine.link_free_ms.saturating_sub(now_ms) as f32;
+            let transfer_ms = source.transfer_ms(tokens as u32, near);
+            (wait_ms + transfer_ms + ROOM_MS * share, engine.entry.key)
+        });
+        let best = costs.min_by(|one, other| one.0.total_cmp(&other.0).then(one.1.cmp(&other.1)));
+        best.map(|(_, key)| key)
+    }
+
+    fn take_links(&mut self, now_ms: Millis, from: UpstreamKey, to: UpstreamKey, run: RunKey) {
+        let tokens = self.runs[&run].held_tokens(now_ms) as u32;
+        let centre = |key| {
+            self.engines
+                .get(&key)
+                .map(|one: &Engine| one.entry.data_centre)
+        };
+        let near = centre(from) == centre(to);
+        let Some(source) = self.engines.get(&from) else {
+            return;
+        };
+        let takes_ms = (source.transfer_ms(tokens, near) + SETUP_MS) as Millis;
+        for key in [from, to] {
+            if let Some(engine) = self.engines.get_mut(&key) {
+                engine.link_free_ms = engine.link_free_ms.max(now_ms) + takes_ms;
+            }
+        }
+    }
+}
+
+/// What a full destination costs against an empty one: about one transfer between data centres.
+const ROOM_MS: f32 = 300.0;
+
+/// What is lost with a generation that stays, for each millisecond of the link.
+fn loss_rate(run: &Run, engine: &Engine, now_ms: Millis, left_ms: f32) -> f32 {
+    let rest_ms = run.rest_tokens(now_ms) * TOKEN_MS;
+    if rest_ms < left_ms * ENDS_SHARE {
+        return 0.0;
+    }
+    let transfer_ms = engine.transfer_ms(run.held_tokens(now_ms) as u32, true) + SETUP_MS;
+    let chance_lost = (rest_ms / left_ms.max(1.0)).min(1.0);
+    run.worth() * chance_lost / transfer_ms
+}
--- /dev/null
+++ b/crates/policy/src/cell/mod.rs
@@ -0,0 +1,90 @@
+//! A cell: engines of one service whose generations one host places and carries off.
+//!
+//! Placement by many hosts that each see a part, late, fills some engines while others idle, and a
+//! leaving engine's generations then meet on the links of the same few destinations. One home for
+//! each cell sees every placement at once and gives each transfer its turn. Its table is a hint:
+//! hosts restate their generations every second or so, so a new home knows them all after that,
+//! and a host without a home places by itself.
+
+mod engine;
+mod evacuation;
+mod forecast;
+mod placement;
+mod run;
+
+use std::collections::HashMap;
+
+pub use engine::{CellEngine, EngineFigures};
+pub use evacuation::{Carry, CarryEnd};
+pub use placement::{Placement, PlacementRequest};
+pub use run::{RunKey, RunStatement};
+
+use crate::key::{HostKey, Millis, UpstreamKey};
+use engine::Engine;
+use run::Run;
+
+/// The engines of one cell and the generations on them.
+#[derive(Debug, Default)]
+pub struct Cell {
+    engines: HashMap<UpstreamKey, Engine>,
+    runs: HashMap<RunKey, Run>,
+}
+
+impl Cell {
+    /// Takes the engines that are registered now. One that is missing but still has generations is
+    /// leaving: some engines go without a word and serve on for a while.
+    pub fn set_engines(&mut self, now_ms: Millis, registered: &[CellEngine]) {
+        for one in registered {
+            let known = self.engines.entry(one.key);
+            known
+                .and_modify(|engine| engine.update(now_ms, *one))
+                .or_insert_with(|| Engine::new(now_ms, *one));
+        }
+        for (key, engine) in &mut self.engines {
+            if !registered.iter().any(|one| one.key == *key) {
+                engine.leave(now_ms);
+            }
+        }
+        let runs = &self.runs;
+        self.engines.retain(|key, engine| {
+            !engine.is_leaving()
+                || runs.values().any(|run| run.is_on(*key))
+                || registered.iter().any(|one| one.key == *key)
+        });
+    }
+
+    /// A generation is over, wherever it was.
+    pub fn end(&mut self, run: RunKey) {
+        self.runs.remove(&run);
+    }
+
+    /// A host states all generations of this cell that it relays. What it doesn't state is over:
+    /// word of an end may have been lost.
+    pub fn restate(&mut self, now_ms: Millis, host: HostKey, statements: &[RunStatement]) {
+        self.runs.retain(|key, run| {
+            run.host() != host
+                || run.is_fresh(now_ms)
+                || statements.iter().any(|one| one.run == *key)
+        });
+        for one in statements {
+            let known = self.runs.entry(one.run);
+            known
+                .and_modify(|run| run.restate(now_ms, one))
+                .or_insert_with(|| Run::restored(now_ms, host, one));
+        }
+    }
+
+    /// Generations of hosts that are gone are over: their callers' connections are.
+    pub fn keep_hosts(&mut self, is_present: impl Fn(HostKey) -> bool) {
+        self.runs.retain(|_, run| is_present(run.host()));
+    }
+
+    /// Generations that are known.
+    pub fn run_count(&self) -> usize {
+        self.runs.len()
+    }
+
+    fn runs_on(&self, engine: UpstreamKey) -> impl Iterator<Item = &Run> {
+        self.runs.values().filter(move |run| run.is_on(engine))
+    }
+}
--- /dev/null
+++ b/crates/policy/src/cell/placement.rs
@@ -0,0 +1,162 @@
+//! Which engine of a cell a generation starts on.
+
+use serde::{Deserialize, Serialize};
+
+use super::Cell;
+use super::engine::Engine;
+use super::run::{Run, RunKey};
+use crate::key::{HostKey, Millis, UpstreamKey};
+
+/// A generation holds back the others of its batch; so much later is each token's first sight.
+const CROWD_MS: f32 = 9.0;
+/// An engine in another data centre: the way there, and dearer bytes.
+const FAR_MS: f32 = 12.0;
+/// What a full memory costs against an empty one. The square keeps half-full engines nearly equal,
+/// so that prompts go where they are read soonest, and weighs the last room heavily: an engine
+/// that fills pauses somebody.
+const MEMORY_MS: f32 = 500.0;
+/// No generation starts where this share of the memory would be taken at the peak.
+const FULL_SHARE: f32 = 0.96;
+/// A running copy is kept where its engine stays below this share: copies must never hold back a
+/// generation.
+const BACKUP_SHARE: f32 = 0.55;
+/// Shorter answers than this are over before an engine's notice is.
+const BACKUP_LEAST_TOKENS: u32 = 160;
+/// When to come back where every engine is full: about what a generation of usual length has left.
+const RETRY_AFTER_MS: Millis = 1_200;
+
+/// A generation to be placed.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct PlacementRequest {
+    /// The generation.
+    pub run: RunKey,
+    /// The host that will relay it.
+    pub host: HostKey,
+    /// That host's data centre, hashed.
+    pub data_centre: u64,
+    /// Prompt tokens.
+    pub prompt_tokens: u32,
+    /// The longest answer.
+    pub limit_tokens: u32,
+    /// The caller's guess.
+    pub hint_tokens: Option<u32>,
+    /// Engines that have refused it already.
+    pub without: Vec<UpstreamKey>,
+    /// Whether engines keep running copies for one another.
+    pub can_back_up: bool,
+}
+
+/// Where a generation starts.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Placement {
+    /// On this engine.
+    On {
+        /// The engine.
+        engine: UpstreamKey,
+        /// The engine that keeps a running copy of its memory.
+        backup: Option<UpstreamKey>,
+    },
+    /// Nowhere now.
+    Full {
+        /// When to come back.
+        retry_after_ms: Millis,
+    },
+    /// The cell has no engine that takes work.
+    NoEngine,
+}
+
+impl Cell {
+    /// Places a generation and counts it.
+    pub fn place(&mut self, now_ms: Millis, request: &PlacementRequest) -> Placement {
+        let open: Vec<&Engine> = self
+            .engines
+            .values()
+            .filter(|engine| !engine.is_leaving())
+            .filter(|engine| !request.without.contains(&engine.entry.key))
+            .collect();
+        if open.is_empty() {
+            return Placement::NoEngine;
+        }
+        let expected = expected_tokens(request);
+        let costs = open.iter().filter_map(|engine| {
+            let cost = self.cost_ms(now_ms, engine, request, expected)?;
+            Some((cost, engine.entry.key))
+        });
+        let best = costs.min_by(|one, other| one.0.total_cmp(&other.0).then(one.1.cmp(&other.1)));
+        let Some((_, engine)) = best else {
+            return Placement::Full {
+                retry_after_ms: RETRY_AFTER_MS,
+            };
+        };
+        let backup = self.backup_for(now_ms, engine, request, expected);
+        self.start(now_ms, engine, backup, request);
+        Placement::On { engine, backup }
+    }
+
+    /// What it costs to start there; `None` where it would fill the engine.
+    fn cost_ms(
+        &self,
+        now_ms: Millis,
+        engine: &Engine,
+        request: &PlacementRequest,
+        expected: f32,
+    ) -> Option<f32> {
+        let prompt = request.prompt_tokens as f32;
+        let share = self.peak_share(now_ms, engine, prompt, expected);
+        let key = engine.entry.key;
+        let running = self.runs_on(key).count();
+        if share > FULL_SHARE || running >= engine.entry.figures.slots as usize {
+            return None;
+        }
+        let far = engine.entry.data_centre != request.data_centre;
+        let crowd_ms = CROWD_MS * running as f32;
+        let memory_ms = MEMORY_MS * share * share;
+        let far_ms = if far { FAR_MS } else { 0.0 };
+        Some(engine.prefill_wait_ms(now_ms) + crowd_ms + memory_ms + far_ms)
+    }
+
+    fn backup_for(
+        &self,
+        now_ms: Millis,
+        main: UpstreamKey,
+        request: &PlacementRequest,
+        expected: f32,
+    ) -> Option<UpstreamKey> {
+        if !request.can_back_up || request.limit_tokens < BACKUP_LEAST_TOKENS {
+            return None;
+        }
+        let prompt = request.prompt_tokens as f32;
+        let others = self
+            .engines
+            .values()
+            .filter(|engine| engine.entry.key != main && !engine.is_leaving());
+        let shares = others.map(|engine| {
+            let share = self.peak_share(now_ms, engine, prompt, expected);
+            (share, engine.entry.key)
+        });
+        let (share, key) = shares.min_by(|one, other| one.0.total_cmp(&other.0))?;
+        (share < BACKUP_SHARE).then_some(key)
+    }
+
+    fn start(
+        &mut self,
+        now_ms: Millis,
+        engine: UpstreamKey,
+        backup: Option<UpstreamKey>,
+        request: &PlacementRequest,
+    ) {
+        let Some(chosen) = self.engines.get_mut(&engine) else {
+            return;
+        };
+        chosen.prefill(now_ms, request.prompt_tokens);
+        let first_token_ms = chosen.prefilled_at_ms as Millis;
+        let run = Run::placed(now_ms, first_token_ms, engine, backup, request);
+        self.runs.insert(request.run, run);
+    }
+}
+
+fn expected_tokens(request: &PlacementRequest) -> f32 {
+    let limit = request.limit_tokens as f32;
+    let guess = request.hint_tokens.map(|hint| hint as f32);
+    guess.unwrap_or(limit / 2.0).min(limit)
+}
--- /dev/null
+++ b/crates/policy/src/cell/run.rs
@@ -0,0 +1,172 @@
+//! One generation of a cell.
+
+use serde::{Deserialize, Serialize};
+
+use super::engine::TOKEN_MS;
+use super::placement::PlacementRequest;
+use crate::key::{HostKey, Millis, UpstreamKey};
+
+/// A generation; a hash of its caller's request, the same at every host.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct RunKey(pub u64);
+
+/// A placement younger than this may be missing from its host's statement, which was on its way.
+const FRESH_MS: Millis = 1_500;
+/// Of a generation whose length nobody guesses, this part of its bound is expected.
+const UNKNOWN_SHARE: f32 = 0.5;
+/// A generation that has outlived its guess is expected to go on for this part of what it has.
+const OUTLIVED_SHARE: f32 = 0.3;
+const OUTLIVED_TOKENS: f32 = 24.0;
+
+/// A generation as the host that relays it states it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RunStatement {
+    /// The generation.
+    pub run: RunKey,
+    /// The engine that it runs on.
+    pub engine: UpstreamKey,
+    /// The engine that keeps a running copy of its memory.
+    pub backup: Option<UpstreamKey>,
+    /// Prompt tokens.
+    pub prompt_tokens: u32,
+    /// Tokens that have reached the host.
+    pub out_tokens: u32,
+    /// The longest answer.
+    pub limit_tokens: u32,
+    /// The caller's guess.
+    pub hint_tokens: Option<u32>,
+}
+
+#[derive(Debug, Clone)]
+pub(super) struct Run {
+    host: HostKey,
+    engine: UpstreamKey,
+    backup: Option<UpstreamKey>,
+    /// The engine that holds or gets its copy while it moves.
+    moving_to: Option<UpstreamKey>,
+    pub(super) prompt_tokens: u32,
+    limit_tokens: u32,
+    hint_tokens: Option<u32>,
+    out_tokens: u32,
+    /// When `out_tokens` were out; ahead of now while the prompt is being read.
+    out_at_ms: Millis,
+    placed_ms: Millis,
+    /// Not to be moved before, since a try has failed.
+    pub(super) rest_until_ms: Millis,
+}
+
+impl Run {
+    pub(super) fn placed(
+        now_ms: Millis,
+        first_token_ms: Millis,
+        engine: UpstreamKey,
+        backup: Option<UpstreamKey>,
+        request: &PlacementRequest,
+    ) -> Self {
+        Self {
+            host: request.host,
+            engine,
+            backup,
+            moving_to: None,
+            prompt_tokens: request.prompt_tokens,
+            limit_tokens: request.limit_tokens,
+            hint_tokens: request.hint_tokens,
+            out_tokens: 0,
+            out_at_ms: first_token_ms,
+            placed_ms: now_ms,
+            rest_until_ms: 0,
+        }
+    }
+
+    pub(super) fn restored(now_ms: Millis, host: HostKey, statement: &RunStatement) -> Self {
+        Self {
+            host,
+            engine: statement.engine,
+            backup: statement.backup,
+            moving_to: None,
+            prompt_tokens: statement.prompt_tokens,
+            limit_tokens: statement.limit_tokens,
+            hint_tokens: statement.hint_tokens,
+            out_tokens: statement.out_tokens,
+            out_at_ms: now_ms,
+            placed_ms: now_ms,
+            rest_until_ms: 0,
+        }
+    }
+
+    pub(super) fn restate(&mut self, now_ms: Millis, statement: &RunStatement) {
+        self.engine = statement.engine;
+        self.backup = statement.backup;
+        if statement.out_tokens > 0 {
+            self.out_tokens = statement.out_tokens;
+            self.out_at_ms = now_ms;
+        }
+    }
+
+    pub(super) fn host(&self) -> HostKey {
+        self.host
+    }
+
+    pub(super) fn is_moving(&self) -> bool {
+        self.moving_to.is_some()
+    }
+
+    pub(super) fn move_to(&mut self, to: UpstreamKey) {
+        self.moving_to = Some(to);
+    }
+
+    /// The move is over, well or not.
+    pub(super) fn moved(&mut self, is_there: bool) {
+        if let Some(to) = self.moving_to.take()
+            && is_there
+        {
+            self.engine = to;
+        }
+    }
+
+    pub(super) fn is_on(&self, engine: UpstreamKey) -> bool {
+        self.engine == engine
+    }
+
+    /// Whether it takes memory of an engine, by itself or by a copy.
+    pub(super) fn holds(&self, engine: UpstreamKey) -> bool {
+        self.engine == engine || self.backup == Some(engine) || self.moving_to == Some(engine)
+    }
+
+    pub(super) fn is_fresh(&self, now_ms: Millis) -> bool {
+        now_ms.saturating_sub(self.placed_ms) < FRESH_MS
+    }
+
+    /// Whether its first token is out, so far as can be told: before that there is nothing to move.
+    pub(super) fn has_begun(&self, now_ms: Millis) -> bool {
+        self.out_tokens > 0 || now_ms >= self.out_at_ms
+    }
+
+    /// Tokens out by now: the last word, and what the engine has made since.
+    pub(super) fn out_tokens(&self, now_ms: Millis) -> f32 {
+        let since_ms = now_ms.saturating_sub(self.out_at_ms) as f32;
+        (self.out_tokens as f32 + since_ms / TOKEN_MS).min(self.limit_tokens as f32)
+    }
+
+    /// Tokens still to come.
+    pub(super) fn rest_tokens(&self, now_ms: Millis) -> f32 {
+        let out = self.out_tokens(now_ms);
+        let guess = match self.hint_tokens {
+            Some(hint) => hint as f32,
+            None => self.limit_tokens as f32 * UNKNOWN_SHARE,
+        };
+        let outlived = out + OUTLIVED_TOKENS + out * OUTLIVED_SHARE;
+        (guess.max(outlived).min(self.limit_tokens as f32) - out).max(0.0)
+    }
+
+    /// Memory that it holds now.
+    pub(super) fn held_tokens(&self, now_ms: Millis) -> f32 {
+        self.prompt_tokens as f32 + self.out_tokens(now_ms)
+    }
+
+    /// What its caller loses with it: its size, as the users weigh generations, where a token out
+    /// counts as ten of the prompt.
+    pub(super) fn worth(&self) -> f32 {
+        self.prompt_tokens as f32 + 10.0 * self.limit_tokens as f32
+    }
+}
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -5,6 +5,7 @@
 
 mod ask;
 mod backlog;
+mod cell;
 mod choose;
 mod fair;
 mod fit;
@@ -25,6 +26,10 @@
 mod weights;
 
 pub use ask::{Ask, AskId, Outcome, PermitKey, RefusalReason};
+pub use cell::{
+    Carry, CarryEnd, Cell, CellEngine, EngineFigures, Placement, PlacementRequest, RunKey,
+    RunStatement,
+};
 pub use choose::{Choice, choose};
 pub use fair::Fairness;
 pub use fit::{FitRule, Footprint};
--- a/crates/wire/src/gateway.rs
+++ b/crates/wire/src/gateway.rs
@@ -1,5 +1,6 @@
 //! The calls that gateways make to each other.
 
+use fulmarpath_policy::{HostKey, Placement, PlacementRequest, RunKey, RunStatement, UpstreamKey};
 use serde::{Deserialize, Serialize};
 
 use crate::message::{Ping, Pong};
@@ -13,6 +14,32 @@
     Upstreams,
 }
 
+/// Engines of one service that one host places generations on; a hash of the cell's name.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct CellKey(pub u64);
+
+/// The generations of one cell that one host relays.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Restatement {
+    /// The cell.
+    pub cell: CellKey,
+    /// The host.
+    pub host: HostKey,
+    /// All of them.
+    pub runs: Vec<RunStatement>,
+}
+
+/// How a host's try to carry a generation to another engine ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub enum CarryAnswer {
+    /// It goes on at the destination.
+    Moved,
+    /// It still runs where it was.
+    Stayed,
+    /// It is over, or the host doesn't relay it.
+    Over,
+}
+
 /// What one gateway may ask of another.
 #[tarpc::service]
 pub trait GatewayPeer {
@@ -21,4 +48,12 @@
     async fn ping(ping: Ping) -> Pong;
     /// What the receiver holds, as JSON; empty where it holds none.
     async fn holding(holding: Holding) -> Vec<u8>;
+    /// Asks the home of a cell for an engine; `None` where the receiver isn't the home.
+    async fn place(cell: CellKey, request: PlacementRequest) -> Option<Placement>;
+    /// A generation is over.
+    async fn ended(cell: CellKey, run: RunKey);
+    /// What the sender relays; what it relayed before and doesn't name is over.
+    async fn restate(restatement: Restatement);
+    /// The home of a cell asks the relaying host to carry a generation to another engine.
+    async fn carry(run: RunKey, to: UpstreamKey) -> CarryAnswer;
 }
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -9,7 +9,7 @@
 mod peers;
 mod service;
 
-pub use gateway::{GatewayPeer, GatewayPeerClient, Holding};
+pub use gateway::{CarryAnswer, CellKey, GatewayPeer, GatewayPeerClient, Holding, Restatement};
 pub use message::{
     AskAnswer, AskReply, ClaimAnswer, ClaimAsk, Document, FetchAnswer, GenerationEnd, LimitAnswer,
     MemberNote, MemberState, PermitId, Ping, Pong, Progress, ProgressReply, Rumour, RunState,
