Watch the store at a few hosts and spread its news along a tree

Change: one host a data centre and the homes of cells watch; a watcher sends changes, not lists, to its data centre along a tree; what a dead host in it keeps from others the next pings bring.

--- a/crates/gateway/src/cells.rs
+++ b/crates/gateway/src/cells.rs
@@ -67,6 +67,11 @@
         };
     }
 
+    /// All cells that are known.
+    pub(crate) fn keys(&self) -> Vec<CellKey> {
+        self.tables.lock().keys().copied().collect()
+    }
+
     /// The cell for a request of a host in `data_centre`.
     pub(crate) fn cell_for(&self, service: &str, data_centre: &str) -> CellKey {
         let is_divided = self.divided.lock().contains(service);
--- a/crates/gateway/src/directory.rs
+++ b/crates/gateway/src/directory.rs
@@ -51,4 +51,45 @@
     pub revision: u64,
     /// In no order.
     pub registrations: Vec<Registration>,
+    /// Instances among them whose entries lapsed while the store was away, and that may come back.
+    pub lapsed: Vec<String>,
+}
+
+/// What changed between two states of the directory.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct DirectoryChange {
+    /// The revision that it changes.
+    pub from_revision: u64,
+    /// The revision that it leads to.
+    pub revision: u64,
+    /// New or changed.
+    pub put: Vec<Registration>,
+    /// Gone.
+    pub gone: Vec<String>,
+    /// Lapsed, so far as they are still there.
+    pub lapsed: Vec<String>,
+}
+
+impl Directory {
+    /// What leads from this state to `later`.
+    pub fn change_to(&self, later: &Self) -> DirectoryChange {
+        let is_news = |one: &&Registration| !self.registrations.contains(one);
+        let is_gone = |one: &&Registration| {
+            let mut still = later.registrations.iter();
+            !still.any(|other| other.instance == one.instance)
+        };
+        let gone = self.registrations.iter().filter(is_gone);
+        DirectoryChange {
+            from_revision: self.revision,
+            revision: later.revision,
+            put: later
+                .registrations
+                .iter()
+                .filter(is_news)
+                .cloned()
+                .collect(),
+            gone: gone.map(|one| one.instance.clone()).collect(),
+            lapsed: later.lapsed.clone(),
+        }
+    }
 }
--- a/crates/gateway/src/fleet.rs
+++ b/crates/gateway/src/fleet.rs
@@ -253,6 +253,9 @@
             *since_ms = None;
             return false;
         }
+        if !self.watches() {
+            return true;
+        }
         now_ms.saturating_sub(*since_ms.get_or_insert(now_ms)) >= BEHIND_MS
     }
 
--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -7,6 +7,7 @@
 use fulmarpath_policy::Millis;
 use rand::Rng;
 use spdlog::{info, warn};
+use tokio::time::sleep;
 
 use crate::directory::Directory;
 use crate::gateway::Gateway;
@@ -18,12 +19,17 @@
 const WATCH_BOUND: Duration = Duration::from_millis(4_000);
 /// Between two tries while the store is away; drawn anew each time, lest all hosts come at once.
 const RETRY_MS: Range<u64> = 150..450;
+/// How often a host that doesn't watch looks whether it should.
+const IDLE_PERIOD: Duration = Duration::from_millis(200);
+/// Between two watches of the upstreams: changes that come together are one call. The home of a
+/// cell doesn't wait, for the notice of a leaving engine is short.
+const MERGE_PERIOD: Duration = Duration::from_millis(120);
 /// How often entries that lapsed with the store's outage are looked at.
 const EXPIRE_PERIOD: Duration = Duration::from_millis(100);
 
 async fn pause() {
     let pause_ms = rand::rng().random_range(RETRY_MS);
-    tokio::time::sleep(Duration::from_millis(pause_ms)).await;
+    sleep(Duration::from_millis(pause_ms)).await;
 }
 
 /// Tells the log of each loss and return of a dependency, once.
@@ -61,6 +67,11 @@
         let mut contact = Contact::new("the configuration");
         let mut revision = None;
         loop {
+            if self.version() > 0 && !self.watches() {
+                revision = None;
+                sleep(IDLE_PERIOD).await;
+                continue;
+            }
             let heard = match revision {
                 None => source.list().await.map(|all| (all.revision, all.items)),
                 Some(seen) => source.watch(seen, WATCH_BOUND).await.map(|changes| {
@@ -81,6 +92,7 @@
                     for configuration in configurations {
                         self.adopt(configuration, "the store");
                     }
+                    self.announce_configuration();
                 }
                 Err(StoreError::HistoryGone { .. }) => revision = None,
                 Err(error) => {
@@ -100,6 +112,11 @@
         let mut contact = Contact::new("the upstreams");
         let mut is_listed = false;
         loop {
+            if self.roster.lock().revision() > 0 && !self.watches() {
+                is_listed = false;
+                sleep(IDLE_PERIOD).await;
+                continue;
+            }
             let seen = self.roster.lock().revision();
             let heard = if is_listed {
                 let changes = source.watch(seen, WATCH_BOUND).await;
@@ -113,6 +130,10 @@
                 Ok(()) => {
                     contact.heard();
                     is_listed = true;
+                    self.announce_directory();
+                    if !self.has_cell() {
+                        sleep(MERGE_PERIOD).await;
+                    }
                 }
                 Err(StoreError::HistoryGone { .. }) => is_listed = false,
                 Err(error) => {
@@ -129,7 +150,7 @@
     /// Drops upstreams that did not come back after an outage of the store.
     pub(crate) async fn expire_registrations(self: Arc<Self>) {
         loop {
-            tokio::time::sleep(EXPIRE_PERIOD).await;
+            sleep(EXPIRE_PERIOD).await;
             let mut roster = self.roster.lock();
             if roster.expire(self.clock.now_ms()) {
                 self.adopt_directory(&roster.directory());
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -25,6 +25,7 @@
 use crate::mover::Mover;
 use crate::roster::Roster;
 use crate::runs::Runs;
+use crate::spread::Spread;
 
 /// What a gateway must know of itself.
 #[derive(Debug, Clone)]
@@ -54,6 +55,7 @@
     pub(crate) cells: Cells,
     pub(crate) runs: Runs,
     pub(crate) duties: Duties,
+    pub(crate) spread: Spread,
     pub(crate) mover: Arc<dyn Mover>,
     in_force: ArcSwapOption<InForce>,
     retries: Mutex<HashMap<String, RetryWindow>>,
@@ -76,6 +78,7 @@
             cells: Cells::default(),
             runs: Runs::default(),
             duties: Duties::default(),
+            spread: Spread::default(),
             mover,
             dialect,
             metadata,
--- a/crates/gateway/src/homes.rs
+++ b/crates/gateway/src/homes.rs
@@ -42,6 +42,11 @@
         self.fleet.members.lock().my_key()
     }
 
+    /// Whether this host is home of any cell.
+    pub(crate) fn has_cell(&self) -> bool {
+        self.cells.keys().into_iter().any(|cell| self.is_home(cell))
+    }
+
     fn is_home(&self, cell: CellKey) -> bool {
         let home = self.home_of(cell);
         home.is_none_or(|(key, _)| key == self.host_key())
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -30,13 +30,14 @@
 mod roster;
 mod runs;
 mod serve;
+mod spread;
 mod stream;
 
 pub use configuration::{
     CallerLimits, Configuration, EngineTraits, InForce, Organisation, Route, RouteKind, Service,
     Share,
 };
-pub use directory::{Directory, HostRegistration, RegisteredState, Registration};
+pub use directory::{Directory, DirectoryChange, HostRegistration, RegisteredState, Registration};
 pub use gateway::{Gateway, GatewaySettings};
 pub use head::{
     AnswerHead, Continuation, Dialect, GenerationHead, HeadError, Outbound, PromptPart, RequestHead,
--- a/crates/gateway/src/peer.rs
+++ b/crates/gateway/src/peer.rs
@@ -4,7 +4,8 @@
 
 use fulmarpath_policy::{Placement, PlacementRequest, RunKey, UpstreamKey};
 use fulmarpath_wire::{
-    CarryAnswer, CellKey, GatewayPeer, GatewayPeerClient, Holding, Ping, Pong, Restatement, framed,
+    Announcement, CarryAnswer, CellKey, GatewayPeer, GatewayPeerClient, Holding, Ping, Pong,
+    Restatement, framed,
 };
 use futures::StreamExt;
 use tarpc::client::Config;
@@ -65,6 +66,10 @@
         })
     }
 
+    async fn announce(self, _: Context, announcement: Announcement) {
+        self.gateway.hear_announcement(announcement);
+    }
+
     async fn place(
         self,
         _: Context,
--- a/crates/gateway/src/roster.rs
+++ b/crates/gateway/src/roster.rs
@@ -10,7 +10,7 @@
 
 use fulmarpath_policy::Millis;
 
-use crate::directory::{Directory, RegisteredState, Registration};
+use crate::directory::{Directory, DirectoryChange, RegisteredState, Registration};
 use crate::metadata::{Change, Changes, Snapshot};
 
 /// Upstreams that live are registered again within about two seconds of the store's return.
@@ -92,7 +92,36 @@
             revision: directory.revision,
             items: directory.registrations,
         };
-        self.replace(now_ms, snapshot)
+        let changed = self.replace(now_ms, snapshot);
+        self.mark_lapsed(now_ms, &directory.lapsed);
+        changed
+    }
+
+    /// Takes a peer's news; true where it changed anything. News of another state than this
+    /// host's is left alone: a comparison of revisions brings the whole then.
+    pub fn apply_by_peer(&mut self, now_ms: Millis, change: DirectoryChange) -> bool {
+        if change.from_revision != self.revision {
+            return false;
+        }
+        self.revision = change.revision;
+        let mut changed = false;
+        for registration in change.put {
+            changed |= self.put(registration);
+        }
+        for name in &change.gone {
+            changed |= self.entries.remove(name).is_some();
+        }
+        self.mark_lapsed(now_ms, &change.lapsed);
+        changed
+    }
+
+    fn mark_lapsed(&mut self, now_ms: Millis, lapsed: &[String]) {
+        for name in lapsed {
+            if let Some(entry) = self.entries.get_mut(name) {
+                entry.is_missing = true;
+                self.grace_until_ms = self.grace_until_ms.max(now_ms + RETURN_MS);
+            }
+        }
     }
 
     /// Takes the changes since the revision; true where they changed anything.
@@ -126,7 +155,14 @@
         let entries = self.entries.values();
         Directory {
             revision: self.revision,
-            registrations: entries.map(|entry| entry.registration.clone()).collect(),
+            registrations: entries
+                .clone()
+                .map(|entry| entry.registration.clone())
+                .collect(),
+            lapsed: entries
+                .filter(|entry| entry.is_missing)
+                .map(|entry| entry.registration.instance.clone())
+                .collect(),
         }
     }
 
--- /dev/null
+++ b/crates/gateway/src/spread.rs
@@ -0,0 +1,159 @@
+//! How what every host holds gets from a few watchers to all.
+//!
+//! One host in each data centre watches the store, and so does the home of each cell, which must
+//! hear of a leaving engine at once. A watcher passes its news on to its data centre along a tree,
+//! so no host sends more than a few copies whatever the fleet's size. What a dead host in the tree
+//! keeps from others they find by the versions in the next pings. Watching everywhere would cost a
+//! waiting call a host and one more for each change: half of a day's worth before 81 hosts.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use fulmarpath_policy::rank;
+use fulmarpath_wire::{Announcement, GatewayPeerClient, Holding};
+use parking_lot::Mutex;
+use serde::Serialize;
+use spdlog::warn;
+
+use crate::directory::{Directory, DirectoryChange};
+use crate::gateway::Gateway;
+use crate::key::centre_of;
+
+/// Watchers in each data centre. One is enough: where it fails, others' pings bring the news
+/// within a second, and its successor watches as soon as it counts as dead.
+const WATCHERS: usize = 1;
+/// Hosts that each host passes news on to.
+const FANOUT: usize = 3;
+
+/// What this host has announced.
+#[derive(Debug, Default)]
+pub(crate) struct Spread {
+    announced: Mutex<Announced>,
+}
+
+#[derive(Debug, Default)]
+struct Announced {
+    version: u64,
+    directory: Directory,
+}
+
+impl Gateway {
+    /// Whether this host watches the store.
+    pub(crate) fn watches(&self) -> bool {
+        self.is_watcher() || self.has_cell()
+    }
+
+    /// Whether this host watches for its data centre.
+    fn is_watcher(&self) -> bool {
+        let centre = &self.settings.host.data_centre;
+        let thing = centre_of(centre);
+        let members = self.fleet.members.lock();
+        let me = members.my_key();
+        let mine = rank(thing, me.0);
+        let near = members
+            .homes()
+            .filter(|(_, note)| &note.data_centre == centre);
+        let better = near.filter(|(key, _)| *key != me && rank(thing, key.0) > mine);
+        better.count() < WATCHERS
+    }
+
+    /// Passes on a configuration that this host's data centre doesn't have yet.
+    pub(crate) fn announce_configuration(self: &Arc<Self>) {
+        let Some(held) = self.in_force() else { return };
+        let version = held.configuration.version;
+        let announced = std::mem::replace(&mut self.spread.announced.lock().version, version);
+        // A host that has just started has seen no change: all read it for themselves.
+        if announced > 0 && announced < version && self.is_watcher() {
+            self.announce(Holding::Configuration, &held.configuration);
+        }
+    }
+
+    /// Passes on what has changed of the upstreams.
+    pub(crate) fn announce_directory(self: &Arc<Self>) {
+        let directory = self.roster.lock().directory();
+        let before = {
+            let mut announced = self.spread.announced.lock();
+            std::mem::replace(&mut announced.directory, directory.clone())
+        };
+        let is_news = before.revision > 0 && before.revision < directory.revision;
+        if is_news && self.is_watcher() {
+            self.announce(Holding::Upstreams, &before.change_to(&directory));
+        }
+    }
+
+    fn announce<T: Serialize>(self: &Arc<Self>, holding: Holding, news: &T) {
+        match serde_json::to_vec(news) {
+            Ok(value) => self.pass_on(holding, value, self.neighbours()),
+            Err(error) => warn!("spread: could not write news: {error}"),
+        }
+    }
+
+    /// The other hosts of this data centre.
+    fn neighbours(&self) -> Vec<SocketAddr> {
+        let centre = &self.settings.host.data_centre;
+        let members = self.fleet.members.lock();
+        let me = members.my_key();
+        let near = members
+            .homes()
+            .filter(|(_, note)| &note.data_centre == centre);
+        near.filter(|(key, _)| *key != me)
+            .map(|(_, note)| note.address)
+            .collect()
+    }
+
+    /// Sends news to the first few of an audience, each with its part of the rest.
+    fn pass_on(self: &Arc<Self>, holding: Holding, value: Vec<u8>, audience: Vec<SocketAddr>) {
+        let part = audience.len().div_ceil(FANOUT).max(1);
+        for part in audience.chunks(part) {
+            let Some((first, rest)) = part.split_first() else {
+                continue;
+            };
+            let (gateway, first) = (self.clone(), *first);
+            let announcement = Announcement {
+                holding,
+                value: value.clone(),
+                audience: rest.to_vec(),
+            };
+            tokio::spawn(async move {
+                let call = |client: GatewayPeerClient, context| async move {
+                    client.announce(context, announcement).await
+                };
+                if let Err(error) = gateway.fleet.peers.call(first, call).await {
+                    warn!("spread: news went no further: {error}");
+                }
+            });
+        }
+    }
+
+    /// Takes news and passes it on.
+    pub(crate) fn hear_announcement(self: &Arc<Self>, announcement: Announcement) {
+        let Announcement {
+            holding,
+            value,
+            audience,
+        } = announcement;
+        let taken = match holding {
+            Holding::Configuration => self.take_configuration(&value),
+            Holding::Upstreams => self.take_change(&value),
+        };
+        if let Err(error) = taken {
+            warn!("spread: could not read news: {error}");
+            return;
+        }
+        self.pass_on(holding, value, audience);
+    }
+
+    fn take_configuration(&self, value: &[u8]) -> serde_json::Result<()> {
+        self.adopt(serde_json::from_slice(value)?, "a watcher");
+        Ok(())
+    }
+
+    fn take_change(&self, value: &[u8]) -> serde_json::Result<()> {
+        let change: DirectoryChange = serde_json::from_slice(value)?;
+        let mut roster = self.roster.lock();
+        if roster.apply_by_peer(self.clock.now_ms(), change) {
+            self.adopt_directory(&roster.directory());
+        }
+        Ok(())
+    }
+}
--- a/crates/wire/src/gateway.rs
+++ b/crates/wire/src/gateway.rs
@@ -1,5 +1,7 @@
 //! The calls that gateways make to each other.
 
+use std::net::SocketAddr;
+
 use fulmarpath_policy::{HostKey, Placement, PlacementRequest, RunKey, RunStatement, UpstreamKey};
 use serde::{Deserialize, Serialize};
 
@@ -29,6 +31,17 @@
     pub runs: Vec<RunStatement>,
 }
 
+/// News of what every gateway holds, passed on from host to host.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Announcement {
+    /// What it is news of.
+    pub holding: Holding,
+    /// The news, as JSON.
+    pub value: Vec<u8>,
+    /// The hosts that the receiver passes it on to.
+    pub audience: Vec<SocketAddr>,
+}
+
 /// How a host's try to carry a generation to another engine ended.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub enum CarryAnswer {
@@ -48,6 +61,8 @@
     async fn ping(ping: Ping) -> Pong;
     /// What the receiver holds, as JSON; empty where it holds none.
     async fn holding(holding: Holding) -> Vec<u8>;
+    /// Takes news and passes it on.
+    async fn announce(announcement: Announcement);
     /// Asks the home of a cell for an engine; `None` where the receiver isn't the home.
     async fn place(cell: CellKey, request: PlacementRequest) -> Option<Placement>;
     /// A generation is over.
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -9,7 +9,9 @@
 mod peers;
 mod service;
 
-pub use gateway::{CarryAnswer, CellKey, GatewayPeer, GatewayPeerClient, Holding, Restatement};
+pub use gateway::{
+    Announcement, CarryAnswer, CellKey, GatewayPeer, GatewayPeerClient, Holding, Restatement,
+};
 pub use message::{
     AskAnswer, AskReply, ClaimAnswer, ClaimAsk, Document, FetchAnswer, GenerationEnd, LimitAnswer,
     MemberNote, MemberState, PermitId, Ping, Pong, Progress, ProgressReply, Rumour, RunState,
