--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -141,6 +141,16 @@
         self.in_force.load().is_some() && !self.is_draining()
     }
 
+    /// Upstreams that this host knows.
+    pub fn upstream_count(&self) -> usize {
+        self.roster.lock().directory().registrations.len()
+    }
+
+    /// Hosts that this host believes present, itself with them.
+    pub fn host_count(&self) -> usize {
+        self.fleet.host_count()
+    }
+
     /// Whether this host stops.
     pub(crate) fn is_draining(&self) -> bool {
         self.is_draining.load(Ordering::Relaxed)
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -46,4 +46,4 @@
 pub use mover::{Copied, CopyError, Mover};
 pub use problem::Problem;
 pub use roster::Roster;
-pub use serve::{Listen, ListenError};
+pub use serve::{Listen, ListenError, Listeners};
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -27,6 +27,34 @@
     pub peers: SocketAddr,
 }
 
+/// A gateway's listeners.
+#[derive(Debug)]
+pub struct Listeners {
+    /// For callers.
+    pub callers: TcpListener,
+    /// For the balancer's question whether callers may come.
+    pub readiness: TcpListener,
+    /// For the collector of metrics.
+    pub metrics: TcpListener,
+    /// For the other hosts.
+    pub peers: TcpListener,
+}
+
+impl Listen {
+    /// Opens the listeners.
+    ///
+    /// # Errors
+    /// [`ListenError`]
+    pub async fn bind(self) -> Result<Listeners, ListenError> {
+        Ok(Listeners {
+            callers: bind(self.callers).await?,
+            readiness: bind(self.readiness).await?,
+            metrics: bind(self.metrics).await?,
+            peers: bind(self.peers).await?,
+        })
+    }
+}
+
 /// A gateway could not start.
 #[derive(Debug, thiserror::Error)]
 #[error("could not listen on {address}")]
@@ -46,18 +74,13 @@
 
 impl Gateway {
     /// Serves until `stopped`, then finishes what runs within the grace.
-    ///
-    /// # Errors
-    /// [`ListenError`]
-    pub async fn run(
-        self: Arc<Self>,
-        listen: Listen,
-        stopped: impl Future<Output = ()>,
-    ) -> Result<(), ListenError> {
-        let callers = bind(listen.callers).await?;
-        let readiness = bind(listen.readiness).await?;
-        let metrics = bind(listen.metrics).await?;
-        let peers = bind(listen.peers).await?;
+    pub async fn run(self: Arc<Self>, listeners: Listeners, stopped: impl Future<Output = ()>) {
+        let Listeners {
+            callers,
+            readiness,
+            metrics,
+            peers,
+        } = listeners;
         let (stop, stops) = watch::channel(false);
         let (_keep, never) = watch::channel(false);
         tokio::spawn(self.clone().answer_readiness(readiness, never.clone()));
@@ -88,7 +111,6 @@
                 self.settings.host.name
             ),
         }
-        Ok(())
     }
 
     async fn answer_readiness(self: Arc<Self>, listener: TcpListener, stop: watch::Receiver<bool>) {
--- /dev/null
+++ b/crates/gateway/tests/roster.rs
@@ -0,0 +1,123 @@
+//! Which registered upstreams count as there while the store comes and goes.
+
+use std::net::SocketAddr;
+
+use fulmarpath_gateway::{
+    Change, Changes, Directory, RegisteredState, Registration, Roster, Snapshot,
+};
+use rstest::rstest;
+
+fn registration(instance: &str, state: RegisteredState) -> Registration {
+    Registration {
+        instance: instance.to_owned(),
+        service: "portal".to_owned(),
+        address: SocketAddr::from(([127, 0, 0, 1], 1)),
+        data_centre: "dc-a".to_owned(),
+        slots: 6,
+        state,
+        cold_ms: 0,
+    }
+}
+
+fn snapshot(revision: u64, instances: &[&str]) -> Snapshot<Registration> {
+    let items = instances.iter();
+    Snapshot {
+        revision,
+        items: items
+            .map(|name| registration(name, RegisteredState::Ready))
+            .collect(),
+    }
+}
+
+fn names(roster: &Roster) -> Vec<String> {
+    let mut names: Vec<String> = roster
+        .directory()
+        .registrations
+        .into_iter()
+        .map(|one| one.instance)
+        .collect();
+    names.sort();
+    names
+}
+
+fn gone(revision: u64, name: &str) -> Changes<Registration> {
+    Changes {
+        revision,
+        changes: vec![Change::Gone(name.to_owned())],
+    }
+}
+
+struct Outage {
+    lost_ms: u64,
+    back_ms: u64,
+    /// When the whole list is read again, without the second upstream.
+    listed_ms: u64,
+    kept: bool,
+}
+
+/// The store is away for a while and a registration is missing when it is back.
+#[rstest]
+#[case::short_outage(Outage { lost_ms: 1_000, back_ms: 1_500, listed_ms: 1_500, kept: false })]
+#[case::long_outage(Outage { lost_ms: 1_000, back_ms: 6_000, listed_ms: 6_000, kept: true })]
+#[case::long_after(Outage { lost_ms: 1_000, back_ms: 6_000, listed_ms: 9_000, kept: false })]
+fn lapsed_registrations_have_a_grace(#[case] case: Outage) {
+    let mut roster = Roster::default();
+    roster.replace(500, snapshot(5, &["i-1", "i-2"]));
+    roster.lost(case.lost_ms);
+    roster.heard(case.back_ms);
+    roster.replace(case.listed_ms, snapshot(9, &["i-1"]));
+    let kept: &[&str] = if case.kept { &["i-1", "i-2"] } else { &["i-1"] };
+    assert_eq!(names(&roster), kept);
+    roster.expire(case.listed_ms + 3_000);
+    assert_eq!(names(&roster), ["i-1"], "what stays away is gone");
+}
+
+/// An upstream that said it is draining before the outage is not kept.
+#[test]
+fn draining_upstreams_have_no_grace() {
+    let mut roster = Roster::default();
+    let items = vec![registration("i-1", RegisteredState::Draining)];
+    roster.replace(500, Snapshot { revision: 5, items });
+    roster.lost(1_000);
+    roster.heard(6_000);
+    roster.replace(6_000, snapshot(9, &[]));
+    assert!(names(&roster).is_empty());
+}
+
+/// Changes and lists that come late are older than what is known, and change nothing.
+#[test]
+fn revisions_only_grow() {
+    let mut roster = Roster::default();
+    roster.replace(0, snapshot(9, &["i-1", "i-2"]));
+    assert!(!roster.apply(1, gone(8, "i-1")));
+    assert!(!roster.replace(2, snapshot(7, &[])));
+    assert_eq!(names(&roster), ["i-1", "i-2"]);
+    assert!(roster.apply(3, gone(10, "i-1")));
+    assert_eq!(names(&roster), ["i-2"]);
+}
+
+/// A watcher's news lead from one state to the next; news of another state are left alone, and the
+/// whole of a peer's later state takes their place.
+#[test]
+fn news_apply_to_their_own_state_only() {
+    let mut watcher = Roster::default();
+    let mut other = Roster::default();
+    watcher.replace(0, snapshot(5, &["i-1", "i-2"]));
+    other.replace(0, snapshot(5, &["i-1", "i-2"]));
+    let before = watcher.directory();
+    watcher.apply(1, gone(6, "i-1"));
+    let middle = watcher.directory();
+    watcher.replace(2, snapshot(8, &["i-2", "i-3"]));
+    let after = watcher.directory();
+    assert!(
+        !other.apply_by_peer(3, middle.change_to(&after)),
+        "it lacks a state between"
+    );
+    assert!(other.apply_by_peer(4, before.change_to(&middle)));
+    assert!(other.apply_by_peer(5, middle.change_to(&after)));
+    assert_eq!(names(&other), ["i-2", "i-3"]);
+    let mut late = Roster::default();
+    assert!(late.replace_by_peer(6, after));
+    assert_eq!(names(&late), ["i-2", "i-3"]);
+    assert!(!late.replace_by_peer(7, Directory::default()));
+}
--- /dev/null
+++ b/crates/policy/tests/cell.rs
@@ -0,0 +1,298 @@
+//! Placement of generations on a cell's engines, and the way off a leaving one.
+
+use fulmarpath_policy::{
+    Carry, CarryEnd, Cell, CellEngine, EngineFigures, HostKey, Placement, PlacementRequest, RunKey,
+    RunStatement, UpstreamKey,
+};
+use rstest::rstest;
+
+const NEAR: u64 = 1;
+const FAR: u64 = 2;
+const ME: HostKey = HostKey(7);
+const FIGURES: EngineFigures = EngineFigures {
+    memory_tokens: 30_000,
+    slots: 24,
+    token_bytes: 18_432,
+    link_mbps: 2_700.0,
+};
+
+fn engine(key: u64, data_centre: u64, is_draining: bool) -> CellEngine {
+    CellEngine {
+        key: UpstreamKey(key),
+        data_centre,
+        is_draining,
+        figures: FIGURES,
+    }
+}
+
+fn cell(engines: &[CellEngine]) -> Cell {
+    let mut cell = Cell::default();
+    cell.set_engines(0, engines);
+    cell
+}
+
+fn request(run: u64, prompt_tokens: u32, limit_tokens: u32, hint_tokens: u32) -> PlacementRequest {
+    PlacementRequest {
+        run: RunKey(run),
+        host: ME,
+        data_centre: NEAR,
+        prompt_tokens,
+        limit_tokens,
+        hint_tokens: Some(hint_tokens),
+        without: Vec::new(),
+        can_back_up: false,
+    }
+}
+
+fn statement(run: u64, engine: u64, out_tokens: u32, limit_tokens: u32) -> RunStatement {
+    RunStatement {
+        run: RunKey(run),
+        engine: UpstreamKey(engine),
+        backup: None,
+        prompt_tokens: 3_000,
+        out_tokens,
+        limit_tokens,
+        hint_tokens: Some(limit_tokens),
+    }
+}
+
+fn engine_of(placement: Placement) -> Option<u64> {
+    match placement {
+        Placement::On { engine, .. } => Some(engine.0),
+        Placement::Full { .. } | Placement::NoEngine => None,
+    }
+}
+
+struct Choice {
+    engines: Vec<CellEngine>,
+    held: Vec<RunStatement>,
+    request: PlacementRequest,
+    expected: Option<u64>,
+}
+
+/// One generation asks for an engine of a cell in a given state.
+#[rstest]
+#[case::near_goes_before_far(Choice {
+    engines: vec![engine(1, FAR, false), engine(2, NEAR, false)],
+    held: vec![],
+    request: request(9, 3_000, 900, 800),
+    expected: Some(2),
+})]
+#[case::a_leaving_engine_gets_nothing(Choice {
+    engines: vec![engine(1, FAR, false), engine(2, NEAR, true)],
+    held: vec![],
+    request: request(9, 3_000, 900, 800),
+    expected: Some(1),
+})]
+#[case::the_emptier_one_is_chosen(Choice {
+    engines: vec![engine(1, NEAR, false), engine(2, NEAR, false)],
+    held: vec![statement(1, 1, 100, 900), statement(2, 1, 100, 900)],
+    request: request(9, 3_000, 900, 800),
+    expected: Some(2),
+})]
+#[case::one_that_refused_is_left_out(Choice {
+    engines: vec![engine(1, NEAR, false), engine(2, NEAR, false)],
+    held: vec![],
+    request: PlacementRequest { without: vec![UpstreamKey(1)], ..request(9, 3_000, 900, 800) },
+    expected: Some(2),
+})]
+#[case::a_full_engine_is_full(Choice {
+    engines: vec![engine(1, NEAR, false)],
+    held: (0..8).map(|run| statement(run, 1, 100, 900)).collect(),
+    request: request(9, 3_000, 900, 800),
+    expected: None,
+})]
+#[case::a_short_answer_fits_where_a_long_one_does_not(Choice {
+    engines: vec![engine(1, NEAR, false)],
+    held: (0..7).map(|run| statement(run, 1, 100, 900)).collect(),
+    request: request(9, 1_000, 40, 20),
+    expected: Some(1),
+})]
+#[case::no_engine(Choice {
+    engines: vec![],
+    held: vec![],
+    request: request(9, 3_000, 900, 800),
+    expected: None,
+})]
+fn places_by_room_and_nearness(#[case] case: Choice) {
+    let mut cell = cell(&case.engines);
+    cell.restate(0, ME, &case.held);
+    assert_eq!(engine_of(cell.place(10, &case.request)), case.expected);
+}
+
+/// Prompts that come together go to different engines: each delays the tokens of all others there.
+#[test]
+fn prompts_are_spread() {
+    let engines: Vec<CellEngine> = (1..=5).map(|key| engine(key, NEAR, false)).collect();
+    let mut cell = cell(&engines);
+    let mut used: Vec<u64> = (0..10)
+        .filter_map(|run| engine_of(cell.place(5, &request(run, 3_000, 900, 800))))
+        .collect();
+    used.sort_unstable();
+    assert_eq!(used, [1, 1, 2, 2, 3, 3, 4, 4, 5, 5]);
+}
+
+/// Running copies are kept while engines have room, and never hold a generation back.
+#[rstest]
+#[case::room(1, true)]
+#[case::crowded(5, false)]
+fn keeps_copies_while_there_is_room(#[case] held_each: u64, #[case] expected: bool) {
+    let mut cell = cell(&[engine(1, NEAR, false), engine(2, NEAR, false)]);
+    let held: Vec<RunStatement> = (0..held_each)
+        .flat_map(|run| {
+            [
+                statement(run, 1, 100, 900),
+                statement(100 + run, 2, 100, 900),
+            ]
+        })
+        .collect();
+    cell.restate(0, ME, &held);
+    let asked = PlacementRequest {
+        can_back_up: true,
+        ..request(999, 3_000, 900, 800)
+    };
+    let Placement::On { engine, backup } = cell.place(10, &asked) else {
+        panic!("there is room for the generation itself");
+    };
+    assert_eq!(backup.is_some(), expected);
+    assert_ne!(backup, Some(engine));
+}
+
+fn carries(cell: &mut Cell, now_ms: u64, from: u64) -> Vec<Carry> {
+    let next = || cell.next_carry(now_ms, UpstreamKey(from));
+    std::iter::from_fn(next).collect()
+}
+
+/// An engine gives notice. What would be lost goes, the larger loss first; what ends in time by
+/// itself stays; what hasn't begun can't be moved yet.
+#[test]
+fn carries_what_would_be_lost() {
+    let mut cell = cell(&[engine(1, NEAR, false), engine(2, NEAR, false)]);
+    let held = [
+        statement(1, 1, 100, 900),
+        statement(2, 1, 100, 400),
+        statement(3, 1, 10, 14),
+    ];
+    cell.restate(0, ME, &held);
+    cell.place(
+        0,
+        &PlacementRequest {
+            without: vec![UpstreamKey(2)],
+            ..request(4, 6_000, 900, 800)
+        },
+    );
+    cell.set_engines(10, &[engine(1, NEAR, true), engine(2, NEAR, false)]);
+    assert_eq!(cell.leaving(), [UpstreamKey(1)]);
+    let runs: Vec<u64> = carries(&mut cell, 20, 1)
+        .iter()
+        .map(|carry| carry.run.0)
+        .collect();
+    assert_eq!(runs, [1, 2]);
+    let later: Vec<u64> = carries(&mut cell, 600, 1)
+        .iter()
+        .map(|carry| carry.run.0)
+        .collect();
+    assert_eq!(later, [4], "its prompt has been read by now");
+}
+
+/// Where generations of a leaving engine go: near engines first, to the one whose link is free,
+/// never to one that leaves as well or is full.
+#[rstest]
+#[case::near(vec![engine(2, FAR, false), engine(3, NEAR, false)], vec![], Some(3))]
+#[case::far_where_near_leaves(vec![engine(2, FAR, false), engine(3, NEAR, true)], vec![], Some(2))]
+#[case::not_where_it_is_full(
+    vec![engine(2, FAR, false), engine(3, NEAR, false)],
+    (50..58).map(|run| statement(run, 3, 100, 900)).collect(),
+    Some(2)
+)]
+#[case::nowhere(vec![engine(3, NEAR, true)], vec![], None)]
+fn carries_to_engines_with_room(
+    #[case] others: Vec<CellEngine>,
+    #[case] held: Vec<RunStatement>,
+    #[case] expected: Option<u64>,
+) {
+    let mut engines = vec![engine(1, NEAR, true)];
+    engines.extend(others);
+    let mut cell = cell(&engines);
+    let mut all = vec![statement(1, 1, 100, 900)];
+    all.extend(held);
+    cell.restate(0, ME, &all);
+    let to = cell.next_carry(5, UpstreamKey(1)).map(|carry| carry.to.0);
+    assert_eq!(to, expected);
+}
+
+/// Two generations that leave together use two destinations' links rather than wait for one.
+#[test]
+fn transfers_use_free_links() {
+    let mut cell = cell(&[
+        engine(1, NEAR, true),
+        engine(2, NEAR, false),
+        engine(3, NEAR, false),
+    ]);
+    cell.restate(
+        0,
+        ME,
+        &[statement(1, 1, 100, 900), statement(2, 1, 100, 900)],
+    );
+    let mut to: Vec<u64> = carries(&mut cell, 5, 1)
+        .iter()
+        .map(|carry| carry.to.0)
+        .collect();
+    to.sort_unstable();
+    assert_eq!(to, [2, 3]);
+}
+
+struct End {
+    end: CarryEnd,
+    /// Generations that are carried next, at once and a while later.
+    at_once: usize,
+    later: usize,
+    left: usize,
+}
+
+/// A transfer ends: a moved generation is gone from there, one that stayed is tried again after a
+/// short rest in which others go, one that is over is forgotten.
+#[rstest]
+#[case::moved(End { end: CarryEnd::Moved, at_once: 0, later: 0, left: 1 })]
+#[case::stayed(End { end: CarryEnd::Stayed, at_once: 0, later: 1, left: 1 })]
+#[case::over(End { end: CarryEnd::Over, at_once: 0, later: 0, left: 0 })]
+fn ends_of_transfers(#[case] case: End) {
+    let mut cell = cell(&[engine(1, NEAR, true), engine(2, NEAR, false)]);
+    cell.restate(0, ME, &[statement(1, 1, 100, 900)]);
+    let carry = cell.next_carry(5, UpstreamKey(1)).expect("it is carried");
+    cell.carried(200, carry, case.end);
+    assert_eq!(carries(&mut cell, 210, 1).len(), case.at_once);
+    assert_eq!(carries(&mut cell, 500, 1).len(), case.later);
+    assert_eq!(cell.run_count(), case.left);
+}
+
+/// An engine's entry vanishes without a notice while it has generations: they are carried off as
+/// after a notice, and the engine is forgotten with the last of them.
+#[test]
+fn an_engine_that_vanishes_is_leaving() {
+    let mut cell = cell(&[engine(1, NEAR, false), engine(2, NEAR, false)]);
+    cell.restate(0, ME, &[statement(1, 1, 100, 900)]);
+    cell.set_engines(10, &[engine(2, NEAR, false)]);
+    assert_eq!(cell.leaving(), [UpstreamKey(1)]);
+    cell.end(RunKey(1));
+    cell.set_engines(20, &[engine(2, NEAR, false)]);
+    assert_eq!(cell.leaving(), []);
+}
+
+/// A home learns what it didn't see and forgets what a host no longer states, but not a placement
+/// that its host couldn't state yet; generations of a dead host are over.
+#[test]
+fn statements_mend_the_table() {
+    let mut cell = cell(&[engine(1, NEAR, false)]);
+    cell.place(0, &request(1, 3_000, 900, 800));
+    cell.restate(1_000, ME, &[statement(2, 1, 50, 900)]);
+    assert_eq!(
+        cell.run_count(),
+        2,
+        "the placement is too fresh to be missing"
+    );
+    cell.restate(2_000, ME, &[statement(2, 1, 150, 900)]);
+    assert_eq!(cell.run_count(), 1);
+    cell.keep_hosts(|host| host != ME);
+    assert_eq!(cell.run_count(), 0);
+}
--- a/src/cmd/gateway.rs
+++ b/src/cmd/gateway.rs
@@ -61,7 +61,8 @@
     let stopped = async {
         let _ = terminate.recv().await;
     };
-    gateway.run(settings.listen(), stopped).await?;
+    let listeners = settings.listen().bind().await?;
+    gateway.run(listeners, stopped).await;
     Ok(())
 }
 
