Give up copies that nothing will use

Cause: a move that failed or met the end of its generation left its copy at the destination until it lapsed there, some five seconds; generations placed by the home's count then waited inside the engine.

Ruled out: too high a forecast; late first events came at 0.7 to 0.96 of the predicted peak alike.

Change: a carry that doesn't end as moved deletes its copy at the source. The log's line of a request gains what its home saw, the time to its placement and first event, and its longest pause; the home logs each transfer.

--- a/crates/gateway/src/carry.rs
+++ b/crates/gateway/src/carry.rs
@@ -61,6 +61,11 @@
         }
     }
 
+    /// Where it is to go on.
+    pub(crate) fn destination(&self) -> SocketAddr {
+        self.to.address
+    }
+
     /// Whether the source has been told to stop the generation.
     pub(crate) fn is_stopping(&self) -> bool {
         self.copy.is_some()
@@ -72,8 +77,18 @@
     }
 
     /// Tells the cell's home how it ended. A home that no longer waits learns it by statement.
+    ///
+    /// A copy that nothing will use is given up: it would hold its memory at the destination for
+    /// seconds, and generations that were placed there by the home's count would wait for it.
     pub(crate) fn answer(self, answer: CarryAnswer) {
         let _ = self.answer.send(answer);
+        if answer == CarryAnswer::Moved {
+            return;
+        }
+        if let Some(copy) = self.copy {
+            let (mover, source) = (self.mover, self.source);
+            tokio::spawn(async move { mover.give_up(source, &copy).await });
+        }
     }
 
     /// Waits for the call under way and begins the next one.
--- a/crates/gateway/src/homes.rs
+++ b/crates/gateway/src/homes.rs
@@ -177,6 +177,13 @@
                 continue;
             };
             let end = self.order(carry).await;
+            info!(
+                "cells: {:016x} from {:016x} to {:016x}: {end:?} after {} ms",
+                carry.run.0,
+                carry.from.0,
+                carry.to.0,
+                self.clock.now_ms().saturating_sub(now_ms)
+            );
             moved += u32::from(end == CarryEnd::Moved);
             self.cells.carried(self.clock.now_ms(), cell, carry, end);
         }
--- a/crates/gateway/src/journey.rs
+++ b/crates/gateway/src/journey.rs
@@ -2,13 +2,14 @@
 
 use std::sync::Arc;
 
-use fulmarpath_policy::{Millis, Verdict};
+use fulmarpath_policy::{Millis, Seen, Verdict};
 use serde::Serialize;
 use spdlog::info;
 
 use crate::configuration::{Route, RouteKind};
 use crate::gateway::Gateway;
 use crate::instances::Chosen;
+use crate::key::run_of;
 use crate::metrics::EndLabels;
 use crate::problem::Problem;
 
@@ -35,12 +36,22 @@
 #[derive(Serialize)]
 struct Line<'a> {
     request: &'a str,
+    /// The generation's key in lines of its cell's home.
+    run: String,
     route: &'a str,
     kind: &'static str,
     version: u64,
     outcome: &'a str,
     status: u16,
     took_ms: Millis,
+    /// Until an upstream was found that takes it.
+    placed_ms: Option<Millis>,
+    /// What the cell's home saw of the engine.
+    seen: Option<Seen>,
+    /// Until the first event was passed on.
+    first_event_ms: Option<Millis>,
+    /// The longest time between two events that were passed on.
+    longest_pause_ms: Millis,
     events: u32,
     dispatches: &'a [Dispatch],
 }
@@ -50,7 +61,13 @@
     gateway: Arc<Gateway>,
     pub(crate) id: String,
     pub(crate) arrived_ms: Millis,
+    /// Events that were passed on.
     pub(crate) events: u32,
+    placed_ms: Option<Millis>,
+    seen: Option<Seen>,
+    first_event_ms: Option<Millis>,
+    longest_pause_ms: Millis,
+    event_at_ms: Millis,
     version: u64,
     route: String,
     kind: &'static str,
@@ -66,6 +83,11 @@
             id: String::new(),
             arrived_ms,
             events: 0,
+            placed_ms: None,
+            seen: None,
+            first_event_ms: None,
+            longest_pause_ms: 0,
+            event_at_ms: 0,
             route: String::new(),
             kind: "unknown",
             dispatches: Vec::new(),
@@ -79,6 +101,31 @@
         self.kind = route.kind.name();
     }
 
+    /// The cell's home has chosen an engine, by what it saw.
+    pub(crate) fn seen(&mut self, seen: Seen) {
+        self.seen = Some(seen);
+    }
+
+    /// An upstream was found that takes the request.
+    pub(crate) fn placed(&mut self, now_ms: Millis) {
+        let since_ms = now_ms.saturating_sub(self.arrived_ms);
+        self.placed_ms.get_or_insert(since_ms);
+    }
+
+    /// Events are passed on; the pause since the last ones, where there were any.
+    pub(crate) fn pass_on(&mut self, now_ms: Millis, events: u32) -> Option<Millis> {
+        let is_first = self.events == 0;
+        self.events += events;
+        let last_ms = std::mem::replace(&mut self.event_at_ms, now_ms);
+        if is_first {
+            self.first_event_ms = Some(now_ms.saturating_sub(self.arrived_ms));
+            return None;
+        }
+        let pause_ms = now_ms.saturating_sub(last_ms);
+        self.longest_pause_ms = self.longest_pause_ms.max(pause_ms);
+        Some(pause_ms)
+    }
+
     /// The request went to an upstream, or was about to.
     pub(crate) fn dispatched(&mut self, dispatch: Dispatch) {
         self.dispatches.push(dispatch);
@@ -106,12 +153,17 @@
         self.gateway.metrics.requests.get_or_create(&labels).inc();
         let line = Line {
             request: &self.id,
+            run: format!("{:016x}", run_of(&self.id).0),
             route: &self.route,
             kind,
             version: self.version,
             outcome,
             status,
             took_ms: self.gateway.clock.now_ms().saturating_sub(self.arrived_ms),
+            placed_ms: self.placed_ms,
+            seen: self.seen,
+            first_event_ms: self.first_event_ms,
+            longest_pause_ms: self.longest_pause_ms,
             events: self.events,
             dispatches: &self.dispatches,
         };
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -92,7 +92,6 @@
     backup: Option<Destination>,
     recoveries: u32,
     status: u16,
-    heard_ms: Millis,
 }
 
 impl Relay {
@@ -109,7 +108,6 @@
         Self {
             orders: gateway.runs.insert(ticket.cell, statement),
             event_tokens: traits.map_or(1, |traits| traits.event_tokens),
-            heard_ms: gateway.clock.now_ms(),
             status: answer.response.status().as_u16(),
             source: Source::new(answer),
             events: Events::default(),
@@ -191,6 +189,7 @@
             return Ok(None);
         };
         let mut fresh = BytesMut::new();
+        let mut count = 0;
         for event in split(&piece) {
             let number = self.gateway.dialect.event_number(&event);
             if let (Some(number), Some(last)) = (number, self.last_event) {
@@ -202,23 +201,21 @@
                 }
             }
             self.last_event = number.or(self.last_event);
-            self.journey.events += 1;
+            count += 1;
             fresh.extend_from_slice(&event);
         }
         if fresh.is_empty() {
             return Ok(None);
         }
-        self.note_progress();
+        self.note_progress(count);
         Ok(Some(fresh.freeze()))
     }
 
-    fn note_progress(&mut self) {
+    fn note_progress(&mut self, events: u32) {
         let now_ms = self.gateway.clock.now_ms();
-        if self.journey.events > 1 {
-            let pause_ms = now_ms.saturating_sub(self.heard_ms);
+        if let Some(pause_ms) = self.journey.pass_on(now_ms, events) {
             self.gateway.metrics.pause_ms.observe(pause_ms as f64);
         }
-        self.heard_ms = now_ms;
         let out_tokens = self.journey.events * self.event_tokens;
         let runs = &self.gateway.runs;
         runs.update(self.ticket.run, |statement| {
@@ -264,6 +261,11 @@
 
     fn end_carry(&mut self, answer: CarryAnswer) -> bool {
         if let Some(carrying) = self.carrying.take() {
+            info!(
+                "moves: request {} to {}: {answer:?}",
+                self.journey.id,
+                carrying.destination()
+            );
             carrying.answer(answer);
         }
         true
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -80,6 +80,7 @@
                 break;
             };
             tried.push(start.chosen.clone());
+            journey.placed(self.clock.now_ms());
             let terms = Terms {
                 until_ms: inquiry.deadline_ms,
                 backup: start.backup.as_ref().map(|backup| backup.address),
@@ -104,7 +105,7 @@
         &self,
         inquiry: &Inquiry,
         ticket: &Ticket,
-        journey: &Journey,
+        journey: &mut Journey,
         tried: &[Chosen],
     ) -> Result<Option<Start>, Problem> {
         let mut without: Vec<UpstreamKey> =
@@ -119,7 +120,12 @@
             };
             let now_ms = self.clock.now_ms();
             match placement {
-                Placement::On { engine, backup } => {
+                Placement::On {
+                    engine,
+                    backup,
+                    seen,
+                } => {
+                    journey.seen(seen);
                     if let Some(chosen) = self.instances.take(now_ms, engine) {
                         let backup = backup.and_then(|backup| self.instances.find(backup));
                         return Ok(Some(Start { chosen, backup }));
--- a/crates/policy/src/cell/mod.rs
+++ b/crates/policy/src/cell/mod.rs
@@ -16,7 +16,7 @@
 
 pub use engine::{CellEngine, EngineFigures};
 pub use evacuation::{Carry, CarryEnd};
-pub use placement::{Placement, PlacementRequest};
+pub use placement::{Placement, PlacementRequest, Seen};
 pub use run::{RunKey, RunStatement};
 
 use crate::key::{HostKey, Millis, UpstreamKey};
--- a/crates/policy/src/cell/placement.rs
+++ b/crates/policy/src/cell/placement.rs
@@ -46,6 +46,17 @@
     pub can_back_up: bool,
 }
 
+/// What the home saw of the engine that it chose.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Seen {
+    /// Generations there before this one.
+    pub running: u32,
+    /// The highest share of its memory that is predicted, in thousandths.
+    pub peak_permille: u32,
+    /// How long the prompt waits for those before it.
+    pub prefill_wait_ms: u32,
+}
+
 /// Where a generation starts.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Placement {
@@ -55,6 +66,8 @@
         engine: UpstreamKey,
         /// The engine that keeps a running copy of its memory.
         backup: Option<UpstreamKey>,
+        /// What decided.
+        seen: Seen,
     },
     /// Nowhere now.
     Full {
@@ -88,9 +101,14 @@
                 retry_after_ms: RETRY_AFTER_MS,
             };
         };
+        let seen = self.see(now_ms, engine, request, expected);
         let backup = self.backup_for(now_ms, engine, request, expected);
         self.start(now_ms, engine, backup, request);
-        Placement::On { engine, backup }
+        Placement::On {
+            engine,
+            backup,
+            seen,
+        }
     }
 
     /// What it costs to start there; `None` where it would fill the engine.
@@ -115,6 +133,24 @@
         Some(engine.prefill_wait_ms(now_ms) + crowd_ms + memory_ms + far_ms)
     }
 
+    fn see(
+        &self,
+        now_ms: Millis,
+        key: UpstreamKey,
+        request: &PlacementRequest,
+        expected: f32,
+    ) -> Seen {
+        let Some(engine) = self.engines.get(&key) else {
+            return Seen::default();
+        };
+        let share = self.peak_share(now_ms, engine, request.prompt_tokens as f32, expected);
+        Seen {
+            running: self.runs_on(key).count() as u32,
+            peak_permille: (share * 1_000.0) as u32,
+            prefill_wait_ms: engine.prefill_wait_ms(now_ms) as u32,
+        }
+    }
+
     fn backup_for(
         &self,
         now_ms: Millis,
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -28,7 +28,7 @@
 pub use ask::{Ask, AskId, Outcome, PermitKey, RefusalReason};
 pub use cell::{
     Carry, CarryEnd, Cell, CellEngine, EngineFigures, Placement, PlacementRequest, RunKey,
-    RunStatement,
+    RunStatement, Seen,
 };
 pub use choose::{Choice, choose};
 pub use fair::Fairness;
--- a/crates/policy/tests/cell.rs
+++ b/crates/policy/tests/cell.rs
@@ -151,7 +151,7 @@
         can_back_up: true,
         ..request(999, 3_000, 900, 800)
     };
-    let Placement::On { engine, backup } = cell.place(10, &asked) else {
+    let Placement::On { engine, backup, .. } = cell.place(10, &asked) else {
         panic!("there is room for the generation itself");
     };
     assert_eq!(backup.is_some(), expected);
