Name the engines' own calls as such, and tell a generation's size in the log

A copy is given up at the engine that holds it, since the source is leaving and may be gone. The log's line of a request states prompt, bound and guess.

--- a/crates/gateway/src/carry.rs
+++ b/crates/gateway/src/carry.rs
@@ -8,8 +8,8 @@
 use futures::future::BoxFuture;
 use tokio::sync::oneshot;
 
+use crate::control::{Copied, CopyError, EngineControl};
 use crate::instances::Destination;
-use crate::mover::{Copied, CopyError, Mover};
 use crate::runs::CarryOrder;
 
 /// What a step of a carry has come to.
@@ -29,7 +29,7 @@
 
 /// A carry under way.
 pub(crate) struct Carrying {
-    mover: Arc<dyn Mover>,
+    control: Arc<dyn EngineControl>,
     source: SocketAddr,
     request_id: String,
     to: Destination,
@@ -41,17 +41,17 @@
 
 impl Carrying {
     pub(crate) fn begin(
-        mover: Arc<dyn Mover>,
+        control: Arc<dyn EngineControl>,
         source: SocketAddr,
         request_id: String,
         order: CarryOrder,
     ) -> Self {
         let call = {
-            let (mover, id, to) = (mover.clone(), request_id.clone(), order.to.address);
-            Box::pin(async move { mover.copy(source, &id, to).await })
+            let (control, id, to) = (control.clone(), request_id.clone(), order.to.address);
+            Box::pin(async move { control.copy(source, &id, to).await })
         };
         Self {
-            mover,
+            control,
             source,
             request_id,
             to: order.to,
@@ -86,8 +86,8 @@
             return;
         }
         if let Some(copy) = self.copy {
-            let (mover, source) = (self.mover, self.source);
-            tokio::spawn(async move { mover.give_up(source, &copy).await });
+            let (control, holder) = (self.control, self.to.address);
+            tokio::spawn(async move { control.give_up(holder, &copy).await });
         }
     }
 
@@ -112,9 +112,9 @@
             }
         };
         self.copy = Some(copied.copy);
-        let (mover, source) = (self.mover.clone(), self.source);
+        let (control, source) = (self.control.clone(), self.source);
         let (id, to) = (self.request_id.clone(), self.to.address);
-        self.call = Box::pin(async move { mover.stop_and_copy(source, &id, to).await });
+        self.call = Box::pin(async move { control.stop_and_copy(source, &id, to).await });
         Step::Copied
     }
 
--- a/crates/gateway/src/control.rs
+++ b/crates/gateway/src/control.rs
@@ -36,7 +36,7 @@
 
 /// Engines' own calls that carry a generation's memory to another engine.
 #[async_trait]
-pub trait Mover: Send + Sync {
+pub trait EngineControl: Send + Sync {
     /// Copies what is new of a generation's memory while it goes on.
     async fn copy(
         &self,
@@ -51,6 +51,6 @@
         request_id: &str,
         to: SocketAddr,
     ) -> Result<Copied, CopyError>;
-    /// Gives up a copy that nothing will use.
-    async fn give_up(&self, source: SocketAddr, copy: &str);
+    /// Gives up a copy that nothing will use, at the engine that holds it.
+    async fn give_up(&self, holder: SocketAddr, copy: &str);
 }
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -15,6 +15,7 @@
 
 use crate::cells::Cells;
 use crate::configuration::{Configuration, InForce};
+use crate::control::EngineControl;
 use crate::directory::{Directory, HostRegistration};
 use crate::fleet::Fleet;
 use crate::head::Dialect;
@@ -22,7 +23,6 @@
 use crate::instances::Instances;
 use crate::metadata::Metadata;
 use crate::metrics::Metrics;
-use crate::mover::Mover;
 use crate::roster::Roster;
 use crate::runs::Runs;
 use crate::spread::Spread;
@@ -56,7 +56,7 @@
     pub(crate) runs: Runs,
     pub(crate) duties: Duties,
     pub(crate) spread: Spread,
-    pub(crate) mover: Arc<dyn Mover>,
+    pub(crate) control: Arc<dyn EngineControl>,
     in_force: ArcSwapOption<InForce>,
     retries: Mutex<HashMap<String, RetryWindow>>,
     retry_bound: Mutex<RetryBound>,
@@ -68,7 +68,7 @@
     pub fn new(
         settings: GatewaySettings,
         dialect: Arc<dyn Dialect>,
-        mover: Arc<dyn Mover>,
+        control: Arc<dyn EngineControl>,
         metadata: Metadata,
     ) -> Self {
         Self {
@@ -79,7 +79,7 @@
             runs: Runs::default(),
             duties: Duties::default(),
             spread: Spread::default(),
-            mover,
+            control,
             dialect,
             metadata,
             roster: Mutex::default(),
--- a/crates/gateway/src/intake.rs
+++ b/crates/gateway/src/intake.rs
@@ -63,6 +63,9 @@
         })?;
         let route = find_route(&in_force, &parts).ok_or(Problem::NoRoute)?;
         journey.on(route);
+        if let Some(generation) = &head.generation {
+            journey.asks(generation);
+        }
         let organisation = match in_force.asks_key(route) {
             true => {
                 let key = head.api_key.as_deref().ok_or(Problem::UnknownKey)?;
--- a/crates/gateway/src/journey.rs
+++ b/crates/gateway/src/journey.rs
@@ -8,6 +8,7 @@
 
 use crate::configuration::{Route, RouteKind};
 use crate::gateway::Gateway;
+use crate::head::GenerationHead;
 use crate::instances::Chosen;
 use crate::key::run_of;
 use crate::metrics::EndLabels;
@@ -32,6 +33,14 @@
     pub(crate) outcome: &'static str,
 }
 
+/// What a caller says of its generation's size, as the log tells it.
+#[derive(Debug, Clone, Copy, Serialize)]
+struct Size {
+    prompt_tokens: u32,
+    limit_tokens: u32,
+    hint_tokens: Option<u32>,
+}
+
 /// The log's line of a request.
 #[derive(Serialize)]
 struct Line<'a> {
@@ -46,6 +55,8 @@
     took_ms: Millis,
     /// Until an upstream was found that takes it.
     placed_ms: Option<Millis>,
+    /// What was asked for, where it is a generation.
+    size: Option<Size>,
     /// What the cell's home saw of the engine.
     seen: Option<Seen>,
     /// Until the first event was passed on.
@@ -64,6 +75,7 @@
     /// Events that were passed on.
     pub(crate) events: u32,
     placed_ms: Option<Millis>,
+    size: Option<Size>,
     seen: Option<Seen>,
     first_event_ms: Option<Millis>,
     longest_pause_ms: Millis,
@@ -84,6 +96,7 @@
             arrived_ms,
             events: 0,
             placed_ms: None,
+            size: None,
             seen: None,
             first_event_ms: None,
             longest_pause_ms: 0,
@@ -101,6 +114,15 @@
         self.kind = route.kind.name();
     }
 
+    /// The request asks for a generation.
+    pub(crate) fn asks(&mut self, generation: &GenerationHead) {
+        self.size = Some(Size {
+            prompt_tokens: generation.prompt_tokens,
+            limit_tokens: generation.output_limit_tokens,
+            hint_tokens: generation.length_hint_tokens,
+        });
+    }
+
     /// The cell's home has chosen an engine, by what it saw.
     pub(crate) fn seen(&mut self, seen: Seen) {
         self.seen = Some(seen);
@@ -161,6 +183,7 @@
             status,
             took_ms: self.gateway.clock.now_ms().saturating_sub(self.arrived_ms),
             placed_ms: self.placed_ms,
+            size: self.size,
             seen: self.seen,
             first_event_ms: self.first_event_ms,
             longest_pause_ms: self.longest_pause_ms,
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -8,6 +8,7 @@
 mod carry;
 mod cells;
 mod configuration;
+mod control;
 mod directory;
 mod events;
 mod fleet;
@@ -23,7 +24,6 @@
 mod key;
 mod metadata;
 mod metrics;
-mod mover;
 mod peer;
 mod problem;
 mod relay;
@@ -37,13 +37,13 @@
     CallerLimits, Configuration, EngineTraits, InForce, Organisation, Route, RouteKind, Service,
     Share,
 };
+pub use control::{Copied, CopyError, EngineControl};
 pub use directory::{Directory, DirectoryChange, HostRegistration, RegisteredState, Registration};
 pub use gateway::{Gateway, GatewaySettings};
 pub use head::{
     AnswerHead, Continuation, Dialect, GenerationHead, HeadError, Outbound, PromptPart, RequestHead,
 };
 pub use metadata::{Change, Changes, Collection, HostRegistry, Metadata, Snapshot, StoreError};
-pub use mover::{Copied, CopyError, Mover};
 pub use problem::Problem;
 pub use roster::Roster;
 pub use serve::{Listen, ListenError, Listeners};
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -224,10 +224,10 @@
     }
 
     fn begin(&mut self, order: CarryOrder) {
-        let mover = self.gateway.mover.clone();
+        let control = self.gateway.control.clone();
         let source = self.source.address();
         let id = self.journey.id.clone();
-        self.carrying = Some(Carrying::begin(mover, source, id, order));
+        self.carrying = Some(Carrying::begin(control, source, id, order));
     }
 
     /// Takes a step of a carry; false where the stream is broken by it.
--- a/src/cmd/gateway.rs
+++ b/src/cmd/gateway.rs
@@ -6,7 +6,7 @@
 use bpaf::Bpaf;
 use fulmarpath::gateway::Gateway;
 use fulmarpath::init_gateway_log;
-use fulmarpath::platform::{EngineMover, FILE_VARIABLE, HeaderDialect, NodeFile, metadata};
+use fulmarpath::platform::{EngineClient, FILE_VARIABLE, HeaderDialect, NodeFile, metadata};
 use spdlog::{info, warn};
 use tokio::runtime::Builder;
 use tokio::signal::unix::{Signal, SignalKind, signal};
@@ -55,8 +55,8 @@
     let mut terminate = listen(SignalKind::terminate())?;
     let hang_up = listen(SignalKind::hangup())?;
     let store = metadata(settings.store_address());
-    let (dialect, mover) = (Arc::new(HeaderDialect), Arc::new(EngineMover));
-    let gateway = Arc::new(Gateway::new(settings.gateway(), dialect, mover, store));
+    let (dialect, control) = (Arc::new(HeaderDialect), Arc::new(EngineClient));
+    let gateway = Arc::new(Gateway::new(settings.gateway(), dialect, control, store));
     tokio::spawn(reload(file.to_owned(), gateway.clone(), hang_up));
     let stopped = async {
         let _ = terminate.recv().await;
