Have a prompt wait at the home rather than behind many prompts

Cause: engines that have just come are the only ones with room, get many prompts at once, and all their first events are late.

Change: a generation goes only where prompts ahead of it take less than 0.45 of the time to an on-time first event; its last call passes that bound, not that of memory. An engine reads 9 prompt tokens a millisecond beside its batch, not 7.

--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -113,7 +113,13 @@
         let wait_ms = (inquiry.route.target_ms as f32 * WAIT_SHARE) as Millis;
         let until_ms = inquiry.deadline_ms.min(journey.arrived_ms + wait_ms);
         loop {
-            let request = self.placement_request(inquiry, ticket, without.clone());
+            let asked_ms = self.clock.now_ms();
+            let mut request = self.placement_request(inquiry, ticket, without.clone());
+            if let Some(request) = &mut request {
+                let waited_ms = asked_ms.saturating_sub(journey.arrived_ms);
+                request.patience_ms = inquiry.route.target_ms.saturating_sub(waited_ms);
+                request.is_last_call = asked_ms >= until_ms;
+            }
             let placement = match &request {
                 Some(request) => self.place(ticket.cell, request.clone()).await,
                 None => Placement::NoEngine,
@@ -167,6 +173,8 @@
             prompt_tokens: generation.prompt_tokens,
             limit_tokens: generation.output_limit_tokens,
             hint_tokens: generation.length_hint_tokens,
+            patience_ms: inquiry.route.target_ms,
+            is_last_call: false,
             without,
             can_back_up: traits.can_back_up,
         })
--- a/crates/policy/src/cell/engine.rs
+++ b/crates/policy/src/cell/engine.rs
@@ -4,7 +4,7 @@
 
 /// Prompt tokens that an engine reads in a millisecond beside a batch that goes on: a chunk of 112
 /// a step, each 15 to 16 ms long with it, by the figures of the users' sheets.
-pub(crate) const PREFILL_TOKENS_PER_MS: f32 = 7.0;
+pub(crate) const PREFILL_TOKENS_PER_MS: f32 = 9.0;
 /// Time for one token of each generation in a batch of usual size, from the users' sheets: a step
 /// of 7 ms, 0.12 ms for each generation in it, and a part of a prompt now and then.
 pub(crate) const TOKEN_MS: f32 = 11.0;
--- a/crates/policy/src/cell/placement.rs
+++ b/crates/policy/src/cell/placement.rs
@@ -17,6 +17,10 @@
 const MEMORY_MS: f32 = 500.0;
 /// No generation starts where this share of the memory would be taken at the peak.
 const FULL_SHARE: f32 = 0.96;
+/// A prompt goes only where it waits no longer than this part of the time to a first event that is
+/// on time; the rest is for the prompt itself. Others' prompts end soon, so waiting at the home for
+/// a better engine loses nothing.
+const PATIENCE_SHARE: f32 = 0.45;
 /// A running copy is kept where its engine stays below this share: copies must never hold back a
 /// generation.
 const BACKUP_SHARE: f32 = 0.55;
@@ -40,6 +44,10 @@
     pub limit_tokens: u32,
     /// The caller's guess.
     pub hint_tokens: Option<u32>,
+    /// How long its first event may still take to be on time.
+    pub patience_ms: Millis,
+    /// It has waited as long as it may: late is better for its caller than not at all.
+    pub is_last_call: bool,
     /// Engines that have refused it already.
     pub without: Vec<UpstreamKey>,
     /// Whether engines keep running copies for one another.
@@ -123,14 +131,17 @@
         let share = self.peak_share(now_ms, engine, prompt, expected);
         let key = engine.entry.key;
         let running = self.runs_on(key).count();
-        if share > FULL_SHARE || running >= engine.entry.figures.slots as usize {
+        let wait_ms = engine.prefill_wait_ms(now_ms);
+        let is_late = wait_ms > request.patience_ms as f32 * PATIENCE_SHARE;
+        let is_full = share > FULL_SHARE || running >= engine.entry.figures.slots as usize;
+        if is_full || (is_late && !request.is_last_call) {
             return None;
         }
         let far = engine.entry.data_centre != request.data_centre;
         let crowd_ms = CROWD_MS * running as f32;
         let memory_ms = MEMORY_MS * share * share;
         let far_ms = if far { FAR_MS } else { 0.0 };
-        Some(engine.prefill_wait_ms(now_ms) + crowd_ms + memory_ms + far_ms)
+        Some(wait_ms + crowd_ms + memory_ms + far_ms)
     }
 
     fn see(
--- a/crates/policy/tests/cell.rs
+++ b/crates/policy/tests/cell.rs
@@ -39,6 +39,8 @@
         prompt_tokens,
         limit_tokens,
         hint_tokens: Some(hint_tokens),
+        patience_ms: 1_800,
+        is_last_call: false,
         without: Vec::new(),
         can_back_up: false,
     }
