Judge a caller by the last answer it heard, not by a closed door

Cause: a keyed caller is refused as not run by every host while the platform is down; where the last of its eight tries met the stopped host's closed port, the judge counted it as lost, though it had been told seven times.

Ruled out: a cut answer; each lost one had status 0 and was unsent.

Change: a try that met no open door doesn't replace what the caller was told before; who was never told anything is lost as before, so the check is as strict.

--- a/crates/bench/src/faults/session.rs
+++ b/crates/bench/src/faults/session.rs
@@ -121,7 +121,11 @@
         let unsure =
             got.status == 0 && !got.unsent && ask.idempotency_key.is_none() && sofar.is_empty();
         silences += usize::from(!got.unsent && !got.whole && problem.is_empty());
-        last = Some(got);
+        // A closed door is no answer: a balancer would not have sent the caller to a host that has
+        // stopped. What it was told before stands; who was never told anything is still lost.
+        if !got.unsent || last.is_none() {
+            last = Some(got);
+        }
         if final_word || unsure || silences >= SILENCES {
             break;
         }
--- a/crates/bench/tests/safeguards.rs
+++ b/crates/bench/tests/safeguards.rs
@@ -58,3 +58,18 @@
     assert!(fine, "{verdict}");
     assert!(verdict["answered"].as_u64() > Some(50), "{verdict}");
 }
+
+/// A host has stopped and the platform is down, so keyed callers are refused everywhere until they
+/// give up. Each has been told "not run" by a host that answered, also where the last door it
+/// tried was the stopped host's.
+#[rstest]
+#[case::two_gave_up_at_a_closed_door("1796240317")]
+#[case::five_gave_up_at_a_closed_door("1796240382")]
+fn seeds_that_once_failed(#[case] seed: &str) {
+    let output = Command::new(env!("CARGO_BIN_EXE_fulmarpath-bench"))
+        .args(["faults", "--rounds", "1", "--seed", seed])
+        .output()
+        .expect("the bench runs");
+    let text = String::from_utf8_lossy(&output.stdout).into_owned();
+    assert!(output.status.success(), "{text}");
+}
