Have others watch where watchers are turned away; refuse what a stop would cut

A watcher that can't read the store now says so to its data centre and the next two watch in its place; a watch waits 1 s, not 4, so silence shows in time.

It now refuses at once, as not run, what may not end within its grace, and another host serves it.

Ruled out: a watch that hung (each failed at once); a lost answer.

--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -14,9 +14,9 @@
 use crate::metadata::{Change, StoreError};
 use crate::roster::Roster;
 
-/// How long a watch waits. A watch whose answer was lost tells nothing until it ends, so it bounds
-/// how old a belief can be; each one costs a call.
-const WATCH_BOUND: Duration = Duration::from_millis(4_000);
+/// How long a watch waits. A store that falls silent, or loses an answer, shows only when the watch
+/// is over, and a new version may have two seconds to be in force; each watch costs a call.
+const WATCH_BOUND: Duration = Duration::from_millis(1_000);
 /// Between two tries while the store is away; drawn anew each time, lest all hosts come at once.
 const RETRY_MS: Range<u64> = 150..450;
 /// How often a host that doesn't watch looks whether it should.
@@ -98,6 +98,7 @@
                 Err(error) => {
                     contact.lost(&error);
                     self.metrics.store_failures.inc();
+                    self.announce_blindness();
                     // After an outage the list tells more than a watch from an old revision.
                     revision = None;
                     pause().await;
@@ -139,6 +140,7 @@
                 Err(error) => {
                     contact.lost(&error);
                     self.metrics.store_failures.inc();
+                    self.announce_blindness();
                     self.roster.lock().lost(self.clock.now_ms());
                     is_listed = false;
                     pause().await;
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -3,7 +3,7 @@
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 
 use arc_swap::ArcSwapOption;
@@ -60,7 +60,8 @@
     in_force: ArcSwapOption<InForce>,
     retries: Mutex<HashMap<String, RetryWindow>>,
     retry_bound: Mutex<RetryBound>,
-    is_draining: AtomicBool,
+    /// When the process ends, once it was told to; 0 before.
+    ends_ms: AtomicU64,
 }
 
 impl Gateway {
@@ -87,7 +88,7 @@
             in_force: ArcSwapOption::empty(),
             retries: Mutex::default(),
             retry_bound: Mutex::new(settings.retries),
-            is_draining: AtomicBool::new(false),
+            ends_ms: AtomicU64::new(0),
             settings,
         }
     }
@@ -153,12 +154,18 @@
 
     /// Whether this host stops.
     pub(crate) fn is_draining(&self) -> bool {
-        self.is_draining.load(Ordering::Relaxed)
+        self.ends_ms().is_some()
+    }
+
+    /// When the process ends, once it was told to.
+    pub(crate) fn ends_ms(&self) -> Option<Millis> {
+        let ends_ms = self.ends_ms.load(Ordering::Relaxed);
+        (ends_ms > 0).then_some(ends_ms)
     }
 
     /// From now on callers are told to leave.
-    pub(crate) fn drain(&self) {
-        self.is_draining.store(true, Ordering::Relaxed);
+    pub(crate) fn drain(&self, ends_ms: Millis) {
+        self.ends_ms.store(ends_ms, Ordering::Relaxed);
     }
 
     /// Takes what may change of the settings while the host runs.
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -10,6 +10,7 @@
 mod configuration;
 mod control;
 mod directory;
+mod drain;
 mod events;
 mod fleet;
 mod follow;
--- a/crates/gateway/src/peer.rs
+++ b/crates/gateway/src/peer.rs
@@ -59,6 +59,7 @@
                 serde_json::to_vec(&held.map(|held| held.configuration.clone()))
             }
             Holding::Upstreams => serde_json::to_vec(&self.gateway.roster.lock().directory()),
+            Holding::Blindness => Ok(Vec::new()),
         };
         held.unwrap_or_else(|error| {
             spdlog::warn!("fleet: could not write what a peer asks for: {error}");
--- a/crates/gateway/src/problem.rs
+++ b/crates/gateway/src/problem.rs
@@ -33,6 +33,8 @@
         /// When to come back.
         retry_after_ms: Millis,
     },
+    /// This host stops before the generation could be finished.
+    Stopping,
     /// No upstream could be reached.
     Unreachable,
     /// The time ran out before the request was sent.
@@ -55,6 +57,7 @@
             | Self::NoUpstream
             | Self::AllRefused
             | Self::Full { .. }
+            | Self::Stopping
             | Self::Unreachable
             | Self::TooLateToSend => StatusCode::SERVICE_UNAVAILABLE,
             Self::Timeout => StatusCode::GATEWAY_TIMEOUT,
@@ -74,6 +77,7 @@
             Self::NoUpstream => "no_upstream",
             Self::AllRefused => "all_refused",
             Self::Full { .. } => "full",
+            Self::Stopping => "stopping",
             Self::Unreachable => "unreachable",
             Self::TooLateToSend => "too_late_to_send",
             Self::Timeout => "timeout",
@@ -91,7 +95,8 @@
             // A place frees in about the time of one small request.
             Self::AllRefused => Some(150),
             Self::Full { retry_after_ms } => Some(retry_after_ms),
-            Self::TooLateToSend => Some(0),
+            // Another host takes it at once.
+            Self::Stopping | Self::TooLateToSend => Some(0),
             _ => None,
         }
     }
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -98,7 +98,8 @@
         info!("host: {} started", self.settings.host.name);
         stopped.await;
         info!("host: {} stops", self.settings.host.name);
-        self.drain();
+        let left_ms = self.settings.grace_ms.saturating_sub(EXIT_MS);
+        self.drain(self.clock.now_ms() + left_ms);
         self.leave_fleet().await;
         sleep(Duration::from_millis(LINGER_MS)).await;
         let _ = stop.send(true);
--- a/crates/gateway/src/spread.rs
+++ b/crates/gateway/src/spread.rs
@@ -6,10 +6,11 @@
 //! keeps from others they find by the versions in the next pings. Watching everywhere would cost a
 //! waiting call a host and one more for each change: half of a day's worth before 81 hosts.
 
+use std::collections::{HashMap, HashSet};
 use std::net::SocketAddr;
 use std::sync::Arc;
 
-use fulmarpath_policy::rank;
+use fulmarpath_policy::{HostKey, Millis, rank};
 use fulmarpath_wire::{Announcement, GatewayPeerClient, Holding};
 use parking_lot::Mutex;
 use serde::Serialize;
@@ -19,9 +20,15 @@
 use crate::gateway::Gateway;
 use crate::key::centre_of;
 
-/// Watchers in each data centre. One is enough: where it fails, others' pings bring the news
-/// within a second, and its successor watches as soon as it counts as dead.
+/// Watchers in each data centre. One is enough: where it dies, others' pings bring the news within
+/// a second, and its successor watches as soon as it counts as dead.
 const WATCHERS: usize = 1;
+/// Watchers in place of one that can't read the store: they may be turned away as well.
+const SUBSTITUTES: usize = 2;
+/// A host that can't read the store says so again with each failed call; silence ends it.
+const BLIND_MS: Millis = 2_500;
+/// Between two such words of one host.
+const BLIND_AGAIN_MS: Millis = 400;
 /// Hosts that each host passes news on to.
 const FANOUT: usize = 3;
 
@@ -29,6 +36,9 @@
 #[derive(Debug, Default)]
 pub(crate) struct Spread {
     announced: Mutex<Announced>,
+    /// Hosts of this data centre that can't read the store, and until when that is believed.
+    blind: Mutex<HashMap<HostKey, Millis>>,
+    told_blind_ms: Mutex<Millis>,
 }
 
 #[derive(Debug, Default)]
@@ -44,9 +54,19 @@
     }
 
     /// Whether this host watches for its data centre.
+    ///
+    /// The store may turn away just the hosts that watch it. All others would go on with what they
+    /// know, and a key that was taken away would be good there for as long as that lasts. So a
+    /// watcher that can't read the store says so, and the next ones watch in its place.
     fn is_watcher(&self) -> bool {
         let centre = &self.settings.host.data_centre;
         let thing = centre_of(centre);
+        let now_ms = self.clock.now_ms();
+        let blind: HashSet<HostKey> = {
+            let blind = self.spread.blind.lock();
+            let still = blind.iter().filter(|(_, until_ms)| now_ms < **until_ms);
+            still.map(|(key, _)| *key).collect()
+        };
         let members = self.fleet.members.lock();
         let me = members.my_key();
         let mine = rank(thing, me.0);
@@ -54,7 +74,31 @@
             .homes()
             .filter(|(_, note)| &note.data_centre == centre);
         let better = near.filter(|(key, _)| *key != me && rank(thing, key.0) > mine);
-        better.count() < WATCHERS
+        let (blind, well): (Vec<_>, Vec<_>) = better.partition(|(key, _)| blind.contains(key));
+        match blind.is_empty() {
+            true => well.len() < WATCHERS,
+            false => well.len() < SUBSTITUTES,
+        }
+    }
+
+    /// Tells this data centre that this host can't read the store.
+    pub(crate) fn announce_blindness(self: &Arc<Self>) {
+        let now_ms = self.clock.now_ms();
+        {
+            let mut told_ms = self.spread.told_blind_ms.lock();
+            if now_ms.saturating_sub(*told_ms) < BLIND_AGAIN_MS {
+                return;
+            }
+            *told_ms = now_ms;
+        }
+        self.announce(Holding::Blindness, &self.host_key());
+    }
+
+    fn hear_blindness(&self, value: &[u8]) -> serde_json::Result<()> {
+        let host: HostKey = serde_json::from_slice(value)?;
+        let until_ms = self.clock.now_ms() + BLIND_MS;
+        self.spread.blind.lock().insert(host, until_ms);
+        Ok(())
     }
 
     /// Passes on a configuration that this host's data centre doesn't have yet.
@@ -135,6 +179,7 @@
         let taken = match holding {
             Holding::Configuration => self.take_configuration(&value),
             Holding::Upstreams => self.take_change(&value),
+            Holding::Blindness => self.hear_blindness(&value),
         };
         if let Err(error) = taken {
             warn!("spread: could not read news: {error}");
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -12,6 +12,7 @@
 
 use crate::attempt::{Answer, Failure, Terms};
 use crate::configuration::EngineTraits;
+use crate::drain::can_finish;
 use crate::gateway::Gateway;
 use crate::hop;
 use crate::instances::{Chosen, Destination};
@@ -66,6 +67,9 @@
         ticket: &Ticket,
         journey: &mut Journey,
     ) -> Result<(Answer, Option<Destination>), Problem> {
+        if !self.can_finish(inquiry) {
+            return Err(Problem::Stopping);
+        }
         let mut tried: Vec<Chosen> = Vec::new();
         let mut problem = Problem::NoUpstream;
         while tried.len() < DISPATCHES {
@@ -100,6 +104,14 @@
         Err(problem)
     }
 
+    /// Whether this host, if it stops, stops after the generation has surely ended.
+    fn can_finish(&self, inquiry: &Inquiry) -> bool {
+        let (Some(ends_ms), Some(generation)) = (self.ends_ms(), &inquiry.generation) else {
+            return true;
+        };
+        can_finish(self.clock.now_ms(), ends_ms, generation.output_limit_tokens)
+    }
+
     /// Asks the cell's home until there is room; `None` where no engine is left to try.
     async fn find_start(
         &self,
--- a/crates/wire/src/gateway.rs
+++ b/crates/wire/src/gateway.rs
@@ -14,6 +14,8 @@
     Configuration,
     /// The upstreams' registrations.
     Upstreams,
+    /// Nothing is held of it: the host that announces it can't read the store.
+    Blindness,
 }
 
 /// Engines of one service that one host places generations on; a hash of the cell's name.
