Explain from hosts' logs why a request ended as it did

fulmarpath explain ID FILE...: merges what belongs to one request from the logs of several hosts, by its id and its generation's key, and says the cause in one sentence a host; unknown ids, cut lines and other versions' outcomes have clear answers. The log's line of a request is one type, written and read alike.

tests/processes.rs: its free addresses come from below the ports of outgoing connections. Once in four runs of the whole workspace a host did not come up in time; that another test's connection had taken its port is the likely cause, but no run shows it.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -15,7 +15,8 @@
 use crate::head::{AnswerHead, Continuation, Outbound};
 use crate::instances::Chosen;
 use crate::intake::Inquiry;
-use crate::journey::{Dispatch, Flight, Journey};
+use crate::journey::{Flight, Journey};
+use crate::record::Dispatch;
 
 /// Time to connect: some ways there and back between data centres, and an upstream's handshake.
 /// A lost opening packet is sent again only after a second, by when another upstream has answered.
@@ -86,7 +87,7 @@
         journey.dispatched(Dispatch {
             instance: chosen.instance.clone(),
             at_ms: self.clock.now_ms().saturating_sub(journey.arrived_ms),
-            outcome: "sent",
+            outcome: "sent".to_owned(),
         });
         let answer = self.exchange(inquiry, chosen, terms, &journey.id).await;
         match &answer {
--- a/crates/gateway/src/journey.rs
+++ b/crates/gateway/src/journey.rs
@@ -3,7 +3,6 @@
 use std::sync::Arc;
 
 use fulmarpath_policy::{Millis, Seen, Verdict};
-use serde::Serialize;
 use spdlog::info;
 
 use crate::configuration::{Route, RouteKind};
@@ -13,6 +12,7 @@
 use crate::key::run_of;
 use crate::metrics::EndLabels;
 use crate::problem::Problem;
+use crate::record::{Dispatch, REQUEST_PREFIX, RequestRecord, Size};
 
 impl RouteKind {
     /// Its name on metrics and log lines.
@@ -25,48 +25,6 @@
     }
 }
 
-/// One dispatch of a request to an upstream, as the log tells it.
-#[derive(Debug, Clone, Serialize)]
-pub(crate) struct Dispatch {
-    pub(crate) instance: String,
-    pub(crate) at_ms: Millis,
-    pub(crate) outcome: &'static str,
-}
-
-/// What a caller says of its generation's size, as the log tells it.
-#[derive(Debug, Clone, Copy, Serialize)]
-struct Size {
-    prompt_tokens: u32,
-    limit_tokens: u32,
-    hint_tokens: Option<u32>,
-}
-
-/// The log's line of a request.
-#[derive(Serialize)]
-struct Line<'a> {
-    request: &'a str,
-    /// The generation's key in lines of its cell's home.
-    run: String,
-    route: &'a str,
-    kind: &'static str,
-    version: u64,
-    outcome: &'a str,
-    status: u16,
-    took_ms: Millis,
-    /// Until an upstream was found that takes it.
-    placed_ms: Option<Millis>,
-    /// What was asked for, where it is a generation.
-    size: Option<Size>,
-    /// What the cell's home saw of the engine.
-    seen: Option<Seen>,
-    /// Until the first event was passed on.
-    first_event_ms: Option<Millis>,
-    /// The longest time between two events that were passed on.
-    longest_pause_ms: Millis,
-    events: u32,
-    dispatches: &'a [Dispatch],
-}
-
 /// One request from its arrival to its end. Dropped without an end, its caller has left.
 pub(crate) struct Journey {
     gateway: Arc<Gateway>,
@@ -156,7 +114,7 @@
     /// The last dispatch ended.
     pub(crate) fn dispatch_ended(&mut self, outcome: &'static str) {
         if let Some(last) = self.dispatches.last_mut() {
-            last.outcome = outcome;
+            outcome.clone_into(&mut last.outcome);
         }
     }
 
@@ -173,13 +131,20 @@
         let kind = self.kind;
         let labels = EndLabels { kind, outcome };
         self.gateway.metrics.requests.get_or_create(&labels).inc();
-        let line = Line {
-            request: &self.id,
+        match serde_json::to_string(&self.record(outcome, status)) {
+            Ok(line) => info!("{REQUEST_PREFIX}{line}"),
+            Err(error) => spdlog::warn!("log: could not write the line of a request: {error}"),
+        }
+    }
+
+    fn record(&self, outcome: &str, status: u16) -> RequestRecord {
+        RequestRecord {
+            request: self.id.clone(),
             run: format!("{:016x}", run_of(&self.id).0),
-            route: &self.route,
-            kind,
+            route: self.route.clone(),
+            kind: self.kind.to_owned(),
             version: self.version,
-            outcome,
+            outcome: outcome.to_owned(),
             status,
             took_ms: self.gateway.clock.now_ms().saturating_sub(self.arrived_ms),
             placed_ms: self.placed_ms,
@@ -188,11 +153,7 @@
             first_event_ms: self.first_event_ms,
             longest_pause_ms: self.longest_pause_ms,
             events: self.events,
-            dispatches: &self.dispatches,
-        };
-        match serde_json::to_string(&line) {
-            Ok(line) => info!("request: {line}"),
-            Err(error) => spdlog::warn!("request: could not write the line of a request: {error}"),
+            dispatches: self.dispatches.clone(),
         }
     }
 }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -27,6 +27,7 @@
 mod metrics;
 mod peer;
 mod problem;
+mod record;
 mod relay;
 mod roster;
 mod runs;
@@ -46,5 +47,6 @@
 };
 pub use metadata::{Change, Changes, Collection, HostRegistry, Metadata, Snapshot, StoreError};
 pub use problem::Problem;
+pub use record::{Dispatch, REQUEST_PREFIX, RequestRecord, Size};
 pub use roster::Roster;
 pub use serve::{Listen, ListenError, Listeners};
--- a/src/cmd/mod.rs
+++ b/src/cmd/mod.rs
@@ -3,6 +3,7 @@
 mod apply;
 mod check;
 mod dev;
+mod explain;
 mod gateway;
 mod history;
 mod plan;
@@ -27,6 +28,7 @@
 pub(crate) enum Command {
     Serve(#[bpaf(external(serve::serve))] serve::Serve),
     Dev(#[bpaf(external(dev::dev))] dev::Dev),
+    Explain(#[bpaf(external(explain::explain))] explain::Explain),
     Gateway(#[bpaf(external(gateway::serve))] gateway::Serve),
     Check(#[bpaf(external(check::check))] check::Check),
     Plan(#[bpaf(external(plan::plan))] plan::Plan),
@@ -42,6 +44,7 @@
         match self {
             Self::Serve(one) => one.run(),
             Self::Dev(one) => one.run(),
+            Self::Explain(one) => one.run(),
             Self::Gateway(one) => one.run(),
             Self::Check(one) => one.run(),
             Self::Plan(one) => one.run(),
--- a/src/error.rs
+++ b/src/error.rs
@@ -30,6 +30,19 @@
     /// The gateway could not start.
     #[error("could not run the gateway")]
     Gateway(#[from] fulmarpath::gateway::ListenError),
+    /// A log can't be read.
+    #[error("could not read the log {}", file.display())]
+    LogFile {
+        /// The file.
+        file: PathBuf,
+        /// Why.
+        #[source]
+        source: std::io::Error,
+    },
+    /// The logs don't speak of the request.
+    #[error(transparent)]
+    #[diagnostic(help("name the logs of all hosts; only the host that took it writes its line"))]
+    NotFound(#[from] fulmarpath::NotFound),
     /// The log could not be set up.
     #[error("could not log")]
     Log(#[from] LogError),
--- /dev/null
+++ b/src/explain.rs
@@ -0,0 +1,128 @@
+//! Finds in hosts' logs why a request ended as it did.
+
+use std::fmt;
+
+use fulmarpath_gateway::RequestRecord;
+use serde::Deserialize;
+
+/// A line of a gateway's log.
+#[derive(Debug, Clone, Deserialize)]
+struct LogLine {
+    /// Milliseconds since 1970, by the host's own clock.
+    timestamp: u64,
+    payload: String,
+}
+
+/// One line that speaks of the request.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Trace {
+    /// Milliseconds since 1970, by the clock of the host that wrote it.
+    pub at_ms: u64,
+    /// The file that it stands in.
+    pub source: String,
+    /// What it says.
+    pub text: String,
+}
+
+/// What the logs say of a request.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Explanation {
+    /// Why it ended as it did, one sentence for each host that took it.
+    pub causes: Vec<String>,
+    /// The lines that speak of it, oldest first.
+    pub traces: Vec<Trace>,
+    /// Lines that could not be read.
+    pub unreadable: usize,
+}
+
+/// No line speaks of the request.
+#[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
+#[error("could not find request {id} in {lines} lines ({unreadable} of them unreadable)")]
+pub struct NotFound {
+    /// The request.
+    pub id: String,
+    /// Lines that were looked at.
+    pub lines: usize,
+    /// Lines that could not be read.
+    pub unreadable: usize,
+}
+
+/// Looks for a request in the logs of several hosts; each is a name and its text.
+///
+/// # Errors
+/// [`NotFound`]
+pub fn explain(id: &str, logs: &[(String, String)]) -> Result<Explanation, NotFound> {
+    let mut lines = 0;
+    let mut unreadable = 0;
+    let mut all = Vec::new();
+    for (source, text) in logs {
+        for line in text.lines().filter(|line| !line.trim().is_empty()) {
+            lines += 1;
+            match read(line) {
+                Some(read) => all.push((source, read)),
+                None => unreadable += 1,
+            }
+        }
+    }
+    let records: Vec<RequestRecord> = all
+        .iter()
+        .filter_map(|(_, line)| RequestRecord::read(&line.payload))
+        .filter(|record| record.request == id)
+        .collect();
+    let run = records.first().map(|record| record.run.clone());
+    let speaks = |payload: &str| {
+        payload.contains(id)
+            || run
+                .as_ref()
+                .is_some_and(|run| payload.contains(run.as_str()))
+    };
+    let mut traces: Vec<Trace> = all
+        .iter()
+        .filter(|(_, line)| speaks(&line.payload))
+        .map(|(source, line)| Trace {
+            at_ms: line.timestamp,
+            source: (*source).clone(),
+            text: line.payload.clone(),
+        })
+        .collect();
+    traces.sort();
+    if traces.is_empty() {
+        return Err(NotFound {
+            id: id.to_owned(),
+            lines,
+            unreadable,
+        });
+    }
+    Ok(Explanation {
+        causes: records.iter().map(RequestRecord::cause).collect(),
+        traces,
+        unreadable,
+    })
+}
+
+/// Reads a line; a collector may have written something before its JSON.
+fn read(line: &str) -> Option<LogLine> {
+    let start = line.find('{')?;
+    serde_json::from_str(&line[start..]).ok()
+}
+
+impl fmt::Display for Explanation {
+    fn fmt(&self, out: &mut fmt::Formatter<'_>) -> fmt::Result {
+        if self.causes.is_empty() {
+            writeln!(
+                out,
+                "no host wrote how it ended; it may have died meanwhile"
+            )?;
+        }
+        for cause in &self.causes {
+            writeln!(out, "{cause}")?;
+        }
+        for trace in &self.traces {
+            writeln!(out, "  {} {} {}", trace.at_ms, trace.source, trace.text)?;
+        }
+        if self.unreadable > 0 {
+            writeln!(out, "  {} lines could not be read", self.unreadable)?;
+        }
+        Ok(())
+    }
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -3,10 +3,12 @@
 //! This is the library's face: a host to run, and a whole small deployment for trials and tests.
 
 pub mod dev;
+mod explain;
 mod host;
 mod log;
 mod trace;
 
+pub use explain::{Explanation, NotFound, Trace, explain};
 pub use fulmarpath_cluster as cluster;
 pub use fulmarpath_entry as entry;
 pub use fulmarpath_gateway as gateway;
--- /dev/null
+++ b/tests/explain.rs
@@ -0,0 +1,119 @@
+//! From a request's id and hosts' logs to its cause.
+
+use fulmarpath::explain;
+use fulmarpath::gateway::{Dispatch, REQUEST_PREFIX, RequestRecord};
+use rstest::rstest;
+
+fn record(outcome: &str, status: u16, instances: &[&str]) -> RequestRecord {
+    let dispatches = instances.iter().map(|instance| Dispatch {
+        instance: (*instance).to_owned(),
+        at_ms: 3,
+        outcome: "sent".to_owned(),
+    });
+    RequestRecord {
+        request: "9c41".to_owned(),
+        run: "00000000000000aa".to_owned(),
+        route: "drafts".to_owned(),
+        kind: "streaming".to_owned(),
+        version: 7,
+        outcome: outcome.to_owned(),
+        status,
+        took_ms: 90,
+        placed_ms: None,
+        size: None,
+        seen: None,
+        first_event_ms: None,
+        longest_pause_ms: 0,
+        events: 12,
+        dispatches: dispatches.collect(),
+    }
+}
+
+fn line(at_ms: u64, payload: &str) -> String {
+    serde_json::json!({"level": "info", "timestamp": at_ms, "payload": payload, "tid": 1})
+        .to_string()
+}
+
+fn request_line(at_ms: u64, record: &RequestRecord) -> String {
+    let json = serde_json::to_string(record).expect("a record");
+    line(at_ms, &format!("{REQUEST_PREFIX}{json}"))
+}
+
+struct Cause {
+    outcome: &'static str,
+    status: u16,
+    instances: &'static [&'static str],
+    /// What the sentence must name.
+    names: &'static str,
+}
+
+/// Every way in which a request can end is named, with what decided it.
+#[rstest]
+#[case::refused(Cause { outcome: "full", status: 503, instances: &[], names: "predicted to be full" })]
+#[case::all_refused(Cause { outcome: "all_refused", status: 503, instances: &["i-1", "i-2"], names: "each of 2" })]
+#[case::broken_stream(Cause { outcome: "stream_broken", status: 200, instances: &["i-1", "i-2"], names: "i-2 was lost after 12 events" })]
+#[case::unknown_outcome(Cause { outcome: "broken", status: 502, instances: &["i-1"], names: "it may have run" })]
+#[case::timeout(Cause { outcome: "timeout", status: 504, instances: &["i-1"], names: "did not answer" })]
+#[case::own_failure(Cause { outcome: "answered", status: 500, instances: &["i-1"], names: "i-1 itself failed" })]
+#[case::key(Cause { outcome: "unknown_key", status: 401, instances: &[], names: "version 7" })]
+#[case::stopping(Cause { outcome: "stopping", status: 503, instances: &[], names: "stopping" })]
+#[case::of_another_version(Cause { outcome: "invented", status: 503, instances: &[], names: "`invented`" })]
+fn names_the_cause(#[case] case: Cause) {
+    let record = record(case.outcome, case.status, case.instances);
+    let logs = [("host-a".to_owned(), request_line(5, &record))];
+    let explanation = explain("9c41", &logs).expect("it is found");
+    assert_eq!(explanation.causes.len(), 1);
+    assert!(
+        explanation.causes[0].contains(case.names),
+        "{}",
+        explanation.causes[0]
+    );
+}
+
+/// Lines of several hosts are merged by their times: the relaying host names the request, the
+/// home of its cell only the generation's key. Cut lines are counted, and what a collector writes
+/// before a line is no matter.
+#[test]
+fn merges_the_lines_of_several_hosts() {
+    let moved = line(
+        20,
+        "moves: request 9c41 goes on at i-2 after event Some(4), 9 ms",
+    );
+    let ended = request_line(40, &record("answered", 200, &["i-1", "i-2"]));
+    let home = line(
+        30,
+        "cells: 00000000000000aa from 01 to 02: Moved after 200 ms",
+    );
+    let other = line(
+        25,
+        "cells: 00000000000000bb from 01 to 02: Moved after 200 ms",
+    );
+    let logs = [
+        (
+            "host-a".to_owned(),
+            format!("{ended}\n  1.5 host-a {moved}\n{{\"level\":\"in"),
+        ),
+        ("host-b".to_owned(), format!("{other}\n{home}")),
+    ];
+    let explanation = explain("9c41", &logs).expect("it is found");
+    let order: Vec<u64> = explanation.traces.iter().map(|trace| trace.at_ms).collect();
+    assert_eq!(order, [20, 30, 40]);
+    assert_eq!(explanation.unreadable, 1);
+    let shown = explanation.to_string();
+    assert!(shown.starts_with("it was answered"), "{shown}");
+    assert!(shown.contains("host-b cells: 00000000000000aa"), "{shown}");
+}
+
+/// An id that nobody wrote of is said not to be found, with how much was looked at.
+#[test]
+fn an_unknown_id_is_not_found() {
+    let logs = [(
+        "host-a".to_owned(),
+        request_line(5, &record("full", 503, &[])),
+    )];
+    let error = explain("ffff", &logs).expect_err("nobody wrote of it");
+    assert_eq!(
+        error.to_string(),
+        "could not find request ffff in 1 lines (0 of them unreadable)"
+    );
+}
--- a/tests/processes.rs
+++ b/tests/processes.rs
@@ -4,6 +4,7 @@
 use std::net::{SocketAddr, TcpListener};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, ExitStatus, Stdio};
+use std::sync::atomic::{AtomicU16, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
@@ -18,9 +19,24 @@
 }
 
 /// A port that was free a moment ago: a host's settings must name it before the host runs.
+/// An address that nothing uses now. Each call of this process and each test process begins its
+/// search elsewhere, below the ports that the system gives to outgoing connections: a port that
+/// was free a moment ago could otherwise be taken by any connection of a test beside this one,
+/// and the host that was to listen there would end at once.
 fn free_address() -> SocketAddr {
-    let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
-    listener.local_addr().expect("an address")
+    static NEXT: AtomicU16 = AtomicU16::new(0);
+    const FIRST: u16 = 12_000;
+    const PORTS: u16 = 18_000;
+    let offset = (std::process::id() % u32::from(PORTS)) as u16;
+    for _ in 0..PORTS {
+        let step = NEXT.fetch_add(1, Ordering::Relaxed);
+        let port = FIRST + offset.wrapping_add(step) % PORTS;
+        let address = SocketAddr::from(([127, 0, 0, 1], port));
+        if TcpListener::bind(address).is_ok() {
+            return address;
+        }
+    }
+    panic!("no port is free");
 }
 
 struct Process(Child);
