Soak real hosts under faults from outside

fulmarpath-bench soak: hosts as processes of their own before the platform's stand-ins, through the platform's adapter. A loopback proxy delays, resets, silences and cuts links one way; signals stop, pause and kill; the store is busy, silent, lossy, slow, forgets its history; engines leave and crash; plain upstreams misbehave. Checked by what callers and upstreams see: own answer, whole, once, in order; not run is true; at most once; planned stops cut nothing; served again; a new version in force and the old key gone.

--- a/crates/bench/src/cmd/mod.rs
+++ b/crates/bench/src/cmd/mod.rs
@@ -5,6 +5,7 @@
 mod policy;
 mod relay;
 mod slopes;
+mod soak;
 mod spread;
 
 use bpaf::Bpaf;
@@ -19,6 +20,7 @@
     Spread(#[bpaf(external(spread::spread))] spread::Spread),
     Faults(#[bpaf(external(faults::faults))] faults::Faults),
     Policy(#[bpaf(external(policy::policy))] policy::Policy),
+    Soak(#[bpaf(external(soak::soak))] soak::Soak),
 }
 
 impl Command {
@@ -31,6 +33,7 @@
             Self::Spread(one) => one.run(),
             Self::Faults(one) => one.run(),
             Self::Policy(one) => one.run(),
+            Self::Soak(one) => one.run(),
         }
     }
 }
--- a/crates/bench/src/main.rs
+++ b/crates/bench/src/main.rs
@@ -4,6 +4,7 @@
 mod faults;
 mod sim;
 mod slopes;
+mod soak;
 
 fn main() {
     cmd::command().run().run();
--- /dev/null
+++ b/crates/bench/src/soak/stage.rs
@@ -0,0 +1,197 @@
+//! Real hosts as processes before stand-ins of the platform, with proxies between them.
+
+use std::net::{IpAddr, Ipv4Addr, SocketAddr};
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, Stdio};
+
+use fulmarpath_platform_standin::{
+    EngineRules, StandInEngine, StandInPlain, StandInStore, configuration, entry, settings_file,
+};
+
+use super::SoakError;
+use super::proxy::Proxy;
+
+pub(crate) const FIRST_KEY: &str = "key-1";
+
+/// A host's process and what it was started with.
+pub(crate) struct HostProcess {
+    name: String,
+    ip: IpAddr,
+    file: PathBuf,
+    binary: PathBuf,
+    log: PathBuf,
+    child: Option<Child>,
+}
+
+impl HostProcess {
+    pub(crate) fn callers(&self) -> SocketAddr {
+        SocketAddr::new(self.ip, 8740)
+    }
+
+    fn peers(&self) -> SocketAddr {
+        SocketAddr::new(self.ip, 8748)
+    }
+
+    pub(crate) fn start(&mut self) -> Result<(), SoakError> {
+        let log = std::fs::OpenOptions::new()
+            .create(true)
+            .append(true)
+            .open(&self.log)
+            .map_err(|source| SoakError::Process { source })?;
+        let errors = log
+            .try_clone()
+            .map_err(|source| SoakError::Process { source })?;
+        let child = Command::new(&self.binary)
+            .arg("gateway")
+            .arg(&self.file)
+            .stdout(log)
+            .stderr(errors)
+            .stdin(Stdio::null())
+            .spawn()
+            .map_err(|source| SoakError::Process { source })?;
+        self.child = Some(child);
+        Ok(())
+    }
+
+    /// Sends a signal to this process, which the soak has started, by its id.
+    pub(crate) fn signal(&self, signal: &str) {
+        if let Some(child) = &self.child {
+            let id = child.id().to_string();
+            let _ = Command::new("kill").args(["-s", signal, &id]).status();
+        }
+    }
+
+    /// Waits until it has ended.
+    pub(crate) async fn ended(&mut self) {
+        let Some(mut child) = self.child.take() else {
+            return;
+        };
+        while let Ok(None) = child.try_wait() {
+            tokio::time::sleep(std::time::Duration::from_millis(50)).await;
+        }
+    }
+
+    pub(crate) fn is_running(&self) -> bool {
+        self.child.is_some()
+    }
+}
+
+impl Drop for HostProcess {
+    fn drop(&mut self) {
+        if let Some(child) = &mut self.child {
+            let _ = child.kill();
+            let _ = child.wait();
+        }
+    }
+}
+
+/// A whole deployment.
+pub(crate) struct Stage {
+    pub(crate) store: StandInStore,
+    pub(crate) store_link: Proxy,
+    pub(crate) hosts: Vec<HostProcess>,
+    pub(crate) engines: Vec<StandInEngine>,
+    /// Engines that have left, for what they had begun.
+    pub(crate) gone: Vec<StandInEngine>,
+    pub(crate) engine_links: Vec<Proxy>,
+    pub(crate) plains: Vec<StandInPlain>,
+    pub(crate) folder: PathBuf,
+}
+
+const DATA_CENTRES: [&str; 3] = ["dc-a", "dc-b", "dc-c"];
+
+/// Engines at an ordinary pace: an answer takes 1.3 s.
+fn rules() -> EngineRules {
+    EngineRules {
+        events: 60,
+        pause: std::time::Duration::from_millis(20),
+        ..EngineRules::default()
+    }
+}
+
+impl Stage {
+    /// Starts everything. Each seed has loopback addresses of its own.
+    pub(crate) async fn start(seed: u64, hosts: usize, binary: PathBuf) -> Result<Self, SoakError> {
+        let folder = std::env::temp_dir().join(format!("fulmarpath-soak-{seed}"));
+        let _ = std::fs::remove_dir_all(&folder);
+        std::fs::create_dir_all(&folder).map_err(|source| SoakError::Process { source })?;
+        let link = |source| SoakError::Process { source };
+        let store = StandInStore::start().await;
+        store.put("config", "main", configuration(1, FIRST_KEY));
+        let store_link = Proxy::start(store.address).await.map_err(link)?;
+        let mut stage = Self {
+            store,
+            store_link,
+            hosts: Vec::new(),
+            engines: Vec::new(),
+            gone: Vec::new(),
+            engine_links: Vec::new(),
+            plains: Vec::new(),
+            folder,
+        };
+        for number in 0..4 {
+            stage.add_engine(&format!("i-e{number}")).await?;
+        }
+        for number in 0..3 {
+            let instance = format!("i-p{number}");
+            let plain = StandInPlain::start(&instance).await;
+            let data_centre = DATA_CENTRES[number % DATA_CENTRES.len()];
+            let entry = entry("portal", plain.address, data_centre, false);
+            stage.store.put("servers", &instance, entry);
+            stage.plains.push(plain);
+        }
+        let network = (seed % 200) as u8 + 10;
+        for number in 0..hosts {
+            stage.add_host(network, number, &binary)?;
+        }
+        Ok(stage)
+    }
+
+    /// Adds an engine behind a link of its own.
+    pub(crate) async fn add_engine(&mut self, instance: &str) -> Result<(), SoakError> {
+        let engine = StandInEngine::start(instance, rules()).await;
+        let started = Proxy::start(engine.address).await;
+        let link = started.map_err(|source| SoakError::Process { source })?;
+        let data_centre = DATA_CENTRES[self.engines.len() % DATA_CENTRES.len()];
+        let entry = entry("engines", link.address, data_centre, false);
+        self.store.put("servers", instance, entry);
+        self.engines.push(engine);
+        self.engine_links.push(link);
+        Ok(())
+    }
+
+    fn add_host(&mut self, network: u8, number: usize, binary: &Path) -> Result<(), SoakError> {
+        let ip = IpAddr::V4(Ipv4Addr::new(127, 77, network, number as u8 + 1));
+        let name = format!("host-{number}");
+        let file = self.folder.join(format!("{name}.yaml"));
+        let seeds: Vec<SocketAddr> = self.hosts.iter().take(3).map(HostProcess::peers).collect();
+        let data_centre = DATA_CENTRES[number % DATA_CENTRES.len()];
+        let text = settings_file(&name, ip, data_centre, &seeds, self.store_link.address);
+        std::fs::write(&file, text).map_err(|source| SoakError::Process { source })?;
+        let mut host = HostProcess {
+            log: self.folder.join(format!("{name}.log")),
+            name,
+            ip,
+            file,
+            binary: binary.to_owned(),
+            child: None,
+        };
+        host.start()?;
+        self.hosts.push(host);
+        Ok(())
+    }
+
+    /// The entry of an engine that leaves.
+    pub(crate) fn give_notice(&self, place: usize) {
+        let instance = &self.engines[place].instance;
+        let data_centre = DATA_CENTRES[place % DATA_CENTRES.len()];
+        let address = self.engine_links[place].address;
+        let entry = entry("engines", address, data_centre, true);
+        self.store.put("servers", instance, entry);
+    }
+
+    /// Its name in logs.
+    pub(crate) fn host_name(&self, place: usize) -> &str {
+        &self.hosts[place].name
+    }
+}
--- /dev/null
+++ b/crates/bench/tests/soak.rs
@@ -0,0 +1,56 @@
+//! The soak, short: seeds that ever failed and one of each sort, and its checks when they must fail.
+
+use std::path::PathBuf;
+use std::process::Command;
+
+use rstest::rstest;
+
+/// The hosts' program; the workspace's tests build it beside the bench.
+fn binary() -> PathBuf {
+    let bench = PathBuf::from(env!("CARGO_BIN_EXE_fulmarpath-bench"));
+    bench.with_file_name("fulmarpath")
+}
+
+fn soak(words: &[&str]) -> (bool, serde_json::Value, String) {
+    let output = Command::new(env!("CARGO_BIN_EXE_fulmarpath-bench"))
+        .args(["soak", "--hosts", "3", "--callers", "6", "--binary"])
+        .arg(binary())
+        .args(words)
+        .output()
+        .expect("the bench runs");
+    let text = String::from_utf8_lossy(&output.stdout).into_owned();
+    let json = text.lines().rfind(|line| line.starts_with("{\"seed\""));
+    let verdict = json.and_then(|line| serde_json::from_str(line).ok());
+    (output.status.success(), verdict.unwrap_or_default(), text)
+}
+
+/// Hosts are killed, stopped and paused, the store and links misbehave and engines leave; callers
+/// get their own answers, whole and once, and hear the truth where they get none.
+#[test]
+fn a_short_soak_finds_nothing() {
+    let (fine, verdict, text) = soak(&["--seed", "7006", "--seeds", "1", "--faults", "3"]);
+    assert!(fine, "{text}");
+    assert!(verdict["whole"].as_u64() > Some(20), "{text}");
+}
+
+struct Spoilt {
+    what: &'static str,
+    seed: &'static str,
+    /// The count that must rise.
+    violation: &'static str,
+}
+
+/// What a caller got is spoilt before it is judged: the check that is meant for it finds it.
+#[rstest]
+#[case::event(Spoilt { what: "event", seed: "7011", violation: "doubled_or_missing" })]
+#[case::id(Spoilt { what: "id", seed: "7012", violation: "crossed" })]
+#[case::status(Spoilt { what: "status", seed: "7013", violation: "false_not_run" })]
+#[case::end(Spoilt { what: "end", seed: "7014", violation: "cut" })]
+fn each_check_can_fail(#[case] case: Spoilt) {
+    let words = [
+        "--seeds", "1", "--faults", "0", "--seed", case.seed, "--spoil", case.what,
+    ];
+    let (fine, verdict, text) = soak(&words);
+    assert!(!fine, "{text}");
+    assert_eq!(verdict[case.violation], 1, "{text}");
+}
