Keep room for what leaves, give it by turn, and look at engines in doubt

Change: the next generation of each leaving engine has room kept; requests without room wait by urgency and arrival, with room kept for one that does not fit yet; long generations start up to 0.92 of the predicted peak, brief ones up to 0.98; a home asks engines in doubt how they are, and all of its own while the store is away; an engine that can't be reached gets nothing new.

--- a/crates/gateway/src/carry.rs
+++ b/crates/gateway/src/carry.rs
@@ -112,7 +112,7 @@
             };
             let is_free = match copy {
                 Ok(copy) => control.give_up(to.address, &copy).await,
-                Err(CopyError::NoRoom { .. } | CopyError::Busy) => true,
+                Err(CopyError::NoRoom { .. } | CopyError::Busy | CopyError::NoSource) => true,
                 Err(CopyError::NotThere | CopyError::Unknown) => false,
             };
             let _ = home.send(if is_free {
@@ -140,7 +140,7 @@
             Ok(copied) => copied,
             Err(CopyError::NotThere) => return Step::NotThere,
             Err(CopyError::NoRoom { .. }) => return Step::Refused,
-            Err(CopyError::Busy) => return Step::Stayed,
+            Err(CopyError::Busy | CopyError::NoSource) => return Step::Stayed,
             Err(CopyError::Unknown) => return Step::LeftBehind,
         };
         self.copy = Some(copied.copy);
@@ -158,7 +158,9 @@
             },
             Err(CopyError::NotThere) => Step::NotThere,
             Err(CopyError::NoRoom { copy: Some(copy) }) => Step::StoppedHere { copy },
-            Err(CopyError::Busy | CopyError::NoRoom { copy: None }) => Step::Stayed,
+            Err(CopyError::Busy | CopyError::NoSource | CopyError::NoRoom { copy: None }) => {
+                Step::Stayed
+            }
             // It may have been stopped: the first copy and the source's own memory are tried.
             Err(CopyError::Unknown) => Step::Stopped {
                 to: self.to.clone(),
--- a/crates/gateway/src/cells.rs
+++ b/crates/gateway/src/cells.rs
@@ -10,6 +10,7 @@
 use parking_lot::Mutex;
 
 use crate::configuration::{EngineTraits, InForce};
+use crate::control::EngineSight;
 use crate::directory::{Directory, RegisteredState, Registration};
 use crate::key::{cell_of, centre_of, upstream_of};
 
@@ -116,18 +117,36 @@
         all.collect()
     }
 
-    pub(crate) fn state_time_left(
+    /// Takes what an engine has shown; true where it changes what is believed of it.
+    pub(crate) fn see(
         &self,
         now_ms: Millis,
         cell: CellKey,
         engine: UpstreamKey,
-        left_ms: Millis,
-    ) {
-        if let Some(table) = self.tables.lock().get_mut(&cell) {
-            table.state_time_left(now_ms, engine, left_ms);
+        sight: EngineSight,
+    ) -> bool {
+        let mut tables = self.tables.lock();
+        let Some(table) = tables.get_mut(&cell) else {
+            return false;
+        };
+        match sight {
+            EngineSight::There => table.see_there(engine),
+            EngineSight::Leaving { left_ms } => table.see_leaving(now_ms, engine, left_ms),
+            EngineSight::Gone => table.see_gone(engine),
+            EngineSight::Unknown => false,
         }
     }
 
+    /// All engines, and whether each could not be reached lately.
+    pub(crate) fn engines(&self) -> Vec<(CellKey, UpstreamKey, bool)> {
+        let tables = self.tables.lock();
+        let all = tables.iter().flat_map(|(cell, table)| {
+            let engines = table.engines();
+            engines.map(|(engine, is_gone)| (*cell, engine, is_gone))
+        });
+        all.collect()
+    }
+
     pub(crate) fn next_carry(
         &self,
         now_ms: Millis,
@@ -155,6 +174,7 @@
             slots: traits.slots,
             token_bytes: traits.token_bytes,
             link_mbps: traits.link_mbps,
+            copy_ttl_ms: traits.copy_ttl_ms,
         },
     }
 }
--- a/crates/gateway/src/control.rs
+++ b/crates/gateway/src/control.rs
@@ -11,6 +11,9 @@
     /// The engine doesn't run the generation, or no more.
     #[error("could not find the generation on the engine")]
     NotThere,
+    /// The engine that runs the generation can't be reached; nothing was asked of it.
+    #[error("could not reach the engine that runs the generation")]
+    NoSource,
     /// Another copy of the generation is under way.
     #[error("could not copy while another copy is under way")]
     Busy,
@@ -26,6 +29,22 @@
     Unknown,
 }
 
+/// How an engine is by its own word.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum EngineSight {
+    /// It is there and takes work.
+    There,
+    /// It leaves, and has said how long it will be there.
+    Leaving {
+        /// As of the moment that its word is of.
+        left_ms: Millis,
+    },
+    /// No connection to it can be made.
+    Gone,
+    /// It has a connection, and says nothing in time or nothing that can be read.
+    Unknown,
+}
+
 /// A copy at its destination.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Copied {
@@ -55,7 +74,6 @@
     /// Gives up a copy that nothing will use, at the engine that holds it; whether that is known to
     /// have succeeded.
     async fn give_up(&self, holder: SocketAddr, copy: &str) -> bool;
-    /// How long a leaving engine will be there, as of some hundred ms ago; `None` where it doesn't
-    /// say.
-    async fn time_left_ms(&self, engine: SocketAddr) -> Option<Millis>;
+    /// Asks an engine how it is, as of some hundred ms ago.
+    async fn look(&self, engine: SocketAddr) -> EngineSight;
 }
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -21,6 +21,7 @@
 use crate::head::Dialect;
 use crate::homes::Duties;
 use crate::instances::Instances;
+use crate::look::Looks;
 use crate::metadata::Metadata;
 use crate::metrics::Metrics;
 use crate::roster::Roster;
@@ -55,6 +56,7 @@
     pub(crate) cells: Cells,
     pub(crate) runs: Runs,
     pub(crate) duties: Duties,
+    pub(crate) looks: Looks,
     pub(crate) spread: Spread,
     pub(crate) control: Arc<dyn EngineControl>,
     in_force: ArcSwapOption<InForce>,
@@ -79,6 +81,7 @@
             cells: Cells::default(),
             runs: Runs::default(),
             duties: Duties::default(),
+            looks: Looks::default(),
             spread: Spread::default(),
             control,
             dialect,
@@ -152,6 +155,11 @@
         self.fleet.host_count()
     }
 
+    /// Requests that were sent once more.
+    pub fn retry_count(&self) -> u64 {
+        self.metrics.retries.get()
+    }
+
     /// Whether this host stops.
     pub(crate) fn is_draining(&self) -> bool {
         self.ends_ms().is_some()
--- a/crates/gateway/src/homes.rs
+++ b/crates/gateway/src/homes.rs
@@ -22,10 +22,6 @@
 /// Between two looks at a leaving engine without anything to carry off now.
 const LOOK_PERIOD: Duration = Duration::from_millis(25);
 
-/// When a leaving engine is asked how long it will be there: its reports are some 0.56 s old, so an
-/// earlier question is answered as before the notice.
-const ASK_TIME_LEFT: [Duration; 2] = [Duration::from_millis(620), Duration::from_millis(200)];
-
 /// What this host does for cells.
 #[derive(Default)]
 pub(crate) struct Duties {
@@ -38,7 +34,7 @@
 }
 
 impl Gateway {
-    fn home_of(&self, cell: CellKey) -> Option<(HostKey, MemberNote)> {
+    pub(crate) fn home_of(&self, cell: CellKey) -> Option<(HostKey, MemberNote)> {
         self.fleet.members.lock().homes_of(cell.0, 1).pop()
     }
 
@@ -51,7 +47,7 @@
         self.cells.keys().into_iter().any(|cell| self.is_home(cell))
     }
 
-    fn is_home(&self, cell: CellKey) -> bool {
+    pub(crate) fn is_home(&self, cell: CellKey) -> bool {
         let home = self.home_of(cell);
         home.is_none_or(|(key, _)| key == self.host_key())
     }
@@ -172,25 +168,6 @@
         }
     }
 
-    /// Asks a leaving engine how long it will be there.
-    ///
-    /// Notices differ by a third. With the shortest assumed, the last third of a longer one went
-    /// unused; with a longer one assumed, transfers were cut by the engine's end.
-    async fn learn_time_left(self: Arc<Self>, cell: CellKey, engine: UpstreamKey) {
-        let Some(destination) = self.instances.find(engine) else {
-            return;
-        };
-        for wait in ASK_TIME_LEFT {
-            tokio::time::sleep(wait).await;
-            let stated = self.control.time_left_ms(destination.address).await;
-            let Some(left_ms) = stated else { continue };
-            info!("cells: {:016x} has said to leave in {left_ms} ms", engine.0);
-            let now_ms = self.clock.now_ms();
-            self.cells.state_time_left(now_ms, cell, engine, left_ms);
-            return;
-        }
-    }
-
     /// Carries off one generation after the other while there are any.
     async fn evacuate(self: &Arc<Self>, cell: CellKey, engine: UpstreamKey) {
         let mut moved = 0;
--- a/crates/gateway/src/intake.rs
+++ b/crates/gateway/src/intake.rs
@@ -27,6 +27,8 @@
     pub(crate) route: Route,
     pub(crate) service: String,
     pub(crate) organisation: Option<String>,
+    /// The organisation's rank, or else the route's; 0 is the most urgent.
+    pub(crate) priority: u8,
     pub(crate) generation: Option<GenerationHead>,
     pub(crate) method: Method,
     pub(crate) uri: Uri,
@@ -66,11 +68,10 @@
         if let Some(generation) = &head.generation {
             journey.asks(generation);
         }
-        let organisation = match in_force.asks_key(route) {
+        let holder = match in_force.asks_key(route) {
             true => {
                 let key = head.api_key.as_deref().ok_or(Problem::UnknownKey)?;
-                let holder = in_force.organisation(key).ok_or(Problem::UnknownKey)?;
-                Some(holder.name.clone())
+                Some(in_force.organisation(key).ok_or(Problem::UnknownKey)?)
             }
             false => None,
         };
@@ -83,7 +84,10 @@
         Ok(Inquiry {
             route: route.clone(),
             service: service.to_owned(),
-            organisation,
+            organisation: holder.map(|holder| holder.name.clone()),
+            priority: holder
+                .and_then(|holder| holder.priority)
+                .unwrap_or(route.priority),
             generation: head.generation,
             method: parts.method,
             uri: parts.uri,
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -23,6 +23,7 @@
 mod intake;
 mod journey;
 mod key;
+mod look;
 mod metadata;
 mod metrics;
 mod peer;
@@ -39,7 +40,7 @@
     CallerLimits, Configuration, EngineTraits, InForce, Organisation, Route, RouteKind, Service,
     Share,
 };
-pub use control::{Copied, CopyError, EngineControl};
+pub use control::{Copied, CopyError, EngineControl, EngineSight};
 pub use directory::{Directory, DirectoryChange, HostRegistration, RegisteredState, Registration};
 pub use gateway::{Gateway, GatewaySettings};
 pub use head::{
--- /dev/null
+++ b/crates/gateway/src/look.rs
@@ -0,0 +1,106 @@
+//! Engines that their home has reason to doubt, and what they say themselves.
+//!
+//! A registration tells of a leaving engine while the store can be read. While it can't, an engine
+//! that went looked empty to its home, which sent each new generation there first: hosts met closed
+//! ports until their tries were used up, and what ran on engines with a notice nobody heard was
+//! cut. So the home asks the engines in doubt, and all of its own while the store is away.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use fulmarpath_policy::{Millis, UpstreamKey};
+use fulmarpath_wire::{CellKey, GatewayPeerClient};
+use parking_lot::Mutex;
+use spdlog::{info, warn};
+use tokio::time::sleep;
+
+use crate::gateway::Gateway;
+
+/// Between two looks at one engine for whatever reason. Reports are some 0.56 s old, so a notice is
+/// heard 0.6 to 0.9 s after it was given, which leaves half of the shortest one.
+const AGAIN_MS: Millis = 300;
+/// Between two rounds of looks at all engines while the store is away, and at those that could not
+/// be reached, to learn that they are back.
+const ROUND_PERIOD: Duration = Duration::from_millis(400);
+
+/// When each engine was last looked at.
+#[derive(Debug, Default)]
+pub(crate) struct Looks {
+    at_ms: Mutex<HashMap<UpstreamKey, Millis>>,
+}
+
+impl Looks {
+    /// Whether an engine is to be looked at now.
+    fn begin(&self, now_ms: Millis, engine: UpstreamKey) -> bool {
+        let mut at_ms = self.at_ms.lock();
+        at_ms.retain(|_, at_ms| now_ms.saturating_sub(*at_ms) < AGAIN_MS);
+        at_ms.insert(engine, now_ms).is_none()
+    }
+}
+
+impl Gateway {
+    /// Tells a cell's home that this host has reason to doubt an engine.
+    pub(crate) fn doubt(self: &Arc<Self>, cell: CellKey, engine: UpstreamKey) {
+        let Some((key, note)) = self.home_of(cell) else {
+            return;
+        };
+        let gateway = self.clone();
+        if key == self.host_key() {
+            tokio::spawn(gateway.look_at(cell, engine));
+            return;
+        }
+        tokio::spawn(async move {
+            let call = |client: GatewayPeerClient, context| async move {
+                client.doubt(context, cell, engine).await
+            };
+            if let Err(error) = gateway.fleet.peers.call(note.address, call).await {
+                warn!("cells: the home did not hear of an engine in doubt: {error}");
+            }
+        });
+    }
+
+    /// Looks at an engine, unless that was done just now.
+    pub(crate) async fn look_at(self: Arc<Self>, cell: CellKey, engine: UpstreamKey) {
+        if !self.looks.begin(self.clock.now_ms(), engine) {
+            return;
+        }
+        let Some(destination) = self.instances.find(engine) else {
+            return;
+        };
+        let sight = self.control.look(destination.address).await;
+        let now_ms = self.clock.now_ms();
+        if self.cells.see(now_ms, cell, engine, sight) {
+            info!("cells: {:016x} was looked at: {sight:?}", engine.0);
+        }
+    }
+
+    /// Looks at the engines of this host's cells while the store is away, and at those that could
+    /// not be reached.
+    pub(crate) async fn look_around(self: Arc<Self>) {
+        loop {
+            sleep(ROUND_PERIOD).await;
+            let is_blind = self.roster.lock().is_lost();
+            for (cell, engine, is_gone) in self.cells.engines() {
+                if (is_blind || is_gone) && self.is_home(cell) {
+                    tokio::spawn(self.clone().look_at(cell, engine));
+                }
+            }
+        }
+    }
+
+    /// Asks a leaving engine how long it will be there.
+    ///
+    /// Notices differ by a third. With the shortest assumed, the last third of a longer one went
+    /// unused; with a longer one assumed, transfers were cut by the engine's end.
+    pub(crate) async fn learn_time_left(self: Arc<Self>, cell: CellKey, engine: UpstreamKey) {
+        for wait in ASK_TIME_LEFT {
+            sleep(wait).await;
+            self.clone().look_at(cell, engine).await;
+        }
+    }
+}
+
+/// When a leaving engine is asked how long it will be there: its reports are some 0.56 s old, so an
+/// earlier question is answered as before the notice.
+const ASK_TIME_LEFT: [Duration; 2] = [Duration::from_millis(620), Duration::from_millis(400)];
--- a/crates/gateway/src/peer.rs
+++ b/crates/gateway/src/peer.rs
@@ -89,6 +89,12 @@
         self.gateway.cells.restate(now_ms, &restatement);
     }
 
+    async fn doubt(self, _: Context, cell: CellKey, engine: UpstreamKey) {
+        if self.gateway.is_home(cell) {
+            self.gateway.look_at(cell, engine).await;
+        }
+    }
+
     async fn carry(self, _: Context, run: RunKey, to: UpstreamKey) -> CarryAnswer {
         self.gateway.carry_here(run, to).await
     }
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -299,6 +299,7 @@
             return false;
         }
         let lost = self.here();
+        self.gateway.doubt(self.ticket.cell, lost.upstream);
         if let Some(carrying) = self.carrying.take() {
             let went_on = match carrying.copied() {
                 Some((to, copy)) => self.go_on(&to, lost.address, &copy).await,
--- a/crates/gateway/src/roster.rs
+++ b/crates/gateway/src/roster.rs
@@ -44,6 +44,11 @@
         self.lost_at_ms.get_or_insert(now_ms);
     }
 
+    /// Whether the last call to the store failed.
+    pub fn is_lost(&self) -> bool {
+        self.lost_at_ms.is_some()
+    }
+
     /// A call to the store succeeded.
     pub fn heard(&mut self, now_ms: Millis) {
         let Some(lost_at_ms) = self.lost_at_ms.take() else {
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -86,6 +86,7 @@
             journey.placed(self.clock.now_ms());
             self.runs
                 .place(ticket.cell, statement(inquiry, ticket, &start));
+            let engine = upstream_of(&start.chosen.instance);
             let terms = Terms {
                 until_ms: inquiry.deadline_ms,
                 backup: start.backup.as_ref().map(|backup| backup.address),
@@ -95,8 +96,16 @@
                 Ok(answer) if answer.response.status().is_success() && !answer.head.is_signed => {
                     return Err(Problem::Broken);
                 }
-                Ok(answer) => return Ok((answer, start.backup)),
-                Err(Failure::Unsent) => problem = Problem::Unreachable,
+                Ok(answer) => {
+                    if answer.head.is_closing {
+                        self.doubt(ticket.cell, engine);
+                    }
+                    return Ok((answer, start.backup));
+                }
+                Err(Failure::Unsent) => {
+                    self.doubt(ticket.cell, engine);
+                    problem = Problem::Unreachable;
+                }
                 Err(Failure::Shed) => problem = Problem::AllRefused,
                 Err(Failure::Unknown) => return Err(Problem::Broken),
                 Err(Failure::Overdue) => return Err(Problem::Timeout),
@@ -127,11 +136,12 @@
         let until_ms = inquiry.deadline_ms.min(journey.arrived_ms + wait_ms);
         loop {
             let asked_ms = self.clock.now_ms();
+            let is_last_call = asked_ms >= until_ms;
             let mut request = self.placement_request(inquiry, ticket, without.clone());
             if let Some(request) = &mut request {
                 let waited_ms = asked_ms.saturating_sub(journey.arrived_ms);
                 request.patience_ms = inquiry.route.target_ms.saturating_sub(waited_ms);
-                request.is_last_call = asked_ms >= until_ms;
+                request.is_last_call = is_last_call;
             }
             let placement = match &request {
                 Some(request) => self.place(ticket.cell, request.clone()).await,
@@ -151,7 +161,7 @@
                     }
                     without.push(engine);
                 }
-                Placement::Full { retry_after_ms } if now_ms >= until_ms => {
+                Placement::Full { retry_after_ms } if is_last_call => {
                     return Err(Problem::Full { retry_after_ms });
                 }
                 Placement::Full { .. } => sleep(WAIT_PERIOD).await,
@@ -191,6 +201,7 @@
             prompt_tokens: generation.prompt_tokens,
             limit_tokens: generation.output_limit_tokens,
             hint_tokens: generation.length_hint_tokens,
+            priority: inquiry.priority,
             patience_ms: inquiry.route.target_ms,
             is_last_call: false,
             without,
--- a/crates/policy/src/cell/engine.rs
+++ b/crates/policy/src/cell/engine.rs
@@ -13,9 +13,9 @@
 /// How old an engine's statement of the time it has left may be: 0.56 s in each of some 30 reports
 /// that were compared with the engines' ends, and a little for the way.
 pub(crate) const REPORT_AGE_MS: Millis = 600;
-/// How long a copy that nobody can use or give up holds its memory: 8.2 to 8.9 s were seen on 16
-/// engines.
-const LEFT_BEHIND_MS: Millis = 9_000;
+/// How long a copy that nobody can use or give up holds its memory, in times of what the operator
+/// states: 8.2 to 8.9 s were seen on 16 engines where 5 s are stated.
+const LEFT_BEHIND_TTLS: f32 = 1.8;
 /// An engine that had no room for a transfer is not tried again for so long: about the time in
 /// which one of its generations ends.
 const REFUSED_MS: Millis = 250;
@@ -34,6 +34,8 @@
     pub token_bytes: u32,
     /// The bandwidth between engines of one data centre; half of it between data centres.
     pub link_mbps: f32,
+    /// How long a copy is kept that nothing uses, by the operator's word.
+    pub copy_ttl_ms: Millis,
 }
 
 /// An engine as it is registered.
@@ -60,6 +62,8 @@
     refused_until_ms: Millis,
     left_behind: Vec<LeftBehind>,
     left_at_ms: Option<Millis>,
+    /// No connection to it can be made: it gets nothing new.
+    pub(super) is_gone: bool,
     /// When it ends, as it has said itself.
     stated_end_ms: Option<Millis>,
 }
@@ -80,6 +84,7 @@
             refused_until_ms: 0,
             left_behind: Vec::new(),
             left_at_ms: entry.is_draining.then_some(now_ms),
+            is_gone: false,
             stated_end_ms: None,
         }
     }
@@ -88,10 +93,9 @@
         self.entry = entry;
         match entry.is_draining {
             true => self.leave(now_ms),
-            false => {
-                self.left_at_ms = None;
-                self.stated_end_ms = None;
-            }
+            // Its entry may be older than its own word.
+            false if self.stated_end_ms.is_some() => {}
+            false => self.left_at_ms = None,
         }
     }
 
@@ -110,9 +114,16 @@
         Some(self.stated_end_ms.unwrap_or(least_ms))
     }
 
-    /// It has said how long it will be there.
-    pub(super) fn state_time_left(&mut self, now_ms: Millis, left_ms: Millis) {
-        self.stated_end_ms = Some((now_ms + left_ms).saturating_sub(REPORT_AGE_MS));
+    /// It has said how long it will be there; true where that was not known.
+    pub(super) fn state_time_left(&mut self, now_ms: Millis, left_ms: Millis) -> bool {
+        self.leave(now_ms);
+        let end_ms = (now_ms + left_ms).saturating_sub(REPORT_AGE_MS);
+        self.stated_end_ms.replace(end_ms).is_none()
+    }
+
+    /// Whether new generations may start on it.
+    pub(super) fn is_open(&self) -> bool {
+        !self.is_leaving() && !self.is_gone
     }
 
     /// A transfer to this engine begins, and takes so long.
@@ -136,7 +147,7 @@
 
     /// Whether a transfer may begin to it.
     pub(super) fn can_receive(&self, now_ms: Millis) -> bool {
-        !self.is_leaving() && now_ms >= self.receiving_until_ms.max(self.refused_until_ms)
+        self.is_open() && now_ms >= self.receiving_until_ms.max(self.refused_until_ms)
     }
 
     /// A transfer was cut, and what it brought so far stays here.
@@ -144,10 +155,11 @@
     /// Without counting it a home sent generations to engines that held such a copy, where they
     /// waited for 2 to 6 s: 2.2 requests in the engine's queue on average, 0.3 elsewhere.
     pub(super) fn leave_behind(&mut self, now_ms: Millis, tokens: f32) {
+        let lasts_ms = self.entry.figures.copy_ttl_ms as f32 * LEFT_BEHIND_TTLS;
         self.left_behind.retain(|one| one.until_ms > now_ms);
         self.left_behind.push(LeftBehind {
             tokens,
-            until_ms: now_ms + LEFT_BEHIND_MS,
+            until_ms: now_ms + lasts_ms as Millis,
         });
     }
 
--- a/crates/policy/src/cell/evacuation.rs
+++ b/crates/policy/src/cell/evacuation.rs
@@ -8,6 +8,7 @@
 
 use super::Cell;
 use super::engine::{Engine, TOKEN_MS};
+use super::forecast::Forecast;
 use super::run::{Run, RunKey};
 use crate::key::{HostKey, Millis, UpstreamKey};
 
@@ -64,19 +65,12 @@
     pub fn next_carry(&mut self, now_ms: Millis, from: UpstreamKey) -> Option<Carry> {
         let engine = self.engines.get(&from)?;
         let left_ms = engine.gone_at_ms()?.saturating_sub(now_ms) as f32;
-        let waiting = self.runs.iter().filter(|(_, run)| {
-            run.is_on(from)
-                && !run.is_moving()
-                && run.has_begun(now_ms)
-                && now_ms >= run.rest_until_ms
-        });
-        let mut by_loss: Vec<(f32, RunKey)> = waiting
-            .map(|(key, run)| (loss_rate(run, engine, now_ms, left_ms), *key))
-            .filter(|(rate, _)| *rate > 0.0)
-            .collect();
-        by_loss.sort_by(|one, other| other.0.total_cmp(&one.0).then(one.1.cmp(&other.1)));
+        let by_loss = self.by_loss(now_ms, engine, left_ms);
+        let forecast = self.forecast(now_ms);
         let (key, to, takes_ms) = by_loss.into_iter().find_map(|(_, key)| {
-            let (to, takes_ms) = self.destination(now_ms, from, &self.runs[&key], left_ms)?;
+            let run = &self.runs[&key];
+            let is_free = |engine: &Engine| engine.can_receive(now_ms);
+            let (to, takes_ms) = self.destination(now_ms, &forecast, run, left_ms, is_free)?;
             Some((key, to, takes_ms))
         })?;
         self.engines.get_mut(&to)?.receive(now_ms, takes_ms);
@@ -122,27 +116,65 @@
     fn destination(
         &self,
         now_ms: Millis,
-        from: UpstreamKey,
+        forecast: &Forecast,
         run: &Run,
         left_ms: f32,
+        is_open: impl Fn(&Engine) -> bool,
     ) -> Option<(UpstreamKey, Millis)> {
-        let source = self.engines.get(&from)?;
-        let tokens = run.held_tokens(now_ms);
-        let open = self.engines.values();
-        let open = open.filter(|engine| engine.can_receive(now_ms));
+        let source = self.engines.get(&run.engine())?;
+        let claim = run.claim(now_ms);
+        let open = self.engines.values().filter(|engine| is_open(engine));
         let costs = open.filter_map(|engine| {
             let near = engine.entry.data_centre == source.entry.data_centre;
-            let takes_ms = source.transfer_ms(tokens as u32, near) + SETUP_MS;
+            let takes_ms = source.transfer_ms(claim.held_tokens as u32, near) + SETUP_MS;
             if takes_ms > left_ms {
                 return None;
             }
-            let share = self.peak_share(now_ms, engine, tokens, run.rest_tokens(now_ms));
+            let share = forecast.peak_share(engine, claim);
             let cost_ms = takes_ms + ROOM_MS * share;
             (share <= ROOM_SHARE).then_some((cost_ms, engine.entry.key, takes_ms as Millis))
         });
         let best = costs.min_by(|one, other| one.0.total_cmp(&other.0).then(one.1.cmp(&other.1)));
         best.map(|(_, key, takes_ms)| (key, takes_ms))
     }
+
+    /// Keeps room for the next generation of each leaving engine: what it holds was read and made
+    /// already, and nobody makes it again. The others leave one after the other, while ends free room.
+    ///
+    /// A cell that was filled by new prompts at that moment had no destination for them: 41 of 1,044
+    /// reports of a crowded day were cut while new ones were let in.
+    pub(super) fn reserve_for_leaving(&self, now_ms: Millis, forecast: &mut Forecast) {
+        let is_open = |engine: &Engine| engine.is_open();
+        for engine in self.engines.values() {
+            let Some(gone_at_ms) = engine.gone_at_ms() else {
+                continue;
+            };
+            let left_ms = gone_at_ms.saturating_sub(now_ms) as f32;
+            let Some((_, key)) = self.by_loss(now_ms, engine, left_ms).into_iter().next() else {
+                continue;
+            };
+            let run = &self.runs[&key];
+            if let Some((to, _)) = self.destination(now_ms, forecast, run, left_ms, is_open) {
+                forecast.reserve(to, run.claim(now_ms));
+            }
+        }
+    }
+
+    /// The generations that may leave an engine now, the largest loss first.
+    fn by_loss(&self, now_ms: Millis, engine: &Engine, left_ms: f32) -> Vec<(f32, RunKey)> {
+        let waiting = self.runs.iter().filter(|(_, run)| {
+            run.is_on(engine.entry.key)
+                && !run.is_moving()
+                && run.has_begun(now_ms)
+                && now_ms >= run.rest_until_ms
+        });
+        let mut by_loss: Vec<(f32, RunKey)> = waiting
+            .map(|(key, run)| (loss_rate(run, engine, now_ms, left_ms), *key))
+            .filter(|(rate, _)| *rate > 0.0)
+            .collect();
+        by_loss.sort_by(|one, other| other.0.total_cmp(&one.0).then(one.1.cmp(&other.1)));
+        by_loss
+    }
 }
 
 /// What a full destination costs against an empty one: about one transfer between data centres.
--- a/crates/policy/src/cell/mod.rs
+++ b/crates/policy/src/cell/mod.rs
@@ -11,6 +11,7 @@
 mod forecast;
 mod placement;
 mod run;
+mod waiting;
 
 use std::collections::HashMap;
 
@@ -22,12 +23,18 @@
 use crate::key::{HostKey, Millis, UpstreamKey};
 use engine::Engine;
 use run::Run;
+use waiting::WaitingList;
+
+/// Engines that may be closed for not being reached: half of a cell's were gone on no day played,
+/// not even where the store was away through two reclaims.
+const GONE_SHARE: f32 = 0.5;
 
 /// The engines of one cell and the generations on them.
 #[derive(Debug, Default)]
 pub struct Cell {
     engines: HashMap<UpstreamKey, Engine>,
     runs: HashMap<RunKey, Run>,
+    waiting: WaitingList,
 }
 
 impl Cell {
@@ -53,16 +60,43 @@
         });
     }
 
-    /// A leaving engine has said how long it will be there.
-    pub fn state_time_left(&mut self, now_ms: Millis, engine: UpstreamKey, left_ms: Millis) {
-        if let Some(engine) = self.engines.get_mut(&engine) {
-            engine.state_time_left(now_ms, left_ms);
+    /// All engines, and whether each could not be reached lately.
+    pub fn engines(&self) -> impl Iterator<Item = (UpstreamKey, bool)> {
+        let engines = self.engines.values();
+        engines.map(|engine| (engine.entry.key, engine.is_gone))
+    }
+
+    /// A leaving engine has said how long it will be there; true where that was not known.
+    pub fn see_leaving(&mut self, now_ms: Millis, engine: UpstreamKey, left_ms: Millis) -> bool {
+        let engine = self.engines.get_mut(&engine);
+        engine.is_some_and(|engine| engine.state_time_left(now_ms, left_ms))
+    }
+
+    /// An engine can't be reached; true where it no longer gets work because of that.
+    ///
+    /// It is this host that may be cut off, so no more than a part of the engines is closed.
+    pub fn see_gone(&mut self, engine: UpstreamKey) -> bool {
+        let gone = self.engines.values().filter(|one| one.is_gone).count();
+        let most = (self.engines.len() as f32 * GONE_SHARE) as usize;
+        let Some(engine) = self.engines.get_mut(&engine) else {
+            return false;
+        };
+        if gone >= most {
+            return false;
         }
+        !std::mem::replace(&mut engine.is_gone, true)
+    }
+
+    /// An engine can be reached; true where it could not before.
+    pub fn see_there(&mut self, engine: UpstreamKey) -> bool {
+        let engine = self.engines.get_mut(&engine);
+        engine.is_some_and(|engine| std::mem::take(&mut engine.is_gone))
     }
 
     /// A generation is over, wherever it was.
     pub fn end(&mut self, run: RunKey) {
         self.runs.remove(&run);
+        self.waiting.leave(run);
     }
 
     /// A host states all generations of this cell that it relays. What it doesn't state is over:
--- a/crates/policy/src/cell/placement.rs
+++ b/crates/policy/src/cell/placement.rs
@@ -4,6 +4,7 @@
 
 use super::Cell;
 use super::engine::Engine;
+use super::forecast::{Claim, Forecast};
 use super::run::{Run, RunKey};
 use crate::key::{HostKey, Millis, UpstreamKey};
 
@@ -16,7 +17,12 @@
 /// that fills pauses somebody.
 const MEMORY_MS: f32 = 500.0;
 /// No generation starts where this share of the memory would be taken at the peak.
-const FULL_SHARE: f32 = 0.96;
+const FULL_SHARE: f32 = 0.98;
+/// The same for generations that stay for long. The room between the two is for brief ones, which
+/// leave it within a second; without it they wait for one of the long ones to end.
+const LONG_FULL_SHARE: f32 = 0.92;
+/// A generation of at most so many tokens is brief: over in about a second.
+const BRIEF_TOKENS: u32 = 64;
 /// A prompt goes only where it waits no longer than this part of the time to a first event that is
 /// on time; the rest is for the prompt itself. Others' prompts end soon, so waiting at the home for
 /// a better engine loses nothing.
@@ -46,6 +52,8 @@
     pub limit_tokens: u32,
     /// The caller's guess.
     pub hint_tokens: Option<u32>,
+    /// The rank of its organisation or route; 0 is the most urgent.
+    pub priority: u8,
     /// How long its first event may still take to be on time.
     pub patience_ms: Millis,
     /// It has waited as long as it may: late is better for its caller than not at all.
@@ -90,13 +98,33 @@
     NoEngine,
 }
 
+impl PlacementRequest {
+    /// The share of an engine's memory up to which it may start there.
+    pub(super) fn full_share(&self) -> f32 {
+        match self.limit_tokens <= BRIEF_TOKENS {
+            true => FULL_SHARE,
+            false => LONG_FULL_SHARE,
+        }
+    }
+
+    pub(super) fn claim(&self) -> Claim {
+        let limit = self.limit_tokens as f32;
+        let guess = self.hint_tokens.map(|hint| hint as f32);
+        Claim {
+            held_tokens: self.prompt_tokens as f32,
+            rest_tokens: guess.unwrap_or(limit / 2.0).min(limit),
+        }
+    }
+}
+
 impl Cell {
-    /// Places a generation and counts it.
+    /// Places a generation and counts it, or has it wait for its turn.
     pub fn place(&mut self, now_ms: Millis, request: &PlacementRequest) -> Placement {
+        self.waiting.expire(now_ms);
         let open: Vec<&Engine> = self
             .engines
             .values()
-            .filter(|engine| !engine.is_leaving())
+            .filter(|engine| engine.is_open())
             .filter(|engine| !request.without.contains(&engine.entry.key))
             .collect();
         if open.is_empty() {
@@ -109,19 +137,26 @@
         {
             return Placement::TooLarge;
         }
-        let expected = expected_tokens(request);
+        let mut forecast = self.forecast(now_ms);
+        self.reserve_for_leaving(now_ms, &mut forecast);
+        self.reserve_for_waiting(self.waiting.turn(now_ms, request), &mut forecast);
         let costs = open.iter().filter_map(|engine| {
-            let cost = self.cost_ms(now_ms, engine, request, expected)?;
-            Some((cost, engine.entry.key))
+            let cost = cost_ms(now_ms, &forecast, engine, request)?;
+            Some((cost, engine))
+        });
+        let best = costs.min_by(|one, other| {
+            let by_key = one.1.entry.key.cmp(&other.1.entry.key);
+            one.0.total_cmp(&other.0).then(by_key)
         });
-        let best = costs.min_by(|one, other| one.0.total_cmp(&other.0).then(one.1.cmp(&other.1)));
         let Some((_, engine)) = best else {
+            self.waiting.wait(now_ms, request);
             return Placement::Full {
                 retry_after_ms: RETRY_AFTER_MS,
             };
         };
-        let seen = self.see(now_ms, engine, request, expected);
-        let backup = self.backup_for(now_ms, engine, request, expected);
+        let seen = see(now_ms, &forecast, engine, request);
+        let engine = engine.entry.key;
+        let backup = self.backup_for(&forecast, engine, request);
         self.start(now_ms, engine, backup, request);
         Placement::On {
             engine,
@@ -130,66 +165,21 @@
         }
     }
 
-    /// What it costs to start there; `None` where it would fill the engine.
-    fn cost_ms(
-        &self,
-        now_ms: Millis,
-        engine: &Engine,
-        request: &PlacementRequest,
-        expected: f32,
-    ) -> Option<f32> {
-        let prompt = request.prompt_tokens as f32;
-        let share = self.peak_share(now_ms, engine, prompt, expected);
-        let key = engine.entry.key;
-        let running = self.runs_on(key).count();
-        let wait_ms = engine.prefill_wait_ms(now_ms);
-        let is_late = wait_ms > request.patience_ms as f32 * PATIENCE_SHARE;
-        let is_full = share > FULL_SHARE || running >= engine.entry.figures.slots as usize;
-        if is_full || (is_late && !request.is_last_call) {
-            return None;
-        }
-        let far = engine.entry.data_centre != request.data_centre;
-        let crowd_ms = CROWD_MS * running as f32;
-        let memory_ms = MEMORY_MS * share * share;
-        let far_ms = if far { FAR_MS } else { 0.0 };
-        Some(wait_ms + crowd_ms + memory_ms + far_ms)
-    }
-
-    fn see(
-        &self,
-        now_ms: Millis,
-        key: UpstreamKey,
-        request: &PlacementRequest,
-        expected: f32,
-    ) -> Seen {
-        let Some(engine) = self.engines.get(&key) else {
-            return Seen::default();
-        };
-        let share = self.peak_share(now_ms, engine, request.prompt_tokens as f32, expected);
-        Seen {
-            running: self.runs_on(key).count() as u32,
-            peak_permille: (share * 1_000.0) as u32,
-            prefill_wait_ms: engine.prefill_wait_ms(now_ms) as u32,
-        }
-    }
-
     fn backup_for(
         &self,
-        now_ms: Millis,
+        forecast: &Forecast,
         main: UpstreamKey,
         request: &PlacementRequest,
-        expected: f32,
     ) -> Option<UpstreamKey> {
         if !request.can_back_up || request.limit_tokens < BACKUP_LEAST_TOKENS {
             return None;
         }
-        let prompt = request.prompt_tokens as f32;
         let others = self
             .engines
             .values()
-            .filter(|engine| engine.entry.key != main && !engine.is_leaving());
+            .filter(|engine| engine.entry.key != main && engine.is_open());
         let shares = others.map(|engine| {
-            let share = self.peak_share(now_ms, engine, prompt, expected);
+            let share = forecast.peak_share(engine, request.claim());
             (share, engine.entry.key)
         });
         let (share, key) = shares.min_by(|one, other| one.0.total_cmp(&other.0))?;
@@ -203,6 +193,7 @@
         backup: Option<UpstreamKey>,
         request: &PlacementRequest,
     ) {
+        self.waiting.leave(request.run);
         let Some(chosen) = self.engines.get_mut(&engine) else {
             return;
         };
@@ -213,8 +204,33 @@
     }
 }
 
-fn expected_tokens(request: &PlacementRequest) -> f32 {
-    let limit = request.limit_tokens as f32;
-    let guess = request.hint_tokens.map(|hint| hint as f32);
-    guess.unwrap_or(limit / 2.0).min(limit)
+/// What it costs to start there; `None` where it would fill the engine.
+fn cost_ms(
+    now_ms: Millis,
+    forecast: &Forecast,
+    engine: &Engine,
+    request: &PlacementRequest,
+) -> Option<f32> {
+    let share = forecast.peak_share(engine, request.claim());
+    let running = forecast.running(engine.entry.key);
+    let wait_ms = engine.prefill_wait_ms(now_ms);
+    let has_time = wait_ms <= request.patience_ms as f32 * PATIENCE_SHARE;
+    let is_full = share > request.full_share() || running >= engine.entry.figures.slots;
+    if is_full || !(has_time || request.is_last_call) {
+        return None;
+    }
+    let far = engine.entry.data_centre != request.data_centre;
+    let crowd_ms = CROWD_MS * running as f32;
+    let memory_ms = MEMORY_MS * share * share;
+    let far_ms = if far { FAR_MS } else { 0.0 };
+    Some(wait_ms + crowd_ms + memory_ms + far_ms)
+}
+
+fn see(now_ms: Millis, forecast: &Forecast, engine: &Engine, request: &PlacementRequest) -> Seen {
+    let share = forecast.peak_share(engine, request.claim());
+    Seen {
+        running: forecast.running(engine.entry.key),
+        peak_permille: (share * 1_000.0) as u32,
+        prefill_wait_ms: engine.prefill_wait_ms(now_ms) as u32,
+    }
 }
--- a/crates/policy/src/cell/run.rs
+++ b/crates/policy/src/cell/run.rs
@@ -128,9 +128,16 @@
         self.engine == engine
     }
 
-    /// Whether it takes memory of an engine, by itself or by a copy.
-    pub(super) fn holds(&self, engine: UpstreamKey) -> bool {
-        self.engine == engine || self.backup == Some(engine) || self.moving_to == Some(engine)
+    pub(super) fn engine(&self) -> UpstreamKey {
+        self.engine
+    }
+
+    /// The engines whose memory it takes, by itself or by a copy.
+    pub(super) fn holders(&self) -> impl Iterator<Item = UpstreamKey> {
+        let copies = [self.backup, self.moving_to].into_iter().flatten();
+        let moving_to_backup = self.moving_to.is_some() && self.moving_to == self.backup;
+        let copies = copies.skip(usize::from(moving_to_backup));
+        std::iter::once(self.engine).chain(copies)
     }
 
     pub(super) fn is_fresh(&self, now_ms: Millis) -> bool {
--- /dev/null
+++ b/crates/policy/src/cell/waiting.rs
@@ -0,0 +1,116 @@
+//! Who waits for room in a cell, and who goes first.
+//!
+//! Answers crowded cells: requests for more memory than there is, of sizes that differ by six. Asked
+//! one by one and without an order, whoever asked next took whatever had just become free, so large
+//! prompts, which need more room at once, were refused three times as often as the rest. Each
+//! request that waits has the room kept for it that it will probably get first, on one engine; who
+//! comes later takes what is left. An engine's room is thus idle for one request's time to wait at
+//! the most, and large prompts get theirs by their turn.
+
+use std::collections::HashMap;
+
+use super::forecast::{Claim, Forecast};
+use super::placement::PlacementRequest;
+use super::run::RunKey;
+use super::{Cell, CellEngine};
+use crate::key::{Millis, UpstreamKey};
+
+/// A request that has not asked again for so long has given up: several of its periods.
+const SILENT_MS: Millis = 250;
+
+/// Requests without room now for which some is kept until it is enough. What is kept is idle.
+const KEPT_FOR: u32 = 1;
+
+/// Whose turn it is: the more urgent, then who came first.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub(super) struct Turn {
+    priority: u8,
+    since_ms: Millis,
+    run: RunKey,
+}
+
+#[derive(Debug, Clone)]
+struct Waiting {
+    turn: Turn,
+    claim: Claim,
+    full_share: f32,
+    without: Vec<UpstreamKey>,
+    asked_ms: Millis,
+}
+
+/// The requests that wait for room.
+#[derive(Debug, Default)]
+pub(super) struct WaitingList {
+    requests: HashMap<RunKey, Waiting>,
+}
+
+impl WaitingList {
+    /// The turn of a request that asks now.
+    pub(super) fn turn(&self, now_ms: Millis, request: &PlacementRequest) -> Turn {
+        let known = self.requests.get(&request.run);
+        Turn {
+            priority: request.priority,
+            since_ms: known.map_or(now_ms, |known| known.turn.since_ms),
+            run: request.run,
+        }
+    }
+
+    /// A request finds no room and will ask again.
+    pub(super) fn wait(&mut self, now_ms: Millis, request: &PlacementRequest) {
+        let waiting = Waiting {
+            turn: self.turn(now_ms, request),
+            claim: request.claim(),
+            full_share: request.full_share(),
+            without: request.without.clone(),
+            asked_ms: now_ms,
+        };
+        self.requests.insert(request.run, waiting);
+    }
+
+    /// A request no longer waits.
+    pub(super) fn leave(&mut self, run: RunKey) {
+        self.requests.remove(&run);
+    }
+
+    /// Forgets those that don't ask any more.
+    pub(super) fn expire(&mut self, now_ms: Millis) {
+        self.requests
+            .retain(|_, one| now_ms.saturating_sub(one.asked_ms) < SILENT_MS);
+    }
+
+    fn before(&self, turn: Turn) -> Vec<&Waiting> {
+        let earlier = self.requests.values().filter(|one| one.turn < turn);
+        let mut earlier: Vec<&Waiting> = earlier.collect();
+        earlier.sort_by_key(|one| one.turn);
+        earlier
+    }
+}
+
+impl Cell {
+    /// Keeps room for the requests whose turn comes before `turn`: for each on the engine that has
+    /// most of it, which is where it will fit first.
+    pub(super) fn reserve_for_waiting(&self, turn: Turn, forecast: &mut Forecast) {
+        let mut kept = 0;
+        for one in self.waiting.before(turn) {
+            let open = self.engines.values().filter(|engine| {
+                let CellEngine { key, .. } = engine.entry;
+                engine.is_open() && !one.without.contains(&key)
+            });
+            let shares = open.map(|engine| {
+                let share = forecast.peak_share(engine, one.claim);
+                (share, engine.entry.key)
+            });
+            let emptiest = shares.min_by(|a, b| a.0.total_cmp(&b.0).then(a.1.cmp(&b.1)));
+            let Some((share, engine)) = emptiest else {
+                continue;
+            };
+            let fits = share <= one.full_share;
+            if !fits {
+                kept += 1;
+            }
+            if fits || kept <= KEPT_FOR {
+                forecast.reserve(engine, one.claim);
+            }
+        }
+    }
+}
--- a/crates/policy/tests/cell.rs
+++ b/crates/policy/tests/cell.rs
@@ -14,6 +14,7 @@
     slots: 24,
     token_bytes: 18_432,
     link_mbps: 2_700.0,
+    copy_ttl_ms: 5_000,
 };
 
 fn engine(key: u64, data_centre: u64, is_draining: bool) -> CellEngine {
@@ -39,6 +40,7 @@
         prompt_tokens,
         limit_tokens,
         hint_tokens: Some(hint_tokens),
+        priority: 1,
         patience_ms: 1_800,
         is_last_call: false,
         without: Vec::new(),
@@ -307,7 +309,7 @@
     let mut cell = cell(&[engine(1, NEAR, true), engine(2, NEAR, false)]);
     cell.restate(0, ME, &[statement(1, 1, 100, 1_700)]);
     if let Some(stated_ms) = case.stated_ms {
-        cell.state_time_left(600, UpstreamKey(1), stated_ms);
+        assert!(cell.see_leaving(600, UpstreamKey(1), stated_ms));
     }
     let carry = cell.next_carry(case.at_ms, UpstreamKey(1));
     assert_eq!(carry.is_some(), case.begins);
@@ -385,3 +387,135 @@
     cell.keep_hosts(|host| host != ME);
     assert_eq!(cell.run_count(), 0);
 }
+
+/// A large prompt finds no room and asks again, as its host does. Meanwhile smaller ones come. They
+/// get what the large one can't use, on another engine, but not the room that it waits for: once
+/// enough is free, the large one is placed.
+#[test]
+fn a_large_prompt_gets_its_turn() {
+    let mut cell = cell(&[engine(1, NEAR, false), engine(2, FAR, false)]);
+    let crowd = |left: u64| -> Vec<RunStatement> {
+        let near = (0..left).map(|run| statement(run, 1, 400, 500));
+        let far = (50..58).map(|run| statement(run, 2, 400, 500));
+        near.chain(far).collect()
+    };
+    cell.restate(0, ME, &crowd(7));
+    let large = request(90, 6_000, 900, 100);
+    assert!(matches!(cell.place(2_000, &large), Placement::Full { .. }));
+    let small = request(91, 3_000, 900, 100);
+    assert!(matches!(cell.place(2_010, &small), Placement::Full { .. }));
+    cell.restate(2_050, ME, &crowd(6));
+    assert_eq!(engine_of(cell.place(2_060, &large)), Some(1));
+}
+
+struct Turns {
+    first: PlacementRequest,
+    then: PlacementRequest,
+    /// Which of the two gets the room that is left for one.
+    expected: u64,
+}
+
+/// Two requests wait and there is room for one of them. It goes to the more urgent one, else to the one that came first, whoever asks first now.
+#[rstest]
+#[case::by_arrival(Turns {
+    first: request(1, 3_000, 900, 100),
+    then: request(2, 3_000, 900, 100),
+    expected: 1,
+})]
+#[case::urgent_first(Turns {
+    first: request(1, 3_000, 900, 100),
+    then: PlacementRequest { priority: 0, ..request(2, 3_000, 900, 100) },
+    expected: 2,
+})]
+fn room_goes_by_turn(#[case] case: Turns) {
+    let mut cell = cell(&[engine(1, NEAR, false)]);
+    let crowd = |count: u64| -> Vec<RunStatement> {
+        (50..50 + count)
+            .map(|run| statement(run, 1, 400, 500))
+            .collect()
+    };
+    cell.restate(0, ME, &crowd(8));
+    for (asked, now_ms) in [(&case.first, 2_000), (&case.then, 2_010)] {
+        assert!(matches!(cell.place(now_ms, asked), Placement::Full { .. }));
+    }
+    cell.restate(2_020, ME, &crowd(7));
+    let (winner, other) = match case.expected {
+        1 => (&case.first, &case.then),
+        _ => (&case.then, &case.first),
+    };
+    assert!(matches!(cell.place(2_030, other), Placement::Full { .. }));
+    assert_eq!(engine_of(cell.place(2_040, winner)), Some(1));
+}
+
+/// A request that waits is not heard of any more: its host is gone, or its caller has left. The
+/// room that was kept for it is free again after a moment.
+#[test]
+fn room_is_not_kept_for_the_silent() {
+    let mut cell = cell(&[engine(1, NEAR, false)]);
+    let crowd: Vec<RunStatement> = (50..58).map(|run| statement(run, 1, 400, 500)).collect();
+    cell.restate(0, ME, &crowd);
+    let silent = request(1, 3_000, 900, 100);
+    assert!(matches!(cell.place(2_000, &silent), Placement::Full { .. }));
+    let next = request(2, 3_000, 900, 100);
+    cell.restate(2_300, ME, &crowd[1..]);
+    assert!(matches!(cell.place(2_100, &next), Placement::Full { .. }));
+    assert_eq!(engine_of(cell.place(2_400, &next)), Some(1));
+}
+
+/// An engine gives notice while the only other one has room for one generation more. That room is
+/// kept for the generation that leaves, whose prompt was read already; a new one waits until then.
+#[test]
+fn room_is_kept_for_what_leaves() {
+    let mut cell = cell(&[engine(1, NEAR, false), engine(2, NEAR, false)]);
+    let mut held = vec![statement(1, 1, 100, 900)];
+    held.extend((50..57).map(|run| statement(run, 2, 400, 500)));
+    cell.restate(0, ME, &held);
+    let new = request(9, 3_000, 900, 100);
+    cell.set_engines(10, &[engine(1, NEAR, true), engine(2, NEAR, false)]);
+    assert!(matches!(cell.place(20, &new), Placement::Full { .. }));
+    let carry = cell.next_carry(30, UpstreamKey(1)).expect("it is carried");
+    assert_eq!(carry.to, UpstreamKey(2));
+}
+
+/// The store is away, and an engine goes without a word that anybody could hear. A host could not
+/// reach it and its home neither: it gets nothing new, though it looks the emptiest, until it can
+/// be reached again.
+#[test]
+fn an_engine_that_cannot_be_reached_gets_nothing() {
+    let engines: Vec<CellEngine> = (1..=4).map(|key| engine(key, NEAR, false)).collect();
+    let mut cell = cell(&engines);
+    let held: Vec<RunStatement> = (2..=4).map(|key| statement(key, key, 100, 900)).collect();
+    cell.restate(0, ME, &held);
+    assert!(cell.see_gone(UpstreamKey(1)));
+    assert!(!cell.see_gone(UpstreamKey(1)), "it is known");
+    let placed = engine_of(cell.place(10, &request(9, 3_000, 900, 800)));
+    assert_ne!(placed, Some(1));
+    assert!(cell.see_there(UpstreamKey(1)));
+    let placed = engine_of(cell.place(20, &request(10, 3_000, 900, 800)));
+    assert_eq!(placed, Some(1));
+}
+
+/// A home that is cut off reaches no engine. It goes on with half of them rather than with none:
+/// the hosts that ask it may well reach them.
+#[test]
+fn a_home_that_is_cut_off_closes_half_at_the_most() {
+    let engines: Vec<CellEngine> = (1..=4).map(|key| engine(key, NEAR, false)).collect();
+    let mut cell = cell(&engines);
+    let closed = (1..=4).filter(|key| cell.see_gone(UpstreamKey(*key)));
+    assert_eq!(closed.count(), 2);
+    assert!(engine_of(cell.place(10, &request(9, 3_000, 900, 800))).is_some());
+}
+
+/// The store is away, and an engine that is registered as ready says that it leaves. Its
+/// generations are carried off, also where an older entry comes again meanwhile.
+#[test]
+fn an_engine_is_believed_before_its_entry() {
+    let engines = [engine(1, NEAR, false), engine(2, NEAR, false)];
+    let mut cell = cell(&engines);
+    cell.restate(0, ME, &[statement(1, 1, 100, 900)]);
+    assert_eq!(cell.next_carry(5, UpstreamKey(1)), None);
+    assert!(cell.see_leaving(10, UpstreamKey(1), 1_500));
+    cell.set_engines(20, &engines);
+    let carry = cell.next_carry(30, UpstreamKey(1));
+    assert_eq!(carry.map(|carry| carry.run.0), Some(1));
+}
--- a/crates/wire/src/gateway.rs
+++ b/crates/wire/src/gateway.rs
@@ -75,6 +75,8 @@
     async fn ended(cell: CellKey, run: RunKey);
     /// What the sender relays; what it relayed before and doesn't name is over.
     async fn restate(restatement: Restatement);
+    /// Tells the home of a cell that the sender has reason to doubt an engine.
+    async fn doubt(cell: CellKey, engine: UpstreamKey);
     /// The home of a cell asks the relaying host to carry a generation to another engine.
     async fn carry(run: RunKey, to: UpstreamKey) -> CarryAnswer;
 }
--- a/tests/processes.rs
+++ b/tests/processes.rs
@@ -18,7 +18,6 @@
     Path::new(env!("CARGO_MANIFEST_DIR"))
 }
 
-/// A port that was free a moment ago: a host's settings must name it before the host runs.
 /// An address that nothing uses now. Each call of this process and each test process begins its
 /// search elsewhere, below the ports that the system gives to outgoing connections: a port that
 /// was free a moment ago could otherwise be taken by any connection of a test beside this one,
@@ -145,7 +144,8 @@
         let host = Command::new(env!("CARGO_BIN_EXE_fulmarpath"))
             .arg("serve")
             .arg(&file)
-            .stderr(Stdio::null())
+            .stdout(log(&directory, number, "out"))
+            .stderr(log(&directory, number, "err"))
             .spawn();
         (Process(host.expect("a host starts")), caller)
     });
@@ -157,7 +157,27 @@
     }
 }
 
+/// The file of what a host prints, shown where a test fails before its hosts are ready.
+fn log(directory: &Path, number: usize, stream: &str) -> std::fs::File {
+    let file = directory.join(format!("host-{number}.{stream}"));
+    std::fs::File::create(file).expect("a log file")
+}
+
 impl Hosts {
+    /// What each host has printed, and whether its process still runs.
+    fn printed(&mut self) -> String {
+        let mut printed = String::new();
+        for (number, (process, _)) in self.hosts.iter_mut().enumerate() {
+            let ended = process.0.try_wait().ok().flatten();
+            printed.push_str(&format!("host-{number}, ended: {ended:?}\n"));
+            for stream in ["out", "err"] {
+                let file = self.directory.join(format!("host-{number}.{stream}"));
+                printed.push_str(&std::fs::read_to_string(file).unwrap_or_default());
+            }
+        }
+        printed
+    }
+
     fn operate(&self, host: usize, words: &[&str]) -> std::process::Output {
         let mut command = Command::new(env!("CARGO_BIN_EXE_fulmarpath"));
         command.args(words);
@@ -170,7 +190,7 @@
     }
 
     /// Applies the association's example as soon as a host answers.
-    fn apply(&self) {
+    fn apply(&mut self) {
         let example = root().join("examples/association");
         let example = example.display().to_string();
         let started = Instant::now();
@@ -180,7 +200,8 @@
                 return;
             }
             let error = String::from_utf8_lossy(&output.stderr).into_owned();
-            assert!(started.elapsed() < READY_BOUND, "{error}");
+            let in_time = started.elapsed() < READY_BOUND;
+            assert!(in_time, "{error}\n{}", self.printed());
             std::thread::sleep(Duration::from_millis(100));
         }
     }
@@ -210,7 +231,7 @@
 /// hosts get whole answers, `plan` shows no difference, an unknown preset is refused.
 #[tokio::test(flavor = "multi_thread")]
 async fn operators_and_callers_meet_three_processes() {
-    let hosts = start("meet");
+    let mut hosts = start("meet");
     hosts.apply();
     for host in 0..3 {
         let prompt = format!("by process {host} #20");
@@ -263,7 +284,7 @@
 /// third go on; the paused one wakes, refutes its death and answers again.
 #[tokio::test(flavor = "multi_thread")]
 async fn a_killed_and_a_paused_process_stop_nobody() {
-    let hosts = start("pause");
+    let mut hosts = start("pause");
     hosts.apply();
     for host in 0..3 {
         hosts.answer(host, "ready? #2").await;
