Let a few hosts go on asking a store that is away for all

Cause: a watcher that can't read the store says so, and the next two watch in its place.

Change: who watches is decided in policy/watchers, by rank and by who can't read; with five hosts of a data centre that can't, nobody else begins to. After three failed tries they come 0.4 to 0.9 s apart.

--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -19,6 +19,11 @@
 const WATCH_BOUND: Duration = Duration::from_millis(1_000);
 /// Between two tries while the store is away; drawn anew each time, lest all hosts come at once.
 const RETRY_MS: Range<u64> = 150..450;
+/// The same after some tries: each is paid for, and a second of delay after an outage of seconds is
+/// within the time that upstreams need to register again.
+const LATER_RETRY_MS: Range<u64> = 400..900;
+/// Tries before that: a connection that was cut, or a store that turned one call away.
+const SOON_RETRIES: u32 = 3;
 /// How often a host that doesn't watch looks whether it should.
 const IDLE_PERIOD: Duration = Duration::from_millis(200);
 /// Between two watches of the upstreams: changes that come together are one call. The home of a
@@ -27,8 +32,12 @@
 /// How often entries that lapsed with the store's outage are looked at.
 const EXPIRE_PERIOD: Duration = Duration::from_millis(100);
 
-async fn pause() {
-    let pause_ms = rand::rng().random_range(RETRY_MS);
+async fn pause(failures: u32) {
+    let range = match failures <= SOON_RETRIES {
+        true => RETRY_MS,
+        false => LATER_RETRY_MS,
+    };
+    let pause_ms = rand::rng().random_range(range);
     sleep(Duration::from_millis(pause_ms)).await;
 }
 
@@ -36,25 +45,24 @@
 #[derive(Debug)]
 struct Contact {
     what: &'static str,
-    is_lost: bool,
+    /// Calls that have failed since the last that succeeded.
+    failures: u32,
 }
 
 impl Contact {
     fn new(what: &'static str) -> Self {
-        Self {
-            what,
-            is_lost: false,
-        }
+        Self { what, failures: 0 }
     }
 
     fn heard(&mut self) {
-        if std::mem::replace(&mut self.is_lost, false) {
+        if std::mem::take(&mut self.failures) > 0 {
             info!("store: {} can be read again", self.what);
         }
     }
 
     fn lost(&mut self, error: &StoreError) {
-        if !std::mem::replace(&mut self.is_lost, true) {
+        self.failures += 1;
+        if self.failures == 1 {
             warn!("store: {} can't be read: {error}", self.what);
         }
     }
@@ -101,7 +109,7 @@
                     self.announce_blindness();
                     // After an outage the list tells more than a watch from an old revision.
                     revision = None;
-                    pause().await;
+                    pause(contact.failures).await;
                 }
             }
         }
@@ -143,7 +151,7 @@
                     self.announce_blindness();
                     self.roster.lock().lost(self.clock.now_ms());
                     is_listed = false;
-                    pause().await;
+                    pause(contact.failures).await;
                 }
             }
         }
--- a/crates/gateway/src/spread.rs
+++ b/crates/gateway/src/spread.rs
@@ -6,11 +6,11 @@
 //! keeps from others they find by the versions in the next pings. Watching everywhere would cost a
 //! waiting call a host and one more for each change: half of a day's worth before 81 hosts.
 
-use std::collections::{HashMap, HashSet};
+use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
 
-use fulmarpath_policy::{HostKey, Millis, rank};
+use fulmarpath_policy::{HostKey, Millis, WatchCandidate, is_watcher, rank};
 use fulmarpath_wire::{Announcement, GatewayPeerClient, Holding};
 use parking_lot::Mutex;
 use serde::Serialize;
@@ -20,11 +20,6 @@
 use crate::gateway::Gateway;
 use crate::key::centre_of;
 
-/// Watchers in each data centre. One is enough: where it dies, others' pings bring the news within
-/// a second, and its successor watches as soon as it counts as dead.
-const WATCHERS: usize = 1;
-/// Watchers in place of one that can't read the store: they may be turned away as well.
-const SUBSTITUTES: usize = 2;
 /// A host that can't read the store says so again with each failed call; silence ends it.
 const BLIND_MS: Millis = 2_500;
 /// Between two such words of one host.
@@ -54,31 +49,21 @@
     }
 
     /// Whether this host watches for its data centre.
-    ///
-    /// The store may turn away just the hosts that watch it. All others would go on with what they
-    /// know, and a key that was taken away would be good there for as long as that lasts. So a
-    /// watcher that can't read the store says so, and the next ones watch in its place.
     fn is_watcher(&self) -> bool {
         let centre = &self.settings.host.data_centre;
         let thing = centre_of(centre);
         let now_ms = self.clock.now_ms();
-        let blind: HashSet<HostKey> = {
-            let blind = self.spread.blind.lock();
-            let still = blind.iter().filter(|(_, until_ms)| now_ms < **until_ms);
-            still.map(|(key, _)| *key).collect()
-        };
+        let blind = self.spread.blind.lock().clone();
         let members = self.fleet.members.lock();
         let me = members.my_key();
-        let mine = rank(thing, me.0);
         let near = members
             .homes()
-            .filter(|(_, note)| &note.data_centre == centre);
-        let better = near.filter(|(key, _)| *key != me && rank(thing, key.0) > mine);
-        let (blind, well): (Vec<_>, Vec<_>) = better.partition(|(key, _)| blind.contains(key));
-        match blind.is_empty() {
-            true => well.len() < WATCHERS,
-            false => well.len() < SUBSTITUTES,
-        }
+            .filter(|(key, note)| *key != me && &note.data_centre == centre);
+        let others = near.map(|(key, _)| WatchCandidate {
+            rank: rank(thing, key.0),
+            is_blind: blind.get(&key).is_some_and(|until_ms| now_ms < *until_ms),
+        });
+        is_watcher(rank(thing, me.0), others)
     }
 
     /// Tells this data centre that this host can't read the store.
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -23,6 +23,7 @@
 mod retry;
 mod retry_window;
 mod unexplained;
+mod watchers;
 mod weights;
 
 pub use ask::{Ask, AskId, Outcome, PermitKey, RefusalReason};
@@ -45,4 +46,5 @@
 pub use rendezvous::{highest, rank};
 pub use retry::RetryBudget;
 pub use retry_window::{RetryBound, RetryWindow};
+pub use watchers::{WatchCandidate, is_watcher};
 pub use weights::Weights;
