Serve those that can't be on time any more behind those that can

A late answer is worth a seventh and takes as much memory as one on time, so each made a first try wait, be refused and come back late as well.

Ruled out: telling further tries by the time that callers state (their times differ from the first try on).

Change: a home remembers what it refused by what stays the same in a further try (organisation, route, path, body, prompt's parts); such a request comes after those that can still be on time, and starts on an engine only up to 0.75 of the predicted peak.

--- a/crates/gateway/src/head.rs
+++ b/crates/gateway/src/head.rs
@@ -6,7 +6,7 @@
 use hyper::{HeaderMap, StatusCode};
 
 /// A part of a prompt that other requests may share.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
 pub struct PromptPart {
     /// Names the part.
     pub id: u64,
--- a/crates/gateway/src/intake.rs
+++ b/crates/gateway/src/intake.rs
@@ -1,5 +1,6 @@
 //! From a caller's bytes to a request that may go to an upstream, or the reason why it may not.
 
+use std::hash::{Hash, Hasher};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -11,6 +12,7 @@
 use hyper::http::request::Parts;
 use hyper::{HeaderMap, Method, Request, Uri};
 use tokio::time::timeout;
+use xxhash_rust::xxh3::Xxh3;
 
 use crate::configuration::{InForce, Route};
 use crate::gateway::Gateway;
@@ -38,6 +40,22 @@
     pub(crate) deadline_ms: Millis,
 }
 
+impl Inquiry {
+    /// What stays the same where its caller tries again: whose it is, what it asks for, its body.
+    pub(crate) fn likeness(&self) -> u64 {
+        let mut hasher = Xxh3::new();
+        self.organisation.hash(&mut hasher);
+        self.route.name.hash(&mut hasher);
+        self.uri.path().hash(&mut hasher);
+        self.body.hash(&mut hasher);
+        if let Some(generation) = &self.generation {
+            generation.parts.hash(&mut hasher);
+            generation.prompt_tokens.hash(&mut hasher);
+        }
+        hasher.finish()
+    }
+}
+
 impl Gateway {
     /// Reads a request and decides whether it may go on.
     pub(crate) async fn take_in(
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -201,6 +201,7 @@
             prompt_tokens: generation.prompt_tokens,
             limit_tokens: generation.output_limit_tokens,
             hint_tokens: generation.length_hint_tokens,
+            likeness: inquiry.likeness(),
             priority: inquiry.priority,
             patience_ms: inquiry.route.target_ms,
             is_last_call: false,
--- a/crates/policy/src/cell/placement.rs
+++ b/crates/policy/src/cell/placement.rs
@@ -21,6 +21,9 @@
 /// The same for generations that stay for long. The room between the two is for brief ones, which
 /// leave it within a second; without it they wait for one of the long ones to end.
 const LONG_FULL_SHARE: f32 = 0.92;
+/// The same for those that can't be on time any more: served beside the others they would make
+/// others late that still can.
+const LATE_FULL_SHARE: f32 = 0.75;
 /// A generation of at most so many tokens is brief: over in about a second.
 const BRIEF_TOKENS: u32 = 64;
 /// A prompt goes only where it waits no longer than this part of the time to a first event that is
@@ -52,6 +55,8 @@
     pub limit_tokens: u32,
     /// The caller's guess.
     pub hint_tokens: Option<u32>,
+    /// What stays the same in a further try of its caller, hashed.
+    pub likeness: u64,
     /// The rank of its organisation or route; 0 is the most urgent.
     pub priority: u8,
     /// How long its first event may still take to be on time.
@@ -100,9 +105,10 @@
 
 impl PlacementRequest {
     /// The share of an engine's memory up to which it may start there.
-    pub(super) fn full_share(&self) -> f32 {
+    pub(super) fn full_share(&self, is_late: bool) -> f32 {
         match self.limit_tokens <= BRIEF_TOKENS {
             true => FULL_SHARE,
+            false if is_late => LATE_FULL_SHARE,
             false => LONG_FULL_SHARE,
         }
     }
@@ -139,9 +145,11 @@
         }
         let mut forecast = self.forecast(now_ms);
         self.reserve_for_leaving(now_ms, &mut forecast);
-        self.reserve_for_waiting(self.waiting.turn(now_ms, request), &mut forecast);
+        let turn = self.waiting.turn(now_ms, request);
+        self.reserve_for_waiting(turn, &mut forecast);
+        let full_share = request.full_share(turn.is_late);
         let costs = open.iter().filter_map(|engine| {
-            let cost = cost_ms(now_ms, &forecast, engine, request)?;
+            let cost = cost_ms(now_ms, &forecast, engine, request, full_share)?;
             Some((cost, engine))
         });
         let best = costs.min_by(|one, other| {
@@ -149,7 +157,10 @@
             one.0.total_cmp(&other.0).then(by_key)
         });
         let Some((_, engine)) = best else {
-            self.waiting.wait(now_ms, request);
+            match request.is_last_call {
+                true => self.waiting.refuse(now_ms, request),
+                false => self.waiting.wait(now_ms, request),
+            }
             return Placement::Full {
                 retry_after_ms: RETRY_AFTER_MS,
             };
@@ -210,12 +221,13 @@
     forecast: &Forecast,
     engine: &Engine,
     request: &PlacementRequest,
+    full_share: f32,
 ) -> Option<f32> {
     let share = forecast.peak_share(engine, request.claim());
     let running = forecast.running(engine.entry.key);
     let wait_ms = engine.prefill_wait_ms(now_ms);
     let has_time = wait_ms <= request.patience_ms as f32 * PATIENCE_SHARE;
-    let is_full = share > request.full_share() || running >= engine.entry.figures.slots;
+    let is_full = share > full_share || running >= engine.entry.figures.slots;
     if is_full || !(has_time || request.is_last_call) {
         return None;
     }
--- a/crates/policy/src/cell/waiting.rs
+++ b/crates/policy/src/cell/waiting.rs
@@ -21,9 +21,17 @@
 /// Requests without room now for which some is kept until it is enough. What is kept is idle.
 const KEPT_FOR: u32 = 1;
 
-/// Whose turn it is: the more urgent, then who came first.
+/// How long a refused request is remembered: its caller comes back within a third of the time that
+/// it has, by the callers' rules.
+const TRIED_MS: Millis = 13_000;
+
+/// Whose turn it is: what can still be on time, then the more urgent, then who came first.
+///
+/// An answer that is late already is worth a seventh to its caller, by the users' sheets, and takes
+/// as much memory as one on time. Served by turns with the others, it makes one of them late too.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub(super) struct Turn {
+    pub(super) is_late: bool,
     priority: u8,
     since_ms: Millis,
     run: RunKey,
@@ -42,15 +50,21 @@
 #[derive(Debug, Default)]
 pub(super) struct WaitingList {
     requests: HashMap<RunKey, Waiting>,
+    /// When the first try of each request that was refused had come, by likeness.
+    refused: HashMap<u64, Millis>,
 }
 
 impl WaitingList {
     /// The turn of a request that asks now.
     pub(super) fn turn(&self, now_ms: Millis, request: &PlacementRequest) -> Turn {
         let known = self.requests.get(&request.run);
+        let since_ms = known.map_or(now_ms, |known| known.turn.since_ms);
+        let tried_ms = self.refused.get(&request.likeness);
+        let tried_ms = tried_ms.map_or(0, |first_ms| since_ms.saturating_sub(*first_ms));
         Turn {
+            is_late: tried_ms >= request.patience_ms,
             priority: request.priority,
-            since_ms: known.map_or(now_ms, |known| known.turn.since_ms),
+            since_ms,
             run: request.run,
         }
     }
@@ -60,13 +74,20 @@
         let waiting = Waiting {
             turn: self.turn(now_ms, request),
             claim: request.claim(),
-            full_share: request.full_share(),
+            full_share: request.full_share(self.turn(now_ms, request).is_late),
             without: request.without.clone(),
             asked_ms: now_ms,
         };
         self.requests.insert(request.run, waiting);
     }
 
+    /// A request has waited as long as it may; its caller may come back with another.
+    pub(super) fn refuse(&mut self, now_ms: Millis, request: &PlacementRequest) {
+        let since_ms = self.turn(now_ms, request).since_ms;
+        self.refused.entry(request.likeness).or_insert(since_ms);
+        self.leave(request.run);
+    }
+
     /// A request no longer waits.
     pub(super) fn leave(&mut self, run: RunKey) {
         self.requests.remove(&run);
@@ -76,6 +97,8 @@
     pub(super) fn expire(&mut self, now_ms: Millis) {
         self.requests
             .retain(|_, one| now_ms.saturating_sub(one.asked_ms) < SILENT_MS);
+        self.refused
+            .retain(|_, first_ms| now_ms.saturating_sub(*first_ms) < TRIED_MS);
     }
 
     fn before(&self, turn: Turn) -> Vec<&Waiting> {
--- a/crates/policy/tests/cell.rs
+++ b/crates/policy/tests/cell.rs
@@ -40,6 +40,7 @@
         prompt_tokens,
         limit_tokens,
         hint_tokens: Some(hint_tokens),
+        likeness: run,
         priority: 1,
         patience_ms: 1_800,
         is_last_call: false,
@@ -447,6 +448,38 @@
     assert_eq!(engine_of(cell.place(2_040, winner)), Some(1));
 }
 
+/// A request is refused after its wait and its caller comes back with another, which can't be on
+/// time any more. It gets what is left beside those that can: no room in an engine that is nearly
+/// full, where a request that comes for the first time still starts, and room where there is plenty.
+#[test]
+fn what_comes_back_late_makes_nobody_else_late() {
+    let mut cell = cell(&[engine(1, NEAR, false)]);
+    let crowd = |count: u64| -> Vec<RunStatement> {
+        let runs = 50..50 + count;
+        runs.map(|run| statement(run, 1, 400, 500)).collect()
+    };
+    cell.restate(0, ME, &crowd(8));
+    let first = PlacementRequest {
+        is_last_call: true,
+        patience_ms: 800,
+        ..request(1, 3_000, 900, 100)
+    };
+    let waits = request(1, 3_000, 900, 100);
+    assert!(matches!(cell.place(1_000, &waits), Placement::Full { .. }));
+    assert!(matches!(cell.place(1_200, &first), Placement::Full { .. }));
+    let back = PlacementRequest {
+        likeness: 1,
+        ..request(2, 3_000, 900, 100)
+    };
+    let other = request(3, 3_000, 900, 100);
+    cell.restate(2_950, ME, &crowd(7));
+    assert!(matches!(cell.place(3_000, &back), Placement::Full { .. }));
+    assert_eq!(engine_of(cell.place(3_010, &other)), Some(1));
+    cell.end(RunKey(3));
+    cell.restate(5_000, ME, &crowd(4));
+    assert_eq!(engine_of(cell.place(5_010, &back)), Some(1));
+}
+
 /// A request that waits is not heard of any more: its host is gone, or its caller has left. The
 /// room that was kept for it is free again after a moment.
 #[test]
