--- a/crates/gateway/src/fleet.rs
+++ b/crates/gateway/src/fleet.rs
@@ -18,6 +18,7 @@
 use spdlog::{info, warn};
 
 use crate::directory::{Directory, HostRegistration};
+use crate::follow::outcome;
 use crate::gateway::Gateway;
 
 /// Between two pings. Each goes to one member, so a host's share doesn't grow with the fleet.
@@ -89,12 +90,17 @@
         for seed in seeds.into_iter().filter(|seed| *seed != own) {
             tokio::spawn(self.clone().meet(seed));
         }
-        while let Err(error) = self.metadata.registry.register(&self.settings.host).await {
+        loop {
+            let written = self.metadata.registry.register(&self.settings.host).await;
+            self.metrics.store_call("own_entry", outcome(&written));
+            let Err(error) = written else { break };
             warn!("fleet: could not write this host's entry: {error}");
             tokio::time::sleep(ENTRY_PERIOD).await;
         }
         loop {
-            match self.metadata.hosts.list().await {
+            let listed = self.metadata.hosts.list().await;
+            self.metrics.store_call("hosts", outcome(&listed));
+            match listed {
                 Ok(listed) => {
                     let others = listed.items.into_iter().filter(|host| host.address != own);
                     for host in others {
@@ -131,7 +137,9 @@
             tokio::spawn(async move { gateway.ping_once(target, ping).await });
         }
         let name = &self.settings.host.name;
-        if let Err(error) = self.metadata.registry.unregister(name).await {
+        let removed = self.metadata.registry.unregister(name).await;
+        self.metrics.store_call("own_entry", outcome(&removed));
+        if let Err(error) = removed {
             warn!("fleet: could not remove this host's entry: {error}");
         }
     }
--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -68,6 +68,16 @@
     }
 }
 
+/// A call's outcome on metrics.
+pub(crate) fn outcome<T>(heard: &Result<T, StoreError>) -> &'static str {
+    match heard {
+        Ok(_) => "ok",
+        Err(StoreError::HistoryGone { .. }) => "history_gone",
+        Err(StoreError::Malformed { .. }) => "malformed",
+        Err(StoreError::Unavailable { .. }) => "unavailable",
+    }
+}
+
 impl Gateway {
     /// Follows the operator's configuration.
     pub(crate) async fn follow_configuration(self: Arc<Self>) {
@@ -93,6 +103,7 @@
                     (changes.revision, puts.collect())
                 }),
             };
+            self.metrics.store_call("configuration", outcome(&heard));
             match heard {
                 Ok((seen, configurations)) => {
                     contact.heard();
@@ -135,6 +146,7 @@
                 let list = source.list().await;
                 list.map(|list| self.roster_step(|roster, now_ms| roster.replace(now_ms, list)))
             };
+            self.metrics.store_call("upstreams", outcome(&heard));
             match heard {
                 Ok(()) => {
                     contact.heard();
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -23,7 +23,7 @@
 use crate::instances::Instances;
 use crate::look::Looks;
 use crate::metadata::Metadata;
-use crate::metrics::Metrics;
+use crate::metrics::{Metrics, Readings};
 use crate::roster::Roster;
 use crate::runs::Runs;
 use crate::spread::Spread;
@@ -62,6 +62,8 @@
     in_force: ArcSwapOption<InForce>,
     retries: Mutex<HashMap<String, RetryWindow>>,
     retry_bound: Mutex<RetryBound>,
+    /// When the configuration in force came.
+    adopted_ms: AtomicU64,
     /// When the process ends, once it was told to; 0 before.
     ends_ms: AtomicU64,
 }
@@ -91,6 +93,7 @@
             in_force: ArcSwapOption::empty(),
             retries: Mutex::default(),
             retry_bound: Mutex::new(settings.retries),
+            adopted_ms: AtomicU64::new(0),
             ends_ms: AtomicU64::new(0),
             settings,
         }
@@ -123,6 +126,8 @@
             return false;
         }
         self.metrics.configuration_version.set(version as i64);
+        let now_ms = self.clock.now_ms();
+        self.adopted_ms.store(now_ms, Ordering::Relaxed);
         info!("configuration: version {version} from {source} replaces {held}");
         let directory = self.roster.lock().directory();
         self.adopt_directory(&directory);
@@ -196,6 +201,29 @@
         retries.insert(service.to_owned(), window);
     }
 
+    /// What the page of metrics shows of this moment.
+    pub(crate) fn readings(&self) -> Readings {
+        let now_ms = self.clock.now_ms();
+        let age = |since_ms: Millis| now_ms.saturating_sub(since_ms) as i64;
+        let hosts = self.fleet.host_count();
+        let (upstreams_heard_ms, upstreams) = {
+            let roster = self.roster.lock();
+            (roster.heard_ms(), roster.len())
+        };
+        let mut retries = self.retries.lock();
+        let left = retries.iter_mut().map(|(service, window)| {
+            let left = window.left(now_ms, hosts);
+            (service.clone(), left as i64)
+        });
+        Readings {
+            configuration_age_ms: age(self.adopted_ms.load(Ordering::Relaxed)),
+            upstreams_age_ms: age(upstreams_heard_ms),
+            upstreams: upstreams as i64,
+            hosts: hosts as i64,
+            retries_left: left.collect(),
+        }
+    }
+
     /// Whether a request of this service may be sent once more.
     pub(crate) fn may_retry(&self, now_ms: Millis, service: &str) -> bool {
         let hosts = self.fleet.host_count();
--- a/crates/gateway/src/homes.rs
+++ b/crates/gateway/src/homes.rs
@@ -12,6 +12,7 @@
 use spdlog::{info, warn};
 
 use crate::gateway::Gateway;
+use crate::metrics::TransferLabels;
 
 /// Between two statements of what this host relays: how long a new home knows too little.
 const RESTATE_PERIOD: Duration = Duration::from_millis(1_000);
@@ -185,6 +186,8 @@
                 carry.to.0,
                 self.clock.now_ms().saturating_sub(now_ms)
             );
+            let labels = TransferLabels { end: name(end) };
+            self.metrics.transfers.get_or_create(&labels).inc();
             moved += u32::from(end == CarryEnd::Moved);
             self.cells.carried(self.clock.now_ms(), cell, carry, end);
         }
@@ -225,6 +228,17 @@
     }
 }
 
+/// Its name on metrics.
+fn name(end: CarryEnd) -> &'static str {
+    match end {
+        CarryEnd::Moved => "moved",
+        CarryEnd::Stayed => "stayed",
+        CarryEnd::Refused => "refused",
+        CarryEnd::LeftBehind => "left_behind",
+        CarryEnd::Over => "over",
+    }
+}
+
 fn end(answer: CarryAnswer) -> CarryEnd {
     match answer {
         CarryAnswer::Moved => CarryEnd::Moved,
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -26,6 +26,42 @@
     pub(crate) outcome: &'static str,
 }
 
+/// How a transfer of a generation ended, at the home that ordered it.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub(crate) struct TransferLabels {
+    pub(crate) end: &'static str,
+}
+
+/// Whether a generation went on at another engine, at the host that relays it.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub(crate) struct ContinuationLabels {
+    pub(crate) went_on: &'static str,
+}
+
+/// A call to the store.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub(crate) struct StoreLabels {
+    /// What was read or written.
+    pub(crate) what: &'static str,
+    pub(crate) outcome: &'static str,
+}
+
+/// A service.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub(crate) struct ServiceLabels {
+    pub(crate) service: String,
+}
+
+/// What is read off the host when its page is asked for.
+#[derive(Debug, Clone, Default, PartialEq)]
+pub(crate) struct Readings {
+    pub(crate) configuration_age_ms: i64,
+    pub(crate) upstreams_age_ms: i64,
+    pub(crate) upstreams: i64,
+    pub(crate) hosts: i64,
+    pub(crate) retries_left: Vec<(String, i64)>,
+}
+
 /// What one host counts.
 pub(crate) struct Metrics {
     pub(crate) requests: Family<EndLabels, Counter>,
@@ -34,6 +70,16 @@
     pub(crate) configuration_version: Gauge,
     pub(crate) first_byte_ms: Histogram,
     pub(crate) pause_ms: Histogram,
+    pub(crate) transfers: Family<TransferLabels, Counter>,
+    pub(crate) continuations: Family<ContinuationLabels, Counter>,
+    pub(crate) running_copies: Counter,
+    pub(crate) stalls: Counter,
+    pub(crate) store_calls: Family<StoreLabels, Counter>,
+    configuration_age_ms: Gauge,
+    upstreams_age_ms: Gauge,
+    upstreams: Gauge,
+    hosts: Gauge,
+    retries_left: Family<ServiceLabels, Gauge>,
     registry: Arc<Registry>,
 }
 
@@ -56,7 +102,46 @@
         registry.register("first_byte_ms", help, first_byte_ms.clone());
         let help = "Pauses between the events of a stream";
         registry.register("pause_ms", help, pause_ms.clone());
+        let transfers = Family::default();
+        let help = "Transfers off leaving engines that this host ordered, by their end";
+        registry.register("transfers", help, transfers.clone());
+        let continuations = Family::default();
+        let help = "Generations that this host asked another engine to go on with";
+        registry.register("continuations", help, continuations.clone());
+        let running_copies = Counter::default();
+        let help = "Generations that began with a running copy";
+        registry.register("running_copies", help, running_copies.clone());
+        let stalls = Counter::default();
+        let help =
+            "Pauses over the route's target on one engine: it paused the generation, or its link";
+        registry.register("stalls", help, stalls.clone());
+        let store_calls = Family::default();
+        let help = "Calls to the store by what they are for and their outcome";
+        registry.register("store_calls", help, store_calls.clone());
+        let configuration_age_ms = Gauge::default();
+        let help = "Since the configuration in force came";
+        registry.register("configuration_age_ms", help, configuration_age_ms.clone());
+        let upstreams_age_ms = Gauge::default();
+        let help = "Since the list of upstreams was last confirmed by the store or a peer";
+        registry.register("upstreams_age_ms", help, upstreams_age_ms.clone());
+        let upstreams = Gauge::default();
+        registry.register("upstreams", "Upstreams that are known", upstreams.clone());
+        let hosts = Gauge::default();
+        registry.register("hosts", "Hosts believed present", hosts.clone());
+        let retries_left = Family::default();
+        let help = "Requests of a service that this host may still send once more";
+        registry.register("retries_left", help, retries_left.clone());
         Self {
+            transfers,
+            continuations,
+            running_copies,
+            stalls,
+            store_calls,
+            configuration_age_ms,
+            upstreams_age_ms,
+            upstreams,
+            hosts,
+            retries_left,
             requests,
             retries,
             store_failures,
@@ -69,8 +154,29 @@
 }
 
 impl Metrics {
+    /// Counts a generation that another engine was asked to go on with.
+    pub(crate) fn continuation(&self, went_on: &'static str) {
+        let labels = ContinuationLabels { went_on };
+        self.continuations.get_or_create(&labels).inc();
+    }
+
+    /// Counts a call to the store.
+    pub(crate) fn store_call(&self, what: &'static str, outcome: &'static str) {
+        let labels = StoreLabels { what, outcome };
+        self.store_calls.get_or_create(&labels).inc();
+    }
+
     /// The page for the collector of metrics.
-    pub(crate) fn page(&self) -> String {
+    pub(crate) fn page(&self, readings: &Readings) -> String {
+        self.configuration_age_ms.set(readings.configuration_age_ms);
+        self.upstreams_age_ms.set(readings.upstreams_age_ms);
+        self.upstreams.set(readings.upstreams);
+        self.hosts.set(readings.hosts);
+        for (service, left) in &readings.retries_left {
+            let service = service.clone();
+            let labels = ServiceLabels { service };
+            self.retries_left.get_or_create(&labels).set(*left);
+        }
         let mut page = String::new();
         if encode(&mut page, &self.registry).is_err() {
             spdlog::warn!("metrics: could not write the page");
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -91,6 +91,8 @@
     carrying: Option<Carrying>,
     backup: Option<Destination>,
     recoveries: u32,
+    /// The next event is the first from another engine.
+    has_just_moved: bool,
     status: u16,
 }
 
@@ -113,6 +115,7 @@
             last_event: None,
             carrying: None,
             recoveries: 0,
+            has_just_moved: false,
             gateway,
             inquiry,
             journey,
@@ -213,7 +216,13 @@
     fn note_progress(&mut self, events: u32) {
         let now_ms = self.gateway.clock.now_ms();
         if let Some(pause_ms) = self.journey.pass_on(now_ms, events) {
-            self.gateway.metrics.pause_ms.observe(pause_ms as f64);
+            let metrics = &self.gateway.metrics;
+            metrics.pause_ms.observe(pause_ms as f64);
+            let target_ms = self.inquiry.route.gap_target_ms;
+            let is_stall = target_ms.is_some_and(|target_ms| pause_ms > target_ms);
+            if is_stall && !std::mem::take(&mut self.has_just_moved) {
+                metrics.stalls.inc();
+            }
         }
         let out_tokens = self.journey.events * self.event_tokens;
         let runs = &self.gateway.runs;
@@ -339,8 +348,13 @@
         let sent = gateway.dispatch(&self.inquiry, &mut self.journey, chosen, terms);
         let answer = match sent.await {
             Ok(answer) if answer.response.status().is_success() => answer,
-            Ok(_) | Err(_) => return false,
+            Ok(_) | Err(_) => {
+                gateway.metrics.continuation("no");
+                return false;
+            }
         };
+        gateway.metrics.continuation("yes");
+        self.has_just_moved = true;
         info!(
             "moves: request {} goes on at {} after event {:?}, {} ms",
             self.journey.id,
--- a/crates/gateway/src/roster.rs
+++ b/crates/gateway/src/roster.rs
@@ -29,6 +29,8 @@
 pub struct Roster {
     revision: u64,
     entries: HashMap<String, Entry>,
+    /// When the store or a peer last told of it.
+    heard_ms: Millis,
     lost_at_ms: Option<Millis>,
     grace_until_ms: Millis,
 }
@@ -39,6 +41,21 @@
         self.revision
     }
 
+    /// When the store or a peer last told of it.
+    pub fn heard_ms(&self) -> Millis {
+        self.heard_ms
+    }
+
+    /// Upstreams that count as there.
+    pub fn len(&self) -> usize {
+        self.entries.len()
+    }
+
+    /// Whether no upstream counts as there.
+    pub fn is_empty(&self) -> bool {
+        self.entries.is_empty()
+    }
+
     /// A call to the store failed.
     pub fn lost(&mut self, now_ms: Millis) {
         self.lost_at_ms.get_or_insert(now_ms);
@@ -51,6 +68,7 @@
 
     /// A call to the store succeeded.
     pub fn heard(&mut self, now_ms: Millis) {
+        self.heard_ms = now_ms;
         let Some(lost_at_ms) = self.lost_at_ms.take() else {
             return;
         };
@@ -90,6 +108,7 @@
     ///
     /// A host that the store turns away would otherwise go on sending to upstreams that have left.
     pub fn replace_by_peer(&mut self, now_ms: Millis, directory: Directory) -> bool {
+        self.heard_ms = now_ms;
         if directory.revision <= self.revision {
             return false;
         }
@@ -105,6 +124,7 @@
     /// Takes a peer's news; true where it changed anything. News of another state than this
     /// host's is left alone: a comparison of revisions brings the whole then.
     pub fn apply_by_peer(&mut self, now_ms: Millis, change: DirectoryChange) -> bool {
+        self.heard_ms = now_ms;
         if change.from_revision != self.revision {
             return false;
         }
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -125,7 +125,7 @@
 
     async fn answer_metrics(self: Arc<Self>, listener: TcpListener, stop: watch::Receiver<bool>) {
         let handler = move |_| {
-            let page = self.metrics.page();
+            let page = self.metrics.page(&self.readings());
             async move { full(StatusCode::OK, "text/plain; version=0.0.4", page) }
         };
         serve(listener, PROBE_HEADER_BYTES, stop, handler).await;
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -82,6 +82,9 @@
             let Some(start) = self.find_start(inquiry, ticket, journey, &tried).await? else {
                 break;
             };
+            if start.backup.is_some() {
+                self.metrics.running_copies.inc();
+            }
             tried.push(start.chosen.clone());
             journey.placed(self.clock.now_ms());
             self.runs
--- a/crates/policy/src/retry_window.rs
+++ b/crates/policy/src/retry_window.rs
@@ -55,17 +55,22 @@
 
     /// Whether a request may be sent once more; counted where it may.
     pub fn retry(&mut self, now_ms: Millis, hosts: usize) -> bool {
-        self.forget(now_ms);
-        let own = self.bound.ratio * self.requests.len() as f32;
-        let extra = self.bound.extra / hosts.max(1) as f32;
-        let allowed = (own + extra) * CAUTION;
-        if self.retries.len() as f32 + 1.0 > allowed {
+        if self.left(now_ms, hosts) < 1.0 {
             return false;
         }
         self.retries.push_back(now_ms);
         true
     }
 
+    /// Requests that may still be sent once more within the window.
+    pub fn left(&mut self, now_ms: Millis, hosts: usize) -> f32 {
+        self.forget(now_ms);
+        let own = self.bound.ratio * self.requests.len() as f32;
+        let extra = self.bound.extra / hosts.max(1) as f32;
+        let allowed = (own + extra) * CAUTION;
+        allowed - self.retries.len() as f32
+    }
+
     fn forget(&mut self, now_ms: Millis) {
         let since_ms = now_ms.saturating_sub(self.bound.window_ms);
         for times in [&mut self.requests, &mut self.retries] {
