Bound the cells' size, and ask for whole lists only where news were missed

With hundreds of changes a second some peer is always a moment ahead, and a host that doesn't watch asked each such peer for its whole list at each ping. And a data centre beyond 64 engines was one cell, of 1,000 there, through which its home looks at each placement and each 25 ms.

Change: a host asks for a whole list only where it lacks, after 0.3 s, what a peer held then (policy/lag); a cell has 64 engines at the most, parts are by data centre and a power of two (policy/division); the difference of two lists and the search for leaving engines are linear.

--- a/crates/bench/src/reclaim/world.rs
+++ b/crates/bench/src/reclaim/world.rs
@@ -295,7 +295,7 @@
         let out = self.engines[engine]
             .find(run)
             .map_or(0, |job| job.out_tokens);
-        if out % EVENT_TOKENS == 0 || out == 1 {
+        if out.is_multiple_of(EVENT_TOKENS) || out == 1 {
             self.event(run);
         }
         if let Some(backup) = self.tries[run].backup {
--- a/crates/bench/tests/cell.rs
+++ b/crates/bench/tests/cell.rs
@@ -15,7 +15,7 @@
         .output()
         .expect("the bench runs");
     let text = String::from_utf8(output.stdout).expect("text");
-    let rows = text.lines().map(|line| serde_json::from_str(line));
+    let rows = text.lines().map(serde_json::from_str);
     rows.collect::<Result<_, _>>().expect("JSON lines")
 }
 
--- a/crates/gateway/src/cells.rs
+++ b/crates/gateway/src/cells.rs
@@ -1,10 +1,10 @@
 //! The cells' tables on this host: of all generations where it is a cell's home, else of its own.
 
-use std::collections::{HashMap, HashSet};
+use std::collections::HashMap;
 
 use fulmarpath_policy::{
-    Carry, CarryEnd, Cell, CellEngine, EngineFigures, HostKey, Millis, Placement, PlacementRequest,
-    RunKey, UpstreamKey,
+    Carry, CarryEnd, Cell, CellEngine, Division, EngineFigures, HostKey, Millis, Placement,
+    PlacementRequest, RunKey, UpstreamKey,
 };
 use fulmarpath_wire::{CellKey, Restatement};
 use parking_lot::Mutex;
@@ -12,60 +12,92 @@
 use crate::configuration::{EngineTraits, InForce};
 use crate::control::EngineSight;
 use crate::directory::{Directory, RegisteredState, Registration};
-use crate::key::{cell_of, centre_of, upstream_of};
+use crate::key::{centre_of, upstream_of};
+use crate::layout::{self, CellsByEngine};
 
-/// Engines of a service that one home places on. With more of them each data centre is a cell of
-/// its own: a home then has some 10 engines and 100 placements a second at 600 engines of 7 models
-/// and 6,000 requests a second, while moves within a data centre are the short ones anyway.
-const CELL_ENGINES: usize = 64;
+/// One cell and the service that it is of.
+struct Table {
+    service: String,
+    cell: Cell,
+}
+
+/// How a service is divided now.
+struct LaidOut {
+    division: Division,
+    /// Engines are of other cells than before.
+    is_new: bool,
+}
 
 /// The cells' tables.
+///
+/// Lock order: tables, divisions, by engine.
 #[derive(Default)]
 pub(crate) struct Cells {
-    tables: Mutex<HashMap<CellKey, Cell>>,
-    /// The services that stand in more than one cell.
-    divided: Mutex<HashSet<String>>,
+    tables: Mutex<HashMap<CellKey, Table>>,
+    /// How each service is divided.
+    divisions: Mutex<HashMap<String, Division>>,
+    by_engine: Mutex<CellsByEngine>,
 }
 
 impl Cells {
-    /// Takes the engines that are registered now.
-    pub(crate) fn adopt(&self, now_ms: Millis, in_force: &InForce, directory: &Directory) {
+    /// Takes the engines that are registered now; true where homes have to learn anew what runs.
+    pub(crate) fn adopt(&self, now_ms: Millis, in_force: &InForce, directory: &Directory) -> bool {
         let mut by_service: HashMap<&str, Vec<&Registration>> = HashMap::new();
         for one in &directory.registrations {
             by_service.entry(&one.service).or_default().push(one);
         }
+        let mut by_engine = CellsByEngine::new();
+        let mut is_new = false;
         let mut tables = self.tables.lock();
         for service in &in_force.configuration.services {
             let Some(traits) = &service.engine else {
                 continue;
             };
             let registered = by_service.remove(service.name.as_str()).unwrap_or_default();
-            let is_divided = registered.len() > CELL_ENGINES;
-            self.divide(&service.name, is_divided);
-            let mut by_cell: HashMap<CellKey, Vec<CellEngine>> = HashMap::new();
-            if !is_divided {
-                // Without any engine the cell still has to hear that the last ones left.
-                by_cell.insert(cell_of(&service.name, "", false), Vec::new());
+            let laid_out = self.lay_out(&service.name, &registered);
+            let by_cell = layout::divide(&laid_out.division, &service.name, &registered);
+            if laid_out.is_new {
+                is_new = true;
+                // Engines that are of another cell now would be taken for leaving; homes learn of
+                // the generations anew by the next statements.
+                tables.retain(|_, table| table.service != service.name);
             }
-            for one in registered {
-                let cell = cell_of(&service.name, &one.data_centre, is_divided);
-                by_cell.entry(cell).or_default().push(engine(one, traits));
+            // A cell that has lost its last engine hears that all left.
+            for (key, table) in tables.iter_mut() {
+                if table.service == service.name && !by_cell.contains_key(key) {
+                    table.cell.set_engines(now_ms, &[]);
+                }
             }
             for (cell, engines) in by_cell {
-                tables
-                    .entry(cell)
-                    .or_default()
-                    .set_engines(now_ms, &engines);
+                let engines: Vec<CellEngine> =
+                    engines.iter().map(|one| engine(one, traits)).collect();
+                by_engine.extend(engines.iter().map(|one| (one.key, cell)));
+                let table = tables.entry(cell).or_insert_with(|| Table {
+                    service: service.name.clone(),
+                    cell: Cell::default(),
+                });
+                table.cell.set_engines(now_ms, &engines);
             }
         }
+        tables.retain(|_, table| !table.cell.is_idle());
+        *self.by_engine.lock() = by_engine;
+        is_new
     }
 
-    fn divide(&self, service: &str, is_divided: bool) {
-        let mut divided = self.divided.lock();
-        match is_divided {
-            true => divided.insert(service.to_owned()),
-            false => divided.remove(service),
-        };
+    fn lay_out(&self, service: &str, registered: &[&Registration]) -> LaidOut {
+        let mut divisions = self.divisions.lock();
+        let before = divisions.get(service).cloned().unwrap_or_default();
+        let division = before.next(&layout::count(registered));
+        divisions.insert(service.to_owned(), division.clone());
+        LaidOut {
+            is_new: !division.has_cells_of(&before),
+            division,
+        }
+    }
+
+    /// The cell that an engine is of now.
+    pub(crate) fn cell_with(&self, engine: UpstreamKey) -> Option<CellKey> {
+        self.by_engine.lock().get(&engine).copied()
     }
 
     /// All cells that are known.
@@ -73,10 +105,11 @@
         self.tables.lock().keys().copied().collect()
     }
 
-    /// The cell for a request of a host in `data_centre`.
-    pub(crate) fn cell_for(&self, service: &str, data_centre: &str) -> CellKey {
-        let is_divided = self.divided.lock().contains(service);
-        cell_of(service, data_centre, is_divided)
+    /// The cell for a generation of a host in `data_centre`.
+    pub(crate) fn cell_for(&self, service: &str, data_centre: &str, run: RunKey) -> CellKey {
+        let divisions = self.divisions.lock();
+        let division = divisions.get(service).cloned().unwrap_or_default();
+        layout::cell_for(&division, service, data_centre, run)
     }
 
     pub(crate) fn place(
@@ -87,36 +120,48 @@
     ) -> Placement {
         let mut tables = self.tables.lock();
         let table = tables.get_mut(&cell);
-        table.map_or(Placement::NoEngine, |table| table.place(now_ms, request))
+        table.map_or(Placement::NoEngine, |table| {
+            table.cell.place(now_ms, request)
+        })
     }
 
     pub(crate) fn end(&self, cell: CellKey, run: RunKey) {
         if let Some(table) = self.tables.lock().get_mut(&cell) {
-            table.end(run);
+            table.cell.end(run);
         }
     }
 
     pub(crate) fn restate(&self, now_ms: Millis, restatement: &Restatement) {
         if let Some(table) = self.tables.lock().get_mut(&restatement.cell) {
-            table.restate(now_ms, restatement.host, &restatement.runs);
+            table
+                .cell
+                .restate(now_ms, restatement.host, &restatement.runs);
         }
     }
 
     pub(crate) fn keep_hosts(&self, is_present: impl Fn(HostKey) -> bool) {
         for table in self.tables.lock().values_mut() {
-            table.keep_hosts(&is_present);
+            table.cell.keep_hosts(&is_present);
         }
     }
 
     /// Leaving engines that still have generations.
     pub(crate) fn leaving(&self) -> Vec<(CellKey, UpstreamKey)> {
         let tables = self.tables.lock();
-        let all = tables
-            .iter()
-            .flat_map(|(cell, table)| table.leaving().into_iter().map(|engine| (*cell, engine)));
+        let all = tables.iter().flat_map(|(cell, table)| {
+            let leaving = table.cell.leaving().into_iter();
+            leaving.map(|engine| (*cell, engine))
+        });
         all.collect()
     }
 
+    /// Whether an engine leaves and still has generations.
+    pub(crate) fn is_leaving(&self, cell: CellKey, engine: UpstreamKey) -> bool {
+        let tables = self.tables.lock();
+        let table = tables.get(&cell);
+        table.is_some_and(|table| table.cell.is_leaving(engine))
+    }
+
     /// Takes what an engine has shown; true where it changes what is believed of it.
     pub(crate) fn see(
         &self,
@@ -130,9 +175,9 @@
             return false;
         };
         match sight {
-            EngineSight::There => table.see_there(engine),
-            EngineSight::Leaving { left_ms } => table.see_leaving(now_ms, engine, left_ms),
-            EngineSight::Gone => table.see_gone(engine),
+            EngineSight::There => table.cell.see_there(engine),
+            EngineSight::Leaving { left_ms } => table.cell.see_leaving(now_ms, engine, left_ms),
+            EngineSight::Gone => table.cell.see_gone(engine),
             EngineSight::Unknown => false,
         }
     }
@@ -141,7 +186,7 @@
     pub(crate) fn engines(&self) -> Vec<(CellKey, UpstreamKey, bool)> {
         let tables = self.tables.lock();
         let all = tables.iter().flat_map(|(cell, table)| {
-            let engines = table.engines();
+            let engines = table.cell.engines();
             engines.map(|(engine, is_gone)| (*cell, engine, is_gone))
         });
         all.collect()
@@ -154,12 +199,12 @@
         from: UpstreamKey,
     ) -> Option<Carry> {
         let mut tables = self.tables.lock();
-        tables.get_mut(&cell)?.next_carry(now_ms, from)
+        tables.get_mut(&cell)?.cell.next_carry(now_ms, from)
     }
 
     pub(crate) fn carried(&self, now_ms: Millis, cell: CellKey, carry: Carry, end: CarryEnd) {
         if let Some(table) = self.tables.lock().get_mut(&cell) {
-            table.carried(now_ms, carry, end);
+            table.cell.carried(now_ms, carry, end);
         }
     }
 }
--- a/crates/gateway/src/directory.rs
+++ b/crates/gateway/src/directory.rs
@@ -1,5 +1,6 @@
 //! The upstreams that have registered, and the hosts of our own.
 
+use std::collections::HashMap;
 use std::net::SocketAddr;
 
 use fulmarpath_policy::Millis;
@@ -71,13 +72,21 @@
 }
 
 impl Directory {
+    fn by_instance(&self) -> HashMap<&str, &Registration> {
+        let all = self.registrations.iter();
+        all.map(|one| (one.instance.as_str(), one)).collect()
+    }
+
     /// What leads from this state to `later`.
     pub fn change_to(&self, later: &Self) -> DirectoryChange {
-        let is_news = |one: &&Registration| !self.registrations.contains(one);
-        let is_gone = |one: &&Registration| {
-            let mut still = later.registrations.iter();
-            !still.any(|other| other.instance == one.instance)
+        let before = self.by_instance();
+        let after = later.by_instance();
+        let is_news = |one: &&Registration| {
+            before
+                .get(one.instance.as_str())
+                .is_none_or(|held| held != one)
         };
+        let is_gone = |one: &&Registration| !after.contains_key(one.instance.as_str());
         let gone = self.registrations.iter().filter(is_gone);
         DirectoryChange {
             from_revision: self.revision,
--- a/crates/gateway/src/fleet.rs
+++ b/crates/gateway/src/fleet.rs
@@ -9,7 +9,7 @@
 use std::time::Duration;
 
 use fulmarpath_cluster::Members;
-use fulmarpath_policy::{HostKey, Millis};
+use fulmarpath_policy::{HostKey, Lag, Millis};
 use fulmarpath_wire::{
     GatewayPeerClient, Holding, MemberNote, MemberState, Peers, Ping, Pong, Rumour, Versions,
 };
@@ -36,8 +36,8 @@
 pub(crate) struct Fleet {
     pub(crate) members: Mutex<Members>,
     pub(crate) peers: Peers<GatewayPeerClient>,
-    /// Since when some peer has held a later revision of the upstreams.
-    behind_since_ms: Mutex<Option<Millis>>,
+    /// How far this host's list of upstreams is behind its peers'.
+    lag: Mutex<Lag>,
 }
 
 impl Fleet {
@@ -56,7 +56,7 @@
         Self {
             members: Mutex::new(Members::new(note, 1)),
             peers: Peers::new(crate::peer::client),
-            behind_since_ms: Mutex::new(None),
+            lag: Mutex::default(),
         }
     }
 
@@ -253,18 +253,12 @@
         }
     }
 
-    /// Whether the upstreams of a peer have been later than this host's for a while.
+    /// Whether this host has missed news of the upstreams that a peer has.
     fn is_behind(&self, theirs: u64) -> bool {
         let now_ms = self.clock.now_ms();
-        let mut since_ms = self.fleet.behind_since_ms.lock();
-        if theirs <= self.roster.lock().revision() {
-            *since_ms = None;
-            return false;
-        }
-        if !self.watches() {
-            return true;
-        }
-        now_ms.saturating_sub(*since_ms.get_or_insert(now_ms)) >= BEHIND_MS
+        let own = self.roster.lock().revision();
+        let mut lag = self.fleet.lag.lock();
+        lag.hear(now_ms, own, theirs, BEHIND_MS)
     }
 
     async fn fetch<T: serde::de::DeserializeOwned>(
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -137,10 +137,11 @@
     /// Takes what the roster says now.
     pub(crate) fn adopt_directory(&self, directory: &Directory) {
         self.instances.adopt(directory);
-        if let Some(in_force) = self.in_force() {
-            self.cells.adopt(self.clock.now_ms(), &in_force, directory);
-        }
-        if !self.cells.leaving().is_empty() {
+        let now_ms = self.clock.now_ms();
+        let is_new = self
+            .in_force()
+            .is_some_and(|in_force| self.cells.adopt(now_ms, &in_force, directory));
+        if is_new || !self.cells.leaving().is_empty() {
             self.duties.restate_now.notify_one();
         }
     }
--- a/crates/gateway/src/homes.rs
+++ b/crates/gateway/src/homes.rs
@@ -115,7 +115,8 @@
                 members.homes().map(|(key, _)| key).collect()
             };
             self.cells.keep_hosts(|host| present.contains(&host));
-            for restatement in self.runs.restatements(self.host_key()) {
+            let cell_with = |engine| self.cells.cell_with(engine);
+            for restatement in self.runs.restatements(self.host_key(), cell_with) {
                 self.restate(restatement).await;
             }
         }
@@ -172,7 +173,7 @@
     /// Carries off one generation after the other while there are any.
     async fn evacuate(self: &Arc<Self>, cell: CellKey, engine: UpstreamKey) {
         let mut moved = 0;
-        while self.cells.leaving().contains(&(cell, engine)) && self.acts_for(cell) {
+        while self.cells.is_leaving(cell, engine) && self.acts_for(cell) {
             let now_ms = self.clock.now_ms();
             let Some(carry) = self.cells.next_carry(now_ms, cell, engine) else {
                 tokio::time::sleep(LOOK_PERIOD).await;
--- a/crates/gateway/src/key.rs
+++ b/crates/gateway/src/key.rs
@@ -18,11 +18,11 @@
     hash(data_centre)
 }
 
-/// The key of a cell: of the whole service, or of its part in one data centre.
-pub(crate) fn cell_of(service: &str, data_centre: &str, is_divided: bool) -> CellKey {
-    CellKey(match is_divided {
-        true => hash(&format!("{service}/{data_centre}")),
-        false => hash(service),
+/// The key of a cell: of the whole service, or of a part of a data centre's engines.
+pub(crate) fn cell_of(service: &str, part: Option<(&str, u64)>) -> CellKey {
+    CellKey(match part {
+        Some((data_centre, part)) => hash(&format!("{service}/{data_centre}/{part}")),
+        None => hash(service),
     })
 }
 
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -23,6 +23,7 @@
 mod intake;
 mod journey;
 mod key;
+mod layout;
 mod look;
 mod metadata;
 mod metrics;
--- a/crates/gateway/src/runs.rs
+++ b/crates/gateway/src/runs.rs
@@ -2,7 +2,7 @@
 
 use std::collections::HashMap;
 
-use fulmarpath_policy::{HostKey, RunKey, RunStatement};
+use fulmarpath_policy::{HostKey, RunKey, RunStatement, UpstreamKey};
 use fulmarpath_wire::{CarryAnswer, CellKey, Restatement};
 use parking_lot::Mutex;
 use tokio::sync::{mpsc, oneshot};
@@ -65,11 +65,16 @@
         self.entries.lock().remove(&run).map(|entry| entry.cell)
     }
 
-    /// All generations, by cell. A cell is stated once more after its last generation is over.
-    pub(crate) fn restatements(&self, host: HostKey) -> Vec<Restatement> {
+    /// All generations, by the cell that their engine is of now.
+    pub(crate) fn restatements(
+        &self,
+        host: HostKey,
+        cell_with: impl Fn(UpstreamKey) -> Option<CellKey>,
+    ) -> Vec<Restatement> {
         let mut by_cell: HashMap<CellKey, Vec<RunStatement>> = HashMap::new();
         for entry in self.entries.lock().values() {
-            by_cell.entry(entry.cell).or_default().push(entry.statement);
+            let cell = cell_with(entry.statement.engine).unwrap_or(entry.cell);
+            by_cell.entry(cell).or_default().push(entry.statement);
         }
         let cells = by_cell.into_iter();
         cells
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -236,9 +236,10 @@
 impl Ticket {
     fn new(gateway: Arc<Gateway>, inquiry: &Inquiry, id: &str) -> Self {
         let data_centre = &gateway.settings.host.data_centre;
+        let run = run_of(id);
         Self {
-            cell: gateway.cells.cell_for(&inquiry.service, data_centre),
-            run: run_of(id),
+            cell: gateway.cells.cell_for(&inquiry.service, data_centre, run),
+            run,
             gateway,
         }
     }
--- a/crates/policy/src/cell/mod.rs
+++ b/crates/policy/src/cell/mod.rs
@@ -13,7 +13,7 @@
 mod run;
 mod waiting;
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 pub use engine::{CellEngine, EngineFigures};
 pub use evacuation::{Carry, CarryEnd};
@@ -49,16 +49,15 @@
                 .and_modify(|engine| engine.update(now_ms, *one))
                 .or_insert_with(|| Engine::new(now_ms, *one));
         }
+        let there: BTreeSet<UpstreamKey> = registered.iter().map(|one| one.key).collect();
         for (key, engine) in &mut self.engines {
-            if !registered.iter().any(|one| one.key == *key) {
+            if !there.contains(key) {
                 engine.leave(now_ms);
             }
         }
         let runs = &self.runs;
         self.engines.retain(|key, engine| {
-            !engine.is_leaving()
-                || runs.values().any(|run| run.is_on(*key))
-                || registered.iter().any(|one| one.key == *key)
+            there.contains(key) || !engine.is_leaving() || runs.values().any(|run| run.is_on(*key))
         });
     }
 
@@ -122,6 +121,17 @@
         self.runs.retain(|_, run| is_present(run.host()));
     }
 
+    /// Whether it has neither engines nor generations.
+    pub fn is_idle(&self) -> bool {
+        self.engines.is_empty() && self.runs.is_empty()
+    }
+
+    /// Whether an engine leaves and still has generations.
+    pub fn is_leaving(&self, engine: UpstreamKey) -> bool {
+        let known = self.engines.get(&engine);
+        known.is_some_and(Engine::is_leaving) && self.runs_on(engine).next().is_some()
+    }
+
     /// Generations that are known.
     pub fn run_count(&self) -> usize {
         self.runs.len()
