--- a/crates/bench/src/cmd/decide.rs
+++ b/crates/bench/src/cmd/decide.rs
@@ -5,8 +5,9 @@
 
 use bpaf::Bpaf;
 use fulmarpath_policy::{
-    Ask, AskId, Candidate, EngineLoad, Home, HomeSettings, HostKey, Lengths, OrganisationKey,
-    ServiceKey, UpstreamKey, Weights, pick,
+    Ask, AskId, Candidate, Cell, CellEngine, EngineFigures, EngineLoad, Home, HomeSettings,
+    HostKey, Lengths, OrganisationKey, PlacementRequest, RunKey, RunStatement, ServiceKey,
+    UpstreamKey, Weights, pick,
 };
 use serde::Serialize;
 
@@ -29,6 +30,19 @@
     admission_ratio_to_pick: f64,
 }
 
+#[derive(Serialize)]
+struct CellRow {
+    engines: u64,
+    generations: u64,
+    waiting: u64,
+    place_us: f64,
+}
+
+/// Generations on each engine of a crowded cell.
+const GENERATIONS_EACH: u64 = 6;
+/// Requests that wait for room there.
+const WAITING: u64 = 20;
+
 struct Size {
     name: &'static str,
     engines_of_model: usize,
@@ -73,6 +87,38 @@
             };
             println!("{}", serde_json::to_string(&row).unwrap_or_default());
         }
+        for engines in [14, 48, 64, 128, 1_000] {
+            let row = CellRow {
+                engines,
+                generations: engines * GENERATIONS_EACH,
+                waiting: WAITING,
+                place_us: self.time_place(engines),
+            };
+            println!("{}", serde_json::to_string(&row).unwrap_or_default());
+        }
+    }
+
+    /// A placement in a crowded cell with requests that wait, and its end.
+    fn time_place(&self, engines: u64) -> f64 {
+        let mut cell = Cell::default();
+        let registered: Vec<CellEngine> = (0..engines).map(cell_engine).collect();
+        cell.set_engines(0, &registered);
+        let runs: Vec<RunStatement> = (0..engines * GENERATIONS_EACH)
+            .map(|run| statement(run, run % engines))
+            .collect();
+        cell.restate(0, HostKey(1), &runs);
+        for run in 0..WAITING {
+            let too_large_now = placement(1_000_000 + run, 20_000);
+            cell.place(0, &too_large_now);
+        }
+        let count = self.count.div_ceil(10);
+        let started = Instant::now();
+        for run in 0..u64::from(count) {
+            let run = 2_000_000 + run;
+            black_box(cell.place(1, &placement(run, 100)));
+            cell.end(RunKey(run));
+        }
+        started.elapsed().as_secs_f64() * 1e6 / f64::from(count)
     }
 
     fn time_pick(&self, size: &Size) -> f64 {
@@ -137,3 +183,47 @@
         started.elapsed().as_secs_f64() * 1e6 / f64::from(self.count)
     }
 }
+
+fn cell_engine(engine: u64) -> CellEngine {
+    CellEngine {
+        key: UpstreamKey(engine),
+        data_centre: engine % 4,
+        is_draining: false,
+        figures: EngineFigures {
+            memory_tokens: 24_000,
+            slots: 24,
+            token_bytes: 18_432,
+            link_mbps: 2_700.0,
+            copy_ttl_ms: 5_000,
+        },
+    }
+}
+
+fn statement(run: u64, engine: u64) -> RunStatement {
+    RunStatement {
+        run: RunKey(run),
+        engine: UpstreamKey(engine),
+        backup: None,
+        prompt_tokens: 3_000,
+        out_tokens: 200,
+        limit_tokens: 1_768,
+        hint_tokens: Some(500),
+    }
+}
+
+fn placement(run: u64, prompt_tokens: u32) -> PlacementRequest {
+    PlacementRequest {
+        run: RunKey(run),
+        host: HostKey(1),
+        data_centre: 1,
+        prompt_tokens,
+        limit_tokens: 40,
+        hint_tokens: None,
+        likeness: run,
+        priority: 1,
+        patience_ms: 1_800,
+        is_last_call: false,
+        without: Vec::new(),
+        can_back_up: false,
+    }
+}
--- a/crates/policy/src/division.rs
+++ b/crates/policy/src/division.rs
@@ -1,14 +1,15 @@
 //! How a service's engines are divided into cells, each with a home of its own.
 //!
-//! One home looks through all engines and generations of its cell at each placement, so its work
-//! grows with the square of the cell. Cells of a bounded size keep it constant, whatever the fleet,
+//! One home looks through all engines and generations of its cell at each placement, so its work a
+//! second grows with the square of the cell. Cells of a bounded size keep it constant, whatever the fleet,
 //! and spread the homes over as many hosts. By data centre first: moves within one are the short
 //! ones.
 
 use std::collections::BTreeMap;
 
-/// Engines of a cell at the most: some 60 placements a second and 400 generations, which a home
-/// looks through in some 20 us.
+/// Engines of a cell at the most. Crowded they have some 400 generations, and a placement takes its
+/// home 85 us (`fulmarpath-bench decide` on a busy machine; 1.35 ms with 1,000 engines), 80 times a
+/// second and some 300 times more for requests that wait.
 const CELL_ENGINES: usize = 64;
 /// A division stays until a part would have less than this share of it. Engines come and go, a
 /// sixth of them within seconds, and each change of the division makes all homes learn anew.
