--- a/crates/bench/src/reclaim/mod.rs
+++ b/crates/bench/src/reclaim/mod.rs
@@ -3,6 +3,7 @@
 
 mod engine;
 mod event;
+mod loss;
 mod request;
 mod row;
 mod transfer;
--- a/crates/bench/src/reclaim/world.rs
+++ b/crates/bench/src/reclaim/world.rs
@@ -3,36 +3,30 @@
 use fulmarpath_policy::{
     Cell, CellEngine, HostKey, Placement, PlacementRequest, RunKey, RunStatement, UpstreamKey,
 };
-use rand::{Rng, SeedableRng};
+use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
 
 use super::engine::{Engine, FIGURES, Job, Made};
 use super::event::{Agenda, Event};
+use super::loss;
 use super::request::{Asked, draw};
 use super::row::{Fared, Row, RowName, Tally};
 
 const HOST: HostKey = HostKey(1);
-const DATA_CENTRES: usize = 4;
+pub(super) const DATA_CENTRES: usize = 4;
 /// How the gateway's hosts wait for room, as they do.
 const WAIT_SHARE: f64 = 0.55;
 const ASK_AGAIN_US: u64 = 60_000;
 /// When a refused caller comes back, once.
 const COME_BACK_US: u64 = 1_200_000;
 const RESTATE_US: u64 = 1_000_000;
-/// The users' sheets: 17% of the engines each 3.3 s, others 4 s later.
-const RECLAIM_US: u64 = 3_300_000;
-const RECLAIMED_SHARE: f64 = 0.17;
-const NOTICE_US: std::ops::Range<u64> = 1_540_000..2_100_000;
-const BORN_AFTER_US: u64 = 4_000_000;
 /// From an engine's notice until its home has heard it, and until its report tells of it.
-const HEARD_US: u64 = 30_000;
+pub(super) const HEARD_US: u64 = 30_000;
 const LOOKED_US: u64 = 620_000;
 /// A pause over this makes a stream late.
 const GAP_TARGET_MS: f64 = 180.0;
 /// Tokens that come to a caller together.
 const EVENT_TOKENS: u32 = 4;
-/// A copy's way to go on after a crash.
-const RESUME_US: u64 = 20_000;
 /// What a caller's request is worth beyond this size is copied under [`RowName::CopyLargest`].
 const LARGE_TOKENS: u32 = 3_900;
 
@@ -59,8 +53,8 @@
     pub(super) stopped: Option<Job>,
     pub(super) is_over: bool,
     pub(super) has_moved: bool,
-    first_us: Option<u64>,
-    last_us: u64,
+    pub(super) first_us: Option<u64>,
+    pub(super) last_us: u64,
     longest_pause_ms: f64,
 }
 
@@ -70,11 +64,11 @@
     pub(super) agenda: Agenda,
     pub(super) cell: Cell,
     pub(super) engines: Vec<Engine>,
-    callers: Vec<Asked>,
+    pub(super) callers: Vec<Asked>,
     pub(super) tries: Vec<Try>,
     fared: Vec<Fared>,
     pub(super) tally: Tally,
-    rng: ChaCha8Rng,
+    pub(super) rng: ChaCha8Rng,
 }
 
 /// Plays a day.
@@ -125,7 +119,7 @@
         for caller in 0..self.callers.len() {
             self.come(caller, self.callers[caller].at_us);
         }
-        self.agenda.add(RECLAIM_US / 2, Event::Reclaim);
+        self.agenda.add(loss::RECLAIM_US / 2, Event::Reclaim);
         self.agenda.add(RESTATE_US, Event::Restate);
         self.next_crash();
         let end_us = (self.settings.duration_s * 1e6) as u64 + 30_000_000;
@@ -340,104 +334,6 @@
         }
     }
 
-    fn reclaim(&mut self) {
-        let open: Vec<usize> = self.open();
-        let count = (self.settings.engines as f64 * RECLAIMED_SHARE).round() as usize;
-        for engine in self.choose(open, count) {
-            let notice_us = self.rng.random_range(NOTICE_US);
-            self.engines[engine].gone_at_us = Some(self.now_us + notice_us);
-            self.after(HEARD_US, Event::Heard(engine));
-            self.after(notice_us, Event::Gone(engine));
-            self.after(BORN_AFTER_US, Event::Born);
-        }
-        self.after(RECLAIM_US, Event::Reclaim);
-    }
-
-    fn open(&self) -> Vec<usize> {
-        let all = self.engines.iter().enumerate();
-        let open = all.filter(|(_, one)| !one.is_gone && one.gone_at_us.is_none());
-        open.map(|(place, _)| place).collect()
-    }
-
-    fn choose(&mut self, mut from: Vec<usize>, count: usize) -> Vec<usize> {
-        let mut chosen = Vec::new();
-        while chosen.len() < count && !from.is_empty() {
-            let place = self.rng.random_range(0..from.len());
-            chosen.push(from.swap_remove(place));
-        }
-        chosen
-    }
-
-    fn next_crash(&mut self) {
-        if self.settings.crash_period_s > 0.0 {
-            let us = (self.settings.crash_period_s * 1e6) as u64;
-            self.after(us, Event::Crash);
-        }
-    }
-
-    fn crash(&mut self) {
-        let open = self.open();
-        for engine in self.choose(open, 1) {
-            self.gone(engine);
-            self.after(BORN_AFTER_US, Event::Born);
-        }
-        self.next_crash();
-    }
-
-    fn gone(&mut self, engine: usize) {
-        if self.engines[engine].is_gone {
-            return;
-        }
-        self.engines[engine].is_gone = true;
-        self.engines[engine].series += 1;
-        for run in self.engines[engine].clear() {
-            self.lose(run);
-        }
-        self.register();
-    }
-
-    /// A generation's engine is gone: it goes on from its copy, or is lost.
-    pub(super) fn lose(&mut self, run: usize) {
-        let one = self.tries[run];
-        let copy = one
-            .backup
-            .filter(|backup| !self.engines[*backup].is_gone && one.first_us.is_some());
-        let Some(backup) = copy else {
-            self.tally.lost += 1;
-            self.end(run);
-            return;
-        };
-        let asked = self.callers[one.caller];
-        let job = Job {
-            run,
-            prompt_tokens: asked.prompt_tokens,
-            out_tokens: self.copied_out(run, backup),
-            length_tokens: asked.length_tokens,
-            unread_tokens: 0,
-            is_long: asked.is_long,
-        };
-        self.tries[run].backup = None;
-        self.tries[run].engine = Some(backup);
-        self.tries[run].has_moved = true;
-        self.tries[run].last_us = self.tries[run]
-            .last_us
-            .max(self.now_us - RESUME_US.min(self.now_us));
-        self.engines[backup].resume(job);
-        self.kick(backup);
-    }
-
-    fn copied_out(&self, run: usize, backup: usize) -> u32 {
-        let prompt = self.callers[self.tries[run].caller].prompt_tokens;
-        let held = self.engines[backup].copied_tokens(run);
-        held.saturating_sub(prompt)
-    }
-
-    fn born(&mut self) {
-        let data_centre = self.engines.len() % DATA_CENTRES;
-        self.engines.push(Engine::new(data_centre as u64));
-        self.register();
-    }
-
     /// The home hears which engines are there.
     pub(super) fn register(&mut self) {
         let heard_us = self.now_us.saturating_sub(HEARD_US);
@@ -449,7 +345,7 @@
                 data_centre: one.data_centre,
                 is_draining: one
                     .gone_at_us
-                    .is_some_and(|gone_us| gone_us <= heard_us + NOTICE_US.end),
+                    .is_some_and(|gone_us| gone_us <= heard_us + loss::NOTICE_US.end),
                 figures: FIGURES,
             })
             .collect();
