Pass configurations on in a binary form

It goes whole from host to host, three times from each of the tree, over links of 10 Mbit/s; as JSON each copy took a third of a second and more.

Change: the same binary form as for the list of upstreams, a third of the bytes; a test holds that. Hosts of the code before can't read this form, as with the list.

--- a/crates/gateway/src/encoding.rs
+++ b/crates/gateway/src/encoding.rs
@@ -1,8 +1,9 @@
 //! How what hosts hold passes between them.
 //!
-//! Registrations change often, and every host hears of each change: their form is binary, some 45
-//! bytes each in place of 190 as JSON. Configurations change a few hundred times a day; theirs is
-//! JSON, which an engineer can read off a log.
+//! Registrations change often, and every host hears of each change: their form is binary, under 50
+//! bytes each in place of 190 as JSON. A configuration with 1,400 routes more goes whole from host
+//! to host over links of 10 Mbit/s, three times from each host of the tree: as JSON it was in force
+//! at the last of 81 hosts after 3.1 s, where 3 are allowed.
 
 use bincode::Options;
 use fulmarpath_wire::Holding;
@@ -22,8 +23,8 @@
 
 fn is_binary(holding: Holding) -> bool {
     match holding {
-        Holding::Upstreams => true,
-        Holding::Configuration | Holding::Blindness => false,
+        Holding::Upstreams | Holding::Configuration => true,
+        Holding::Blindness => false,
     }
 }
 
--- a/crates/gateway/src/peer.rs
+++ b/crates/gateway/src/peer.rs
@@ -57,7 +57,7 @@
         let held = match holding {
             Holding::Configuration => {
                 let held = self.gateway.in_force();
-                encode(holding, &held.map(|held| held.configuration.clone()))
+                held.map_or(Ok(Vec::new()), |held| encode(holding, &held.configuration))
             }
             Holding::Upstreams => encode(holding, &self.gateway.roster.lock().directory()),
             Holding::Blindness => Ok(Vec::new()),
--- a/crates/gateway/tests/directory.rs
+++ b/crates/gateway/tests/directory.rs
@@ -1,9 +1,12 @@
-//! The list of upstreams on its way between hosts.
+//! The list of upstreams and the configuration on their way between hosts.
 
 use std::net::SocketAddr;
 
 use bincode::Options;
-use fulmarpath_gateway::{Directory, DirectoryChange, RegisteredState, Registration};
+use fulmarpath_gateway::{
+    CallerLimits, Configuration, Directory, DirectoryChange, RegisteredState, Registration, Route,
+    RouteKind, Share,
+};
 
 fn registration(number: u64, state: RegisteredState) -> Registration {
     Registration {
@@ -60,3 +63,51 @@
     );
     assert!(bytes.len() / 40 < 50, "{}", bytes.len());
 }
+
+/// A configuration with very many routes goes whole from host to host over slow links, and has to
+/// be in force everywhere within seconds: its form comes back as it was, in a third of the bytes.
+#[test]
+fn a_large_configuration_is_short_and_whole() {
+    let routes = (0..1_500).map(|number| Route {
+        name: format!("r-{number:07}"),
+        host: "fiwu24.example".to_owned(),
+        path_prefix: format!("/zino{number}/"),
+        kind: RouteKind::Streaming,
+        timeout_ms: 39_000,
+        target_ms: 1_800,
+        gap_target_ms: Some(180),
+        priority: 1,
+        shares: vec![Share {
+            service: "lefi36a".to_owned(),
+            weight: 100,
+        }],
+        max_attempts: 1,
+        is_public: false,
+    });
+    let configuration = Configuration {
+        version: 10,
+        routes: routes.collect(),
+        services: Vec::new(),
+        limits: CallerLimits {
+            header_bytes: 16_384,
+            body_bytes: 65_536,
+            header_ms: 3_000,
+            idle_ms: 15_000,
+        },
+        organisations: Vec::new(),
+    };
+    let bytes = bincode::DefaultOptions::new()
+        .serialize(&configuration)
+        .expect("it is written");
+    let read: Configuration = bincode::DefaultOptions::new()
+        .deserialize(&bytes)
+        .expect("it is read");
+    assert_eq!(read, configuration);
+    let json = serde_json::to_vec(&configuration).expect("it is written");
+    assert!(
+        bytes.len() * 3 < json.len(),
+        "{} {}",
+        bytes.len(),
+        json.len()
+    );
+}
