Ask of a stream and of its generation's carry together what comes next

Cause: an engine's stream that ended while the stop of a carry was under way was put aside for the carry to explain. Where the carry then had stopped nothing (not there, busy, no room), the relay went on reading a source that was over, and its caller waited before a whole answer until its own time ran out. Ruled out: the engine (it had ended with 200) and the carry's calls (each is bounded).

While the carry is awaited the caller's time is watched as well.

--- a/crates/gateway/src/carry.rs
+++ b/crates/gateway/src/carry.rs
@@ -70,8 +70,8 @@
         self.to.address
     }
 
-    /// Whether the source has been told to stop the generation.
-    pub(crate) fn is_stopping(&self) -> bool {
+    /// Whether the long copy is at the destination.
+    pub(crate) fn has_copy(&self) -> bool {
         self.copy.is_some()
     }
 
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -31,10 +31,12 @@
 mod peer;
 mod problem;
 mod record;
+mod recovery;
 mod relay;
 mod roster;
 mod runs;
 mod serve;
+mod source;
 mod spread;
 mod stream;
 
--- /dev/null
+++ b/crates/gateway/src/recovery.rs
@@ -0,0 +1,126 @@
+//! How a generation goes on at another engine: after its own was told to stop it, or was lost.
+
+use std::net::SocketAddr;
+
+use fulmarpath_policy::{Millis, Verdict};
+use fulmarpath_wire::CarryAnswer;
+use spdlog::info;
+
+use crate::attempt::Terms;
+use crate::head::Continuation;
+use crate::instances::Destination;
+use crate::relay::{Relay, Stopped};
+use crate::source::{Heard, Source};
+
+/// A stopped engine closes its stream just before it answers; what was on its way is there within
+/// a way between data centres.
+const DRAIN_MS: Millis = 12;
+/// How often a generation may break and go on: each costs its caller a pause.
+const RECOVERIES: u32 = 3;
+
+impl Relay {
+    /// Goes on after an engine was lost: from the running copy of its memory, or from the copy that
+    /// a carry had made so far.
+    pub(crate) async fn recover(&mut self) -> bool {
+        self.source.flight.judge(Verdict::Failed);
+        self.recoveries += 1;
+        if self.recoveries > RECOVERIES {
+            return false;
+        }
+        let lost = self.source.engine();
+        self.gateway.doubt(self.ticket.cell, lost.upstream);
+        if let Some(carrying) = self.carrying.take() {
+            let went_on = match carrying.copied() {
+                Some((to, copy)) => self.go_on(&to, lost.address, &copy).await,
+                None => false,
+            };
+            if went_on {
+                carrying.answer(CarryAnswer::Moved);
+                return true;
+            }
+            carrying.abandon(CarryAnswer::Over);
+        }
+        let Some(backup) = self.backup.take() else {
+            return false;
+        };
+        let id = self.journey.id.clone();
+        self.go_on(&backup, backup.address, &id).await
+    }
+
+    /// Reads what a stopped engine still has on its way.
+    async fn drain(&mut self) {
+        let until_ms = self.gateway.clock.now_ms() + DRAIN_MS;
+        while self.handover.reads() {
+            let heard = self.source.hear(&mut self.events, until_ms, &self.gateway);
+            if !matches!(heard.await, Heard::Bytes) {
+                return;
+            }
+        }
+    }
+
+    /// Goes on with a generation that was stopped: at the destination, or again where it was, which
+    /// still has its memory.
+    pub(crate) async fn go_on_after_stop(&mut self) -> bool {
+        let Some(Stopped { to, copy }) = self.stopped.take() else {
+            return false;
+        };
+        self.drain().await;
+        let here = self.source.engine();
+        let has_moved = match to {
+            Some(to) => self.go_on(&to, here.address, &copy).await,
+            None => false,
+        };
+        let goes_on = has_moved || self.go_on(&here, here.address, &copy).await;
+        self.end_carry(match has_moved {
+            true => CarryAnswer::Moved,
+            false => CarryAnswer::Stayed,
+        });
+        goes_on
+    }
+
+    /// Asks an engine to go on from a copy; true where it does.
+    async fn go_on(&mut self, at: &Destination, source: SocketAddr, copy: &str) -> bool {
+        let now_ms = self.gateway.clock.now_ms();
+        let chosen = self.gateway.instances.take_again(now_ms, at.upstream);
+        let Some(chosen) = chosen else { return false };
+        let backup = self.backup.clone().filter(|backup| backup != at);
+        // A part of an event is of no use to the caller: the engine that goes on sends it whole.
+        self.events.take_rest();
+        let terms = Terms {
+            until_ms: self.inquiry.deadline_ms,
+            backup: backup.as_ref().map(|backup| backup.address),
+            continuation: Some(Continuation {
+                source,
+                copy: copy.to_owned(),
+                last_event: self.last_event,
+            }),
+        };
+        let gateway = self.gateway.clone();
+        let sent = gateway.dispatch(&self.inquiry, &mut self.journey, chosen, terms);
+        let answer = match sent.await {
+            Ok(answer) if answer.response.status().is_success() => answer,
+            Ok(_) | Err(_) => {
+                gateway.metrics.continuation("no");
+                return false;
+            }
+        };
+        gateway.metrics.continuation("yes");
+        self.has_just_moved = true;
+        info!(
+            "moves: request {} goes on at {} after event {:?}, {} ms",
+            self.journey.id,
+            answer.flight.chosen.instance,
+            self.last_event,
+            gateway.clock.now_ms().saturating_sub(now_ms)
+        );
+        self.source = Source::new(answer);
+        self.handover.restart();
+        self.backup = backup;
+        let backup = self.backup.as_ref().map(|backup| backup.upstream);
+        gateway.runs.update(self.ticket.run, |statement| {
+            statement.engine = at.upstream;
+            statement.backup = backup;
+        });
+        true
+    }
+}
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -1,35 +1,25 @@
 //! One generation on its way to its caller, on one engine after another if need be.
 
-use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::{Bytes, BytesMut};
-use fulmarpath_http::{BodyBroken, Connection};
-use fulmarpath_policy::{Millis, RunKey, Verdict};
+use fulmarpath_http::BodyBroken;
+use fulmarpath_policy::{CarryStep, Handover, Next, RunKey, StreamEnd, Verdict};
 use fulmarpath_wire::{CarryAnswer, CellKey};
-use http_body_util::BodyExt;
-use hyper::body::{Frame, Incoming};
 use spdlog::info;
 use tokio::sync::mpsc;
-use tokio::time::timeout;
+use tokio::time::sleep;
 
-use crate::attempt::{Answer, Terms};
+use crate::attempt::Answer;
 use crate::carry::{Carrying, Step};
 use crate::events::{Events, split};
 use crate::gateway::Gateway;
-use crate::head::Continuation;
 use crate::instances::Destination;
 use crate::intake::Inquiry;
-use crate::journey::{Flight, Journey};
-use crate::key::upstream_of;
+use crate::journey::Journey;
 use crate::runs::CarryOrder;
-
-/// A stopped engine closes its stream just before it answers; what was on its way is there within
-/// a way between data centres.
-const DRAIN_MS: Millis = 12;
-/// How often a generation may break and go on: each costs its caller a pause.
-const RECOVERIES: u32 = 3;
+use crate::source::{Heard, Source};
 
 /// Counts a generation at its cell's home until it is dropped.
 pub(crate) struct Ticket {
@@ -45,54 +35,36 @@
     }
 }
 
-/// The engine's side of a relay.
-struct Source {
-    flight: Flight,
-    body: Incoming,
-    _connection: Connection,
-    /// Nothing more comes from it.
-    is_over: bool,
-}
-
-impl Source {
-    fn new(answer: Answer) -> Self {
-        Self {
-            flight: answer.flight,
-            body: answer.response.into_body(),
-            _connection: answer.connection,
-            is_over: false,
-        }
-    }
-
-    fn address(&self) -> SocketAddr {
-        self.flight.chosen.address
-    }
-}
-
-/// What came from an engine.
-enum Heard {
-    Bytes,
-    End,
-    Broken,
-    Overdue,
+/// A generation that its engine has stopped.
+pub(crate) struct Stopped {
+    /// The engine that holds its memory; `None` where that is still its own.
+    pub(crate) to: Option<Destination>,
+    /// Names the memory.
+    pub(crate) copy: String,
 }
 
 /// One generation on its way to its caller.
 pub(crate) struct Relay {
-    gateway: Arc<Gateway>,
-    inquiry: Inquiry,
-    journey: Journey,
-    ticket: Ticket,
-    source: Source,
-    events: Events,
-    last_event: Option<u64>,
+    pub(crate) gateway: Arc<Gateway>,
+    pub(crate) inquiry: Inquiry,
+    pub(crate) journey: Journey,
+    pub(crate) ticket: Ticket,
+    pub(crate) source: Source,
+    pub(crate) events: Events,
+    /// The last event that has reached the caller.
+    pub(crate) last_event: Option<u64>,
     event_tokens: u32,
     orders: mpsc::Receiver<CarryOrder>,
-    carrying: Option<Carrying>,
-    backup: Option<Destination>,
-    recoveries: u32,
+    pub(crate) handover: Handover,
+    pub(crate) carrying: Option<Carrying>,
+    /// Set between a stop and the continuation after it.
+    pub(crate) stopped: Option<Stopped>,
+    pub(crate) backup: Option<Destination>,
+    pub(crate) recoveries: u32,
     /// The next event is the first from another engine.
-    has_just_moved: bool,
+    pub(crate) has_just_moved: bool,
+    /// The engine has ended its answer as it should.
+    is_whole: bool,
     status: u16,
 }
 
@@ -113,9 +85,12 @@
             source: Source::new(answer),
             events: Events::default(),
             last_event: None,
+            handover: Handover::default(),
             carrying: None,
+            stopped: None,
             recoveries: 0,
             has_just_moved: false,
+            is_whole: false,
             gateway,
             inquiry,
             journey,
@@ -129,41 +104,50 @@
         loop {
             match self.take_events() {
                 Ok(Some(events)) => return Some(Ok(events)),
+                Ok(None) if self.is_whole => return self.finish(),
                 Ok(None) => {}
                 Err(broken) => return Some(Err(self.give_up("stream_gap", broken))),
             }
-            let heard = tokio::select! {
-                heard = hear(&mut self.source, &mut self.events, self.inquiry.deadline_ms, &self.gateway),
-                    if !self.source.is_over => heard,
-                Some(order) = self.orders.recv(), if self.carrying.is_none() => {
-                    self.begin(order);
-                    continue;
-                }
-                step = Carrying::step(&mut self.carrying), if self.carrying.is_some() => {
-                    if self.advance(step).await {
-                        continue;
-                    }
-                    Heard::Broken
-                }
+            let Some(next) = self.step().await else {
+                return Some(Err(self.give_up("stream_overdue", BodyBroken)));
             };
-            match heard {
-                Heard::Bytes => {}
-                Heard::End if self.is_stopping() => self.source.is_over = true,
-                Heard::End => return self.finish(),
-                Heard::Overdue => return Some(Err(self.give_up("stream_overdue", BodyBroken))),
-                Heard::Broken if self.is_stopping() => self.source.is_over = true,
-                Heard::Broken => {
-                    if !self.recover().await {
-                        return Some(Err(self.give_up("stream_broken", BodyBroken)));
-                    }
+            let goes_on = match next {
+                Next::Read | Next::AwaitCarry => true,
+                Next::Finish => {
+                    self.is_whole = true;
+                    true
                 }
+                Next::GoOn => self.go_on_after_stop().await || self.recover().await,
+                Next::Recover => self.recover().await,
+            };
+            if !goes_on {
+                return Some(Err(self.give_up("stream_broken", BodyBroken)));
             }
         }
     }
 
-    /// Whether the engine has been told to stop the generation, whereupon it ends its stream.
-    fn is_stopping(&self) -> bool {
-        self.carrying.as_ref().is_some_and(Carrying::is_stopping)
+    /// Waits for whatever comes first; `None` where the caller's time ran out.
+    async fn step(&mut self) -> Option<Next> {
+        let until_ms = self.inquiry.deadline_ms;
+        let left_ms = until_ms.saturating_sub(self.gateway.clock.now_ms());
+        let reads = self.handover.reads();
+        let heard = tokio::select! {
+            heard = self.source.hear(&mut self.events, until_ms, &self.gateway), if reads => heard,
+            () = sleep(Duration::from_millis(left_ms)), if !reads => Heard::Overdue,
+            Some(order) = self.orders.recv(), if self.handover.may_begin() => {
+                self.begin(order);
+                Heard::Bytes
+            }
+            step = Carrying::step(&mut self.carrying), if self.carrying.is_some() => {
+                return Some(self.advance(step));
+            }
+        };
+        match heard {
+            Heard::Bytes => Some(Next::Read),
+            Heard::End => Some(self.handover.end(StreamEnd::Whole)),
+            Heard::Broken => Some(self.handover.end(StreamEnd::Broken)),
+            Heard::Overdue => None,
+        }
     }
 
     fn give_up(&mut self, outcome: &'static str, broken: BodyBroken) -> BodyBroken {
@@ -235,43 +219,39 @@
         let control = self.gateway.control.clone();
         let source = self.source.address();
         let id = self.journey.id.clone();
+        self.handover.begin();
         self.carrying = Some(Carrying::begin(control, source, id, order));
     }
 
-    /// Takes a step of a carry; false where the stream is broken by it.
-    async fn advance(&mut self, step: Step) -> bool {
-        match step {
-            Step::Copied => true,
-            Step::Stayed => self.end_carry(CarryAnswer::Stayed),
-            Step::Refused => self.end_carry(CarryAnswer::Refused),
-            Step::LeftBehind => self.end_carry(CarryAnswer::LeftBehind),
-            // Before the first event it still waits inside its engine, and there is no copy.
-            Step::NotThere if self.last_event.is_none() => self.end_carry(CarryAnswer::Stayed),
-            Step::NotThere => self.end_carry(CarryAnswer::LeftBehind),
+    /// Takes what a carry has come to.
+    fn advance(&mut self, step: Step) -> Next {
+        let answer = match step {
+            Step::Copied => return self.handover.step(CarryStep::Copied),
             Step::Stopped { to, copy } => {
-                self.drain().await;
-                let here = self.here();
-                // The destination has all of it; if it refuses, the source still has its memory.
-                let went_on = self.go_on(&to, self.source.address(), &copy).await;
-                let answer = match went_on {
-                    true => CarryAnswer::Moved,
-                    false => CarryAnswer::Stayed,
-                };
-                let goes_on = went_on || self.go_on(&here, here.address, &copy).await;
-                self.end_carry(answer);
-                goes_on
+                self.stopped = Some(Stopped { to: Some(to), copy });
+                return self.handover.step(CarryStep::Stopped);
             }
             Step::StoppedHere { copy } => {
-                self.drain().await;
-                let here = self.here();
-                let goes_on = self.go_on(&here, here.address, &copy).await;
-                self.end_carry(CarryAnswer::Stayed);
-                goes_on
+                self.stopped = Some(Stopped { to: None, copy });
+                return self.handover.step(CarryStep::Stopped);
             }
+            Step::Stayed => CarryAnswer::Stayed,
+            Step::Refused => CarryAnswer::Refused,
+            // Before the first event it still waits inside its engine, and there is no copy.
+            Step::NotThere if self.last_event.is_none() => CarryAnswer::Stayed,
+            Step::NotThere | Step::LeftBehind => CarryAnswer::LeftBehind,
+        };
+        let next = self.handover.step(CarryStep::NotStopped);
+        let has_copy = self.carrying.as_ref().is_some_and(Carrying::has_copy);
+        // An engine that was lost before it could stop the generation leaves the first copy, and
+        // there may be no other.
+        if next != Next::Recover || !has_copy {
+            self.end_carry(answer);
         }
+        next
     }
 
-    fn end_carry(&mut self, answer: CarryAnswer) -> bool {
+    pub(crate) fn end_carry(&mut self, answer: CarryAnswer) {
         if let Some(carrying) = self.carrying.take() {
             info!(
                 "moves: request {} to {}: {answer:?}",
@@ -280,96 +260,6 @@
             );
             carrying.answer(answer);
         }
-        true
-    }
-
-    fn here(&self) -> Destination {
-        Destination {
-            upstream: upstream_of(&self.source.flight.chosen.instance),
-            address: self.source.address(),
-        }
-    }
-
-    /// Reads what a stopped engine still has on its way.
-    async fn drain(&mut self) {
-        let until_ms = self.gateway.clock.now_ms() + DRAIN_MS;
-        while !self.source.is_over {
-            let heard = hear(&mut self.source, &mut self.events, until_ms, &self.gateway).await;
-            self.source.is_over = !matches!(heard, Heard::Bytes);
-        }
-    }
-
-    /// Goes on after an engine was lost: from the running copy of its memory, or from the copy that
-    /// a carry had made so far.
-    async fn recover(&mut self) -> bool {
-        self.source.flight.judge(Verdict::Failed);
-        self.recoveries += 1;
-        if self.recoveries > RECOVERIES {
-            return false;
-        }
-        let lost = self.here();
-        self.gateway.doubt(self.ticket.cell, lost.upstream);
-        if let Some(carrying) = self.carrying.take() {
-            let went_on = match carrying.copied() {
-                Some((to, copy)) => self.go_on(&to, lost.address, &copy).await,
-                None => false,
-            };
-            if went_on {
-                carrying.answer(CarryAnswer::Moved);
-                return true;
-            }
-            carrying.abandon(CarryAnswer::Over);
-        }
-        let Some(backup) = self.backup.take() else {
-            return false;
-        };
-        let id = self.journey.id.clone();
-        self.go_on(&backup, backup.address, &id).await
-    }
-
-    /// Asks an engine to go on from a copy; true where it does.
-    async fn go_on(&mut self, at: &Destination, source: SocketAddr, copy: &str) -> bool {
-        let now_ms = self.gateway.clock.now_ms();
-        let chosen = self.gateway.instances.take_again(now_ms, at.upstream);
-        let Some(chosen) = chosen else { return false };
-        let backup = self.backup.clone().filter(|backup| backup != at);
-        // A part of an event is of no use to the caller: the engine that goes on sends it whole.
-        self.events.take_rest();
-        let terms = Terms {
-            until_ms: self.inquiry.deadline_ms,
-            backup: backup.as_ref().map(|backup| backup.address),
-            continuation: Some(Continuation {
-                source,
-                copy: copy.to_owned(),
-                last_event: self.last_event,
-            }),
-        };
-        let gateway = self.gateway.clone();
-        let sent = gateway.dispatch(&self.inquiry, &mut self.journey, chosen, terms);
-        let answer = match sent.await {
-            Ok(answer) if answer.response.status().is_success() => answer,
-            Ok(_) | Err(_) => {
-                gateway.metrics.continuation("no");
-                return false;
-            }
-        };
-        gateway.metrics.continuation("yes");
-        self.has_just_moved = true;
-        info!(
-            "moves: request {} goes on at {} after event {:?}, {} ms",
-            self.journey.id,
-            answer.flight.chosen.instance,
-            self.last_event,
-            gateway.clock.now_ms().saturating_sub(now_ms)
-        );
-        self.source = Source::new(answer);
-        self.backup = backup;
-        let backup = self.backup.as_ref().map(|backup| backup.upstream);
-        gateway.runs.update(self.ticket.run, |statement| {
-            statement.engine = at.upstream;
-            statement.backup = backup;
-        });
-        true
     }
 }
 
@@ -381,28 +271,3 @@
         }
     }
 }
-
-async fn hear(
-    source: &mut Source,
-    events: &mut Events,
-    until_ms: Millis,
-    gateway: &Gateway,
-) -> Heard {
-    let left_ms = until_ms.saturating_sub(gateway.clock.now_ms());
-    let frame = timeout(Duration::from_millis(left_ms), source.body.frame()).await;
-    match frame {
-        Ok(Some(Ok(frame))) => {
-            push(events, &frame);
-            Heard::Bytes
-        }
-        Ok(None) => Heard::End,
-        Ok(Some(Err(_))) => Heard::Broken,
-        Err(_) => Heard::Overdue,
-    }
-}
-
-fn push(events: &mut Events, frame: &Frame<Bytes>) {
-    if let Some(data) = frame.data_ref() {
-        events.push(data);
-    }
-}
--- /dev/null
+++ b/crates/gateway/src/source.rs
@@ -0,0 +1,80 @@
+//! The engine's side of a relay: what comes from the engine that makes the generation now.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use fulmarpath_http::Connection;
+use fulmarpath_policy::Millis;
+use http_body_util::BodyExt;
+use hyper::body::{Bytes, Frame, Incoming};
+use tokio::time::timeout;
+
+use crate::attempt::Answer;
+use crate::events::Events;
+use crate::gateway::Gateway;
+use crate::instances::Destination;
+use crate::journey::Flight;
+use crate::key::upstream_of;
+
+/// What came from an engine.
+pub(crate) enum Heard {
+    Bytes,
+    End,
+    Broken,
+    Overdue,
+}
+
+/// The stream of the engine that makes the generation now.
+pub(crate) struct Source {
+    pub(crate) flight: Flight,
+    body: Incoming,
+    _connection: Connection,
+}
+
+impl Source {
+    pub(crate) fn new(answer: Answer) -> Self {
+        Self {
+            flight: answer.flight,
+            body: answer.response.into_body(),
+            _connection: answer.connection,
+        }
+    }
+
+    pub(crate) fn address(&self) -> SocketAddr {
+        self.flight.chosen.address
+    }
+
+    /// The engine, as one that the generation may go on at.
+    pub(crate) fn engine(&self) -> Destination {
+        Destination {
+            upstream: upstream_of(&self.flight.chosen.instance),
+            address: self.address(),
+        }
+    }
+
+    /// Waits for more of the stream.
+    pub(crate) async fn hear(
+        &mut self,
+        events: &mut Events,
+        until_ms: Millis,
+        gateway: &Gateway,
+    ) -> Heard {
+        let left_ms = until_ms.saturating_sub(gateway.clock.now_ms());
+        let frame = timeout(Duration::from_millis(left_ms), self.body.frame()).await;
+        match frame {
+            Ok(Some(Ok(frame))) => {
+                push(events, &frame);
+                Heard::Bytes
+            }
+            Ok(None) => Heard::End,
+            Ok(Some(Err(_))) => Heard::Broken,
+            Err(_) => Heard::Overdue,
+        }
+    }
+}
+
+fn push(events: &mut Events, frame: &Frame<Bytes>) {
+    if let Some(data) = frame.data_ref() {
+        events.push(data);
+    }
+}
