Read each entry of the store by itself

Cause: a page of registrations, and the answer to a watch, was read as one value. An entry that another writer left, with a missing field, another type or bytes that are no text, made all of it unreadable: no host learned of an upstream that came or left for as long as the entry stood. The same for the configuration and for the hosts' own entries.

Change: platform/entries reads the page without looking into its entries, then each by itself; what can't be read is named to the gateway (Unusable), which drops an upstream of that name at once, without the grace of one that lapsed with an outage. Entries must hold all that the platform's upstreams write; an unknown state, a name that can't stand in a head (the request could not say which instance it means) and an address of nobody are unusable too. A counter by kind, and a line of the log at most each 5 s. Names in the path of a next page are percent-encoded.

--- a/crates/gateway/src/fleet.rs
+++ b/crates/gateway/src/fleet.rs
@@ -103,6 +103,7 @@
             self.metrics.store_call("hosts", outcome(&listed));
             match listed {
                 Ok(listed) => {
+                    self.skip_of_list("the hosts", &listed);
                     let others = listed.items.into_iter().filter(|host| host.address != own);
                     for host in others {
                         tokio::spawn(self.clone().meet(host.address));
--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -91,14 +91,18 @@
                 continue;
             }
             let heard = match revision {
-                None => source.list().await.map(|all| (all.revision, all.items)),
+                None => source.list().await.map(|all| {
+                    self.skip_of_list("the configuration", &all);
+                    (all.revision, all.items)
+                }),
                 Some(seen) => source.watch(seen, WATCH_BOUND).await.map(|changes| {
+                    self.skip_of_changes("the configuration", &changes);
                     let puts = changes
                         .changes
                         .into_iter()
                         .filter_map(|change| match change {
                             Change::Put(configuration) => Some(configuration),
-                            Change::Gone(_) => None,
+                            Change::Gone(_) | Change::Unusable(_) => None,
                         });
                     (changes.revision, puts.collect())
                 }),
@@ -140,11 +144,16 @@
             let seen = self.roster.lock().revision();
             let heard = if is_listed {
                 let changes = source.watch(seen, WATCH_BOUND).await;
-                changes
-                    .map(|changes| self.roster_step(|roster, now_ms| roster.apply(now_ms, changes)))
+                changes.map(|changes| {
+                    self.skip_of_changes("the upstreams", &changes);
+                    self.roster_step(|roster, now_ms| roster.apply(now_ms, changes));
+                })
             } else {
                 let list = source.list().await;
-                list.map(|list| self.roster_step(|roster, now_ms| roster.replace(now_ms, list)))
+                list.map(|list| {
+                    self.skip_of_list("the upstreams", &list);
+                    self.roster_step(|roster, now_ms| roster.replace(now_ms, list));
+                })
             };
             self.metrics.store_call("upstreams", outcome(&heard));
             match heard {
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -27,6 +27,7 @@
 use crate::roster::Roster;
 use crate::runs::Runs;
 use crate::spread::Spread;
+use crate::unusable::Skipped;
 
 /// What a gateway must know of itself.
 #[derive(Debug, Clone)]
@@ -58,6 +59,7 @@
     pub(crate) duties: Duties,
     pub(crate) looks: Looks,
     pub(crate) spread: Spread,
+    pub(crate) skipped: Skipped,
     pub(crate) control: Arc<dyn EngineControl>,
     in_force: ArcSwapOption<InForce>,
     retries: Mutex<HashMap<String, RetryWindow>>,
@@ -85,6 +87,7 @@
             duties: Duties::default(),
             looks: Looks::default(),
             spread: Spread::default(),
+            skipped: Skipped::default(),
             control,
             dialect,
             metadata,
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -39,6 +39,7 @@
 mod source;
 mod spread;
 mod stream;
+mod unusable;
 
 pub use configuration::{
     CallerLimits, Configuration, EngineTraits, InForce, Organisation, Route, RouteKind, Service,
@@ -50,7 +51,9 @@
 pub use head::{
     AnswerHead, Continuation, Dialect, GenerationHead, HeadError, Outbound, PromptPart, RequestHead,
 };
-pub use metadata::{Change, Changes, Collection, HostRegistry, Metadata, Snapshot, StoreError};
+pub use metadata::{
+    Change, Changes, Collection, HostRegistry, Metadata, Snapshot, StoreError, Unusable,
+};
 pub use problem::Problem;
 pub use record::{Dispatch, REQUEST_PREFIX, RequestRecord, Size};
 pub use roster::Roster;
--- a/crates/gateway/src/metadata.rs
+++ b/crates/gateway/src/metadata.rs
@@ -37,6 +37,17 @@
     pub revision: u64,
     /// The objects.
     pub items: Vec<T>,
+    /// Objects among them that can't be used.
+    pub unusable: Vec<Unusable>,
+}
+
+/// An object that can't be read, or says what can't be.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Unusable {
+    /// Its name, where that can be read.
+    pub name: Option<String>,
+    /// Why.
+    pub reason: String,
 }
 
 /// One change of an object.
@@ -46,6 +57,8 @@
     Put(T),
     /// The object of this name is gone.
     Gone(String),
+    /// It was created or replaced by what can't be used.
+    Unusable(Unusable),
 }
 
 /// What changed since a revision.
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -46,6 +46,12 @@
     pub(crate) outcome: &'static str,
 }
 
+/// A kind of entries in the store.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub(crate) struct EntryLabels {
+    pub(crate) what: &'static str,
+}
+
 /// A service.
 #[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
 pub(crate) struct ServiceLabels {
@@ -75,6 +81,7 @@
     pub(crate) running_copies: Counter,
     pub(crate) stalls: Counter,
     pub(crate) store_calls: Family<StoreLabels, Counter>,
+    skipped_entries: Family<EntryLabels, Counter>,
     configuration_age_ms: Gauge,
     upstreams_age_ms: Gauge,
     upstreams: Gauge,
@@ -115,6 +122,9 @@
         let help =
             "Pauses over the route's target on one engine: it paused the generation, or its link";
         registry.register("stalls", help, stalls.clone());
+        let skipped_entries = Family::default();
+        let help = "Entries in the store that could not be used, each time they were read";
+        registry.register("skipped_entries", help, skipped_entries.clone());
         let store_calls = Family::default();
         let help = "Calls to the store by what they are for and their outcome";
         registry.register("store_calls", help, store_calls.clone());
@@ -137,6 +147,7 @@
             running_copies,
             stalls,
             store_calls,
+            skipped_entries,
             configuration_age_ms,
             upstreams_age_ms,
             upstreams,
@@ -166,6 +177,12 @@
         self.store_calls.get_or_create(&labels).inc();
     }
 
+    /// Counts entries of a kind that can't be used.
+    pub(crate) fn skip_entries(&self, what: &'static str, count: u64) {
+        let labels = EntryLabels { what };
+        self.skipped_entries.get_or_create(&labels).inc_by(count);
+    }
+
     /// The page for the collector of metrics.
     pub(crate) fn page(&self, readings: &Readings) -> String {
         self.configuration_age_ms.set(readings.configuration_age_ms);
--- a/crates/gateway/src/roster.rs
+++ b/crates/gateway/src/roster.rs
@@ -11,7 +11,7 @@
 use fulmarpath_policy::Millis;
 
 use crate::directory::{Directory, DirectoryChange, RegisteredState, Registration};
-use crate::metadata::{Change, Changes, Snapshot};
+use crate::metadata::{Change, Changes, Snapshot, Unusable};
 
 /// Upstreams that live are registered again within about two seconds of the store's return.
 const RETURN_MS: Millis = 2_200;
@@ -102,6 +102,9 @@
         for registration in listed.into_values() {
             changed |= self.put(registration);
         }
+        for unusable in &snapshot.unusable {
+            changed |= self.drop_unusable(unusable);
+        }
         changed
     }
 
@@ -116,6 +119,7 @@
         let snapshot = Snapshot {
             revision: directory.revision,
             items: directory.registrations,
+            unusable: Vec::new(),
         };
         let changed = self.replace(now_ms, snapshot);
         self.mark_lapsed(now_ms, &directory.lapsed);
@@ -161,6 +165,7 @@
             changed |= match change {
                 Change::Put(registration) => self.put(registration),
                 Change::Gone(name) => self.remove(now_ms, &name),
+                Change::Unusable(unusable) => self.drop_unusable(&unusable),
             };
         }
         changed
@@ -202,6 +207,13 @@
         held.is_none_or(|held| held.registration != entry.registration)
     }
 
+    /// An entry that can't be used names no upstream, whatever it said before. It has not lapsed with
+    /// the store's outage, so there is no grace.
+    fn drop_unusable(&mut self, unusable: &Unusable) -> bool {
+        let name = unusable.name.as_ref();
+        name.is_some_and(|name| self.entries.remove(name).is_some())
+    }
+
     fn remove(&mut self, now_ms: Millis, name: &str) -> bool {
         let Some(entry) = self.entries.get_mut(name) else {
             return false;
--- a/crates/gateway/tests/roster.rs
+++ b/crates/gateway/tests/roster.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 
 use fulmarpath_gateway::{
-    Change, Changes, Directory, RegisteredState, Registration, Roster, Snapshot,
+    Change, Changes, Directory, RegisteredState, Registration, Roster, Snapshot, Unusable,
 };
 use rstest::rstest;
 
@@ -26,6 +26,7 @@
         items: items
             .map(|name| registration(name, RegisteredState::Ready))
             .collect(),
+        unusable: Vec::new(),
     }
 }
 
@@ -96,7 +97,14 @@
 fn draining_upstreams_have_no_grace() {
     let mut roster = Roster::default();
     let items = vec![registration("i-1", RegisteredState::Draining)];
-    roster.replace(500, Snapshot { revision: 5, items });
+    roster.replace(
+        500,
+        Snapshot {
+            revision: 5,
+            items,
+            unusable: Vec::new(),
+        },
+    );
     roster.lost(1_000);
     roster.heard(6_000);
     roster.replace(6_000, snapshot(9, &[]));
@@ -140,3 +148,52 @@
     assert_eq!(names(&late), ["i-2", "i-3"]);
     assert!(!late.replace_by_peer(7, Directory::default()));
 }
+
+fn unusable(name: Option<&str>) -> Unusable {
+    Unusable {
+        name: name.map(str::to_owned),
+        reason: "not in our form".to_owned(),
+    }
+}
+
+struct Foreign {
+    /// The name of what another writer has left, where it has one.
+    name: Option<&'static str>,
+    /// It comes as a change; else it stands in the list.
+    is_change: bool,
+    left: &'static [&'static str],
+}
+
+/// Another writer leaves an entry that can't be used, over an upstream's own or beside it. It names no
+/// upstream from then on, also just after an outage of the store; the others hold.
+#[rstest]
+#[case::changed_over(Foreign { name: Some("i-1"), is_change: true, left: &["i-2"] })]
+#[case::listed_over(Foreign { name: Some("i-1"), is_change: false, left: &["i-2"] })]
+#[case::changed_beside(Foreign { name: Some("x"), is_change: true, left: &["i-1", "i-2"] })]
+#[case::listed_beside(Foreign { name: Some("x"), is_change: false, left: &["i-1", "i-2"] })]
+#[case::nameless_change(Foreign { name: None, is_change: true, left: &["i-1", "i-2"] })]
+#[case::nameless_listed(Foreign { name: None, is_change: false, left: &["i-1", "i-2"] })]
+fn what_cannot_be_used_names_no_upstream(#[case] case: Foreign) {
+    let mut roster = Roster::default();
+    roster.replace(500, snapshot(5, &["i-1", "i-2"]));
+    roster.lost(1_000);
+    roster.heard(6_000);
+    let foreign = unusable(case.name);
+    if case.is_change {
+        let changes = vec![Change::Unusable(foreign)];
+        roster.apply(
+            6_100,
+            Changes {
+                revision: 6,
+                changes,
+            },
+        );
+    } else {
+        let listed = Snapshot {
+            unusable: vec![foreign],
+            ..snapshot(6, case.left)
+        };
+        roster.replace(6_100, listed);
+    }
+    assert_eq!(names(&roster), case.left);
+}
