Tell an upstream's starts apart by when they began

Cause: an upstream may start again under its name, and then holds and knows nothing of before. Everything here was kept by the name alone: its load and failures, what ran there, copies and their names. Behind a cut nothing is reset, so the relays of its generations waited on silent connections until their callers' time ran out, though a running copy was elsewhere; its home carried generations off that were no longer there, and counted what that left behind.

Change: a registration bears the start's own moment of birth, and a key is the name and the birth together. The later start wins: roster drops words of an earlier one, and in a service whose upstreams state it an entry without is another writer's. An engine's own report counts before its entry. With a new start, requests and streams at the one before are lost at once (a token that relays, dispatches and whole answers wait on) and recovered as from a crash; copies there are neither used nor given up, since their names may be another generation's by now; the cell forgets its generations and copies.

--- a/crates/bench/src/cmd/decide.rs
+++ b/crates/bench/src/cmd/decide.rs
@@ -187,6 +187,7 @@
 fn cell_engine(engine: u64) -> CellEngine {
     CellEngine {
         key: UpstreamKey(engine),
+        name: engine,
         data_centre: engine % 4,
         is_draining: false,
         figures: EngineFigures {
--- a/crates/bench/src/reclaim/world.rs
+++ b/crates/bench/src/reclaim/world.rs
@@ -342,6 +342,7 @@
         let registered: Vec<CellEngine> = there
             .map(|(place, one)| CellEngine {
                 key: key_of(place),
+                name: key_of(place).0,
                 data_centre: one.data_centre,
                 is_draining: one
                     .gone_at_us
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -119,7 +119,15 @@
         };
         let request = self.outbound(inquiry, &flight.chosen, &terms);
         let left_ms = terms.until_ms.saturating_sub(self.clock.now_ms());
-        let exchanged = timeout(Duration::from_millis(left_ms), connection.exchange(request)).await;
+        let lost = flight.chosen.lost.clone();
+        let exchange = timeout(Duration::from_millis(left_ms), connection.exchange(request));
+        let exchanged = tokio::select! {
+            exchanged = exchange => exchanged,
+            () = lost.cancelled() => {
+                flight.judge(Verdict::Unheard);
+                return Err(Failure::Unknown);
+            }
+        };
         let response = match exchanged {
             Ok(Ok(response)) => response,
             Ok(Err(HttpError::Unreachable { .. })) => {
--- a/crates/gateway/src/carry.rs
+++ b/crates/gateway/src/carry.rs
@@ -13,7 +13,7 @@
 use crate::runs::CarryOrder;
 
 /// What a step of a carry has come to.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone)]
 pub(crate) enum Step {
     /// The long copy is there; the short one is under way.
     Copied,
@@ -111,6 +111,8 @@
                 None => call.await.map(|copied| copied.copy),
             };
             let is_free = match copy {
+                // What has that name there now is another generation's.
+                _ if to.is_lost() => true,
                 Ok(copy) => control.give_up(to.address, &copy).await,
                 Err(CopyError::NoRoom { .. } | CopyError::Busy | CopyError::NoSource) => true,
                 Err(CopyError::NotThere | CopyError::Unknown) => false,
--- a/crates/gateway/src/cells.rs
+++ b/crates/gateway/src/cells.rs
@@ -12,7 +12,7 @@
 use crate::configuration::{EngineTraits, InForce};
 use crate::control::EngineSight;
 use crate::directory::{Directory, RegisteredState, Registration};
-use crate::key::{centre_of, upstream_of};
+use crate::key::{centre_of, name_of, upstream_of};
 use crate::layout::{self, CellsByEngine};
 
 /// One cell and the service that it is of.
@@ -211,7 +211,8 @@
 
 fn engine(registration: &Registration, traits: &EngineTraits) -> CellEngine {
     CellEngine {
-        key: upstream_of(&registration.instance),
+        key: upstream_of(registration),
+        name: name_of(registration),
         data_centre: centre_of(&registration.data_centre),
         is_draining: registration.state == RegisteredState::Draining,
         figures: EngineFigures {
--- a/crates/gateway/src/control.rs
+++ b/crates/gateway/src/control.rs
@@ -45,6 +45,15 @@
     Unknown,
 }
 
+/// What an engine says when it is asked how it is.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct EngineLook {
+    /// When the start that answers began, in Unix milliseconds by its own clock.
+    pub born_ms: Option<Millis>,
+    /// How it is.
+    pub sight: EngineSight,
+}
+
 /// A copy at its destination.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Copied {
@@ -75,5 +84,5 @@
     /// have succeeded.
     async fn give_up(&self, holder: SocketAddr, copy: &str) -> bool;
     /// Asks an engine how it is, as of some hundred ms ago.
-    async fn look(&self, engine: SocketAddr) -> EngineSight;
+    async fn look(&self, engine: SocketAddr) -> EngineLook;
 }
--- a/crates/gateway/src/directory.rs
+++ b/crates/gateway/src/directory.rs
@@ -18,8 +18,12 @@
 /// One start of one upstream, as it registered itself.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Registration {
-    /// Unique to this start; an address may be used again by another upstream.
+    /// Its name, which stays where it starts again; an address may be used again by another upstream.
     pub instance: String,
+    /// When this start of it began, in Unix milliseconds by its own clock. A later start holds and
+    /// knows nothing of an earlier one, so the two together name what requests, generations and
+    /// copies are at.
+    pub born_ms: Option<Millis>,
     /// The service it belongs to.
     pub service: String,
     /// Where it listens.
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -195,7 +195,11 @@
         } = answer;
         let (parts, body) = response.into_parts();
         let left_ms = deadline_ms.saturating_sub(self.clock.now_ms());
-        let collected = timeout(Duration::from_millis(left_ms), body.collect()).await;
+        let lost = flight.chosen.lost.clone();
+        let collected = tokio::select! {
+            collected = timeout(Duration::from_millis(left_ms), body.collect()) => collected,
+            () = lost.cancelled() => return Err(Failure::Unknown),
+        };
         drop(connection);
         let body = match collected {
             Ok(Ok(body)) => body.to_bytes(),
--- a/crates/gateway/src/instances.rs
+++ b/crates/gateway/src/instances.rs
@@ -8,6 +8,8 @@
 };
 use parking_lot::Mutex;
 use slotmap::{SlotMap, new_key_type};
+use spdlog::info;
+use tokio_util::sync::CancellationToken;
 
 use crate::directory::{Directory, RegisteredState, Registration};
 use crate::key::upstream_of;
@@ -23,9 +25,24 @@
     gauge: Gauge,
     /// The upstream has said on a connection that it is leaving.
     is_leaving: bool,
+    /// Cancelled when it is known to have started again.
+    lost: CancellationToken,
 }
 
 impl Instance {
+    fn new(registration: Registration) -> Self {
+        Self {
+            registration,
+            gauge: Gauge::default(),
+            is_leaving: false,
+            lost: CancellationToken::new(),
+        }
+    }
+
+    fn is_start_of(&self, registration: &Registration) -> bool {
+        self.registration.born_ms == registration.born_ms
+    }
+
     fn takes_work(&self) -> bool {
         self.registration.state == RegisteredState::Ready && !self.is_leaving
     }
@@ -35,16 +52,39 @@
 #[derive(Debug, Clone)]
 pub(crate) struct Chosen {
     pub(crate) key: InstanceKey,
+    pub(crate) upstream: UpstreamKey,
     pub(crate) instance: String,
     pub(crate) address: SocketAddr,
+    /// Cancelled when the upstream has started again: what ran there is lost.
+    pub(crate) lost: CancellationToken,
     flight: FlightId,
 }
 
+impl Chosen {
+    /// The upstream, as an engine that a generation may go on at.
+    pub(crate) fn destination(&self) -> Destination {
+        Destination {
+            upstream: self.upstream,
+            address: self.address,
+            lost: self.lost.clone(),
+        }
+    }
+}
+
 /// An engine that a generation may go on at.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone)]
 pub(crate) struct Destination {
     pub(crate) upstream: UpstreamKey,
     pub(crate) address: SocketAddr,
+    lost: CancellationToken,
+}
+
+impl Destination {
+    /// The engine has started again: it holds nothing of before, and what has the name of a copy
+    /// there now is another's.
+    pub(crate) fn is_lost(&self) -> bool {
+        self.lost.is_cancelled()
+    }
 }
 
 #[derive(Debug, Default)]
@@ -55,6 +95,40 @@
     by_service: HashMap<String, Vec<InstanceKey>>,
 }
 
+impl Table {
+    /// Takes a registration; another start of an upstream takes the place of the one before.
+    ///
+    /// Its requests would wait on connections that may never end: an upstream that starts again
+    /// behind a cut resets nothing.
+    fn adopt(&mut self, registration: &Registration) -> InstanceKey {
+        let known = self.by_name.remove(&registration.instance);
+        if let Some(key) = known {
+            let one = &mut self.arena[key];
+            if one.is_start_of(registration) {
+                one.registration = registration.clone();
+                return key;
+            }
+            info!("upstreams: {} has started again", registration.instance);
+            one.lost.cancel();
+            self.arena.remove(key);
+        }
+        self.arena.insert(Instance::new(registration.clone()))
+    }
+
+    /// Counts a request at an upstream.
+    fn start(&mut self, now_ms: Millis, key: InstanceKey) -> Chosen {
+        let one = &mut self.arena[key];
+        Chosen {
+            key,
+            upstream: upstream_of(&one.registration),
+            instance: one.registration.instance.clone(),
+            address: one.registration.address,
+            lost: one.lost.clone(),
+            flight: one.gauge.start(now_ms),
+        }
+    }
+}
+
 /// The upstreams that this host may send to.
 #[derive(Debug)]
 pub(crate) struct Instances {
@@ -77,19 +151,8 @@
         let mut by_upstream = HashMap::new();
         let mut by_service: HashMap<String, Vec<InstanceKey>> = HashMap::new();
         for registration in &directory.registrations {
-            let known = table.by_name.remove(&registration.instance);
-            let key = match known {
-                Some(key) => {
-                    table.arena[key].registration = registration.clone();
-                    key
-                }
-                None => table.arena.insert(Instance {
-                    registration: registration.clone(),
-                    gauge: Gauge::default(),
-                    is_leaving: false,
-                }),
-            };
-            by_upstream.insert(upstream_of(&registration.instance), key);
+            let key = table.adopt(registration);
+            by_upstream.insert(upstream_of(registration), key);
             by_name.insert(registration.instance.clone(), key);
             let same = by_service.entry(registration.service.clone()).or_default();
             same.push(key);
@@ -126,13 +189,7 @@
             })
             .collect();
         let key = choose(&choices, draw)?;
-        let one = &mut table.arena[key];
-        Some(Chosen {
-            key,
-            instance: one.registration.instance.clone(),
-            address: one.registration.address,
-            flight: one.gauge.start(now_ms),
-        })
+        Some(table.start(now_ms, key))
     }
 
     /// Counts a request at the upstream that its home has chosen; `None` where this host knows that
@@ -155,13 +212,7 @@
     ) -> Option<Chosen> {
         let mut table = self.table.lock();
         let key = *table.by_upstream.get(&upstream)?;
-        let one = &mut table.arena[key];
-        may_take(one).then(|| Chosen {
-            key,
-            instance: one.registration.instance.clone(),
-            address: one.registration.address,
-            flight: one.gauge.start(now_ms),
-        })
+        may_take(&table.arena[key]).then(|| table.start(now_ms, key))
     }
 
     /// Where an upstream listens.
@@ -171,9 +222,17 @@
         Some(Destination {
             upstream,
             address: one.registration.address,
+            lost: one.lost.clone(),
         })
     }
 
+    /// The registration of an upstream's start.
+    pub(crate) fn registration(&self, upstream: UpstreamKey) -> Option<Registration> {
+        let table = self.table.lock();
+        let key = table.by_upstream.get(&upstream)?;
+        Some(table.arena[*key].registration.clone())
+    }
+
     /// A request to a chosen upstream is over.
     pub(crate) fn end(&self, now_ms: Millis, chosen: &Chosen, verdict: Verdict) {
         self.with(chosen.key, |one| {
--- a/crates/gateway/src/key.rs
+++ b/crates/gateway/src/key.rs
@@ -3,9 +3,19 @@
 use fulmarpath_policy::{ModelKey, RunKey, UpstreamKey};
 use fulmarpath_wire::CellKey;
 
+use crate::directory::Registration;
+
 /// The key of an upstream's start.
-pub(crate) fn upstream_of(instance: &str) -> UpstreamKey {
-    UpstreamKey::of(instance)
+pub(crate) fn upstream_of(registration: &Registration) -> UpstreamKey {
+    match registration.born_ms {
+        Some(born_ms) => UpstreamKey::of(&format!("{}/{born_ms}", registration.instance)),
+        None => UpstreamKey::of(&registration.instance),
+    }
+}
+
+/// The key of an upstream whatever its start.
+pub(crate) fn name_of(registration: &Registration) -> u64 {
+    hash(&registration.instance)
 }
 
 /// The key of a generation, from its caller's request.
--- a/crates/gateway/src/layout.rs
+++ b/crates/gateway/src/layout.rs
@@ -6,7 +6,7 @@
 use fulmarpath_wire::CellKey;
 
 use crate::directory::Registration;
-use crate::key::{cell_of, upstream_of};
+use crate::key::{cell_of, name_of};
 
 /// The cell of each engine.
 pub(crate) type CellsByEngine = HashMap<UpstreamKey, CellKey>;
@@ -31,7 +31,7 @@
         by_cell.insert(cell_of(service, None), Vec::new());
     }
     for one in registered {
-        let part = division.part_with(&one.data_centre, upstream_of(&one.instance).0);
+        let part = division.part_with(&one.data_centre, name_of(one));
         by_cell.entry(cell_of(service, part)).or_default().push(one);
     }
     by_cell
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -45,7 +45,7 @@
     CallerLimits, Configuration, EngineTraits, InForce, Organisation, Route, RouteKind, Service,
     Share,
 };
-pub use control::{Copied, CopyError, EngineControl, EngineSight};
+pub use control::{Copied, CopyError, EngineControl, EngineLook, EngineSight};
 pub use directory::{Directory, DirectoryChange, HostRegistration, RegisteredState, Registration};
 pub use gateway::{Gateway, GatewaySettings};
 pub use head::{
--- a/crates/gateway/src/look.rs
+++ b/crates/gateway/src/look.rs
@@ -16,6 +16,7 @@
 use spdlog::{info, warn};
 use tokio::time::sleep;
 
+use crate::control::EngineLook;
 use crate::gateway::Gateway;
 
 /// Between two looks at one engine for whatever reason. Reports are some 0.56 s old, so a notice is
@@ -72,13 +73,36 @@
         let Some(destination) = self.instances.find(engine) else {
             return;
         };
-        let sight = self.control.look(destination.address).await;
+        let look = self.control.look(destination.address).await;
+        if !self.is_word_of(engine, look) {
+            return;
+        }
+        let sight = look.sight;
         let now_ms = self.clock.now_ms();
         if self.cells.see(now_ms, cell, engine, sight) {
             info!("cells: {:016x} was looked at: {sight:?}", engine.0);
         }
     }
 
+    /// Whether what was heard is of the start that was asked. A later one makes itself known by it; an
+    /// earlier one's word was late.
+    fn is_word_of(&self, engine: UpstreamKey, look: EngineLook) -> bool {
+        let known = self.instances.registration(engine);
+        let Some((known, heard_ms)) = known.zip(look.born_ms) else {
+            return true;
+        };
+        let Some(known_ms) = known.born_ms else {
+            return true;
+        };
+        if heard_ms > known_ms {
+            let mut roster = self.roster.lock();
+            if roster.see_birth(&known.instance, heard_ms) {
+                self.adopt_directory(&roster.directory());
+            }
+        }
+        heard_ms == known_ms
+    }
+
     /// Looks at the engines of this host's cells while their registrations can't tell who leaves, and
     /// at those that could not be reached.
     pub(crate) async fn look_around(self: Arc<Self>) {
--- a/crates/gateway/src/recovery.rs
+++ b/crates/gateway/src/recovery.rs
@@ -83,7 +83,8 @@
         let now_ms = self.gateway.clock.now_ms();
         let chosen = self.gateway.instances.take_again(now_ms, at.upstream);
         let Some(chosen) = chosen else { return false };
-        let backup = self.backup.clone().filter(|backup| backup != at);
+        let backup = self.backup.clone();
+        let backup = backup.filter(|backup| backup.upstream != at.upstream && !backup.is_lost());
         // A part of an event is of no use to the caller: the engine that goes on sends it whole.
         self.events.take_rest();
         let terms = Terms {
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -131,9 +131,11 @@
         let until_ms = self.inquiry.deadline_ms;
         let left_ms = until_ms.saturating_sub(self.gateway.clock.now_ms());
         let reads = self.handover.reads();
+        let lost = self.source.flight.chosen.lost.clone();
         let heard = tokio::select! {
             heard = self.source.hear(&mut self.events, until_ms, &self.gateway), if reads => heard,
             () = sleep(Duration::from_millis(left_ms)), if !reads => Heard::Overdue,
+            () = lost.cancelled(), if reads => Heard::Broken,
             Some(order) = self.orders.recv(), if self.handover.may_begin() => {
                 self.begin(order);
                 Heard::Bytes
--- a/crates/gateway/src/roster.rs
+++ b/crates/gateway/src/roster.rs
@@ -6,7 +6,7 @@
 //! the store was away are therefore kept for [`RETURN_MS`] after its return; what is missing then
 //! is gone. An upstream that said it is draining gets no grace.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 
 use fulmarpath_policy::Millis;
 
@@ -33,6 +33,8 @@
     heard_ms: Millis,
     lost_at_ms: Option<Millis>,
     grace_until_ms: Millis,
+    /// Services whose upstreams state when they were started.
+    stating_births: HashSet<String>,
 }
 
 impl Roster {
@@ -197,8 +199,46 @@
         }
     }
 
+    /// An upstream says itself that it has started again; true where that was not known.
+    ///
+    /// Its entry may still be the one of before: what it says on a connection comes first.
+    pub fn see_birth(&mut self, instance: &str, born_ms: Millis) -> bool {
+        let Some(entry) = self.entries.get_mut(instance) else {
+            return false;
+        };
+        if entry
+            .registration
+            .born_ms
+            .is_none_or(|held| held >= born_ms)
+        {
+            return false;
+        }
+        entry.registration.born_ms = Some(born_ms);
+        entry.registration.state = RegisteredState::Ready;
+        true
+    }
+
+    /// Takes an entry, unless it is of an earlier start than the one that is known: words of the
+    /// start before may come late, by a peer or by an entry that the new one has not replaced yet.
     fn put(&mut self, registration: Registration) -> bool {
         let name = registration.instance.clone();
+        match registration.born_ms {
+            Some(born_ms) => {
+                let held = self.entries.get(&name);
+                let held_ms = held.and_then(|held| held.registration.born_ms);
+                if held_ms.is_some_and(|held_ms| born_ms < held_ms) {
+                    return false;
+                }
+                if !self.stating_births.contains(&registration.service) {
+                    self.stating_births.insert(registration.service.clone());
+                }
+            }
+            // Where upstreams state it, an entry without it is from another writer.
+            None if self.stating_births.contains(&registration.service) => {
+                return self.entries.remove(&name).is_some();
+            }
+            None => {}
+        }
         let entry = Entry {
             registration,
             is_missing: false,
--- a/crates/gateway/src/source.rs
+++ b/crates/gateway/src/source.rs
@@ -14,7 +14,6 @@
 use crate::gateway::Gateway;
 use crate::instances::Destination;
 use crate::journey::Flight;
-use crate::key::upstream_of;
 
 /// What came from an engine.
 pub(crate) enum Heard {
@@ -46,10 +45,7 @@
 
     /// The engine, as one that the generation may go on at.
     pub(crate) fn engine(&self) -> Destination {
-        Destination {
-            upstream: upstream_of(&self.flight.chosen.instance),
-            address: self.address(),
-        }
+        self.flight.chosen.destination()
     }
 
     /// Waits for more of the stream.
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -18,7 +18,7 @@
 use crate::instances::{Chosen, Destination};
 use crate::intake::Inquiry;
 use crate::journey::Journey;
-use crate::key::{centre_of, run_of, upstream_of};
+use crate::key::{centre_of, run_of};
 use crate::problem::Problem;
 use crate::relay::{Relay, Ticket};
 
@@ -89,7 +89,7 @@
             journey.placed(self.clock.now_ms());
             self.runs
                 .place(ticket.cell, statement(inquiry, ticket, &start));
-            let engine = upstream_of(&start.chosen.instance);
+            let engine = start.chosen.upstream;
             let terms = Terms {
                 until_ms: inquiry.deadline_ms,
                 backup: start.backup.as_ref().map(|backup| backup.address),
@@ -133,8 +133,7 @@
         journey: &mut Journey,
         tried: &[Chosen],
     ) -> Result<Option<Start>, Problem> {
-        let mut without: Vec<UpstreamKey> =
-            tried.iter().map(|one| upstream_of(&one.instance)).collect();
+        let mut without: Vec<UpstreamKey> = tried.iter().map(|one| one.upstream).collect();
         let wait_ms = (inquiry.route.target_ms as f32 * WAIT_SHARE) as Millis;
         let until_ms = inquiry.deadline_ms.min(journey.arrived_ms + wait_ms);
         loop {
@@ -224,7 +223,7 @@
     let generation = inquiry.generation.clone().unwrap_or_default();
     RunStatement {
         run: ticket.run,
-        engine: upstream_of(&start.chosen.instance),
+        engine: start.chosen.upstream,
         backup: start.backup.as_ref().map(|backup| backup.upstream),
         prompt_tokens: generation.prompt_tokens,
         out_tokens: 0,
--- a/crates/gateway/tests/directory.rs
+++ b/crates/gateway/tests/directory.rs
@@ -11,6 +11,7 @@
 fn registration(number: u64, state: RegisteredState) -> Registration {
     Registration {
         instance: format!("i-{number:010x}"),
+        born_ms: None,
         service: "lefi36a".to_owned(),
         address: SocketAddr::from(([10, 1, 67, 233], 8_007)),
         data_centre: "zrh-a".to_owned(),
--- a/crates/gateway/tests/roster.rs
+++ b/crates/gateway/tests/roster.rs
@@ -10,6 +10,7 @@
 fn registration(instance: &str, state: RegisteredState) -> Registration {
     Registration {
         instance: instance.to_owned(),
+        born_ms: None,
         service: "portal".to_owned(),
         address: SocketAddr::from(([127, 0, 0, 1], 1)),
         data_centre: "dc-a".to_owned(),
@@ -197,3 +198,60 @@
     }
     assert_eq!(names(&roster), case.left);
 }
+
+fn born(instance: &str, born_ms: Option<u64>) -> Registration {
+    Registration {
+        born_ms,
+        ..registration(instance, RegisteredState::Ready)
+    }
+}
+
+struct Birth {
+    held_ms: Option<u64>,
+    /// What the next entry of the same name says.
+    next_ms: Option<u64>,
+    /// What is known then; `None` where there is no such upstream any more.
+    known: Option<Option<u64>>,
+}
+
+/// An upstream starts again under its name, and entries of its starts come in any order: the later
+/// start is the one that counts. Where upstreams state their starts, an entry that doesn't is from
+/// another writer.
+#[rstest]
+#[case::again(Birth { held_ms: Some(5), next_ms: Some(9), known: Some(Some(9)) })]
+#[case::late_word(Birth { held_ms: Some(9), next_ms: Some(5), known: Some(Some(9)) })]
+#[case::same_start(Birth { held_ms: Some(9), next_ms: Some(9), known: Some(Some(9)) })]
+#[case::foreign(Birth { held_ms: Some(9), next_ms: None, known: None })]
+#[case::begins_to_state(Birth { held_ms: None, next_ms: Some(9), known: Some(Some(9)) })]
+#[case::states_never(Birth { held_ms: None, next_ms: None, known: Some(None) })]
+fn the_latest_start_counts(#[case] case: Birth) {
+    let mut roster = Roster::default();
+    let put = |roster: &mut Roster, revision, born_ms| {
+        let changes = vec![Change::Put(born("i-1", born_ms))];
+        roster.apply(revision, Changes { revision, changes })
+    };
+    put(&mut roster, 1, case.held_ms);
+    put(&mut roster, 2, case.next_ms);
+    let registrations = roster.directory().registrations;
+    let known = registrations.first().map(|one| one.born_ms);
+    assert_eq!(known, case.known);
+}
+
+/// An upstream says itself that it has started again, before its entry does. The entry of before is
+/// late then.
+#[test]
+fn its_own_word_comes_before_its_entry() {
+    let mut roster = Roster::default();
+    let listed = |revision, born_ms| Snapshot {
+        revision,
+        items: vec![born("i-1", Some(born_ms))],
+        unusable: Vec::new(),
+    };
+    roster.replace(0, listed(1, 5));
+    assert!(roster.see_birth("i-1", 9));
+    assert!(!roster.see_birth("i-1", 9), "that is known");
+    assert!(!roster.see_birth("i-1", 5), "that was before");
+    assert!(!roster.see_birth("i-2", 9), "there is no such upstream");
+    roster.replace(1, listed(2, 5));
+    assert_eq!(roster.directory().registrations[0].born_ms, Some(9));
+}
--- a/crates/policy/src/cell/engine.rs
+++ b/crates/policy/src/cell/engine.rs
@@ -41,8 +41,10 @@
 /// An engine as it is registered.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct CellEngine {
-    /// Its key.
+    /// Its key, of this start of it.
     pub key: UpstreamKey,
+    /// Its name, hashed, which stays where it starts again.
+    pub name: u64,
     /// Its data centre, hashed.
     pub data_centre: u64,
     /// Whether it takes nothing new.
--- a/crates/policy/src/cell/mod.rs
+++ b/crates/policy/src/cell/mod.rs
@@ -44,6 +44,7 @@
     /// leaving: some engines go without a word and serve on for a while.
     pub fn set_engines(&mut self, now_ms: Millis, registered: &[CellEngine]) {
         for one in registered {
+            self.forget_earlier(one);
             let known = self.engines.entry(one.key);
             known
                 .and_modify(|engine| engine.update(now_ms, *one))
@@ -61,6 +62,29 @@
         });
     }
 
+    /// What was at an earlier start of an engine is lost: its generations, and the copies there.
+    ///
+    /// Taken for an engine that is leaving, it would have its generations carried off one after the
+    /// other, each of which comes back as not there, and what is then believed to be left behind of
+    /// each holds room at a destination for seconds. The hosts that relay them go on elsewhere, and
+    /// state where.
+    fn forget_earlier(&mut self, one: &CellEngine) {
+        let is_earlier = |engine: &Engine| {
+            let entry = engine.entry;
+            entry.name == one.name && entry.key != one.key
+        };
+        let mut engines = self.engines.values();
+        let Some(earlier) = engines.find(|engine| is_earlier(engine)) else {
+            return;
+        };
+        let lost = earlier.entry.key;
+        self.engines.remove(&lost);
+        self.runs.retain(|_, run| !run.is_on(lost));
+        for run in self.runs.values_mut() {
+            run.lose_copies(lost);
+        }
+    }
+
     /// All engines, and whether each could not be reached lately.
     pub fn engines(&self) -> impl Iterator<Item = (UpstreamKey, bool)> {
         let engines = self.engines.values();
--- a/crates/policy/src/cell/run.rs
+++ b/crates/policy/src/cell/run.rs
@@ -124,6 +124,12 @@
         }
     }
 
+    /// An engine has lost what it held of others' generations.
+    pub(super) fn lose_copies(&mut self, lost: UpstreamKey) {
+        self.backup = self.backup.filter(|backup| *backup != lost);
+        self.moving_to = self.moving_to.filter(|to| *to != lost);
+    }
+
     pub(super) fn is_on(&self, engine: UpstreamKey) -> bool {
         self.engine == engine
     }
--- a/crates/policy/tests/cell.rs
+++ b/crates/policy/tests/cell.rs
@@ -19,6 +19,7 @@
 
 fn engine(key: u64, data_centre: u64, is_draining: bool) -> CellEngine {
     CellEngine {
+        name: key,
         key: UpstreamKey(key),
         data_centre,
         is_draining,
@@ -552,3 +553,32 @@
     let carry = cell.next_carry(30, UpstreamKey(1));
     assert_eq!(carry.map(|carry| carry.run.0), Some(1));
 }
+
+/// An engine starts again under its name: what ran there is lost with the start before, and so is the
+/// running copy of another's. The home neither carries it off nor counts it, and the new start is as
+/// empty as it is; a late word of the lost generation's end changes nothing.
+#[test]
+fn what_was_at_an_earlier_start_is_forgotten() {
+    let engines = [engine(1, NEAR, false), engine(2, NEAR, false)];
+    let mut cell = cell(&engines);
+    let placed = cell.place(0, &request(1, 3_000, 900, 800));
+    let Placement::On { engine: first, .. } = placed else {
+        panic!("{placed:?}");
+    };
+    cell.place(0, &request(2, 3_000, 900, 800));
+    let again = CellEngine {
+        key: UpstreamKey(first.0 + 10),
+        ..engine(first.0, NEAR, false)
+    };
+    let other = engine(3 - first.0, NEAR, false);
+    cell.set_engines(2_000, &[again, other]);
+    assert_eq!(cell.run_count(), 1);
+    assert!(cell.leaving().is_empty());
+    assert!(!cell.is_leaving(first));
+    cell.end(RunKey(1));
+    let next = cell.place(2_000, &request(3, 3_000, 900, 800));
+    assert!(
+        matches!(next, Placement::On { engine, seen, .. } if engine == again.key && seen.running == 0),
+        "{next:?}"
+    );
+}
