Let streams that may be resumed go on at another engine

Cause: the operator's word that a stream may be resumed wasn't read. A short answer whose engine broke off, failed or crashed before its first event was lost to its caller, though it does no harm to run it again; a caller who came back for the rest of a broken stream lost it again where the second engine broke off too.

Change: such a route counts as idempotent. Before the first event and after a break the stream goes on at another engine behind the last event that the caller has, inside the same answer with the first engine's head and signature, within the route's attempts, the caller's time and the bound on retries; from a copy of its memory where there is one. What may not be resumed still runs once at most. An engine's own failure is kept and passed on where no other is found, and nothing that may have run is said not to have run. Where a generation starts stands in start.rs now, apart from the passing on of its stream.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -42,8 +42,10 @@
     pub(crate) until_ms: Millis,
     /// The engine that keeps a running copy.
     pub(crate) backup: Option<SocketAddr>,
-    /// Set where the generation began elsewhere.
+    /// Set where the generation goes on from a copy of its memory.
     pub(crate) continuation: Option<Continuation>,
+    /// The event behind which a stream that began elsewhere goes on.
+    pub(crate) last_event: Option<u64>,
 }
 
 /// Why a dispatch has no answer.
@@ -184,6 +186,7 @@
             organisation: inquiry.organisation.clone(),
             backup: terms.backup,
             continuation: terms.continuation.clone(),
+            last_event: terms.last_event,
         };
         let mut request = Request::new(Full::new(inquiry.body.clone()));
         *request.method_mut() = inquiry.method.clone();
--- a/crates/gateway/src/configuration.rs
+++ b/crates/gateway/src/configuration.rs
@@ -46,6 +46,9 @@
     pub priority: u8,
     /// The services that answer, by weight.
     pub shares: Vec<Share>,
+    /// Whether a stream of its may be run again, and go on elsewhere behind the last event that its
+    /// caller has.
+    pub can_resume: bool,
     /// Upstreams that may run one request of a caller.
     pub max_attempts: u32,
     /// Whether a key isn't asked for.
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -90,7 +90,6 @@
         inquiry: &Inquiry,
         journey: &mut Journey,
     ) -> Result<Whole, Problem> {
-        let is_idempotent = inquiry.route.kind == RouteKind::Idempotent;
         let mut tried = Vec::new();
         let mut runs = 0;
         let mut unrun = 0;
@@ -116,7 +115,7 @@
                 .choose(now_ms, &inquiry.service, &tried, draw);
             let Some(chosen) = chosen else { break };
             tried.push(chosen.key);
-            let may_run_again = is_idempotent && runs + 1 < inquiry.route.max_attempts;
+            let may_run_again = inquiry.may_run_again(runs + 1);
             let until_ms = self.until_ms(inquiry, now_ms, may_run_again);
             let outcome = self.try_once(inquiry, journey, chosen, until_ms).await;
             let failure = match outcome {
@@ -144,16 +143,14 @@
                 Failure::Overdue => Problem::Timeout,
                 _ => Problem::Broken,
             };
-            if !is_idempotent || runs >= inquiry.route.max_attempts {
+            if !inquiry.may_run_again(runs) {
                 break;
             }
         }
         match failed_answer {
             Some(whole) => Ok(whole),
             // A request that may have run must never be said not to have run.
-            None if runs > 0 && problem.status() == StatusCode::SERVICE_UNAVAILABLE => {
-                Err(Problem::Broken)
-            }
+            None if runs > 0 && problem.says_not_run() => Err(Problem::Broken),
             None => Err(problem),
         }
     }
--- a/crates/gateway/src/head.rs
+++ b/crates/gateway/src/head.rs
@@ -40,6 +40,8 @@
     pub api_key: Option<String>,
     /// Present where a generation is asked for.
     pub generation: Option<GenerationHead>,
+    /// The last event that the caller has, of a stream that broke off.
+    pub last_event: Option<u64>,
 }
 
 /// A request's head can't be used.
@@ -63,8 +65,6 @@
     pub source: SocketAddr,
     /// Names the copy there.
     pub copy: String,
-    /// The last event that has reached the caller.
-    pub last_event: Option<u64>,
 }
 
 /// What is told to an upstream beside the caller's own request.
@@ -78,8 +78,10 @@
     pub organisation: Option<String>,
     /// The engine where a running copy of the generation's memory is kept.
     pub backup: Option<SocketAddr>,
-    /// Set where the generation began elsewhere.
+    /// Set where the generation goes on from a copy of its memory.
     pub continuation: Option<Continuation>,
+    /// The event behind which a stream that began elsewhere goes on.
+    pub last_event: Option<u64>,
 }
 
 /// What the head of an upstream's answer says.
--- a/crates/gateway/src/intake.rs
+++ b/crates/gateway/src/intake.rs
@@ -14,7 +14,7 @@
 use tokio::time::timeout;
 use xxhash_rust::xxh3::Xxh3;
 
-use crate::configuration::{InForce, Route};
+use crate::configuration::{InForce, Route, RouteKind};
 use crate::gateway::Gateway;
 use crate::head::{GenerationHead, HeadError};
 use crate::hop;
@@ -32,6 +32,8 @@
     /// The organisation's rank, or else the route's; 0 is the most urgent.
     pub(crate) priority: u8,
     pub(crate) generation: Option<GenerationHead>,
+    /// The last event that the caller has, where the stream may be resumed.
+    pub(crate) last_event: Option<u64>,
     pub(crate) method: Method,
     pub(crate) uri: Uri,
     pub(crate) headers: HeaderMap,
@@ -41,6 +43,16 @@
 }
 
 impl Inquiry {
+    /// Whether it may run again after it has run `runs` times.
+    pub(crate) fn may_run_again(&self, runs: u32) -> bool {
+        let is_repeatable = match self.route.kind {
+            RouteKind::Idempotent => true,
+            RouteKind::NonIdempotent => false,
+            RouteKind::Streaming => self.route.can_resume,
+        };
+        is_repeatable && runs < self.route.max_attempts
+    }
+
     /// What stays the same where its caller tries again: whose it is, what it asks for, its body.
     pub(crate) fn likeness(&self) -> u64 {
         let mut hasher = Xxh3::new();
@@ -107,6 +119,7 @@
                 .and_then(|holder| holder.priority)
                 .unwrap_or(route.priority),
             generation: head.generation,
+            last_event: head.last_event.filter(|_| route.can_resume),
             method: parts.method,
             uri: parts.uri,
             headers,
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -38,6 +38,7 @@
 mod serve;
 mod source;
 mod spread;
+mod start;
 mod stream;
 mod unusable;
 
--- a/crates/gateway/src/problem.rs
+++ b/crates/gateway/src/problem.rs
@@ -68,6 +68,11 @@
         }
     }
 
+    /// Whether it promises that the request has not run and never will.
+    pub(crate) fn says_not_run(self) -> bool {
+        self.status() == StatusCode::SERVICE_UNAVAILABLE
+    }
+
     /// Its name on metrics and log lines.
     pub fn name(self) -> &'static str {
         match self {
--- a/crates/gateway/src/recovery.rs
+++ b/crates/gateway/src/recovery.rs
@@ -6,11 +6,12 @@
 use fulmarpath_wire::CarryAnswer;
 use spdlog::info;
 
-use crate::attempt::Terms;
+use crate::attempt::{Answer, Terms};
 use crate::head::Continuation;
 use crate::instances::Destination;
 use crate::relay::{Relay, Stopped};
 use crate::source::{Heard, Source};
+use crate::start::Started;
 
 /// A stopped engine closes its stream just before it answers; what was on its way is there within
 /// a way between data centres.
@@ -40,11 +41,52 @@
             }
             carrying.abandon(CarryAnswer::Over);
         }
-        let Some(backup) = self.backup.take() else {
+        if let Some(backup) = self.backup.take() {
+            let id = self.journey.id.clone();
+            if self.go_on(&backup, backup.address, &id).await {
+                return true;
+            }
+        }
+        self.resume().await
+    }
+
+    /// Has another engine make the rest anew, where the stream may be resumed.
+    async fn resume(&mut self) -> bool {
+        let gateway = self.gateway.clone();
+        self.tries.lose(gateway.clock.now_ms());
+        // Made anew it begins with a whole event.
+        self.events.take_rest();
+        let started = gateway.start_again(
+            &self.inquiry,
+            &self.ticket,
+            &mut self.journey,
+            &mut self.tries,
+            self.last_event,
+        );
+        let Some(Started { answer, backup }) = started.await else {
             return false;
         };
-        let id = self.journey.id.clone();
-        self.go_on(&backup, backup.address, &id).await
+        info!(
+            "moves: request {} is made anew at {} after event {:?}",
+            self.journey.id, answer.flight.chosen.instance, self.last_event
+        );
+        gateway.metrics.continuation("anew");
+        self.go_on_with(answer, backup);
+        true
+    }
+
+    /// Another engine's stream takes the place of the one before.
+    fn go_on_with(&mut self, answer: Answer, backup: Option<Destination>) {
+        self.has_just_moved = true;
+        self.source = Source::new(answer);
+        self.backup = backup;
+        self.handover.restart();
+        let engine = self.source.engine().upstream;
+        let backup = self.backup.as_ref().map(|backup| backup.upstream);
+        self.gateway.runs.update(self.ticket.run, |statement| {
+            statement.engine = engine;
+            statement.backup = backup;
+        });
     }
 
     /// Reads what a stopped engine still has on its way.
@@ -93,8 +135,8 @@
             continuation: Some(Continuation {
                 source,
                 copy: copy.to_owned(),
-                last_event: self.last_event,
             }),
+            last_event: self.last_event,
         };
         let gateway = self.gateway.clone();
         let sent = gateway.dispatch(&self.inquiry, &mut self.journey, chosen, terms);
@@ -106,7 +148,6 @@
             }
         };
         gateway.metrics.continuation("yes");
-        self.has_just_moved = true;
         info!(
             "moves: request {} goes on at {} after event {:?}, {} ms",
             self.journey.id,
@@ -114,14 +155,7 @@
             self.last_event,
             gateway.clock.now_ms().saturating_sub(now_ms)
         );
-        self.source = Source::new(answer);
-        self.handover.restart();
-        self.backup = backup;
-        let backup = self.backup.as_ref().map(|backup| backup.upstream);
-        gateway.runs.update(self.ticket.run, |statement| {
-            statement.engine = at.upstream;
-            statement.backup = backup;
-        });
+        self.go_on_with(answer, backup);
         true
     }
 }
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -11,7 +11,6 @@
 use tokio::sync::mpsc;
 use tokio::time::sleep;
 
-use crate::attempt::Answer;
 use crate::carry::{Carrying, Step};
 use crate::events::{Events, split};
 use crate::gateway::Gateway;
@@ -20,6 +19,7 @@
 use crate::journey::Journey;
 use crate::runs::CarryOrder;
 use crate::source::{Heard, Source};
+use crate::start::{Started, Tries};
 
 /// Counts a generation at its cell's home until it is dropped.
 pub(crate) struct Ticket {
@@ -49,6 +49,7 @@
     pub(crate) inquiry: Inquiry,
     pub(crate) journey: Journey,
     pub(crate) ticket: Ticket,
+    pub(crate) tries: Tries,
     pub(crate) source: Source,
     pub(crate) events: Events,
     /// The last event that has reached the caller.
@@ -73,9 +74,10 @@
         inquiry: Inquiry,
         journey: Journey,
         ticket: Ticket,
-        answer: Answer,
-        backup: Option<Destination>,
+        tries: Tries,
+        started: Started,
     ) -> Self {
+        let Started { answer, backup } = started;
         let gateway = ticket.gateway.clone();
         let traits = gateway.engine_traits(&inquiry.service);
         Self {
@@ -84,7 +86,7 @@
             status: answer.response.status().as_u16(),
             source: Source::new(answer),
             events: Events::default(),
-            last_event: None,
+            last_event: inquiry.last_event,
             handover: Handover::default(),
             carrying: None,
             stopped: None,
@@ -95,6 +97,7 @@
             inquiry,
             journey,
             ticket,
+            tries,
             backup,
         }
     }
@@ -240,7 +243,7 @@
             Step::Stayed => CarryAnswer::Stayed,
             Step::Refused => CarryAnswer::Refused,
             // Before the first event it still waits inside its engine, and there is no copy.
-            Step::NotThere if self.last_event.is_none() => CarryAnswer::Stayed,
+            Step::NotThere if self.journey.events == 0 => CarryAnswer::Stayed,
             Step::NotThere | Step::LeftBehind => CarryAnswer::LeftBehind,
         };
         let next = self.handover.step(CarryStep::NotStopped);
--- a/crates/gateway/src/runs.rs
+++ b/crates/gateway/src/runs.rs
@@ -36,12 +36,16 @@
     /// took the engine for emptier than it was and sent more there, and prompts waited for 3 to 6 s
     /// on a few engines while others had room. Stated from here on, it is counted all the time.
     pub(crate) fn place(&self, cell: CellKey, statement: RunStatement) {
-        let entry = Entry {
-            cell,
-            statement,
-            orders: None,
-        };
-        self.entries.lock().insert(statement.run, entry);
+        let mut entries = self.entries.lock();
+        let known = entries.entry(statement.run);
+        // One that is made anew elsewhere keeps its relay.
+        known
+            .and_modify(|entry| entry.statement = statement)
+            .or_insert(Entry {
+                cell,
+                statement,
+                orders: None,
+            });
     }
 
     /// A generation's answer has begun; its relay gets the orders.
--- /dev/null
+++ b/crates/gateway/src/start.rs
@@ -0,0 +1,293 @@
+//! At which engine a generation starts, and at which others after that.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use fulmarpath_policy::{Millis, Placement, PlacementRequest, RunStatement, UpstreamKey};
+use tokio::time::sleep;
+
+use crate::attempt::{Answer, Failure, Terms};
+use crate::configuration::EngineTraits;
+use crate::drain::can_finish;
+use crate::gateway::Gateway;
+use crate::instances::{Chosen, Destination};
+use crate::intake::Inquiry;
+use crate::journey::Journey;
+use crate::key::centre_of;
+use crate::problem::Problem;
+use crate::relay::Ticket;
+
+/// Upstreams asked for one generation until one takes it.
+const DISPATCHES: usize = 4;
+/// The part of the time to a first event for which a generation waits for room. What is left has
+/// to be enough for its prompt to be read.
+const WAIT_SHARE: f32 = 0.55;
+/// Between two questions for room.
+const WAIT_PERIOD: Duration = Duration::from_millis(60);
+
+/// Where a generation starts.
+struct Start {
+    chosen: Chosen,
+    backup: Option<Destination>,
+}
+
+/// A generation that an engine answers.
+pub(crate) struct Started {
+    pub(crate) answer: Answer,
+    /// The engine that keeps a running copy of its memory.
+    pub(crate) backup: Option<Destination>,
+}
+
+/// The engines that one request was sent to.
+#[derive(Default)]
+pub(crate) struct Tries {
+    tried: Vec<Chosen>,
+    /// Those among them where it may have run.
+    runs: u32,
+    /// When it was lost at the last of them, where its stream had begun.
+    lost_ms: Option<Millis>,
+    /// The last engine's own failure, which is the caller's answer where no other is found.
+    failed: Option<Started>,
+}
+
+impl Tries {
+    /// The stream broke off at the last of them.
+    pub(crate) fn lose(&mut self, now_ms: Millis) {
+        self.lost_ms = Some(now_ms);
+    }
+
+    /// What a caller may be told: a request that may have run must never be said not to have run.
+    fn honest(&self, problem: Problem) -> Problem {
+        match self.runs > 0 && problem.says_not_run() {
+            true => Problem::Broken,
+            false => problem,
+        }
+    }
+}
+
+impl Gateway {
+    /// Sends a generation to an engine, and where that is safe to others, until one answers.
+    pub(crate) async fn start(
+        self: &Arc<Self>,
+        inquiry: &Inquiry,
+        ticket: &Ticket,
+        journey: &mut Journey,
+        tries: &mut Tries,
+    ) -> Result<Started, Problem> {
+        if !self.can_finish(inquiry) {
+            return Err(Problem::Stopping);
+        }
+        let started = self.try_engines(inquiry, ticket, journey, tries, inquiry.last_event);
+        match started.await {
+            Ok(started) => Ok(started),
+            Err(problem) => tries.failed.take().ok_or(tries.honest(problem)),
+        }
+    }
+
+    /// Sends a stream that broke off to another engine, which goes on behind `last_event`; `None`
+    /// where it may not run again or no engine takes it.
+    pub(crate) async fn start_again(
+        self: &Arc<Self>,
+        inquiry: &Inquiry,
+        ticket: &Ticket,
+        journey: &mut Journey,
+        tries: &mut Tries,
+        last_event: Option<u64>,
+    ) -> Option<Started> {
+        if !inquiry.may_run_again(tries.runs) || !self.can_finish(inquiry) {
+            return None;
+        }
+        let started = self.try_engines(inquiry, ticket, journey, tries, last_event);
+        let started = started.await.ok()?;
+        let is_stream = started.answer.response.status().is_success();
+        is_stream.then_some(started)
+    }
+
+    async fn try_engines(
+        self: &Arc<Self>,
+        inquiry: &Inquiry,
+        ticket: &Ticket,
+        journey: &mut Journey,
+        tries: &mut Tries,
+        last_event: Option<u64>,
+    ) -> Result<Started, Problem> {
+        let mut problem = Problem::NoUpstream;
+        while tries.tried.len() < DISPATCHES {
+            let now_ms = self.clock.now_ms();
+            if now_ms >= inquiry.deadline_ms {
+                return Err(Problem::TooLateToSend);
+            }
+            if !tries.tried.is_empty() && !self.may_retry(now_ms, &inquiry.service) {
+                break;
+            }
+            let found = self.find_start(inquiry, ticket, journey, tries).await?;
+            let Some(start) = found else { break };
+            if start.backup.is_some() {
+                self.metrics.running_copies.inc();
+            }
+            tries.tried.push(start.chosen.clone());
+            journey.placed(self.clock.now_ms());
+            self.runs
+                .place(ticket.cell, statement(inquiry, ticket, &start));
+            let engine = start.chosen.upstream;
+            let terms = Terms {
+                until_ms: inquiry.deadline_ms,
+                backup: start.backup.as_ref().map(|backup| backup.address),
+                last_event,
+                ..Terms::default()
+            };
+            let failure = match self.dispatch(inquiry, journey, start.chosen, terms).await {
+                Ok(answer) if answer.response.status().is_success() && !answer.head.is_signed => {
+                    Failure::Unknown
+                }
+                Ok(answer) => {
+                    tries.runs += 1;
+                    if answer.head.is_closing {
+                        self.doubt(ticket.cell, engine);
+                    }
+                    let is_failure = answer.response.status().is_server_error();
+                    let started = Started {
+                        answer,
+                        backup: start.backup,
+                    };
+                    if is_failure && inquiry.may_run_again(tries.runs) {
+                        tries.failed = Some(started);
+                        continue;
+                    }
+                    return Ok(started);
+                }
+                Err(failure) => failure,
+            };
+            tries.runs += u32::from(!failure.is_not_run());
+            problem = match failure {
+                Failure::Unsent => {
+                    self.doubt(ticket.cell, engine);
+                    Problem::Unreachable
+                }
+                Failure::Shed => Problem::AllRefused,
+                Failure::Unknown => Problem::Broken,
+                Failure::Overdue => return Err(Problem::Timeout),
+            };
+            if failure == Failure::Unknown && !inquiry.may_run_again(tries.runs) {
+                return Err(problem);
+            }
+        }
+        Err(problem)
+    }
+
+    /// Whether this host, if it stops, stops after the generation has surely ended.
+    fn can_finish(&self, inquiry: &Inquiry) -> bool {
+        let (Some(ends_ms), Some(generation)) = (self.ends_ms(), &inquiry.generation) else {
+            return true;
+        };
+        can_finish(self.clock.now_ms(), ends_ms, generation.output_limit_tokens)
+    }
+
+    /// Asks the cell's home until there is room; `None` where no engine is left to try.
+    async fn find_start(
+        &self,
+        inquiry: &Inquiry,
+        ticket: &Ticket,
+        journey: &mut Journey,
+        tries: &Tries,
+    ) -> Result<Option<Start>, Problem> {
+        let tried = &tries.tried;
+        let mut without: Vec<UpstreamKey> = tried.iter().map(|one| one.upstream).collect();
+        let wait_ms = (inquiry.route.target_ms as f32 * WAIT_SHARE) as Millis;
+        let since_ms = tries.lost_ms.unwrap_or(journey.arrived_ms);
+        let until_ms = inquiry.deadline_ms.min(since_ms + wait_ms);
+        loop {
+            let asked_ms = self.clock.now_ms();
+            let is_last_call = asked_ms >= until_ms;
+            let mut request = self.placement_request(inquiry, ticket, without.clone());
+            if let Some(request) = &mut request {
+                let waited_ms = asked_ms.saturating_sub(journey.arrived_ms);
+                request.patience_ms = inquiry.route.target_ms.saturating_sub(waited_ms);
+                request.is_last_call = is_last_call;
+            }
+            let placement = match &request {
+                Some(request) => self.place(ticket.cell, request.clone()).await,
+                None => Placement::NoEngine,
+            };
+            let now_ms = self.clock.now_ms();
+            match placement {
+                Placement::On {
+                    engine,
+                    backup,
+                    seen,
+                } => {
+                    journey.seen(seen);
+                    if let Some(chosen) = self.instances.take(now_ms, engine) {
+                        let backup = backup.and_then(|backup| self.instances.find(backup));
+                        return Ok(Some(Start { chosen, backup }));
+                    }
+                    without.push(engine);
+                }
+                Placement::Full { retry_after_ms } if is_last_call => {
+                    return Err(Problem::Full { retry_after_ms });
+                }
+                Placement::Full { .. } => sleep(WAIT_PERIOD).await,
+                Placement::TooLarge => return Err(Problem::TooLarge),
+                Placement::NoEngine => {
+                    let tried: Vec<_> = tried.iter().map(|one| one.key).collect();
+                    let draw = rand::random();
+                    let chosen = self
+                        .instances
+                        .choose(now_ms, &inquiry.service, &tried, draw);
+                    return Ok(chosen.map(|chosen| Start {
+                        chosen,
+                        backup: None,
+                    }));
+                }
+            }
+        }
+    }
+
+    /// What the cell's home must know; `None` for a stream that isn't a generation.
+    fn placement_request(
+        &self,
+        inquiry: &Inquiry,
+        ticket: &Ticket,
+        without: Vec<UpstreamKey>,
+    ) -> Option<PlacementRequest> {
+        let generation = inquiry.generation.as_ref()?;
+        // Engines that don't state their memory are chosen by their load alone.
+        let traits = self.engine_traits(&inquiry.service)?;
+        if traits.memory_tokens == 0 {
+            return None;
+        }
+        Some(PlacementRequest {
+            run: ticket.run,
+            host: self.host_key(),
+            data_centre: centre_of(&self.settings.host.data_centre),
+            prompt_tokens: generation.prompt_tokens,
+            limit_tokens: generation.output_limit_tokens,
+            hint_tokens: generation.length_hint_tokens,
+            likeness: inquiry.likeness(),
+            priority: inquiry.priority,
+            patience_ms: inquiry.route.target_ms,
+            is_last_call: false,
+            without,
+            can_back_up: traits.can_back_up,
+        })
+    }
+
+    /// What engines of a service can do; `None` where its upstreams aren't engines.
+    pub(crate) fn engine_traits(&self, service: &str) -> Option<EngineTraits> {
+        let in_force = self.in_force()?;
+        in_force.service(service)?.engine.clone()
+    }
+}
+
+fn statement(inquiry: &Inquiry, ticket: &Ticket, start: &Start) -> RunStatement {
+    let generation = inquiry.generation.clone().unwrap_or_default();
+    RunStatement {
+        run: ticket.run,
+        engine: start.chosen.upstream,
+        backup: start.backup.as_ref().map(|backup| backup.upstream),
+        prompt_tokens: generation.prompt_tokens,
+        out_tokens: 0,
+        limit_tokens: generation.output_limit_tokens,
+        hint_tokens: generation.length_hint_tokens,
+    }
+}
--- a/crates/gateway/tests/directory.rs
+++ b/crates/gateway/tests/directory.rs
@@ -82,6 +82,7 @@
             service: "lefi36a".to_owned(),
             weight: 100,
         }],
+        can_resume: false,
         max_attempts: 1,
         is_public: false,
     });
