--- a/crates/gateway/src/spread.rs
+++ b/crates/gateway/src/spread.rs
@@ -1,18 +1,19 @@
 //! How what every host holds gets from a few watchers to all.
 //!
-//! One host in each data centre watches the store, and so does the home of each cell, which must
-//! hear of a leaving engine at once. A watcher passes its news on to its data centre along a tree,
-//! so no host sends more than a few copies whatever the fleet's size. What a dead host in the tree
+//! A host in each area (a data centre, or several small ones) watches the store, and so does the home
+//! of each cell, which must hear of a leaving engine at once. A watcher passes its news on to its
+//! area along a tree, so no host sends more than a few copies whatever the fleet's size. What a dead host in the tree
 //! keeps from others they find by the versions in the next pings. Watching everywhere would cost a
 //! waiting call a host and one more for each change: half of a day's worth before 81 hosts.
 
-use std::collections::HashMap;
+use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
-use fulmarpath_policy::{HostKey, Millis, WatchCandidate, is_watcher, rank};
+use fulmarpath_cluster::Members;
+use fulmarpath_policy::{HostKey, Millis, WatchArea, WatchCandidate};
 use fulmarpath_wire::{Announcement, GatewayPeerClient, Holding};
 use parking_lot::Mutex;
 use serde::Serialize;
@@ -22,7 +23,6 @@
 use crate::directory::{Directory, DirectoryChange};
 use crate::encoding::{EncodingError, decode, encode};
 use crate::gateway::Gateway;
-use crate::key::centre_of;
 
 /// A host that can't read the store says so again with each failed call; silence ends it.
 const BLIND_MS: Millis = 2_500;
@@ -38,7 +38,7 @@
 #[derive(Debug, Default)]
 pub(crate) struct Spread {
     announced: Mutex<Announced>,
-    /// Hosts of this data centre that can't read the store, and until when that is believed.
+    /// Hosts of this area that can't read the store, and until when that is believed.
     blind: Mutex<HashMap<HostKey, Millis>>,
     told_blind_ms: Mutex<Millis>,
     /// What has changed of the upstreams will be passed on in a moment.
@@ -57,25 +57,33 @@
         self.is_watcher() || self.has_cell()
     }
 
-    /// Whether this host watches for its data centre.
+    /// Whether this host watches for its area.
     fn is_watcher(&self) -> bool {
-        let centre = &self.settings.host.data_centre;
-        let thing = centre_of(centre);
         let now_ms = self.clock.now_ms();
         let blind = self.spread.blind.lock().clone();
         let members = self.fleet.members.lock();
         let me = members.my_key();
+        let area = self.area(&members);
         let near = members
             .homes()
-            .filter(|(key, note)| *key != me && &note.data_centre == centre);
+            .filter(|(key, note)| *key != me && area.contains(&note.data_centre));
         let others = near.map(|(key, _)| WatchCandidate {
-            rank: rank(thing, key.0),
+            rank: key.0,
             is_blind: blind.get(&key).is_some_and(|until_ms| now_ms < *until_ms),
         });
-        is_watcher(rank(thing, me.0), others)
+        area.is_watcher(me.0, others)
     }
 
-    /// Tells this data centre that this host can't read the store.
+    /// The data centres that this host's news come from and go to.
+    fn area(&self, members: &Members) -> WatchArea {
+        let mut hosts: BTreeMap<String, usize> = BTreeMap::new();
+        for (_, note) in members.homes() {
+            *hosts.entry(note.data_centre.clone()).or_default() += 1;
+        }
+        WatchArea::of(&self.settings.host.data_centre, &hosts)
+    }
+
+    /// Tells this area that this host can't read the store.
     pub(crate) fn announce_blindness(self: &Arc<Self>) {
         let now_ms = self.clock.now_ms();
         {
@@ -95,7 +103,7 @@
         Ok(())
     }
 
-    /// Passes on a configuration that this host's data centre doesn't have yet.
+    /// Passes on a configuration that this host's area doesn't have yet.
     pub(crate) fn announce_configuration(self: &Arc<Self>) {
         let Some(held) = self.in_force() else { return };
         let version = held.configuration.version;
@@ -141,14 +149,14 @@
         }
     }
 
-    /// The other hosts of this data centre.
+    /// The other hosts of this area.
     fn neighbours(&self) -> Vec<SocketAddr> {
-        let centre = &self.settings.host.data_centre;
         let members = self.fleet.members.lock();
         let me = members.my_key();
+        let area = self.area(&members);
         let near = members
             .homes()
-            .filter(|(_, note)| &note.data_centre == centre);
+            .filter(|(_, note)| area.contains(&note.data_centre));
         near.filter(|(key, _)| *key != me)
             .map(|(_, note)| note.address)
             .collect()
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -52,5 +52,5 @@
 pub use rendezvous::{highest, rank};
 pub use retry::RetryBudget;
 pub use retry_window::{RetryBound, RetryWindow};
-pub use watchers::{WatchCandidate, is_watcher};
+pub use watchers::{WatchArea, WatchCandidate};
 pub use weights::Weights;
