Give each test process ports of its own

Cause of a_terminated_process_finishes_its_answers, listed as known red: test processes that start together look for free ports along the same sequence, begun at their process id. A port was free when it was looked at and taken by another test process's host when ours came to listen; the host ended at once and its example was never applied in time.

Shown by six test processes started together, three times: 15 of 18 runs fail, with 'could not listen on 127.0.0.1:24860' in the hosts' output. Change: a process claims a block of 100 ports by holding its first one for as long as it lives.

--- a/tests/processes.rs
+++ b/tests/processes.rs
@@ -5,7 +5,7 @@
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, ExitStatus, Stdio};
 use std::sync::atomic::{AtomicU16, Ordering};
-use std::sync::{Arc, Mutex};
+use std::sync::{Arc, Mutex, OnceLock};
 use std::time::{Duration, Instant};
 
 use fulmarpath::dev::caller::{Ask, Got, complete, expected, open, read};
@@ -18,24 +18,49 @@
     Path::new(env!("CARGO_MANIFEST_DIR"))
 }
 
-/// An address that nothing uses now. Each call of this process and each test process begins its
-/// search elsewhere, below the ports that the system gives to outgoing connections: a port that
-/// was free a moment ago could otherwise be taken by any connection of a test beside this one,
-/// and the host that was to listen there would end at once.
+/// Ports of one test process, below those that the system gives to outgoing connections: a port that
+/// was free a moment ago could otherwise be taken by any connection of a test beside this one.
+const FIRST_PORT: u16 = 12_000;
+const BLOCKS: u16 = 180;
+const BLOCK_PORTS: u16 = 100;
+
+/// Holds a block's first port while this process runs, and thereby the rest of the block.
+///
+/// Looked for one by one, ports were free when they were looked at and taken when the host came to
+/// listen, by the host of another test process that had looked at the same moment: it ended at once,
+/// and its example was never applied. Six test processes started together failed in 15 of 18 runs.
+struct Block {
+    first: u16,
+    _held: TcpListener,
+}
+
+impl Block {
+    fn claim() -> Self {
+        let offset = (std::process::id() % u32::from(BLOCKS)) as u16;
+        let blocks = (0..BLOCKS).map(|step| (offset + step) % BLOCKS);
+        let claimed = blocks
+            .map(|block| FIRST_PORT + block * BLOCK_PORTS)
+            .find_map(|first| {
+                let held = TcpListener::bind(("127.0.0.1", first)).ok()?;
+                Some(Self { first, _held: held })
+            });
+        claimed.expect("a free block of ports")
+    }
+}
+
+/// An address that nothing uses, and no other test process will.
 fn free_address() -> SocketAddr {
-    static NEXT: AtomicU16 = AtomicU16::new(0);
-    const FIRST: u16 = 12_000;
-    const PORTS: u16 = 18_000;
-    let offset = (std::process::id() % u32::from(PORTS)) as u16;
-    for _ in 0..PORTS {
+    static BLOCK: OnceLock<Block> = OnceLock::new();
+    static NEXT: AtomicU16 = AtomicU16::new(1);
+    let block = BLOCK.get_or_init(Block::claim);
+    loop {
         let step = NEXT.fetch_add(1, Ordering::Relaxed);
-        let port = FIRST + offset.wrapping_add(step) % PORTS;
-        let address = SocketAddr::from(([127, 0, 0, 1], port));
+        assert!(step < BLOCK_PORTS, "a block has {BLOCK_PORTS} ports");
+        let address = SocketAddr::from(([127, 0, 0, 1], block.first + step));
         if TcpListener::bind(address).is_ok() {
             return address;
         }
     }
-    panic!("no port is free");
 }
 
 struct Process(Child);
