--- a/crates/bench/src/cmd/soak.rs
+++ b/crates/bench/src/cmd/soak.rs
@@ -30,6 +30,10 @@
     /// Faults a seed
     #[bpaf(argument("N"), fallback(5))]
     faults: usize,
+    /// Draw from the faults that came after the first seeds as well: engines that start again under
+    /// their names, entries of other writers
+    #[bpaf(long)]
+    all_kinds: bool,
     /// Seeds at once
     #[bpaf(argument("N"), fallback(3))]
     at_once: usize,
@@ -60,6 +64,7 @@
                     hosts: self.hosts,
                     callers: self.callers,
                     faults: self.faults,
+                    of_all_kinds: self.all_kinds,
                     binary: self.binary.clone(),
                     spoil: self.spoil,
                 };
--- a/crates/bench/src/soak/fault.rs
+++ b/crates/bench/src/soak/fault.rs
@@ -31,10 +31,14 @@
     EngineLinkSilent,
     EngineLinkSlow,
     PlainMisbehaves,
+    EngineReborn,
+    ForeignEntries,
 }
 
 impl Fault {
-    pub(crate) const ALL: [Self; 17] = [
+    /// Those that seeds draw from. The last two came later and are drawn where they are asked for, so
+    /// that a seed that was kept plays what it played.
+    const ALL: [Self; 19] = [
         Self::HostKilled,
         Self::HostPaused,
         Self::HostStopped,
@@ -52,7 +56,16 @@
         Self::EngineLinkSilent,
         Self::EngineLinkSlow,
         Self::PlainMisbehaves,
+        Self::EngineReborn,
+        Self::ForeignEntries,
     ];
+    const FIRST: usize = 17;
+
+    /// Draws one.
+    pub(crate) fn draw(rng: &mut ChaCha8Rng, of_all: bool) -> Self {
+        let count = if of_all { Self::ALL.len() } else { Self::FIRST };
+        Self::ALL[rng.random_range(0..count)]
+    }
 
     /// Whether a caller may hear nothing at all, or only a part, with no planned work to blame.
     pub(crate) fn may_cut(self) -> bool {
@@ -67,6 +80,7 @@
                 | Self::StoreLinkReset
                 | Self::StoreLinkSilent
                 | Self::EngineLeaves
+                | Self::ForeignEntries
         )
     }
 
@@ -130,6 +144,12 @@
                 sleep(lasts).await;
                 stage.plains[plain].set(PlainBehaviour::Good);
             }
+            Self::EngineReborn => stage.restart_engine(engine).await,
+            Self::ForeignEntries => {
+                let over = stage.foreign_entries(rng);
+                sleep(lasts).await;
+                stage.register_plain(over);
+            }
         }
         Ok(())
     }
--- a/crates/bench/src/soak/mod.rs
+++ b/crates/bench/src/soak/mod.rs
@@ -47,6 +47,8 @@
     pub(crate) hosts: usize,
     pub(crate) callers: usize,
     pub(crate) faults: usize,
+    /// Draws from the faults that came later as well.
+    pub(crate) of_all_kinds: bool,
     pub(crate) binary: PathBuf,
     pub(crate) spoil: Option<Spoil>,
 }
@@ -72,7 +74,7 @@
 pub(crate) async fn play(settings: SoakSettings) -> Result<Verdict, SoakError> {
     let mut rng = ChaCha8Rng::seed_from_u64(settings.seed);
     let faults: Vec<Fault> = (0..settings.faults)
-        .map(|_| Fault::ALL[rng.random_range(0..Fault::ALL.len())])
+        .map(|_| Fault::draw(&mut rng, settings.of_all_kinds))
         .collect();
     let mut stage = Stage::start(settings.seed, settings.hosts, settings.binary).await?;
     let shared = Arc::new(Shared {
--- a/crates/bench/src/soak/stage.rs
+++ b/crates/bench/src/soak/stage.rs
@@ -8,6 +8,10 @@
     EngineRules, StandInEngine, StandInPlain, StandInStore, configuration, entry, settings_file,
 };
 
+use rand::Rng;
+use rand_chacha::ChaCha8Rng;
+use serde_json::json;
+
 use super::SoakError;
 use super::proxy::Proxy;
 
@@ -95,16 +99,25 @@
     pub(crate) gone: Vec<StandInEngine>,
     pub(crate) engine_links: Vec<Proxy>,
     pub(crate) plains: Vec<StandInPlain>,
+    /// Engines that have started again.
+    births: u64,
     pub(crate) folder: PathBuf,
 }
 
 const DATA_CENTRES: [&str; 3] = ["dc-a", "dc-b", "dc-c"];
+/// When the engines were started, in Unix milliseconds; those that start again count on from it.
+const FIRST_BIRTH_MS: u64 = 1_780_000_000_000;
+
+fn plain_name(place: usize) -> String {
+    format!("i-p{place}")
+}
 
 /// Engines at an ordinary pace: an answer takes 1.3 s.
 fn rules() -> EngineRules {
     EngineRules {
         events: 60,
         pause: std::time::Duration::from_millis(20),
+        born_ms: Some(FIRST_BIRTH_MS),
         ..EngineRules::default()
     }
 }
@@ -127,18 +140,16 @@
             gone: Vec::new(),
             engine_links: Vec::new(),
             plains: Vec::new(),
+            births: 0,
             folder,
         };
         for number in 0..4 {
             stage.add_engine(&format!("i-e{number}")).await?;
         }
         for number in 0..3 {
-            let instance = format!("i-p{number}");
-            let plain = StandInPlain::start(&instance).await;
-            let data_centre = DATA_CENTRES[number % DATA_CENTRES.len()];
-            let entry = entry("portal", plain.address, data_centre, false);
-            stage.store.put("servers", &instance, entry);
+            let plain = StandInPlain::start(&plain_name(number)).await;
             stage.plains.push(plain);
+            stage.register_plain(number);
         }
         let network = (seed % 200) as u8 + 10;
         for number in 0..hosts {
@@ -152,14 +163,57 @@
         let engine = StandInEngine::start(instance, rules()).await;
         let started = Proxy::start(engine.address).await;
         let link = started.map_err(|source| SoakError::Process { source })?;
-        let data_centre = DATA_CENTRES[self.engines.len() % DATA_CENTRES.len()];
-        let entry = entry("engines", link.address, data_centre, false);
-        self.store.put("servers", instance, entry);
         self.engines.push(engine);
         self.engine_links.push(link);
+        self.register_engine(self.engines.len() - 1, false);
         Ok(())
     }
 
+    /// Writes an engine's entry, as it does itself.
+    fn register_engine(&self, place: usize, is_draining: bool) {
+        let engine = &self.engines[place];
+        let data_centre = DATA_CENTRES[place % DATA_CENTRES.len()];
+        let mut entry = engine.entry("engines", data_centre, is_draining);
+        entry["address"] = self.engine_links[place].address.to_string().into();
+        self.store.put("servers", &engine.instance, entry);
+    }
+
+    /// An engine starts again under its name, without a word on its connections.
+    pub(crate) async fn restart_engine(&mut self, place: usize) {
+        let before = self.engines[place].clone();
+        self.births += 1;
+        self.engines[place] = before.restart(FIRST_BIRTH_MS + self.births).await;
+        self.gone.push(before);
+        self.register_engine(place, false);
+    }
+
+    /// Writes a plain upstream's entry, as it does itself.
+    pub(crate) fn register_plain(&self, place: usize) {
+        let data_centre = DATA_CENTRES[place % DATA_CENTRES.len()];
+        let entry = entry("portal", self.plains[place].address, data_centre, false);
+        self.store.put("servers", &plain_name(place), entry);
+    }
+
+    /// Another writer leaves entries of each kind, one of them over a plain upstream's: the place of
+    /// that one.
+    pub(crate) fn foreign_entries(&self, rng: &mut ChaCha8Rng) -> usize {
+        let strange = [
+            json!(null),
+            json!("an entry"),
+            json!({"service": "portal", "address": 5, "state": "ready"}),
+            json!({"service": "engines", "address": "127.0.0.1:9", "zone": "dc-a", "state": "asleep"}),
+            json!([{"version": "two"}]),
+        ];
+        let mut draw = || strange[rng.random_range(0..strange.len())].clone();
+        self.store.put("servers", "foreign", draw());
+        self.store.put("config", "foreign", draw());
+        self.store.put("fulmarpath-hosts", "foreign", draw());
+        let spec = draw();
+        let over = rng.random_range(0..self.plains.len());
+        self.store.put("servers", &plain_name(over), spec);
+        over
+    }
+
     fn add_host(&mut self, network: u8, number: usize, binary: &Path) -> Result<(), SoakError> {
         let ip = IpAddr::V4(Ipv4Addr::new(127, 77, network, number as u8 + 1));
         let name = format!("host-{number}");
@@ -183,11 +237,7 @@
 
     /// The entry of an engine that leaves.
     pub(crate) fn give_notice(&self, place: usize) {
-        let instance = &self.engines[place].instance;
-        let data_centre = DATA_CENTRES[place % DATA_CENTRES.len()];
-        let address = self.engine_links[place].address;
-        let entry = entry("engines", address, data_centre, true);
-        self.store.put("servers", instance, entry);
+        self.register_engine(place, true);
     }
 
     /// Its name in logs.
--- a/crates/bench/tests/soak.rs
+++ b/crates/bench/tests/soak.rs
@@ -33,6 +33,25 @@
     assert!(verdict["whole"].as_u64() > Some(20), "{text}");
 }
 
+/// Engines start again under their names and other writers leave entries, beside the other faults.
+#[rstest]
+#[case::reborn("7102", "EngineReborn")]
+#[case::foreign("7105", "ForeignEntries")]
+fn a_short_soak_of_all_kinds_finds_nothing(#[case] seed: &str, #[case] fault: &str) {
+    let words = [
+        "--seed",
+        seed,
+        "--seeds",
+        "1",
+        "--faults",
+        "4",
+        "--all-kinds",
+    ];
+    let (fine, verdict, text) = soak(&words);
+    assert!(fine, "{text}");
+    assert!(verdict["faults"].to_string().contains(fault), "{text}");
+}
+
 struct Spoilt {
     what: &'static str,
     seed: &'static str,
