Leave an engine that is silent in the middle of a stream for the running copy

Hypothesis: copies are kept for engines that crash, but one that goes dark resets nothing: its relays waited on silent connections until callers gave up, with the copy standing by.

Change: after 0.6 of the longest pause that is on time (108 of 180 ms) without an event, the engine with the running copy is asked to go on, within 300 ms. Where it does, the silent engine's connection closes at once; where it doesn't, nothing is lost and the silent engine is waited for. A host that stood still itself reads first what had come meanwhile. What is partly there of an event is dropped only once another engine goes on.

--- a/crates/gateway/src/journey.rs
+++ b/crates/gateway/src/journey.rs
@@ -106,6 +106,11 @@
         Some(pause_ms)
     }
 
+    /// When events were passed on last.
+    pub(crate) fn last_event_ms(&self) -> Option<Millis> {
+        (self.events > 0).then_some(self.event_at_ms)
+    }
+
     /// The request went to an upstream, or was about to.
     pub(crate) fn dispatched(&mut self, dispatch: Dispatch) {
         self.dispatches.push(dispatch);
--- a/crates/gateway/src/recovery.rs
+++ b/crates/gateway/src/recovery.rs
@@ -16,6 +16,8 @@
 /// A stopped engine closes its stream just before it answers; what was on its way is there within
 /// a way between data centres.
 const DRAIN_MS: Millis = 12;
+/// A running copy that doesn't go on within this time is no better than an engine that is silent.
+const GO_ON_MS: Millis = 300;
 /// How often a generation may break and go on: each costs its caller a pause.
 const RECOVERIES: u32 = 3;
 
@@ -50,12 +52,34 @@
         self.resume().await
     }
 
+    /// Leaves an engine that is silent in the middle of a stream for the one that keeps a running copy;
+    /// stays where that one doesn't go on.
+    ///
+    /// An engine that goes dark resets nothing, and one that pauses a generation says nothing of it: its
+    /// caller sees a stream that stands still, and gives up after seconds though the copy is there. The
+    /// silent engine's connection is closed as soon as the other one goes on, so both work on it for a
+    /// few ms at the most.
+    pub(crate) async fn leave_silent(&mut self) {
+        let Some(backup) = self.backup.take() else {
+            return;
+        };
+        let silent = self.source.engine();
+        let id = self.journey.id.clone();
+        let until_ms = self.gateway.clock.now_ms() + GO_ON_MS;
+        let until_ms = until_ms.min(self.inquiry.deadline_ms);
+        if self
+            .go_on_until(until_ms, &backup, backup.address, &id)
+            .await
+        {
+            self.gateway.metrics.continuation("left_silent");
+            self.gateway.doubt(self.ticket.cell, silent.upstream);
+        }
+    }
+
     /// Has another engine make the rest anew, where the stream may be resumed.
     async fn resume(&mut self) -> bool {
         let gateway = self.gateway.clone();
         self.tries.lose(gateway.clock.now_ms());
-        // Made anew it begins with a whole event.
-        self.events.take_rest();
         let started = gateway.start_again(
             &self.inquiry,
             &self.ticket,
@@ -78,6 +102,8 @@
     /// Another engine's stream takes the place of the one before.
     fn go_on_with(&mut self, answer: Answer, backup: Option<Destination>) {
         self.has_just_moved = true;
+        // A part of an event is of no use to the caller: the engine that goes on sends it whole.
+        self.events.take_rest();
         self.source = Source::new(answer);
         self.backup = backup;
         self.handover.restart();
@@ -122,15 +148,24 @@
 
     /// Asks an engine to go on from a copy; true where it does.
     async fn go_on(&mut self, at: &Destination, source: SocketAddr, copy: &str) -> bool {
+        let until_ms = self.inquiry.deadline_ms;
+        self.go_on_until(until_ms, at, source, copy).await
+    }
+
+    async fn go_on_until(
+        &mut self,
+        until_ms: Millis,
+        at: &Destination,
+        source: SocketAddr,
+        copy: &str,
+    ) -> bool {
         let now_ms = self.gateway.clock.now_ms();
         let chosen = self.gateway.instances.take_again(now_ms, at.upstream);
         let Some(chosen) = chosen else { return false };
         let backup = self.backup.clone();
         let backup = backup.filter(|backup| backup.upstream != at.upstream && !backup.is_lost());
-        // A part of an event is of no use to the caller: the engine that goes on sends it whole.
-        self.events.take_rest();
         let terms = Terms {
-            until_ms: self.inquiry.deadline_ms,
+            until_ms,
             backup: backup.as_ref().map(|backup| backup.address),
             continuation: Some(Continuation {
                 source,
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -5,7 +5,7 @@
 
 use bytes::{Bytes, BytesMut};
 use fulmarpath_http::BodyBroken;
-use fulmarpath_policy::{CarryStep, Handover, Next, RunKey, StreamEnd, Verdict};
+use fulmarpath_policy::{CarryStep, Handover, Millis, Next, RunKey, StreamEnd, Verdict};
 use fulmarpath_wire::{CarryAnswer, CellKey};
 use spdlog::info;
 use tokio::sync::mpsc;
@@ -21,6 +21,16 @@
 use crate::source::{Heard, Source};
 use crate::start::{Started, Tries};
 
+/// The part of the longest pause that is on time after which a silent engine is left for the running
+/// copy elsewhere. The rest is for the other engine, which goes on within 9 to 28 ms. Events come each
+/// 35 to 70 ms, on crowded engines too. Engines that go dark reset nothing: on days with some their
+/// streams were lost for want of a word, though copies stood. Leaving them is worth 0.009 of such days'
+/// worth, and 0.005 of all that were played with and without it (96 each).
+const SILENCE_SHARE: f32 = 0.6;
+
+/// How long a host that has just woken takes to read what had come meanwhile.
+const LISTEN_MS: Millis = 4;
+
 /// Counts a generation at its cell's home until it is dropped.
 pub(crate) struct Ticket {
     pub(crate) gateway: Arc<Gateway>,
@@ -135,10 +145,13 @@
         let left_ms = until_ms.saturating_sub(self.gateway.clock.now_ms());
         let reads = self.handover.reads();
         let lost = self.source.flight.chosen.lost.clone();
+        let silence = self.silence_left();
         let heard = tokio::select! {
+            biased;
             heard = self.source.hear(&mut self.events, until_ms, &self.gateway), if reads => heard,
             () = sleep(Duration::from_millis(left_ms)), if !reads => Heard::Overdue,
             () = lost.cancelled(), if reads => Heard::Broken,
+            () = sleep(silence.unwrap_or_default()), if silence.is_some() => self.hear_once_more().await,
             Some(order) = self.orders.recv(), if self.handover.may_begin() => {
                 self.begin(order);
                 Heard::Bytes
@@ -155,6 +168,30 @@
         }
     }
 
+    /// How long the engine may still be silent before its generation goes on from the running copy.
+    fn silence_left(&self) -> Option<Duration> {
+        let may_leave = self.backup.is_some() && self.handover.may_begin();
+        let target_ms = self.inquiry.route.gap_target_ms?;
+        let since_ms = self.journey.last_event_ms()?;
+        let until_ms = since_ms + (target_ms as f32 * SILENCE_SHARE) as Millis;
+        let left_ms = until_ms.saturating_sub(self.gateway.clock.now_ms());
+        may_leave.then(|| Duration::from_millis(left_ms))
+    }
+
+    /// Leaves a silent engine, unless it was this host that stood still: what had come meanwhile is read
+    /// first, which takes the reader of the connection a moment.
+    async fn hear_once_more(&mut self) -> Heard {
+        let until_ms = self.gateway.clock.now_ms() + LISTEN_MS;
+        let heard = self.source.hear(&mut self.events, until_ms, &self.gateway);
+        match heard.await {
+            Heard::Overdue => {
+                self.leave_silent().await;
+                Heard::Bytes
+            }
+            heard => heard,
+        }
+    }
+
     fn give_up(&mut self, outcome: &'static str, broken: BodyBroken) -> BodyBroken {
         self.source.flight.judge(Verdict::Failed);
         self.journey.end(outcome, self.status);
