--- /dev/null
+++ b/crates/policy/tests/cell/crowded.rs
@@ -0,0 +1,202 @@
+//! Who waits for room where there is too little, who goes first, and who is refused.
+
+use fulmarpath_policy::{Placement, PlacementRequest, RunKey, RunStatement};
+use rstest::rstest;
+
+use crate::fixtures::{FAR, ME, NEAR, cell, engine, engine_of, request, statement};
+
+/// A large prompt finds no room and asks again, as its host does. Meanwhile smaller ones come. They
+/// get what the large one can't use, on another engine, but not the room that it waits for: once
+/// enough is free, the large one is placed.
+#[test]
+fn a_large_prompt_gets_its_turn() {
+    let mut cell = cell(&[engine(1, NEAR, false), engine(2, FAR, false)]);
+    let crowd = |left: u64| -> Vec<RunStatement> {
+        let near = (0..left).map(|run| statement(run, 1, 400, 500));
+        let far = (50..58).map(|run| statement(run, 2, 400, 500));
+        near.chain(far).collect()
+    };
+    cell.restate(0, ME, &crowd(7));
+    let large = request(90, 6_000, 900, 100);
+    assert!(matches!(cell.place(2_000, &large), Placement::Full { .. }));
+    let small = request(91, 3_000, 900, 100);
+    assert!(matches!(cell.place(2_010, &small), Placement::Full { .. }));
+    cell.restate(2_050, ME, &crowd(6));
+    assert_eq!(engine_of(cell.place(2_060, &large)), Some(1));
+}
+
+struct Turns {
+    first: PlacementRequest,
+    then: PlacementRequest,
+    /// How much later the other one comes.
+    apart_ms: u64,
+    /// Which of the two gets the room that is left for one.
+    expected: u64,
+}
+
+/// Two requests wait and there is room for one of them. It goes to the more urgent one, else to the
+/// one that has to start first to be on time, whoever asks first now: the one that came first, or a
+/// larger one that came a little later, as its prompt takes longer to be read. One that came earlier
+/// by more than that is not overtaken, so the wait of none grows with what comes after it.
+#[rstest]
+#[case::by_arrival(Turns {
+    first: request(1, 3_000, 900, 100),
+    then: request(2, 3_000, 900, 100),
+    apart_ms: 10,
+    expected: 1,
+})]
+#[case::urgent_first(Turns {
+    first: request(1, 3_000, 900, 100),
+    then: PlacementRequest { priority: 0, ..request(2, 3_000, 900, 100) },
+    apart_ms: 10,
+    expected: 2,
+})]
+#[case::larger_first(Turns {
+    first: request(1, 2_100, 900, 100),
+    then: request(2, 3_000, 900, 100),
+    apart_ms: 90,
+    expected: 2,
+})]
+#[case::not_overtaken(Turns {
+    first: request(1, 2_100, 900, 100),
+    then: request(2, 3_000, 900, 100),
+    apart_ms: 110,
+    expected: 1,
+})]
+#[case::shorter_target_first(Turns {
+    first: request(1, 3_000, 900, 100),
+    then: PlacementRequest { patience_ms: 1_500, ..request(2, 3_000, 900, 100) },
+    apart_ms: 200,
+    expected: 2,
+})]
+fn room_goes_by_turn(#[case] case: Turns) {
+    let mut cell = cell(&[engine(1, NEAR, false)]);
+    let crowd = |count: u64| -> Vec<RunStatement> {
+        (50..50 + count)
+            .map(|run| statement(run, 1, 400, 500))
+            .collect()
+    };
+    cell.restate(0, ME, &crowd(8));
+    let then_ms = 2_000 + case.apart_ms;
+    for (asked, now_ms) in [(&case.first, 2_000), (&case.then, then_ms)] {
+        assert!(matches!(cell.place(now_ms, asked), Placement::Full { .. }));
+    }
+    cell.restate(then_ms + 10, ME, &crowd(7));
+    let (winner, other) = match case.expected {
+        1 => (&case.first, &case.then),
+        _ => (&case.then, &case.first),
+    };
+    assert!(matches!(
+        cell.place(then_ms + 20, other),
+        Placement::Full { .. }
+    ));
+    assert_eq!(engine_of(cell.place(then_ms + 30, winner)), Some(1));
+}
+
+/// A request is refused after its wait and its caller comes back with another, which can't be on
+/// time any more. It gets what is left beside those that can: no room in an engine that is nearly
+/// full, where a request that comes for the first time still starts, and room where there is plenty.
+#[test]
+fn what_comes_back_late_makes_nobody_else_late() {
+    let mut cell = cell(&[engine(1, NEAR, false)]);
+    let crowd = |count: u64| -> Vec<RunStatement> {
+        let runs = 50..50 + count;
+        runs.map(|run| statement(run, 1, 400, 500)).collect()
+    };
+    cell.restate(0, ME, &crowd(8));
+    let first = PlacementRequest {
+        is_last_call: true,
+        patience_ms: 800,
+        ..request(1, 3_000, 900, 100)
+    };
+    let waits = request(1, 3_000, 900, 100);
+    assert!(matches!(cell.place(1_000, &waits), Placement::Full { .. }));
+    assert!(matches!(cell.place(1_200, &first), Placement::Full { .. }));
+    let back = PlacementRequest {
+        likeness: 1,
+        ..request(2, 3_000, 900, 100)
+    };
+    let other = request(3, 3_000, 900, 100);
+    cell.restate(2_950, ME, &crowd(7));
+    assert!(matches!(cell.place(3_000, &back), Placement::Full { .. }));
+    assert_eq!(engine_of(cell.place(3_010, &other)), Some(1));
+    cell.end(RunKey(3));
+    cell.restate(5_000, ME, &crowd(4));
+    assert_eq!(engine_of(cell.place(5_010, &back)), Some(1));
+}
+
+/// A request that waits is not heard of any more: its host is gone, or its caller has left. The
+/// room that was kept for it is free again after a moment.
+#[test]
+fn room_is_not_kept_for_the_silent() {
+    let mut cell = cell(&[engine(1, NEAR, false)]);
+    let crowd: Vec<RunStatement> = (50..58).map(|run| statement(run, 1, 400, 500)).collect();
+    cell.restate(0, ME, &crowd);
+    let silent = request(1, 3_000, 900, 100);
+    assert!(matches!(cell.place(2_000, &silent), Placement::Full { .. }));
+    let next = request(2, 3_000, 900, 100);
+    cell.restate(2_300, ME, &crowd[1..]);
+    assert!(matches!(cell.place(2_100, &next), Placement::Full { .. }));
+    assert_eq!(engine_of(cell.place(2_400, &next)), Some(1));
+}
+
+struct Refusal {
+    likeness: u64,
+    left_ms: u64,
+    /// When the caller is told to come back.
+    after_ms: std::ops::Range<u64>,
+}
+
+/// Callers are refused together in a crowd. Each is told to come back when a fifth to a third of the
+/// time that it has left is over, when most crowds are, and each at another moment.
+#[rstest]
+#[case::patient(Refusal { likeness: 0, left_ms: 38_000, after_ms: 7_600..7_601 })]
+#[case::patient_later(Refusal { likeness: 999, left_ms: 38_000, after_ms: 12_000..12_161 })]
+#[case::impatient(Refusal { likeness: 500, left_ms: 5_000, after_ms: 1_290..1_311 })]
+#[case::out_of_time(Refusal { likeness: 500, left_ms: 0, after_ms: 0..1 })]
+fn refused_callers_come_back_apart(#[case] case: Refusal) {
+    let mut cell = cell(&[engine(1, NEAR, false)]);
+    let crowd: Vec<RunStatement> = (50..58).map(|run| statement(run, 1, 400, 500)).collect();
+    cell.restate(0, ME, &crowd);
+    let refused = PlacementRequest {
+        likeness: case.likeness,
+        left_ms: case.left_ms,
+        is_last_call: true,
+        ..request(1, 3_000, 900, 100)
+    };
+    let placed = cell.place(1_000, &refused);
+    let Placement::Full { retry_after_ms } = placed else {
+        panic!("{placed:?}");
+    };
+    assert!(case.after_ms.contains(&retry_after_ms), "{retry_after_ms}");
+}
+
+struct LastCall {
+    prompt_tokens: u32,
+    patience_ms: u64,
+    /// Generations on the only engine.
+    crowd: u64,
+    starts: bool,
+}
+
+/// A request has waited as long as it may. Where its prompt can still be read in time it starts in any
+/// room; where it can't, only on an engine with plenty, since late it is worth little to its caller
+/// and takes the room of one that would be on time.
+#[rstest]
+#[case::in_time(LastCall { prompt_tokens: 2_000, patience_ms: 800, crowd: 7, starts: true })]
+#[case::too_late(LastCall { prompt_tokens: 2_000, patience_ms: 200, crowd: 7, starts: false })]
+#[case::too_late_with_plenty(LastCall { prompt_tokens: 2_000, patience_ms: 200, crowd: 3, starts: true })]
+#[case::too_long_to_read(LastCall { prompt_tokens: 4_000, patience_ms: 400, crowd: 6, starts: false })]
+fn what_would_be_late_needs_plenty_of_room(#[case] case: LastCall) {
+    let mut cell = cell(&[engine(1, NEAR, false)]);
+    let runs = 50..50 + case.crowd;
+    let crowd: Vec<RunStatement> = runs.map(|run| statement(run, 1, 400, 500)).collect();
+    cell.restate(0, ME, &crowd);
+    let asked = PlacementRequest {
+        patience_ms: case.patience_ms,
+        is_last_call: true,
+        ..request(1, case.prompt_tokens, 900, 100)
+    };
+    let placed = cell.place(2_000, &asked);
+    assert_eq!(engine_of(placed).is_some(), case.starts, "{placed:?}");
+}
--- /dev/null
+++ b/crates/policy/tests/cell/main.rs
@@ -0,0 +1,7 @@
+//! Placement of generations on a cell's engines, who waits for it, and the way off a leaving one.
+
+mod carrying;
+mod crowded;
+mod engines;
+mod fixtures;
+mod placing;
--- /dev/null
+++ b/crates/policy/tests/cell/placing.rs
@@ -0,0 +1,114 @@
+//! Which engine a generation starts on.
+
+use fulmarpath_policy::{CellEngine, Placement, PlacementRequest, RunStatement, UpstreamKey};
+use rstest::rstest;
+
+use crate::fixtures::{FAR, ME, NEAR, cell, engine, engine_of, request, statement};
+
+struct Choice {
+    engines: Vec<CellEngine>,
+    held: Vec<RunStatement>,
+    request: PlacementRequest,
+    expected: Option<u64>,
+}
+
+/// One generation asks for an engine of a cell in a given state.
+#[rstest]
+#[case::near_goes_before_far(Choice {
+    engines: vec![engine(1, FAR, false), engine(2, NEAR, false)],
+    held: vec![],
+    request: request(9, 3_000, 900, 800),
+    expected: Some(2),
+})]
+#[case::a_leaving_engine_gets_nothing(Choice {
+    engines: vec![engine(1, FAR, false), engine(2, NEAR, true)],
+    held: vec![],
+    request: request(9, 3_000, 900, 800),
+    expected: Some(1),
+})]
+#[case::the_emptier_one_is_chosen(Choice {
+    engines: vec![engine(1, NEAR, false), engine(2, NEAR, false)],
+    held: vec![statement(1, 1, 100, 900), statement(2, 1, 100, 900)],
+    request: request(9, 3_000, 900, 800),
+    expected: Some(2),
+})]
+#[case::one_that_refused_is_left_out(Choice {
+    engines: vec![engine(1, NEAR, false), engine(2, NEAR, false)],
+    held: vec![],
+    request: PlacementRequest { without: vec![UpstreamKey(1)], ..request(9, 3_000, 900, 800) },
+    expected: Some(2),
+})]
+#[case::a_full_engine_is_full(Choice {
+    engines: vec![engine(1, NEAR, false)],
+    held: (0..8).map(|run| statement(run, 1, 100, 900)).collect(),
+    request: request(9, 3_000, 900, 800),
+    expected: None,
+})]
+#[case::a_short_answer_fits_where_a_long_one_does_not(Choice {
+    engines: vec![engine(1, NEAR, false)],
+    held: (0..7).map(|run| statement(run, 1, 100, 900)).collect(),
+    request: request(9, 1_000, 40, 20),
+    expected: Some(1),
+})]
+#[case::no_engine(Choice {
+    engines: vec![],
+    held: vec![],
+    request: request(9, 3_000, 900, 800),
+    expected: None,
+})]
+fn places_by_room_and_nearness(#[case] case: Choice) {
+    let mut cell = cell(&case.engines);
+    cell.restate(0, ME, &case.held);
+    assert_eq!(engine_of(cell.place(10, &case.request)), case.expected);
+}
+
+/// A prompt that fits into no engine, however empty, is said to be too large at once; one that only
+/// lacks room now is told to come back.
+#[test]
+fn what_never_fits_is_told_so() {
+    let mut cell = cell(&[engine(1, NEAR, false)]);
+    let huge = request(1, 30_000, 900, 800);
+    assert_eq!(cell.place(10, &huge), Placement::TooLarge);
+    let held: Vec<RunStatement> = (10..18).map(|run| statement(run, 1, 100, 900)).collect();
+    cell.restate(10, ME, &held);
+    let usual = request(2, 3_000, 900, 800);
+    assert!(matches!(cell.place(20, &usual), Placement::Full { .. }));
+}
+
+/// Prompts that come together go to different engines: each delays the tokens of all others there.
+#[test]
+fn prompts_are_spread() {
+    let engines: Vec<CellEngine> = (1..=5).map(|key| engine(key, NEAR, false)).collect();
+    let mut cell = cell(&engines);
+    let mut used: Vec<u64> = (0..10)
+        .filter_map(|run| engine_of(cell.place(5, &request(run, 3_000, 900, 800))))
+        .collect();
+    used.sort_unstable();
+    assert_eq!(used, [1, 1, 2, 2, 3, 3, 4, 4, 5, 5]);
+}
+
+/// Running copies are kept while engines have room, and never hold a generation back.
+#[rstest]
+#[case::room(0, true)]
+#[case::crowded(1, false)]
+fn keeps_copies_while_there_is_room(#[case] held_each: u64, #[case] expected: bool) {
+    let mut cell = cell(&[engine(1, NEAR, false), engine(2, NEAR, false)]);
+    let held: Vec<RunStatement> = (0..held_each)
+        .flat_map(|run| {
+            [
+                statement(run, 1, 100, 900),
+                statement(100 + run, 2, 100, 900),
+            ]
+        })
+        .collect();
+    cell.restate(0, ME, &held);
+    let asked = PlacementRequest {
+        can_back_up: true,
+        ..request(999, 3_000, 900, 800)
+    };
+    let Placement::On { engine, backup, .. } = cell.place(10, &asked) else {
+        panic!("there is room for the generation itself");
+    };
+    assert_eq!(backup.is_some(), expected);
+    assert_ne!(backup, Some(engine));
+}
