Send a generation to one engine in a function of its own

What a caller is told of a failed dispatch stands once, for streams and small requests. Platform and gateway tests pass unchanged.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -16,6 +16,7 @@
 use crate::instances::Chosen;
 use crate::intake::Inquiry;
 use crate::journey::{Flight, Journey};
+use crate::problem::Problem;
 use crate::record::Dispatch;
 
 /// Time to connect: some ways there and back between data centres, and an upstream's handshake.
@@ -67,6 +68,16 @@
         matches!(self, Self::Unsent | Self::Shed)
     }
 
+    /// What its caller is told.
+    pub(crate) fn problem(self) -> Problem {
+        match self {
+            Self::Unsent => Problem::Unreachable,
+            Self::Shed => Problem::AllRefused,
+            Self::Unknown => Problem::Broken,
+            Self::Overdue => Problem::Timeout,
+        }
+    }
+
     fn name(self) -> &'static str {
         match self {
             Self::Unsent => "unsent",
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -129,20 +129,14 @@
             };
             if failure.is_not_run() {
                 unrun += 1;
-                problem = match failure {
-                    Failure::Unsent => Problem::Unreachable,
-                    _ => Problem::AllRefused,
-                };
+                problem = failure.problem();
                 if unrun >= UNRUN_DISPATCHES {
                     break;
                 }
                 continue;
             }
             runs += 1;
-            problem = match failure {
-                Failure::Overdue => Problem::Timeout,
-                _ => Problem::Broken,
-            };
+            problem = failure.problem();
             if !inquiry.may_run_again(runs) {
                 break;
             }
--- a/crates/gateway/src/start.rs
+++ b/crates/gateway/src/start.rs
@@ -122,59 +122,75 @@
             }
             let found = self.find_start(inquiry, ticket, journey, tries).await?;
             let Some(start) = found else { break };
-            if start.backup.is_some() {
-                self.metrics.running_copies.inc();
-            }
             tries.tried.push(start.chosen.clone());
-            journey.placed(self.clock.now_ms());
-            self.runs
-                .place(ticket.cell, statement(inquiry, ticket, &start));
-            let engine = start.chosen.upstream;
-            let terms = Terms {
-                until_ms: inquiry.deadline_ms,
-                backup: start.backup.as_ref().map(|backup| backup.address),
-                last_event,
-                ..Terms::default()
-            };
-            let failure = match self.dispatch(inquiry, journey, start.chosen, terms).await {
-                Ok(answer) if answer.response.status().is_success() && !answer.head.is_signed => {
-                    Failure::Unknown
-                }
-                Ok(answer) => {
+            let tried = self.try_engine(inquiry, ticket, journey, start, last_event);
+            let failure = match tried.await {
+                Ok(started) => {
                     tries.runs += 1;
-                    if answer.head.is_closing {
-                        self.doubt(ticket.cell, engine);
+                    let has_failed = started.answer.response.status().is_server_error();
+                    if !has_failed || !inquiry.may_run_again(tries.runs) {
+                        return Ok(started);
                     }
-                    let is_failure = answer.response.status().is_server_error();
-                    let started = Started {
-                        answer,
-                        backup: start.backup,
-                    };
-                    if is_failure && inquiry.may_run_again(tries.runs) {
-                        tries.failed = Some(started);
-                        continue;
-                    }
-                    return Ok(started);
+                    tries.failed = Some(started);
+                    continue;
                 }
                 Err(failure) => failure,
             };
             tries.runs += u32::from(!failure.is_not_run());
-            problem = match failure {
-                Failure::Unsent => {
-                    self.doubt(ticket.cell, engine);
-                    Problem::Unreachable
-                }
-                Failure::Shed => Problem::AllRefused,
-                Failure::Unknown => Problem::Broken,
-                Failure::Overdue => return Err(Problem::Timeout),
+            problem = failure.problem();
+            let is_last = match failure {
+                Failure::Unsent | Failure::Shed => false,
+                Failure::Unknown => !inquiry.may_run_again(tries.runs),
+                Failure::Overdue => true,
             };
-            if failure == Failure::Unknown && !inquiry.may_run_again(tries.runs) {
-                return Err(problem);
+            if is_last {
+                break;
             }
         }
         Err(problem)
     }
 
+    /// Sends a generation to one engine.
+    async fn try_engine(
+        self: &Arc<Self>,
+        inquiry: &Inquiry,
+        ticket: &Ticket,
+        journey: &mut Journey,
+        start: Start,
+        last_event: Option<u64>,
+    ) -> Result<Started, Failure> {
+        if start.backup.is_some() {
+            self.metrics.running_copies.inc();
+        }
+        journey.placed(self.clock.now_ms());
+        let statement = statement(inquiry, ticket, &start);
+        self.runs.place(ticket.cell, statement);
+        let terms = Terms {
+            until_ms: inquiry.deadline_ms,
+            backup: start.backup.as_ref().map(|backup| backup.address),
+            last_event,
+            ..Terms::default()
+        };
+        let engine = start.chosen.upstream;
+        let answer = self.dispatch(inquiry, journey, start.chosen, terms).await;
+        let is_doubtful = match &answer {
+            Ok(answer) => answer.head.is_closing,
+            Err(failure) => *failure == Failure::Unsent,
+        };
+        if is_doubtful {
+            self.doubt(ticket.cell, engine);
+        }
+        let answer = answer?;
+        // Without a signature a success isn't the engine's own.
+        if answer.response.status().is_success() && !answer.head.is_signed {
+            return Err(Failure::Unknown);
+        }
+        Ok(Started {
+            answer,
+            backup: start.backup,
+        })
+    }
+
     /// Whether this host, if it stops, stops after the generation has surely ended.
     fn can_finish(&self, inquiry: &Inquiry) -> bool {
         let (Some(ends_ms), Some(generation)) = (self.ends_ms(), &inquiry.generation) else {
