Count an engine's silence from when its answer began

Cause, found by reading: a generation that was carried went on with the time since its last event already on the clock. Where the last copy and the first event at the destination took over 108 ms together, the destination was left 4 ms after it had answered, for the running copy elsewhere, though it was about to go on. Change: silence counts from the later of the last event and the beginning of the answer.

--- a/crates/gateway/src/recovery.rs
+++ b/crates/gateway/src/recovery.rs
@@ -104,7 +104,7 @@
         self.has_just_moved = true;
         // A part of an event is of no use to the caller: the engine that goes on sends it whole.
         self.events.take_rest();
-        self.source = Source::new(answer);
+        self.source = Source::new(self.gateway.clock.now_ms(), answer);
         self.backup = backup;
         self.handover.restart();
         let engine = self.source.engine().upstream;
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -94,7 +94,7 @@
             orders: gateway.runs.begin(ticket.run),
             event_tokens: traits.map_or(1, |traits| traits.event_tokens),
             status: answer.response.status().as_u16(),
-            source: Source::new(answer),
+            source: Source::new(gateway.clock.now_ms(), answer),
             events: Events::default(),
             last_event: inquiry.last_event,
             handover: Handover::default(),
@@ -172,7 +172,8 @@
     fn silence_left(&self) -> Option<Duration> {
         let may_leave = self.backup.is_some() && self.handover.may_begin();
         let target_ms = self.inquiry.route.gap_target_ms?;
-        let since_ms = self.journey.last_event_ms()?;
+        // What the engine before took, for a last copy or in silence, isn't this one's silence.
+        let since_ms = self.journey.last_event_ms()?.max(self.source.since_ms);
         let until_ms = since_ms + (target_ms as f32 * SILENCE_SHARE) as Millis;
         let left_ms = until_ms.saturating_sub(self.gateway.clock.now_ms());
         may_leave.then(|| Duration::from_millis(left_ms))
--- a/crates/gateway/src/source.rs
+++ b/crates/gateway/src/source.rs
@@ -26,13 +26,16 @@
 /// The stream of the engine that makes the generation now.
 pub(crate) struct Source {
     pub(crate) flight: Flight,
+    /// When its answer began.
+    pub(crate) since_ms: Millis,
     body: Incoming,
     _connection: Connection,
 }
 
 impl Source {
-    pub(crate) fn new(answer: Answer) -> Self {
+    pub(crate) fn new(now_ms: Millis, answer: Answer) -> Self {
         Self {
+            since_ms: now_ms,
             flight: answer.flight,
             body: answer.response.into_body(),
             _connection: answer.connection,
