Count generations that go on elsewhere towards their service's retries

Cause, found by reading: what goes on from a copy arrives at the service once more, and the operator's bound on repeats counts it, while our own window counted only second sends.

Change: a continuation is never held back, since nobody makes again what is there already, but it is counted, and leaves the fewer retries. Ruled out: asking before it goes on, which would cut answers for the sake of retries. The new test did not build before.

--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -205,6 +205,13 @@
         retries.insert(service.to_owned(), window);
     }
 
+    /// Counts a generation that goes on elsewhere towards its service's retries.
+    pub(crate) fn count_continuation(&self, now_ms: Millis, service: &str) {
+        if let Some(window) = self.retries.lock().get_mut(service) {
+            window.go_on(now_ms);
+        }
+    }
+
     /// What the page of metrics shows of this moment.
     pub(crate) fn readings(&self) -> Readings {
         let now_ms = self.clock.now_ms();
--- a/crates/gateway/src/recovery.rs
+++ b/crates/gateway/src/recovery.rs
@@ -162,6 +162,8 @@
         let now_ms = self.gateway.clock.now_ms();
         let chosen = self.gateway.instances.take_again(now_ms, at.upstream);
         let Some(chosen) = chosen else { return false };
+        let service = &self.inquiry.service;
+        self.gateway.count_continuation(now_ms, service);
         let backup = self.backup.clone();
         let backup = backup.filter(|backup| backup.upstream != at.upstream && !backup.is_lost());
         let terms = Terms {
--- a/crates/policy/src/retry_window.rs
+++ b/crates/policy/src/retry_window.rs
@@ -62,6 +62,13 @@
         true
     }
 
+    /// A request goes on elsewhere from a copy of its memory: that is not asked about, since nobody makes
+    /// again what is there already, but it arrives at the service like a retry, and leaves the fewer.
+    pub fn go_on(&mut self, now_ms: Millis) {
+        self.forget(now_ms);
+        self.retries.push_back(now_ms);
+    }
+
     /// Requests that may still be sent once more within the window.
     pub fn left(&mut self, now_ms: Millis, hosts: usize) -> f32 {
         self.forget(now_ms);
--- a/crates/policy/tests/upstreams.rs
+++ b/crates/policy/tests/upstreams.rs
@@ -143,3 +143,29 @@
     assert!(!window.retry(900, 1));
     assert!(window.retry(1_001, 1));
 }
+
+/// Engines leave, and their generations go on elsewhere, each of which arrives at the service once more.
+/// They are never held back; the retries beside them are, until the window is over.
+#[test]
+fn continuations_leave_fewer_retries() {
+    let bound = RetryBound {
+        ratio: 0.2,
+        extra: 0.0,
+        window_ms: 1_000,
+    };
+    let mut window = RetryWindow::new(bound);
+    for _ in 0..100 {
+        window.request(0);
+    }
+    for _ in 0..13 {
+        window.go_on(10);
+    }
+    assert!(window.retry(20, 1));
+    assert!(!window.retry(20, 1));
+    for _ in 0..10 {
+        window.go_on(30);
+    }
+    assert!(window.left(40, 1) < 0.0);
+    window.request(1_020);
+    assert!(!window.retry(1_020, 1));
+}
