Carry what a leaving engine would cut into fuller engines at the last moment

Change: in the time of the last three transfers a destination may be filled to 1.05 of the predicted peak in place of 0.97; and what leaves goes in the order of what was read and made of it.

--- a/crates/policy/src/cell/evacuation.rs
+++ b/crates/policy/src/cell/evacuation.rs
@@ -20,6 +20,15 @@
 const REST_MS: Millis = 150;
 /// A destination may be filled up to this share by what is carried there.
 const ROOM_SHARE: f32 = 0.97;
+/// The same once little time is left: an engine that fills pauses a generation for a moment, one that
+/// leaves cuts it for good.
+///
+/// Before 48 crowded engines in virtual time (load 1.25, eight seeds) 39 generations of 90 s were cut
+/// where the last moments were like the others, 28 with this, and 15 were paused in place of 13; of the
+/// long answers of six crowded days 3.1% broke, then 2.4%, with the order of [`loss_rate`].
+const LAST_ROOM_SHARE: f32 = 1.05;
+/// Little time is left where it is enough for fewer such transfers.
+const LAST_TRANSFERS: f32 = 3.0;
 /// A generation is left where it is if the chance that its engine's end cuts it is below this: a move
 /// costs little, but takes the link from others.
 const LEAST_CHANCE_LOST: f32 = 0.1;
@@ -141,7 +150,11 @@
                 .copied()
                 .unwrap_or_default();
             let cost_ms = takes_ms + busy_ms + ROOM_MS * share;
-            (share <= ROOM_SHARE).then_some((cost_ms, engine.entry.key, takes_ms as Millis))
+            let most = match left_ms < takes_ms * LAST_TRANSFERS {
+                true => LAST_ROOM_SHARE,
+                false => ROOM_SHARE,
+            };
+            (share <= most).then_some((cost_ms, engine.entry.key, takes_ms as Millis))
         });
         let best = costs.min_by(|one, other| one.0.total_cmp(&other.0).then(one.1.cmp(&other.1)));
         best.map(|(_, key, takes_ms)| (key, takes_ms))
@@ -207,11 +220,13 @@
 /// What a full destination costs against an empty one: about one transfer between data centres.
 const ROOM_MS: f32 = 300.0;
 
-/// What is lost with a generation that stays, for each millisecond of the link.
+/// What is lost with a generation that stays, for each millisecond of the link: what was read and made of
+/// it so far.
 fn loss_rate(run: &Run, engine: &Engine, chance_lost: f32, now_ms: Millis) -> f32 {
     if chance_lost < LEAST_CHANCE_LOST {
         return 0.0;
     }
-    let transfer_ms = engine.transfer_ms(run.held_tokens(now_ms) as u32, true) + SETUP_MS;
-    run.worth() * chance_lost / transfer_ms
+    let held_tokens = run.held_tokens(now_ms);
+    let transfer_ms = engine.transfer_ms(held_tokens as u32, true) + SETUP_MS;
+    held_tokens * chance_lost / transfer_ms
 }
--- a/crates/policy/src/cell/run.rs
+++ b/crates/policy/src/cell/run.rs
@@ -199,10 +199,4 @@
     pub(super) fn held_tokens(&self, now_ms: Millis) -> f32 {
         self.prompt_tokens as f32 + self.out_tokens(now_ms)
     }
-
-    /// What its caller loses with it: its size, as the users weigh generations, where a token out
-    /// counts as ten of the prompt.
-    pub(super) fn worth(&self) -> f32 {
-        self.prompt_tokens as f32 + 10.0 * self.limit_tokens as f32
-    }
 }
--- a/crates/policy/tests/cell/carrying.rs
+++ b/crates/policy/tests/cell/carrying.rs
@@ -263,3 +263,32 @@
     let carry = cell.next_carry(30, UpstreamKey(1)).expect("it is carried");
     assert_eq!(carry.to, UpstreamKey(2));
 }
+
+struct LastMoments {
+    prompt_tokens: u32,
+    now_ms: u64,
+    is_carried: bool,
+}
+
+/// An engine gives notice, and the only other one has little room. Early in the notice its generation
+/// waits until something ends there. Near its end it goes all the same, where the other engine would be
+/// a little too full: that pauses somebody for a moment, and staying would cut it for good. Far too much
+/// stays: it would pause several.
+#[rstest]
+#[case::early(LastMoments { prompt_tokens: 3_000, now_ms: 100, is_carried: false })]
+#[case::late(LastMoments { prompt_tokens: 3_000, now_ms: 1_050, is_carried: true })]
+#[case::late_and_large(LastMoments { prompt_tokens: 5_000, now_ms: 1_050, is_carried: false })]
+#[case::too_late(LastMoments { prompt_tokens: 3_000, now_ms: 1_450, is_carried: false })]
+fn a_fuller_engine_takes_what_would_be_cut(#[case] case: LastMoments) {
+    let mut cell = cell(&[engine(1, NEAR, true), engine(2, NEAR, false)]);
+    let leaves = RunStatement {
+        prompt_tokens: case.prompt_tokens,
+        ..statement(1, 1, 100, 900)
+    };
+    let stays = (50..58).map(|run| statement(run, 2, 490, 500));
+    let held: Vec<RunStatement> = stays.chain([leaves]).collect();
+    // Restated at the same moment, nothing more is expected to be out.
+    cell.restate(case.now_ms, ME, &held);
+    let carry = cell.next_carry(case.now_ms, UpstreamKey(1));
+    assert_eq!(carry.is_some(), case.is_carried, "{carry:?}");
+}
