--- a/crates/policy/src/cell/evacuation.rs
+++ b/crates/policy/src/cell/evacuation.rs
@@ -24,11 +24,12 @@
 /// leaves cuts it for good.
 ///
 /// Before 48 crowded engines in virtual time (load 1.25, eight seeds) 39 generations of 90 s were cut
-/// where the last moments were like the others, 28 with this, and 15 were paused in place of 13; of the
-/// long answers of six crowded days 3.1% broke, then 2.4%, with the order of [`loss_rate`].
+/// where the last moments were like the others, 25 with this, and 18 were paused in place of 13.
 const LAST_ROOM_SHARE: f32 = 1.05;
-/// Little time is left where it is enough for fewer such transfers.
-const LAST_TRANSFERS: f32 = 3.0;
+/// Little time is left where it is enough for fewer transfers of a generation within its data centre: for
+/// what is tried first, and one that failed. At three transfers to wherever it goes, most of a notice, 41
+/// were paused.
+const LAST_TRANSFERS: f32 = 2.5;
 /// A generation is left where it is if the chance that its engine's end cuts it is below this: a move
 /// costs little, but takes the link from others.
 const LEAST_CHANCE_LOST: f32 = 0.1;
@@ -137,6 +138,11 @@
     ) -> Option<(UpstreamKey, Millis)> {
         let source = self.engines.get(&run.engine())?;
         let claim = run.claim(now_ms, &self.answers);
+        let near_ms = source.transfer_ms(claim.held_tokens as u32, true) + SETUP_MS;
+        let room_share = match left_ms < near_ms * LAST_TRANSFERS {
+            true => LAST_ROOM_SHARE,
+            false => ROOM_SHARE,
+        };
         let open = self.engines.values().filter(|engine| is_open(engine));
         let costs = open.filter_map(|engine| {
             let near = engine.entry.data_centre == source.entry.data_centre;
@@ -150,11 +156,7 @@
                 .copied()
                 .unwrap_or_default();
             let cost_ms = takes_ms + busy_ms + ROOM_MS * share;
-            let most = match left_ms < takes_ms * LAST_TRANSFERS {
-                true => LAST_ROOM_SHARE,
-                false => ROOM_SHARE,
-            };
-            (share <= most).then_some((cost_ms, engine.entry.key, takes_ms as Millis))
+            (share <= room_share).then_some((cost_ms, engine.entry.key, takes_ms as Millis))
         });
         let best = costs.min_by(|one, other| one.0.total_cmp(&other.0).then(one.1.cmp(&other.1)));
         best.map(|(_, key, takes_ms)| (key, takes_ms))
