--- a/crates/policy/src/cell/answers.rs
+++ b/crates/policy/src/cell/answers.rs
@@ -12,9 +12,11 @@
 use crate::lengths::{Curve, Histogram, LEAST_CHANCE};
 
 /// What a caller says of its answer's length.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Debug, Clone, Copy)]
 pub(super) struct Stated {
+    /// The bound.
     pub(super) limit_tokens: u32,
+    /// The guess.
     pub(super) hint_tokens: Option<u32>,
 }
 
@@ -88,7 +90,7 @@
     }
 
     /// How long such answers are.
-    pub(super) fn curve(&self, stated: Stated) -> &Curve {
+    fn curve(&self, stated: Stated) -> &Curve {
         let Some(kind) = self.kinds.get(&stated.kind()) else {
             return &self.unknown;
         };
--- a/crates/policy/src/cell/cost.rs
+++ b/crates/policy/src/cell/cost.rs
@@ -13,7 +13,7 @@
 /// crowded cell.
 const USUAL_PART: f32 = 0.02;
 /// A token out weighs as much as so many of the prompt, by the users' weighing of generations.
-pub(super) const OUT_WEIGHT: f32 = 10.0;
+const OUT_WEIGHT: f32 = 10.0;
 /// The part of a generation's benefit that doesn't grow with its size, by the same.
 const LEAST_BENEFIT: f32 = 0.3;
 /// Where a request's cost is this many times the usual one it counts as that: the bound on how far any
--- a/crates/policy/src/cell/waiting.rs
+++ b/crates/policy/src/cell/waiting.rs
@@ -24,9 +24,10 @@
 
 /// How much of its patience a request of the usual cost goes behind one that costs nothing.
 ///
-/// Before 48 crowded engines in virtual time (load 1.25, six seeds) callers of long answers got 0.775 of
-/// their benefit without it, 0.807 at 0.15, 0.823 at 0.25, 0.837 at 0.5 and 0.840 at 1.0, and the largest
-/// prompts the more the higher it is; beyond 0.5 more of them are refused.
+/// Before 48 crowded engines in virtual time (load 1.25) callers of long answers got 0.778 of their benefit
+/// without it and 0.833 at 1.0, where an engine was full at 0.92; at 0.95, 0.807 at 0.15, 0.820 at 0.25,
+/// 0.837 at 0.5 and 0.840 at 1.0. Those with the largest prompts gain the more the higher it is; beyond 0.5
+/// more of all are refused.
 const COST_SHARE: f32 = 0.5;
 
 /// Whose turn it is: what can still be on time, then the more urgent, then what has to start first to
@@ -34,9 +35,9 @@
 ///
 /// By arrival alone the large waited as long as the small and then had the longer prompts to read. On
 /// six crowded days of three deployments, three seeds each, the day's worth rose from 0.693 to 0.711 by
-/// what has to start first. What costs little fits where the costly don't, and twice as many callers are
-/// served by the same memory: see [`COST_SHARE`]. A request is put off by a bounded part of its
-/// patience, so what comes later than that never overtakes it.
+/// what has to start first. What costs little fits where the costly don't, and leaves soon: see
+/// [`COST_SHARE`]. A request is put off by a bounded part of its patience, so what comes later than that
+/// never overtakes it.
 ///
 /// An answer that is late already is worth a seventh to its caller, by the users' sheets, and takes
 /// as much memory as one on time. Served by turns with the others, it makes one of them late too.
@@ -60,6 +61,9 @@
 }
 
 /// A request that was refused, whose caller may come back with another.
+///
+/// Forgotten before its caller's time was over, one that came back as late as it was told to, a third of
+/// that time, was taken for new: it got the room of those that could still be on time.
 #[derive(Debug, Clone, Copy)]
 struct Refused {
     /// When its first try had come.
@@ -74,6 +78,7 @@
     requests: HashMap<RunKey, Waiting>,
     /// Requests that were refused, by likeness.
     refused: HashMap<u64, Refused>,
+    /// What requests of this cell cost lately.
     usual_cost: UsualCost,
 }
 
