--- a/crates/cluster/src/members.rs
+++ b/crates/cluster/src/members.rs
@@ -88,16 +88,37 @@
             self.refute(now_ms, &rumour);
             return;
         }
-        let news = self.known.get(&key).is_none_or(|known| {
-            let held = (known.rumour.incarnation, known.rumour.state);
-            (rumour.incarnation, rumour.state) > held
-        });
-        if news {
+        if self.is_news(key, &rumour) {
             let sends = self.sends();
             self.insert(now_ms, key, rumour, sends);
         }
     }
 
+    /// Takes in what reaches every member on another way, so that it isn't passed on from here; true
+    /// where it was news.
+    ///
+    /// With each of some hundred newcomers told again by all who hear of it, pings were full of old
+    /// news for a minute after all hosts had started, and suspicions waited behind them.
+    pub fn learn(&mut self, now_ms: Millis, rumour: Rumour) -> bool {
+        let key = HostKey::of(&rumour.member.name);
+        if key == self.me {
+            self.refute(now_ms, &rumour);
+            return false;
+        }
+        let is_news = self.is_news(key, &rumour);
+        if is_news {
+            self.insert(now_ms, key, rumour, 0);
+        }
+        is_news
+    }
+
+    fn is_news(&self, key: HostKey, rumour: &Rumour) -> bool {
+        self.known.get(&key).is_none_or(|known| {
+            let held = (known.rumour.incarnation, known.rumour.state);
+            (rumour.incarnation, rumour.state) > held
+        })
+    }
+
     /// A member didn't answer, neither directly nor through others.
     pub fn suspect(&mut self, now_ms: Millis, key: HostKey) {
         let Some(known) = self.known.get(&key) else {
@@ -187,6 +208,31 @@
         }
     }
 
+    /// Members that answer, a few drawn at random, this host among those that may be drawn.
+    pub fn sample(&self, draw: u64, count: usize) -> Vec<Rumour> {
+        let alive = self.known.iter();
+        let mut alive: Vec<(u64, &Known)> = alive
+            .filter(|(_, known)| known.rumour.state == MemberState::Alive)
+            .map(|(key, known)| (rank(draw, key.0), known))
+            .collect();
+        alive.sort_by_key(|(rank, _)| *rank);
+        let chosen = alive.into_iter().take(count);
+        chosen.map(|(_, known)| known.rumour.clone()).collect()
+    }
+
+    /// All that is believed, of the dead as well.
+    pub fn beliefs(&self) -> Vec<Rumour> {
+        let all = self.known.values();
+        all.map(|known| known.rumour.clone()).collect()
+    }
+
+    /// Equal at two hosts that believe the same members present. Suspects count as present, lest
+    /// each missed ping makes all differ.
+    pub fn digest(&self) -> u64 {
+        let keys = self.homes().map(|(key, _)| rank(key.0, 0));
+        keys.fold(0, u64::wrapping_add)
+    }
+
     /// Members that may be asked to ping another one.
     pub fn helpers(&self, target: HostKey, draw: u64, count: usize) -> Vec<MemberNote> {
         let mut others: Vec<(HostKey, &Known)> = self
--- a/crates/cluster/tests/members.rs
+++ b/crates/cluster/tests/members.rs
@@ -119,3 +119,52 @@
     assert_eq!(near.len(), 2);
     assert_eq!(members.homes_near(5, "zrh-c", 3).len(), 3);
 }
+
+/// What reaches all members by an announcement isn't passed on as a rumour too: pings were full of
+/// old news after all hosts had started. A death that this host finds is.
+#[test]
+fn announced_newcomers_are_not_told_again() {
+    let mut members = Members::new(note("zrh-a/me"), 1);
+    assert!(members.learn(1, rumour("zrh-a/new", MemberState::Alive, 1)));
+    assert!(!members.learn(2, rumour("zrh-a/new", MemberState::Alive, 1)));
+    assert_eq!(members.rumours(), Vec::new());
+    members.suspect(3, HostKey::of("zrh-a/new"));
+    assert_eq!(
+        members.rumours(),
+        [rumour("zrh-a/new", MemberState::Suspect, 1)]
+    );
+}
+
+/// Two hosts compare what they believe by a hash: equal in whatever order they heard, and while a
+/// missed ping makes one of them suspect a member; different where one has missed a newcomer or a
+/// death. An exchange of all beliefs makes them equal, and the dead stay dead.
+#[test]
+fn exchanged_beliefs_agree() {
+    let names = ["zrh-a/1", "zrh-b/2", "zrh-c/3"];
+    let mut first = Members::new(note("zrh-a/me"), 1);
+    let mut second = Members::new(note("zrh-a/other"), 1);
+    for name in names {
+        first.learn(1, rumour(name, MemberState::Alive, 1));
+    }
+    for name in names.into_iter().rev() {
+        second.learn(1, rumour(name, MemberState::Alive, 1));
+    }
+    first.learn(1, second.me());
+    second.learn(1, first.me());
+    assert_eq!(first.digest(), second.digest());
+    second.suspect(2, HostKey::of(names[1]));
+    assert_eq!(first.digest(), second.digest());
+    first.learn(3, rumour(names[0], MemberState::Dead, 1));
+    second.learn(3, rumour("zrh-c/late", MemberState::Alive, 1));
+    assert_ne!(first.digest(), second.digest());
+    let (told, heard) = (first.beliefs(), second.beliefs());
+    for belief in heard {
+        first.learn(4, belief);
+    }
+    for belief in told {
+        second.learn(4, belief);
+    }
+    assert_eq!(first.digest(), second.digest());
+    assert_eq!(state_of(&second, names[0]), None);
+    assert_eq!(state_of(&first, "zrh-c/late"), Some(MemberState::Alive));
+}
--- a/crates/gateway/src/directory.rs
+++ b/crates/gateway/src/directory.rs
@@ -76,6 +76,15 @@
 }
 
 impl Directory {
+    /// The revision of a list that was read before any that is known to be the newest. Whoever holds
+    /// one may tell it, and takes any other.
+    pub const PROVISIONAL: u64 = 1;
+
+    /// Whether this is, or may be, older than what any watcher holds.
+    pub fn is_provisional(&self) -> bool {
+        self.revision <= Self::PROVISIONAL
+    }
+
     fn by_instance(&self) -> HashMap<&str, &Registration> {
         let all = self.registrations.iter();
         all.map(|one| (one.instance.as_str(), one)).collect()
--- a/crates/gateway/src/fleet.rs
+++ b/crates/gateway/src/fleet.rs
@@ -1,17 +1,19 @@
 //! The other hosts: who is there, and what they know that this host doesn't.
 //!
-//! Hosts find each other by entries in the store and by the settings' seeds; who is alive is told
-//! by pings alone, since nothing of ours expires in the store by itself. A ping compares versions
-//! of what all hosts hold, so a host that the store turns away follows its peers.
+//! Who is alive is told by pings alone, since nothing of ours expires in the store by itself. A ping
+//! compares versions of what all hosts hold, so a host that the store turns away follows its peers.
 
+use std::collections::HashSet;
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
 use fulmarpath_cluster::Members;
-use fulmarpath_policy::{HostKey, Lag, Millis};
+use fulmarpath_policy::{Drift, HostKey, Join, Lag, Millis};
 use fulmarpath_wire::{
-    GatewayPeerClient, Holding, MemberNote, MemberState, Peers, Ping, Pong, Rumour, Versions,
+    GatewayPeerClient, Holding, MemberNote, MemberState, MembersDigest, Peers, Ping, Pong, Rumour,
+    Versions,
 };
 use parking_lot::Mutex;
 use rand::Rng;
@@ -19,15 +21,12 @@
 
 use crate::directory::{Directory, HostRegistration};
 use crate::encoding::decode;
-use crate::follow::outcome;
 use crate::gateway::Gateway;
+use crate::join::Newcomers;
+use crate::presence::Presence;
 
 /// Between two pings. Each goes to one member, so a host's share doesn't grow with the fleet.
 const PING_PERIOD: Duration = Duration::from_millis(250);
-/// Between two tries to write or read the hosts' entries.
-const ENTRY_PERIOD: Duration = Duration::from_millis(1_500);
-/// How often a host that knows no other reads the entries again.
-const LONELY_PERIOD: Duration = Duration::from_secs(10);
 /// A peer that holds a later revision of the upstreams has to hold it for so long before it is
 /// asked: the store's own answer is mostly on its way. Within the time that a leaving upstream may
 /// still get requests.
@@ -37,8 +36,16 @@
 pub(crate) struct Fleet {
     pub(crate) members: Mutex<Members>,
     pub(crate) peers: Peers<GatewayPeerClient>,
+    /// How far this host has come since its start.
+    pub(crate) join: Mutex<Join>,
+    pub(crate) newcomers: Newcomers,
     /// How far this host's list of upstreams is behind its peers'.
     lag: Mutex<Lag>,
+    drift: Mutex<Drift>,
+    presence: Mutex<Presence>,
+    /// What is being fetched from a peer now.
+    fetching: Mutex<HashSet<Holding>>,
+    has_entry: AtomicBool,
 }
 
 impl Fleet {
@@ -47,7 +54,7 @@
     /// The name is unique to this start. A host that starts again is a new member and the old one
     /// dies by not answering; were it the same member, only a clock could tell which start a rumour
     /// is about, and clocks jump.
-    pub(crate) fn new(host: &HostRegistration) -> Self {
+    pub(crate) fn new(now_ms: Millis, host: &HostRegistration, has_seeds: bool) -> Self {
         let start: u64 = rand::random();
         let note = MemberNote {
             name: format!("{}/{start:016x}", host.name),
@@ -57,22 +64,49 @@
         Self {
             members: Mutex::new(Members::new(note, 1)),
             peers: Peers::new(crate::peer::client),
+            join: Mutex::new(Join::new(now_ms, has_seeds)),
+            newcomers: Newcomers::default(),
             lag: Mutex::default(),
+            drift: Mutex::new(Drift::new(now_ms)),
+            presence: Mutex::default(),
+            fetching: Mutex::default(),
+            has_entry: AtomicBool::new(false),
         }
     }
 
+    /// Whether this start of the host has written its entry into the store.
+    pub(crate) fn has_entry(&self) -> bool {
+        self.has_entry.load(Ordering::Relaxed)
+    }
+
+    pub(crate) fn note_entry(&self) {
+        self.has_entry.store(true, Ordering::Relaxed);
+    }
+
     /// Hosts that are believed present, this one with them.
     pub(crate) fn host_count(&self) -> usize {
         self.members.lock().present().count()
     }
 
-    fn ping_message(&self, versions: Versions) -> Ping {
+    fn ping_message(&self, versions: Versions) -> (Ping, MembersDigest) {
         let mut members = self.members.lock();
-        Ping {
+        let ping = Ping {
             from: members.me(),
             rumours: members.rumours(),
             versions,
-        }
+        };
+        (ping, MembersDigest(members.digest()))
+    }
+
+    /// The line on who has come and who is gone, where one is due.
+    fn presence_line(&self, now_ms: Millis) -> Option<String> {
+        let present = {
+            let members = self.members.lock();
+            let me = members.my_key();
+            let others = members.homes().filter(|(key, _)| *key != me);
+            others.map(|(key, note)| (key, note.name.clone())).collect()
+        };
+        self.presence.lock().see(now_ms, present)
     }
 }
 
@@ -84,77 +118,15 @@
         }
     }
 
-    /// Writes this host's entry, reads the others', and pings from then on.
-    pub(crate) async fn join_fleet(self: Arc<Self>, seeds: Vec<SocketAddr>) {
-        tokio::spawn(self.clone().ping_members());
-        let own = self.settings.host.address;
-        for seed in seeds.into_iter().filter(|seed| *seed != own) {
-            tokio::spawn(self.clone().meet(seed));
-        }
-        loop {
-            let written = self.metadata.registry.register(&self.settings.host).await;
-            self.metrics.store_call("own_entry", outcome(&written));
-            let Err(error) = written else { break };
-            warn!("fleet: could not write this host's entry: {error}");
-            tokio::time::sleep(ENTRY_PERIOD).await;
-        }
-        loop {
-            let listed = self.metadata.hosts.list().await;
-            self.metrics.store_call("hosts", outcome(&listed));
-            match listed {
-                Ok(listed) => {
-                    self.skip_of_list("the hosts", &listed);
-                    let others = listed.items.into_iter().filter(|host| host.address != own);
-                    for host in others {
-                        tokio::spawn(self.clone().meet(host.address));
-                    }
-                    tokio::time::sleep(LONELY_PERIOD).await;
-                    if self.fleet.host_count() > 1 {
-                        return;
-                    }
-                }
-                Err(error) => {
-                    warn!("fleet: could not read the hosts' entries: {error}");
-                    tokio::time::sleep(ENTRY_PERIOD).await;
-                }
-            }
-        }
-    }
-
-    /// Tells all that this host leaves, and removes its entry.
-    pub(crate) async fn leave_fleet(self: &Arc<Self>) {
-        self.fleet.members.lock().leave();
-        let ping = self.fleet.ping_message(self.versions());
-        let targets: Vec<SocketAddr> = {
-            let members = self.fleet.members.lock();
-            let me = members.my_key();
-            let others = members
-                .homes()
-                .filter(|(key, _)| *key != me)
-                .map(|(_, note)| note.address);
-            others.collect()
-        };
-        for target in targets {
-            let (gateway, ping) = (self.clone(), ping.clone());
-            tokio::spawn(async move { gateway.ping_once(target, ping).await });
-        }
-        let name = &self.settings.host.name;
-        let removed = self.metadata.registry.unregister(name).await;
-        self.metrics.store_call("own_entry", outcome(&removed));
-        if let Err(error) = removed {
-            warn!("fleet: could not remove this host's entry: {error}");
-        }
-    }
-
-    /// Speaks to an address that may be one of ours.
-    async fn meet(self: Arc<Self>, address: SocketAddr) {
-        let ping = self.fleet.ping_message(self.versions());
-        if let Some(pong) = self.ping_once(address, ping).await {
-            self.hear_pong(address, pong).await;
+    /// Pings an address, and takes what its host holds in a later version.
+    pub(crate) async fn greet(self: &Arc<Self>, address: SocketAddr) {
+        let (ping, digest) = self.fleet.ping_message(self.versions());
+        if let Some((pong, theirs)) = self.ping_once(address, ping, digest).await {
+            self.hear_pong(address, pong, theirs).await;
         }
     }
 
-    async fn ping_members(self: Arc<Self>) {
+    pub(crate) async fn ping_members(self: Arc<Self>) {
         loop {
             tokio::time::sleep(PING_PERIOD).await;
             let target = {
@@ -166,19 +138,22 @@
                 tokio::spawn(self.clone().probe(target));
             }
             self.fleet.peers.tidy();
+            if let Some(line) = self.fleet.presence_line(self.clock.now_ms()) {
+                info!("fleet: {line}");
+            }
         }
     }
 
     async fn probe(self: Arc<Self>, target: MemberNote) {
-        let ping = self.fleet.ping_message(self.versions());
+        let (ping, digest) = self.fleet.ping_message(self.versions());
         let key = HostKey::of(&target.name);
-        match self.ping_once(target.address, ping).await {
-            Some(pong) => {
+        match self.ping_once(target.address, ping, digest).await {
+            Some((pong, theirs)) => {
                 if pong.from.member.name != target.name {
                     // The address is in use again: the start that had it before is gone.
                     self.bury(&target);
                 }
-                self.hear_pong(target.address, pong).await;
+                self.hear_pong(target.address, pong, theirs).await;
             }
             None => {
                 warn!("fleet: {} does not answer", target.name);
@@ -201,48 +176,63 @@
         members.hear(now_ms, rumour);
     }
 
-    async fn ping_once(&self, address: SocketAddr, ping: Ping) -> Option<Pong> {
-        let call =
-            |client: GatewayPeerClient, context| async move { client.ping(context, ping).await };
+    async fn ping_once(
+        &self,
+        address: SocketAddr,
+        ping: Ping,
+        digest: MembersDigest,
+    ) -> Option<(Pong, MembersDigest)> {
+        let call = |client: GatewayPeerClient, context| async move {
+            client.ping(context, ping, digest).await
+        };
         self.fleet.peers.call(address, call).await.ok()
     }
 
-    async fn hear_pong(self: &Arc<Self>, address: SocketAddr, pong: Pong) {
+    async fn hear_pong(self: &Arc<Self>, address: SocketAddr, pong: Pong, theirs: MembersDigest) {
         self.hear(&pong.from, pong.rumours);
-        self.compare(address, pong.versions).await;
+        self.compare(address, pong.versions, theirs).await;
     }
 
     fn hear(&self, from: &Rumour, rumours: Vec<Rumour>) {
         let now_ms = self.clock.now_ms();
         let mut members = self.fleet.members.lock();
-        let before = members.present().count();
         members.answered(now_ms, from);
         for rumour in rumours {
             members.hear(now_ms, rumour);
         }
-        let after = members.present().count();
-        if before != after {
-            info!("fleet: {after} hosts present, {before} before");
+    }
+
+    /// Takes what reaches every member on another way than by rumours.
+    pub(crate) fn learn(&self, news: &[Rumour]) {
+        let now_ms = self.clock.now_ms();
+        let mut members = self.fleet.members.lock();
+        for rumour in news {
+            members.learn(now_ms, rumour.clone());
         }
     }
 
     /// Answers a ping, and learns from it.
-    pub(crate) fn pong(self: &Arc<Self>, ping: Ping) -> Pong {
+    pub(crate) fn pong(
+        self: &Arc<Self>,
+        ping: Ping,
+        theirs: MembersDigest,
+    ) -> (Pong, MembersDigest) {
         let address = ping.from.member.address;
         self.hear(&ping.from, ping.rumours);
-        let theirs = ping.versions;
+        let versions = ping.versions;
         let gateway = self.clone();
-        tokio::spawn(async move { gateway.compare(address, theirs).await });
-        let answer = self.fleet.ping_message(self.versions());
-        Pong {
+        tokio::spawn(async move { gateway.compare(address, versions, theirs).await });
+        let (answer, digest) = self.fleet.ping_message(self.versions());
+        let pong = Pong {
             from: answer.from,
             rumours: answer.rumours,
             versions: answer.versions,
-        }
+        };
+        (pong, digest)
     }
 
     /// Fetches what a peer holds in a later version.
-    async fn compare(&self, peer: SocketAddr, theirs: Versions) {
+    async fn compare(&self, peer: SocketAddr, theirs: Versions, members: MembersDigest) {
         if theirs.root > self.version()
             && let Some(configuration) = self.fetch(peer, Holding::Configuration).await
         {
@@ -253,6 +243,40 @@
         {
             self.take_directory(directory);
         }
+        if self.drifts_from(members) {
+            self.exchange_members(peer).await;
+        }
+    }
+
+    fn drifts_from(&self, theirs: MembersDigest) -> bool {
+        let own = self.fleet.members.lock().digest();
+        let mut drift = self.fleet.drift.lock();
+        drift.hear(self.clock.now_ms(), own == theirs.0)
+    }
+
+    /// Exchanges all beliefs of members with a peer; true where it answered.
+    pub(crate) async fn exchange_members(&self, peer: SocketAddr) -> bool {
+        let beliefs = self.fleet.members.lock().beliefs();
+        let call = |client: GatewayPeerClient, context| async move {
+            client.exchange_members(context, beliefs).await
+        };
+        match self.fleet.peers.call(peer, call).await {
+            Ok(theirs) => {
+                self.learn(&theirs);
+                true
+            }
+            Err(error) => {
+                warn!("fleet: could not exchange members: {error}");
+                false
+            }
+        }
+    }
+
+    /// Answers a peer's beliefs of members with this host's.
+    pub(crate) fn answer_beliefs(&self, theirs: &[Rumour]) -> Vec<Rumour> {
+        let beliefs = self.fleet.members.lock().beliefs();
+        self.learn(theirs);
+        beliefs
     }
 
     /// Whether this host has missed news of the upstreams that a peer has.
@@ -260,7 +284,7 @@
         let now_ms = self.clock.now_ms();
         let own = self.roster.lock().revision();
         let mut lag = self.fleet.lag.lock();
-        lag.hear(now_ms, own, theirs, BEHIND_MS)
+        lag.hear(now_ms, own, theirs, Directory::PROVISIONAL, BEHIND_MS)
     }
 
     async fn fetch<T: serde::de::DeserializeOwned>(
@@ -268,10 +292,16 @@
         peer: SocketAddr,
         holding: Holding,
     ) -> Option<T> {
+        // Pings of several peers that are ahead come within the time that one answer takes.
+        if !self.fleet.fetching.lock().insert(holding) {
+            return None;
+        }
         let call = |client: GatewayPeerClient, context| async move {
             client.holding(context, holding).await
         };
-        let value = self.fleet.peers.call(peer, call).await.ok()?;
+        let value = self.fleet.peers.call(peer, call).await;
+        self.fleet.fetching.lock().remove(&holding);
+        let value = value.ok()?;
         match decode(holding, &value) {
             Ok(held) => Some(held),
             Err(error) => {
--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -11,12 +11,12 @@
 
 use crate::directory::Directory;
 use crate::gateway::Gateway;
-use crate::metadata::{Change, StoreError};
+use crate::metadata::{Change, Freshness, StoreError};
 use crate::roster::Roster;
 
-/// How long a watch waits. A store that falls silent, or loses an answer, shows only when the watch
-/// is over, and a new version may have two seconds to be in force; each watch costs a call.
-const WATCH_BOUND: Duration = Duration::from_millis(1_000);
+/// The part of the time in which a change must be in force for which a watch waits. A store that falls
+/// silent, or loses an answer, shows only when the watch is over; each watch costs a call.
+const WATCH_SHARE: f32 = 0.5;
 /// Between two tries while the store is away; drawn anew each time, lest all hosts come at once.
 const RETRY_MS: Range<u64> = 150..450;
 /// The same after some tries: each is paid for, and a second of delay after an outage of seconds is
@@ -26,9 +26,14 @@
 const SOON_RETRIES: u32 = 3;
 /// How often a host that doesn't watch looks whether it should.
 const IDLE_PERIOD: Duration = Duration::from_millis(200);
-/// Between two watches of the upstreams: changes that come together are one call. The home of a
-/// cell doesn't wait, for the notice of a leaving engine is short.
-const MERGE_PERIOD: Duration = Duration::from_millis(120);
+/// How often a host that has just started looks whether its peers have been asked.
+const JOIN_PERIOD: Duration = Duration::from_millis(10);
+/// Between two reads of a host that neither its peers nor the store have told anything: before the
+/// first configuration is written, and while the store is away. Drawn anew each time.
+const UNTOLD_MS: Range<u64> = 800..1_600;
+/// The part of the same time that passes between two watches of the upstreams: changes that come
+/// together are one call. The home of a cell doesn't wait, for the notice of a leaving engine is short.
+const MERGE_SHARE: f32 = 0.06;
 /// How often entries that lapsed with the store's outage are looked at.
 const EXPIRE_PERIOD: Duration = Duration::from_millis(100);
 
@@ -68,6 +73,24 @@
     }
 }
 
+/// Spaces the reads of a host that nobody has told anything.
+#[derive(Debug, Default)]
+struct Untold {
+    next_ms: Millis,
+}
+
+impl Untold {
+    /// Whether to read now; not again before a drawn time has passed.
+    fn is_due(&mut self, gateway: &Gateway) -> bool {
+        let now_ms = gateway.clock.now_ms();
+        if now_ms < self.next_ms || !gateway.may_read() {
+            return false;
+        }
+        self.next_ms = now_ms + rand::rng().random_range(UNTOLD_MS);
+        true
+    }
+}
+
 /// A call's outcome on metrics.
 pub(crate) fn outcome<T>(heard: &Result<T, StoreError>) -> &'static str {
     match heard {
@@ -83,29 +106,36 @@
     pub(crate) async fn follow_configuration(self: Arc<Self>) {
         let source = &self.metadata.configuration;
         let mut contact = Contact::new("the configuration");
+        let mut untold = Untold::default();
         let mut revision = None;
         loop {
-            if self.version() > 0 && !self.watches() {
+            if !self.is_watcher() {
                 revision = None;
-                sleep(IDLE_PERIOD).await;
+                if self.version() == 0 && untold.is_due(&self) {
+                    self.read_configuration().await;
+                }
+                sleep(self.until_next_look()).await;
                 continue;
             }
             let heard = match revision {
-                None => source.list().await.map(|all| {
+                None => source.list(Freshness::Newest).await.map(|all| {
                     self.skip_of_list("the configuration", &all);
                     (all.revision, all.items)
                 }),
-                Some(seen) => source.watch(seen, WATCH_BOUND).await.map(|changes| {
-                    self.skip_of_changes("the configuration", &changes);
-                    let puts = changes
-                        .changes
-                        .into_iter()
-                        .filter_map(|change| match change {
-                            Change::Put(configuration) => Some(configuration),
-                            Change::Gone(_) | Change::Unusable(_) => None,
-                        });
-                    (changes.revision, puts.collect())
-                }),
+                Some(seen) => source
+                    .watch(seen, self.part_of_change_bound(WATCH_SHARE))
+                    .await
+                    .map(|changes| {
+                        self.skip_of_changes("the configuration", &changes);
+                        let puts = changes
+                            .changes
+                            .into_iter()
+                            .filter_map(|change| match change {
+                                Change::Put(configuration) => Some(configuration),
+                                Change::Gone(_) | Change::Unusable(_) => None,
+                            });
+                        (changes.revision, puts.collect())
+                    }),
             };
             self.metrics.store_call("configuration", outcome(&heard));
             match heard {
@@ -113,9 +143,10 @@
                     contact.heard();
                     revision = Some(seen);
                     for configuration in configurations {
-                        self.adopt(configuration, "the store");
+                        if self.adopt(configuration, "the store") {
+                            self.announce_configuration();
+                        }
                     }
-                    self.announce_configuration();
                 }
                 Err(StoreError::HistoryGone { .. }) => revision = None,
                 Err(error) => {
@@ -134,22 +165,29 @@
     pub(crate) async fn follow_registrations(self: Arc<Self>) {
         let source = &self.metadata.registrations;
         let mut contact = Contact::new("the upstreams");
+        let mut untold = Untold::default();
         let mut is_listed = false;
         loop {
-            if self.roster.lock().revision() > 0 && !self.watches() {
+            if !self.watches_upstreams() {
                 is_listed = false;
-                sleep(IDLE_PERIOD).await;
+                if !self.knows_upstreams() && untold.is_due(&self) {
+                    self.read_registrations().await;
+                }
+                sleep(self.until_next_look()).await;
                 continue;
             }
             let seen = self.roster.lock().revision();
             let heard = if is_listed {
-                let changes = source.watch(seen, WATCH_BOUND).await;
+                let changes = source
+                    .watch(seen, self.part_of_change_bound(WATCH_SHARE))
+                    .await;
                 changes.map(|changes| {
                     self.skip_of_changes("the upstreams", &changes);
                     self.roster_step(|roster, now_ms| roster.apply(now_ms, changes));
                 })
             } else {
-                let list = source.list().await;
+                self.begin_announcing();
+                let list = source.list(Freshness::Newest).await;
                 list.map(|list| {
                     self.skip_of_list("the upstreams", &list);
                     self.roster_step(|roster, now_ms| roster.replace(now_ms, list));
@@ -162,7 +200,7 @@
                     is_listed = true;
                     self.announce_directory_soon();
                     if !self.has_cell() {
-                        sleep(MERGE_PERIOD).await;
+                        sleep(self.part_of_change_bound(MERGE_SHARE)).await;
                     }
                 }
                 Err(StoreError::HistoryGone { .. }) => is_listed = false,
@@ -178,6 +216,63 @@
         }
     }
 
+    fn part_of_change_bound(&self, share: f32) -> Duration {
+        Duration::from_millis((self.settings.change_bound_ms as f32 * share) as u64)
+    }
+
+    /// Whether a peer or the store has told of any upstream.
+    fn knows_upstreams(&self) -> bool {
+        self.roster.lock().revision() > 0
+    }
+
+    /// Whether this host may read what no peer has told it.
+    fn may_read(&self) -> bool {
+        let now_ms = self.clock.now_ms();
+        self.fleet.join.lock().may_read(now_ms)
+    }
+
+    /// How long a host that doesn't watch waits until it looks again whether it should.
+    fn until_next_look(&self) -> Duration {
+        match self.may_read() {
+            true => IDLE_PERIOD,
+            false => JOIN_PERIOD,
+        }
+    }
+
+    /// Reads the configuration once, where no peer has told it.
+    async fn read_configuration(self: &Arc<Self>) {
+        let listed = self.metadata.configuration.list(Freshness::MayBeOld).await;
+        self.metrics.store_call("configuration", outcome(&listed));
+        match listed {
+            Ok(all) => {
+                self.skip_of_list("the configuration", &all);
+                for configuration in all.items {
+                    self.adopt(configuration, "the store, maybe old");
+                }
+            }
+            Err(error) => {
+                self.metrics.store_failures.inc();
+                warn!("store: no configuration known, and it can't be read: {error}");
+            }
+        }
+    }
+
+    /// Reads the upstreams once, where no peer has told them.
+    async fn read_registrations(self: &Arc<Self>) {
+        let listed = self.metadata.registrations.list(Freshness::MayBeOld).await;
+        self.metrics.store_call("upstreams", outcome(&listed));
+        match listed {
+            Ok(list) => {
+                self.skip_of_list("the upstreams", &list);
+                self.roster_step(|roster, now_ms| roster.begin(now_ms, list));
+            }
+            Err(error) => {
+                self.metrics.store_failures.inc();
+                warn!("store: no upstream known, and they can't be read: {error}");
+            }
+        }
+    }
+
     /// Drops upstreams that did not come back after an outage of the store.
     pub(crate) async fn expire_registrations(self: Arc<Self>) {
         loop {
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -38,6 +38,8 @@
     pub retries: RetryBound,
     /// Other hosts to try before the store has told of any.
     pub seeds: Vec<SocketAddr>,
+    /// Within this time a change of the configuration or of the upstreams has to be in force.
+    pub change_bound_ms: Millis,
     /// The time between a stop's signal and the end of the process.
     pub grace_ms: Millis,
 }
@@ -78,10 +80,13 @@
         control: Arc<dyn EngineControl>,
         metadata: Metadata,
     ) -> Self {
+        let clock = Clock::start();
+        let own = settings.host.address;
+        let has_seeds = settings.seeds.iter().any(|seed| *seed != own);
         Self {
-            clock: Clock::start(),
             instances: Instances::new(&settings.host.data_centre),
-            fleet: Fleet::new(&settings.host),
+            fleet: Fleet::new(clock.now_ms(), &settings.host, has_seeds),
+            clock,
             cells: Cells::default(),
             runs: Runs::default(),
             duties: Duties::default(),
--- /dev/null
+++ b/crates/gateway/src/join.rs
@@ -0,0 +1,287 @@
+//! How this host finds the others, and stays findable for those that start later.
+//!
+//! A host that starts asks one of the settings' seeds, which announces it to all; what all hold it
+//! takes from another member, drawn anew by each, lest the seeds send everything to everybody. The
+//! store names hosts for the case that every seed is gone. The few hosts that watch the store keep
+//! an entry there, so that a start costs the store nothing and some live host can always be found.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use fulmarpath_policy::{Absences, HostKey};
+use fulmarpath_wire::{GatewayPeerClient, Holding, Rumour};
+use parking_lot::Mutex;
+use rand::seq::SliceRandom;
+use spdlog::{info, warn};
+use tokio::sync::mpsc;
+use tokio::time::sleep;
+
+use crate::follow::outcome;
+use crate::gateway::Gateway;
+use crate::metadata::Freshness;
+
+/// After so long without an answer the next seed is asked as well.
+const NEXT_SEED_DELAY: Duration = Duration::from_millis(40);
+/// Between two tries to meet any other host.
+const MEET_PERIOD: Duration = Duration::from_millis(200);
+/// Between two tries to write or read the hosts' entries.
+const ENTRY_PERIOD: Duration = Duration::from_millis(1_500);
+/// How often a host that knows no other reads the entries again.
+const LONELY_PERIOD: Duration = Duration::from_secs(10);
+/// Between two looks of a watcher at the entries: how long a part of the fleet that knows nothing of
+/// the rest may stay so.
+const ENTRY_CHECK_PERIOD: Duration = Duration::from_secs(5);
+/// Members that a newcomer is told of. With a tenth of them gone it is all but sure to reach one.
+const SAMPLE: usize = 8;
+/// Members asked for what all hold, one after the other, until one answers.
+const TELLERS: usize = 3;
+/// Hosts of the store's entries that are spoken to at once.
+const NAMED: usize = 3;
+/// Newcomers of this time are announced together: all hosts start within 0.3 s, and each
+/// announcement is a message to everybody.
+const ANNOUNCE_DELAY: Duration = Duration::from_millis(100);
+
+/// Newcomers that this host is to announce.
+#[derive(Debug, Default)]
+pub(crate) struct Newcomers {
+    waiting: Mutex<Vec<Rumour>>,
+}
+
+impl Gateway {
+    /// Meets the other hosts, and from then on keeps what the store says of hosts true.
+    pub(crate) async fn join_fleet(self: Arc<Self>, seeds: Vec<SocketAddr>) {
+        tokio::spawn(self.clone().ping_members());
+        let own = self.settings.host.address;
+        let seeds: Vec<SocketAddr> = seeds.into_iter().filter(|seed| *seed != own).collect();
+        while !self.meet_any(&seeds).await {
+            let period = match self.is_lonely() {
+                true => self.look_for_others().await,
+                false => MEET_PERIOD,
+            };
+            sleep(period).await;
+            if self.fleet.host_count() > 1 {
+                // Others have found this host.
+                self.fleet.join.lock().meet(self.clock.now_ms());
+                break;
+            }
+        }
+        self.keep_entries().await;
+    }
+
+    fn is_lonely(&self) -> bool {
+        self.fleet.join.lock().is_lonely(self.clock.now_ms())
+    }
+
+    /// Makes this host known at one of the addresses; true where one answered.
+    async fn meet_any(self: &Arc<Self>, addresses: &[SocketAddr]) -> bool {
+        let mut order = addresses.to_vec();
+        order.shuffle(&mut rand::rng());
+        let sample = self.introduce(order).await;
+        let Some(sample) = sample else {
+            self.fleet.join.lock().ask_peers();
+            return false;
+        };
+        self.fleet.join.lock().meet(self.clock.now_ms());
+        info!("fleet: met, {} members named", sample.len());
+        self.learn_from(sample).await;
+        self.fleet.join.lock().ask_peers();
+        true
+    }
+
+    /// The first answer to an introduction; the next address is tried where one is slow or fails.
+    async fn introduce(self: &Arc<Self>, addresses: Vec<SocketAddr>) -> Option<Vec<Rumour>> {
+        let (answers, mut answered) = mpsc::channel(addresses.len().max(1));
+        for address in addresses {
+            let (gateway, answers) = (self.clone(), answers.clone());
+            tokio::spawn(async move {
+                let sample = gateway.introduce_to(address).await;
+                // Nobody waits for it where another one was first.
+                let _ = answers.send(sample).await;
+            });
+            let waited = tokio::time::timeout(NEXT_SEED_DELAY, answered.recv()).await;
+            if let Ok(Some(Some(sample))) = waited {
+                return Some(sample);
+            }
+        }
+        drop(answers);
+        while let Some(answer) = answered.recv().await {
+            if answer.is_some() {
+                return answer;
+            }
+        }
+        None
+    }
+
+    async fn introduce_to(&self, address: SocketAddr) -> Option<Vec<Rumour>> {
+        let me = self.fleet.members.lock().me();
+        let call =
+            |client: GatewayPeerClient, context| async move { client.join(context, me).await };
+        self.fleet.peers.call(address, call).await.ok()
+    }
+
+    /// Takes what all hold from one of a few members.
+    async fn learn_from(self: &Arc<Self>, mut sample: Vec<Rumour>) {
+        self.learn(&sample);
+        let own = self.host_key();
+        sample.retain(|one| HostKey::of(&one.member.name) != own);
+        sample.shuffle(&mut rand::rng());
+        for teller in sample.into_iter().take(TELLERS) {
+            let address = teller.member.address;
+            if self.exchange_members(address).await {
+                self.greet(address).await;
+                return;
+            }
+        }
+    }
+
+    /// Answers a newcomer, and has all others hear of it.
+    pub(crate) fn welcome(self: &Arc<Self>, newcomer: Rumour) -> Vec<Rumour> {
+        let now_ms = self.clock.now_ms();
+        let (is_news, sample) = {
+            let mut members = self.fleet.members.lock();
+            let is_news = members.learn(now_ms, newcomer.clone());
+            (is_news, members.sample(rand::random(), SAMPLE))
+        };
+        if is_news {
+            self.announce_soon(newcomer);
+        }
+        sample
+    }
+
+    fn announce_soon(self: &Arc<Self>, newcomer: Rumour) {
+        let is_first = {
+            let mut waiting = self.fleet.newcomers.waiting.lock();
+            waiting.push(newcomer);
+            waiting.len() == 1
+        };
+        if !is_first {
+            return;
+        }
+        let gateway = self.clone();
+        tokio::spawn(async move {
+            sleep(ANNOUNCE_DELAY).await;
+            let newcomers = std::mem::take(&mut *gateway.fleet.newcomers.waiting.lock());
+            gateway.announce_members(&newcomers);
+        });
+    }
+
+    /// Tells all that this host leaves, and removes its entry.
+    pub(crate) async fn leave_fleet(self: &Arc<Self>) {
+        let me = {
+            let mut members = self.fleet.members.lock();
+            members.leave();
+            members.me()
+        };
+        self.announce_members(&[me]);
+        if self.fleet.has_entry() {
+            let name = &self.settings.host.name;
+            self.remove_entry(name).await;
+        }
+    }
+
+    fn announce_members(self: &Arc<Self>, news: &[Rumour]) {
+        self.announce(Holding::Members, &news, self.everybody());
+    }
+
+    /// Writes this host's entry and speaks to others that have one; how long to wait then.
+    async fn look_for_others(self: &Arc<Self>) -> Duration {
+        if !self.write_entry().await {
+            return ENTRY_PERIOD;
+        }
+        // Of two hosts that do this at once, the one that writes later reads both entries, if what
+        // it reads isn't old.
+        let Some(others) = self.named_hosts(Freshness::Newest).await else {
+            return ENTRY_PERIOD;
+        };
+        if others.is_empty() {
+            self.fleet.join.lock().find_nobody();
+            return LONELY_PERIOD;
+        }
+        let mut addresses: Vec<SocketAddr> = others.into_values().collect();
+        addresses.shuffle(&mut rand::rng());
+        addresses.truncate(NAMED);
+        match self.meet_any(&addresses).await {
+            true => Duration::ZERO,
+            false => ENTRY_PERIOD,
+        }
+    }
+
+    /// While this host watches: keeps its own entry, meets named hosts that are not known to be
+    /// present, and removes entries of those that are gone.
+    ///
+    /// Two parts of a fleet that started while the store was away and no seed answered know nothing
+    /// of each other, and each would place generations as if it had all engines to itself. Each has
+    /// a watcher, and both name themselves in the one store.
+    async fn keep_entries(self: &Arc<Self>) {
+        let mut absences = Absences::default();
+        loop {
+            sleep(ENTRY_CHECK_PERIOD).await;
+            if self.is_watcher() {
+                self.check_entries(&mut absences).await;
+            } else {
+                absences = Absences::default();
+            }
+        }
+    }
+
+    async fn check_entries(self: &Arc<Self>, absences: &mut Absences) {
+        if !self.fleet.has_entry() && !self.write_entry().await {
+            return;
+        }
+        let Some(mut others) = self.named_hosts(Freshness::MayBeOld).await else {
+            return;
+        };
+        {
+            let members = self.fleet.members.lock();
+            let present: Vec<SocketAddr> = members.homes().map(|(_, note)| note.address).collect();
+            others.retain(|_, address| !present.contains(address));
+        }
+        absences.keep(|name| others.contains_key(name));
+        for (name, address) in others.into_iter().take(NAMED) {
+            if self.meet_any(&[address]).await {
+                absences.answer(&name);
+            } else if absences.miss(&name) {
+                info!("fleet: {name} is gone, its entry is removed");
+                self.remove_entry(&name).await;
+            }
+        }
+    }
+
+    /// The other hosts that have an entry; `None` where the store can't be read.
+    async fn named_hosts(&self, freshness: Freshness) -> Option<HashMap<String, SocketAddr>> {
+        let listed = self.metadata.hosts.list(freshness).await;
+        self.metrics.store_call("hosts", outcome(&listed));
+        match listed {
+            Ok(listed) => {
+                self.skip_of_list("the hosts", &listed);
+                let own = self.settings.host.address;
+                let others = listed.items.into_iter().filter(|host| host.address != own);
+                Some(others.map(|host| (host.name, host.address)).collect())
+            }
+            Err(error) => {
+                warn!("fleet: could not read the hosts' entries: {error}");
+                None
+            }
+        }
+    }
+
+    async fn write_entry(&self) -> bool {
+        let written = self.metadata.registry.register(&self.settings.host).await;
+        self.metrics.store_call("own_entry", outcome(&written));
+        match written {
+            Ok(()) => self.fleet.note_entry(),
+            Err(error) => warn!("fleet: could not write this host's entry: {error}"),
+        }
+        self.fleet.has_entry()
+    }
+
+    async fn remove_entry(&self, name: &str) {
+        let removed = self.metadata.registry.unregister(name).await;
+        self.metrics.store_call("an_entry_gone", outcome(&removed));
+        if let Err(error) = removed {
+            warn!("fleet: could not remove the entry of {name}: {error}");
+        }
+    }
+}
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -22,6 +22,7 @@
 mod hop;
 mod instances;
 mod intake;
+mod join;
 mod journey;
 mod key;
 mod layout;
@@ -29,6 +30,7 @@
 mod metadata;
 mod metrics;
 mod peer;
+mod presence;
 mod problem;
 mod record;
 mod recovery;
@@ -53,8 +55,9 @@
     AnswerHead, Continuation, Dialect, GenerationHead, HeadError, Outbound, PromptPart, RequestHead,
 };
 pub use metadata::{
-    Change, Changes, Collection, HostRegistry, Metadata, Snapshot, StoreError, Unusable,
+    Change, Changes, Collection, Freshness, HostRegistry, Metadata, Snapshot, StoreError, Unusable,
 };
+pub use presence::{Presence, Present};
 pub use problem::Problem;
 pub use record::{Dispatch, REQUEST_PREFIX, RequestRecord, Size};
 pub use roster::Roster;
--- a/crates/gateway/src/metadata.rs
+++ b/crates/gateway/src/metadata.rs
@@ -70,11 +70,21 @@
     pub changes: Vec<Change<T>>,
 }
 
+/// How new a list has to be.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Freshness {
+    /// As new as the call.
+    Newest,
+    /// It may be some seconds old, which costs the store a tenth. Its revision may be newer than
+    /// what it lists, so nothing is watched from it.
+    MayBeOld,
+}
+
 /// Objects of one kind.
 #[async_trait]
 pub trait Collection<T>: Send + Sync {
     /// Lists all.
-    async fn list(&self) -> Result<Snapshot<T>, StoreError>;
+    async fn list(&self, freshness: Freshness) -> Result<Snapshot<T>, StoreError>;
     /// Waits up to `bound` for changes since `revision`.
     async fn watch(&self, revision: u64, bound: Duration) -> Result<Changes<T>, StoreError>;
 }
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -52,6 +52,12 @@
     pub(crate) what: &'static str,
 }
 
+/// A kind of messages between hosts.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub(crate) struct MessageLabels {
+    pub(crate) kind: &'static str,
+}
+
 /// A service.
 #[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
 pub(crate) struct ServiceLabels {
@@ -80,6 +86,7 @@
     pub(crate) continuations: Family<ContinuationLabels, Counter>,
     pub(crate) running_copies: Counter,
     pub(crate) stalls: Counter,
+    peer_messages: Family<MessageLabels, Counter>,
     pub(crate) store_calls: Family<StoreLabels, Counter>,
     skipped_entries: Family<EntryLabels, Counter>,
     configuration_age_ms: Gauge,
@@ -128,6 +135,9 @@
         let store_calls = Family::default();
         let help = "Calls to the store by what they are for and their outcome";
         registry.register("store_calls", help, store_calls.clone());
+        let peer_messages = Family::default();
+        let help = "Messages from other hosts, by kind";
+        registry.register("peer_messages", help, peer_messages.clone());
         let configuration_age_ms = Gauge::default();
         let help = "Since the configuration in force came";
         registry.register("configuration_age_ms", help, configuration_age_ms.clone());
@@ -147,6 +157,7 @@
             running_copies,
             stalls,
             store_calls,
+            peer_messages,
             skipped_entries,
             configuration_age_ms,
             upstreams_age_ms,
@@ -177,6 +188,12 @@
         self.store_calls.get_or_create(&labels).inc();
     }
 
+    /// Counts a message from another host.
+    pub(crate) fn peer_message(&self, kind: &'static str) {
+        let labels = MessageLabels { kind };
+        self.peer_messages.get_or_create(&labels).inc();
+    }
+
     /// Counts entries of a kind that can't be used.
     pub(crate) fn skip_entries(&self, what: &'static str, count: u64) {
         let labels = EntryLabels { what };
--- a/crates/gateway/src/peer.rs
+++ b/crates/gateway/src/peer.rs
@@ -4,8 +4,8 @@
 
 use fulmarpath_policy::{Placement, PlacementRequest, RunEnd, RunKey, UpstreamKey};
 use fulmarpath_wire::{
-    Announcement, CarryAnswer, CellKey, GatewayPeer, GatewayPeerClient, Holding, Ping, Pong,
-    Restatement, framed,
+    Announcement, CarryAnswer, CellKey, GatewayPeer, GatewayPeerClient, Holding, MembersDigest,
+    Ping, Pong, Restatement, Rumour, framed,
 };
 use futures::StreamExt;
 use tarpc::client::Config;
@@ -48,19 +48,37 @@
     gateway: Arc<Gateway>,
 }
 
+impl Server {
+    fn count(&self, kind: &'static str) {
+        self.gateway.metrics.peer_message(kind);
+    }
+}
+
 impl GatewayPeer for Server {
-    async fn ping(self, _: Context, ping: Ping) -> Pong {
-        self.gateway.pong(ping)
+    async fn ping(self, _: Context, ping: Ping, members: MembersDigest) -> (Pong, MembersDigest) {
+        self.count("ping");
+        self.gateway.pong(ping, members)
+    }
+
+    async fn join(self, _: Context, newcomer: Rumour) -> Vec<Rumour> {
+        self.count("join");
+        self.gateway.welcome(newcomer)
+    }
+
+    async fn exchange_members(self, _: Context, beliefs: Vec<Rumour>) -> Vec<Rumour> {
+        self.count("exchange_members");
+        self.gateway.answer_beliefs(&beliefs)
     }
 
     async fn holding(self, _: Context, holding: Holding) -> Vec<u8> {
+        self.count("holding");
         let held = match holding {
             Holding::Configuration => {
                 let held = self.gateway.in_force();
                 held.map_or(Ok(Vec::new()), |held| encode(holding, &held.configuration))
             }
             Holding::Upstreams => encode(holding, &self.gateway.roster.lock().directory()),
-            Holding::Blindness => Ok(Vec::new()),
+            Holding::Blindness | Holding::Members => Ok(Vec::new()),
         };
         held.unwrap_or_else(|error| {
             spdlog::warn!("fleet: could not write what a peer asks for: {error}");
@@ -69,6 +87,7 @@
     }
 
     async fn announce(self, _: Context, announcement: Announcement) {
+        self.count("announce");
         self.gateway.hear_announcement(announcement);
     }
 
@@ -78,26 +97,31 @@
         cell: CellKey,
         request: PlacementRequest,
     ) -> Option<Placement> {
+        self.count("place");
         self.gateway.answer_place(cell, &request)
     }
 
     async fn ended(self, _: Context, cell: CellKey, run: RunKey, end: RunEnd) {
+        self.count("ended");
         let now_ms = self.gateway.clock.now_ms();
         self.gateway.cells.end(now_ms, cell, run, end);
     }
 
     async fn restate(self, _: Context, restatement: Restatement) {
+        self.count("restate");
         let now_ms = self.gateway.clock.now_ms();
         self.gateway.cells.restate(now_ms, &restatement);
     }
 
     async fn doubt(self, _: Context, cell: CellKey, engine: UpstreamKey) {
+        self.count("doubt");
         if self.gateway.is_home(cell) {
             self.gateway.look_at(cell, engine).await;
         }
     }
 
     async fn carry(self, _: Context, run: RunKey, to: UpstreamKey) -> CarryAnswer {
+        self.count("carry");
         self.gateway.carry_here(run, to).await
     }
 }
--- a/crates/gateway/src/roster.rs
+++ b/crates/gateway/src/roster.rs
@@ -80,6 +80,26 @@
         }
     }
 
+    /// Takes a list that may be old, where nothing is known yet; true where it named anybody.
+    ///
+    /// Its own revision isn't taken: a list may be older than the revision that comes with it, and a
+    /// host that believed itself up to date would never hear of what it lacks. Peers and a watch
+    /// bring the whole.
+    pub fn begin(&mut self, now_ms: Millis, snapshot: Snapshot<Registration>) -> bool {
+        if self.revision > 0 || !self.entries.is_empty() {
+            return false;
+        }
+        self.heard_ms = now_ms;
+        if !snapshot.items.is_empty() {
+            self.revision = Directory::PROVISIONAL;
+        }
+        let mut changed = false;
+        for registration in snapshot.items {
+            changed |= self.put(registration);
+        }
+        changed
+    }
+
     /// Takes a whole list; true where it changed anything.
     pub fn replace(&mut self, now_ms: Millis, snapshot: Snapshot<Registration>) -> bool {
         if snapshot.revision < self.revision {
@@ -132,11 +152,18 @@
     /// host's is left alone: a comparison of revisions brings the whole then.
     pub fn apply_by_peer(&mut self, now_ms: Millis, change: DirectoryChange) -> bool {
         self.heard_ms = now_ms;
-        if change.from_revision != self.revision {
+        let is_whole = change.from_revision == 0 && self.revision <= Directory::PROVISIONAL;
+        if change.from_revision != self.revision && !is_whole {
             return false;
         }
         self.revision = change.revision;
         let mut changed = false;
+        if is_whole {
+            let named: HashSet<&str> = change.put.iter().map(|one| one.instance.as_str()).collect();
+            let before = self.entries.len();
+            self.entries.retain(|name, _| named.contains(name.as_str()));
+            changed = self.entries.len() != before;
+        }
         for registration in change.put {
             changed |= self.put(registration);
         }
--- a/crates/gateway/src/spread.rs
+++ b/crates/gateway/src/spread.rs
@@ -13,8 +13,8 @@
 use std::time::Duration;
 
 use fulmarpath_cluster::Members;
-use fulmarpath_policy::{HostKey, Millis, WatchArea, WatchCandidate};
-use fulmarpath_wire::{Announcement, GatewayPeerClient, Holding};
+use fulmarpath_policy::{HostKey, Listener, Millis, WatchArea, WatchCandidate, branches, parts};
+use fulmarpath_wire::{Announcement, GatewayPeerClient, Holding, Rumour};
 use parking_lot::Mutex;
 use serde::Serialize;
 use spdlog::warn;
@@ -31,13 +31,12 @@
 /// Changes of the upstreams that come within this time are passed on together; a leaving upstream
 /// may get requests for two seconds.
 const ANNOUNCE_DELAY: Duration = Duration::from_millis(100);
-/// Hosts that each host passes news on to.
-const FANOUT: usize = 3;
 
-/// What this host has announced.
+/// What this host has passed on, and what it has heard of the store from others.
 #[derive(Debug, Default)]
 pub(crate) struct Spread {
-    announced: Mutex<Announced>,
+    /// The upstreams as this host has last passed them on.
+    announced: Mutex<Directory>,
     /// Hosts of this area that can't read the store, and until when that is believed.
     blind: Mutex<HashMap<HostKey, Millis>>,
     told_blind_ms: Mutex<Millis>,
@@ -45,20 +44,23 @@
     is_announcing: AtomicBool,
 }
 
-#[derive(Debug, Default)]
-struct Announced {
-    version: u64,
-    directory: Directory,
-}
-
 impl Gateway {
-    /// Whether this host watches the store.
-    pub(crate) fn watches(&self) -> bool {
-        self.is_watcher() || self.has_cell()
+    /// Whether this host watches the upstreams.
+    pub(crate) fn watches_upstreams(&self) -> bool {
+        self.is_watcher() || (self.may_watch() && self.has_cell())
+    }
+
+    /// Whether this host knows enough of the others to tell who watches.
+    fn may_watch(&self) -> bool {
+        let now_ms = self.clock.now_ms();
+        self.fleet.join.lock().may_watch(now_ms)
     }
 
     /// Whether this host watches for its area.
-    fn is_watcher(&self) -> bool {
+    pub(crate) fn is_watcher(&self) -> bool {
+        if !self.may_watch() {
+            return false;
+        }
         let now_ms = self.clock.now_ms();
         let blind = self.spread.blind.lock().clone();
         let members = self.fleet.members.lock();
@@ -93,7 +95,7 @@
             }
             *told_ms = now_ms;
         }
-        self.announce(Holding::Blindness, &self.host_key());
+        self.announce(Holding::Blindness, &self.host_key(), self.neighbours());
     }
 
     fn hear_blindness(&self, value: &[u8]) -> Result<(), EncodingError> {
@@ -103,17 +105,25 @@
         Ok(())
     }
 
-    /// Passes on a configuration that this host's area doesn't have yet.
+    /// Passes on a configuration that the store has told this host.
     pub(crate) fn announce_configuration(self: &Arc<Self>) {
         let Some(held) = self.in_force() else { return };
-        let version = held.configuration.version;
-        let announced = std::mem::replace(&mut self.spread.announced.lock().version, version);
-        // A host that has just started has seen no change: all read it for themselves.
-        if announced > 0 && announced < version && self.is_watcher() {
-            self.announce(Holding::Configuration, &held.configuration);
+        if self.is_watcher() {
+            let area = self.neighbours();
+            self.announce(Holding::Configuration, &held.configuration, area);
         }
     }
 
+    /// This host reads the upstreams anew, to pass on from then on what differs from what it holds.
+    pub(crate) fn begin_announcing(&self) {
+        let held = self.roster.lock().directory();
+        // Others that hold a provisional list hold another one: they need the whole.
+        *self.spread.announced.lock() = match held.is_provisional() {
+            true => Directory::default(),
+            false => held,
+        };
+    }
+
     /// Passes on what has changed of the upstreams, with all that changes within a moment.
     ///
     /// The home of a cell takes each change as it comes. Passed on one by one, hundreds a second
@@ -134,55 +144,87 @@
         let directory = self.roster.lock().directory();
         let before = {
             let mut announced = self.spread.announced.lock();
-            std::mem::replace(&mut announced.directory, directory.clone())
+            std::mem::replace(&mut *announced, directory.clone())
         };
-        let is_news = before.revision > 0 && before.revision < directory.revision;
+        let is_news = before.revision < directory.revision;
         if is_news && self.is_watcher() {
-            self.announce(Holding::Upstreams, &before.change_to(&directory));
+            let change = before.change_to(&directory);
+            self.announce(Holding::Upstreams, &change, self.neighbours());
         }
     }
 
-    fn announce<T: Serialize>(self: &Arc<Self>, holding: Holding, news: &T) {
+    /// Tells an audience, over a few of it.
+    pub(crate) fn announce<T: Serialize>(
+        self: &Arc<Self>,
+        holding: Holding,
+        news: &T,
+        audience: Vec<Vec<SocketAddr>>,
+    ) {
         match encode(holding, news) {
-            Ok(value) => self.pass_on(holding, value, self.neighbours()),
+            Ok(value) => self.pass_on(holding, &value, audience),
             Err(error) => warn!("spread: could not write news: {error}"),
         }
     }
 
-    /// The other hosts of this area.
-    fn neighbours(&self) -> Vec<SocketAddr> {
+    /// The other hosts of this area, in branches.
+    fn neighbours(&self) -> Vec<Vec<SocketAddr>> {
+        let area = self.area(&self.fleet.members.lock());
+        self.audience(|data_centre| area.contains(data_centre))
+    }
+
+    /// All other hosts, in branches.
+    pub(crate) fn everybody(&self) -> Vec<Vec<SocketAddr>> {
+        self.audience(|_| true)
+    }
+
+    fn audience(&self, hears: impl Fn(&str) -> bool) -> Vec<Vec<SocketAddr>> {
         let members = self.fleet.members.lock();
         let me = members.my_key();
-        let area = self.area(&members);
-        let near = members
+        let listeners = members
             .homes()
-            .filter(|(_, note)| area.contains(&note.data_centre));
-        near.filter(|(key, _)| *key != me)
-            .map(|(_, note)| note.address)
-            .collect()
+            .filter(|(key, note)| *key != me && hears(&note.data_centre));
+        let listeners = listeners.map(|(key, note)| Listener {
+            data_centre: note.data_centre.as_str(),
+            rank: key.0,
+            address: note.address,
+        });
+        branches(&self.settings.host.data_centre, listeners)
     }
 
-    /// Sends news to the first few of an audience, each with its part of the rest.
-    fn pass_on(self: &Arc<Self>, holding: Holding, value: Vec<u8>, audience: Vec<SocketAddr>) {
-        let part = audience.len().div_ceil(FANOUT).max(1);
-        for part in audience.chunks(part) {
-            let Some((first, rest)) = part.split_first() else {
+    /// Sends news to the first of each branch, with the rest of it to pass them on to.
+    fn pass_on(self: &Arc<Self>, holding: Holding, value: &[u8], branches: Vec<Vec<SocketAddr>>) {
+        for branch in branches {
+            let Some((first, rest)) = branch.split_first() else {
                 continue;
             };
-            let (gateway, first) = (self.clone(), *first);
-            let announcement = Announcement {
-                holding,
-                value: value.clone(),
-                audience: rest.to_vec(),
-            };
-            tokio::spawn(async move {
-                let call = |client: GatewayPeerClient, context| async move {
-                    client.announce(context, announcement).await
-                };
-                if let Err(error) = gateway.fleet.peers.call(first, call).await {
-                    warn!("spread: news went no further: {error}");
-                }
-            });
+            let (gateway, first, rest) = (self.clone(), *first, rest.to_vec());
+            let value = value.to_vec();
+            tokio::spawn(async move { gateway.tell(first, holding, value, rest).await });
+        }
+    }
+
+    /// Tells one host, or in its place the rest of its branch.
+    ///
+    /// Hosts die many at once, and each is still believed present for some seconds. Left there, the
+    /// news of a leaving upstream did not reach a third of a data centre before its pings told.
+    async fn tell(
+        self: Arc<Self>,
+        host: SocketAddr,
+        holding: Holding,
+        value: Vec<u8>,
+        rest: Vec<SocketAddr>,
+    ) {
+        let announcement = Announcement {
+            holding,
+            value: value.clone(),
+            audience: rest.clone(),
+        };
+        let call = |client: GatewayPeerClient, context| async move {
+            client.announce(context, announcement).await
+        };
+        if let Err(error) = self.fleet.peers.call(host, call).await {
+            warn!("spread: news went around a host: {error}");
+            self.pass_on(holding, &value, parts(&rest));
         }
     }
 
@@ -197,12 +239,19 @@
             Holding::Configuration => self.take_configuration(&value),
             Holding::Upstreams => self.take_change(&value),
             Holding::Blindness => self.hear_blindness(&value),
+            Holding::Members => self.take_members(&value),
         };
         if let Err(error) = taken {
             warn!("spread: could not read news: {error}");
             return;
         }
-        self.pass_on(holding, value, audience);
+        self.pass_on(holding, &value, parts(&audience));
+    }
+
+    fn take_members(&self, value: &[u8]) -> Result<(), EncodingError> {
+        let news: Vec<Rumour> = decode(Holding::Members, value)?;
+        self.learn(&news);
+        Ok(())
     }
 
     fn take_configuration(&self, value: &[u8]) -> Result<(), EncodingError> {
--- /dev/null
+++ b/crates/gateway/tests/presence.rs
@@ -0,0 +1,80 @@
+//! What the log tells of hosts that come and go.
+
+use fulmarpath_gateway::{Presence, Present};
+use fulmarpath_policy::HostKey;
+
+/// Hosts of these numbers.
+fn present(numbers: impl IntoIterator<Item = u64>) -> Present {
+    let hosts = numbers.into_iter();
+    hosts
+        .map(|number| (HostKey(number), format!("h{number}")))
+        .collect()
+}
+
+struct Case {
+    what: &'static str,
+    /// When the log looks, and who is present then.
+    seen: Vec<(u64, Present)>,
+    lines: &'static [&'static str],
+}
+
+/// Hundreds of hosts come within a second and each change is seen: one line tells who, how many and
+/// over which time. A flow that doesn't end is told in parts, and a host that was away for a moment
+/// isn't told at all.
+#[test]
+fn a_burst_is_one_line() {
+    let cases = [
+        Case {
+            what: "hundreds come",
+            seen: (0..195)
+                .map(|number| (number * 5, present(0..=number)))
+                .chain([(1_250, present(0..195)), (1_700, present(0..195))])
+                .collect(),
+            lines: &[
+                "195 other hosts present; over 970 ms came 195: h0, h1, h2, h3, h4, h5 and 189 more; went none",
+            ],
+        },
+        Case {
+            what: "one is replaced",
+            seen: vec![
+                (0, present(1..4)),
+                (700, present(1..4)),
+                (5_000, present(2..4)),
+                (5_250, present(2..5)),
+                (5_750, present(2..5)),
+                (6_000, present(2..5)),
+            ],
+            lines: &[
+                "3 other hosts present; over 0 ms came 3: h1, h2, h3; went none",
+                "3 other hosts present; over 250 ms came 1: h4; went 1: h1",
+            ],
+        },
+        Case {
+            what: "it was away for a moment",
+            seen: vec![
+                (0, present(1..4)),
+                (700, present(1..4)),
+                (5_000, present(2..4)),
+                (5_250, present(1..4)),
+                (6_000, present(1..4)),
+            ],
+            lines: &["3 other hosts present; over 0 ms came 3: h1, h2, h3; went none"],
+        },
+        Case {
+            what: "it doesn't end",
+            seen: (0..42).map(|step| (step * 250, present([step]))).collect(),
+            lines: &[
+                "1 other hosts present; over 5000 ms came 1: h20; went none",
+                "1 other hosts present; over 5000 ms came 1: h41; went 1: h20",
+            ],
+        },
+    ];
+    for case in cases {
+        let mut presence = Presence::default();
+        let seen = case.seen.into_iter();
+        let lines: Vec<String> = seen
+            .filter_map(|(now_ms, present)| presence.see(now_ms, present))
+            .collect();
+        assert_eq!(lines, case.lines, "{}", case.what);
+    }
+}
--- a/crates/gateway/tests/roster.rs
+++ b/crates/gateway/tests/roster.rs
@@ -255,3 +255,21 @@
     roster.replace(1, listed(2, 5));
     assert_eq!(roster.directory().registrations[0].born_ms, Some(9));
 }
+
+/// A host has read a list that may be old. A watcher's first word names all there are: what it
+/// doesn't name was gone already. Another watcher's first word, of an earlier revision, comes too late.
+#[test]
+fn a_provisional_list_gives_way_to_the_whole() {
+    let whole = |revision, instances| {
+        let mut watcher = Roster::default();
+        watcher.replace(0, snapshot(revision, instances));
+        Directory::default().change_to(&watcher.directory())
+    };
+    let mut roster = Roster::default();
+    roster.begin(0, snapshot(40, &["i-1", "i-old"]));
+    assert_eq!(roster.revision(), Directory::PROVISIONAL);
+    assert!(roster.apply_by_peer(10, whole(50, &["i-1", "i-2"])));
+    assert!(!roster.apply_by_peer(20, whole(49, &["i-1"])));
+    assert_eq!(roster.revision(), 50);
+    assert_eq!(names(&roster), ["i-1", "i-2"]);
+}
--- a/crates/policy/src/lag.rs
+++ b/crates/policy/src/lag.rs
@@ -22,15 +22,23 @@
 
 impl Lag {
     /// Hears which version a peer holds; true where this host is to ask it for all, which is not
-    /// said again before `bound_ms` have passed.
-    pub fn hear(&mut self, now_ms: Millis, own: u64, theirs: u64, bound_ms: Millis) -> bool {
+    /// said again before `bound_ms` have passed. Up to the version `provisional` this host holds
+    /// nothing that it can count on, and asks at once.
+    pub fn hear(
+        &mut self,
+        now_ms: Millis,
+        own: u64,
+        theirs: u64,
+        provisional: u64,
+        bound_ms: Millis,
+    ) -> bool {
         if self.ahead.is_some_and(|ahead| ahead.version <= own) {
             self.ahead = None;
         }
         if theirs <= own {
             return false;
         }
-        if own == 0 {
+        if own <= provisional {
             return true;
         }
         let ahead = self.ahead.get_or_insert(Ahead {
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -3,17 +3,21 @@
 //! Nothing here performs input or output or reads a clock: the present time is an argument, in
 //! milliseconds since a start that the caller chooses.
 
+mod absences;
 mod ask;
 mod backlog;
+mod branches;
 mod cell;
 mod choose;
 mod division;
+mod drift;
 mod fair;
 mod fit;
 mod gauge;
 mod handover;
 mod home;
 mod home_settings;
+mod join;
 mod key;
 mod lag;
 mod lengths;
@@ -29,19 +33,23 @@
 mod watchers;
 mod weights;
 
+pub use absences::Absences;
 pub use ask::{Ask, AskId, Outcome, PermitKey, RefusalReason};
+pub use branches::{Listener, branches, parts};
 pub use cell::{
     Carry, CarryEnd, Cell, CellEngine, EngineFigures, Placement, PlacementRequest, RunEnd, RunKey,
     RunStatement, Seen,
 };
 pub use choose::{Choice, choose};
 pub use division::Division;
+pub use drift::Drift;
 pub use fair::Fairness;
 pub use fit::{FitRule, Footprint};
 pub use gauge::{FlightId, Gauge, StatedLoad, Verdict};
 pub use handover::{CarryStep, Handover, Next, StreamEnd};
 pub use home::{Home, HomeLoad};
 pub use home_settings::HomeSettings;
+pub use join::Join;
 pub use key::{HostKey, Millis, ModelKey, OrganisationKey, ServiceKey, UpstreamKey};
 pub use lag::Lag;
 pub use lengths::{Curve, Lengths};
--- a/crates/policy/tests/lag.rs
+++ b/crates/policy/tests/lag.rs
@@ -15,6 +15,7 @@
 /// again before another.
 #[rstest]
 #[case::starts(Case { heard: &[(0, 0, 9)], asks: true })]
+#[case::holds_something_provisional(Case { heard: &[(0, 1, 9)], asks: true })]
 #[case::nothing_new(Case { heard: &[(0, 9, 9), (900, 9, 8)], asks: false })]
 #[case::a_little_behind(Case { heard: &[(0, 8, 9), (250, 9, 9)], asks: false })]
 #[case::always_a_little_behind(Case {
@@ -31,7 +32,7 @@
     let mut lag = Lag::default();
     let mut asks = false;
     for (now_ms, own, theirs) in case.heard {
-        asks = lag.hear(*now_ms, *own, *theirs, 300);
+        asks = lag.hear(*now_ms, *own, *theirs, 1, 300);
     }
     assert_eq!(asks, case.asks);
 }
--- a/crates/wire/src/gateway.rs
+++ b/crates/wire/src/gateway.rs
@@ -7,7 +7,7 @@
 };
 use serde::{Deserialize, Serialize};
 
-use crate::message::{Ping, Pong};
+use crate::message::{Ping, Pong, Rumour};
 
 /// What every gateway holds a copy of.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
@@ -18,8 +18,14 @@
     Upstreams,
     /// Nothing is held of it: the host that announces it can't read the store.
     Blindness,
+    /// Members that have come or leave.
+    Members,
 }
 
+/// A hash of the members that a gateway believes present, in no order.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct MembersDigest(pub u64);
+
 /// Engines of one service that one host places generations on; a hash of the cell's name.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct CellKey(pub u64);
@@ -66,7 +72,12 @@
 pub trait GatewayPeer {
     /// Liveness, rumours of other members and the versions held: `root` is the configuration's,
     /// `host_list` the revision of the upstreams.
-    async fn ping(ping: Ping) -> Pong;
+    async fn ping(ping: Ping, members: MembersDigest) -> (Pong, MembersDigest);
+    /// A host that has just started makes itself known; answers with a few members to ask for all
+    /// else, drawn anew each time.
+    async fn join(newcomer: Rumour) -> Vec<Rumour>;
+    /// All that the sender believes of members, for all that the receiver believes.
+    async fn exchange_members(beliefs: Vec<Rumour>) -> Vec<Rumour>;
     /// What the receiver holds, in the form that the holding has; empty where it holds none.
     async fn holding(holding: Holding) -> Vec<u8>;
     /// Takes news and passes it on.
