Have hosts take news that begin before their state, and tell each other what changed since

Cause, found by reading why hosts fetch lists at all: each data centre's watcher cuts the flow of changes at its own revisions, and a host took only news that begin exactly where it stands. Told once by a peer of another data centre (four pings of five), it stood between two cuts: from then on it ignored its watcher and lived on whole lists, each at the next ping of a peer that had been ahead for 0.3 s. The new test a_host_between_two_cuts_goes_on_with_the_news failed on it.

Change: the roster remembers by which revision each upstream became as it is, and which went, so that a change holds for whoever stands at or behind its beginning, also where an upstream came and went in between; peers and watchers tell that change, and all there is only to those who stand before what they remember. Directory::change_to, which compared two states and could not tell of what came and went between them, is gone; its two tests and that of news of another state hold the new form.

--- a/crates/gateway/src/directory.rs
+++ b/crates/gateway/src/directory.rs
@@ -1,6 +1,5 @@
 //! The upstreams that have registered, and the hosts of our own.
 
-use std::collections::HashMap;
 use std::net::SocketAddr;
 
 use fulmarpath_policy::Millis;
@@ -60,10 +59,10 @@
     pub lapsed: Vec<String>,
 }
 
-/// What changed between two states of the directory.
+/// What changed between two states of the directory; all there is, where it begins at no revision.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct DirectoryChange {
-    /// The revision that it changes.
+    /// The revision that it begins at; 0 where it names all there is.
     pub from_revision: u64,
     /// The revision that it leads to.
     pub revision: u64,
@@ -79,39 +78,11 @@
     /// The revision of a list that was read before any that is known to be the newest. Whoever holds
     /// one may tell it, and takes any other.
     pub const PROVISIONAL: u64 = 1;
+}
 
-    /// Whether this is, or may be, older than what any watcher holds.
-    pub fn is_provisional(&self) -> bool {
-        self.revision <= Self::PROVISIONAL
-    }
-
-    fn by_instance(&self) -> HashMap<&str, &Registration> {
-        let all = self.registrations.iter();
-        all.map(|one| (one.instance.as_str(), one)).collect()
-    }
-
-    /// What leads from this state to `later`.
-    pub fn change_to(&self, later: &Self) -> DirectoryChange {
-        let before = self.by_instance();
-        let after = later.by_instance();
-        let is_news = |one: &&Registration| {
-            before
-                .get(one.instance.as_str())
-                .is_none_or(|held| held != one)
-        };
-        let is_gone = |one: &&Registration| !after.contains_key(one.instance.as_str());
-        let gone = self.registrations.iter().filter(is_gone);
-        DirectoryChange {
-            from_revision: self.revision,
-            revision: later.revision,
-            put: later
-                .registrations
-                .iter()
-                .filter(is_news)
-                .cloned()
-                .collect(),
-            gone: gone.map(|one| one.instance.clone()).collect(),
-            lapsed: later.lapsed.clone(),
-        }
+impl DirectoryChange {
+    /// Whether it names all there is, so that what it doesn't name is gone.
+    pub fn is_whole(&self) -> bool {
+        self.from_revision == 0
     }
 }
--- a/crates/gateway/src/fleet.rs
+++ b/crates/gateway/src/fleet.rs
@@ -17,9 +17,13 @@
 };
 use parking_lot::Mutex;
 use rand::Rng;
+use serde::de::DeserializeOwned;
 use spdlog::{info, warn};
+use tarpc::client::RpcError;
+use tarpc::context::Context;
 
-use crate::directory::{Directory, HostRegistration};
+use crate::configuration::Configuration;
+use crate::directory::{Directory, DirectoryChange, HostRegistration};
 use crate::encoding::decode;
 use crate::gateway::Gateway;
 use crate::join::Newcomers;
@@ -234,14 +238,14 @@
     /// Fetches what a peer holds in a later version.
     async fn compare(&self, peer: SocketAddr, theirs: Versions, members: MembersDigest) {
         if theirs.root > self.version()
-            && let Some(configuration) = self.fetch(peer, Holding::Configuration).await
+            && let Some(configuration) = self.fetch_configuration(peer).await
         {
             self.adopt(configuration, "a peer");
         }
         if self.is_behind(theirs.host_list)
-            && let Some(directory) = self.fetch::<Directory>(peer, Holding::Upstreams).await
+            && let Some(change) = self.fetch_upstreams(peer).await
         {
-            self.take_directory(directory);
+            self.take_upstreams(change);
         }
         if self.drifts_from(members) {
             self.exchange_members(peer).await;
@@ -287,22 +291,40 @@
         lag.hear(now_ms, own, theirs, Directory::PROVISIONAL, BEHIND_MS)
     }
 
-    async fn fetch<T: serde::de::DeserializeOwned>(
+    async fn fetch_configuration(&self, peer: SocketAddr) -> Option<Configuration> {
+        let holding = Holding::Configuration;
+        let call = |client: GatewayPeerClient, context| async move {
+            client.holding(context, holding).await
+        };
+        self.fetch(peer, holding, call).await
+    }
+
+    async fn fetch_upstreams(&self, peer: SocketAddr) -> Option<DirectoryChange> {
+        let since = self.roster.lock().revision();
+        let call = |client: GatewayPeerClient, context| async move {
+            client.upstreams_since(context, since).await
+        };
+        self.fetch(peer, Holding::Upstreams, call).await
+    }
+
+    /// Asks a peer for what it holds, unless that is being asked of another one: pings of several
+    /// that are ahead come within the time that one answer takes.
+    async fn fetch<T, F>(
         &self,
         peer: SocketAddr,
         holding: Holding,
-    ) -> Option<T> {
-        // Pings of several peers that are ahead come within the time that one answer takes.
+        call: impl FnOnce(GatewayPeerClient, Context) -> F,
+    ) -> Option<T>
+    where
+        T: DeserializeOwned,
+        F: Future<Output = Result<Vec<u8>, RpcError>>,
+    {
         if !self.fleet.fetching.lock().insert(holding) {
             return None;
         }
-        let call = |client: GatewayPeerClient, context| async move {
-            client.holding(context, holding).await
-        };
         let value = self.fleet.peers.call(peer, call).await;
         self.fleet.fetching.lock().remove(&holding);
-        let value = value.ok()?;
-        match decode(holding, &value) {
+        match decode(holding, &value.ok()?) {
             Ok(held) => Some(held),
             Err(error) => {
                 warn!("fleet: could not read what {peer} holds: {error}");
--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -9,7 +9,7 @@
 use spdlog::{info, warn};
 use tokio::time::sleep;
 
-use crate::directory::Directory;
+use crate::directory::DirectoryChange;
 use crate::gateway::Gateway;
 use crate::metadata::{Change, Freshness, StoreError};
 use crate::roster::Roster;
@@ -284,13 +284,16 @@
         }
     }
 
-    /// Takes a peer's later list of the upstreams.
-    pub(crate) fn take_directory(&self, directory: Directory) {
+    /// Takes what a peer knows of the upstreams and this host doesn't.
+    pub(crate) fn take_upstreams(&self, change: DirectoryChange) {
         let now_ms = self.clock.now_ms();
+        let is_whole = change.is_whole();
         let mut roster = self.roster.lock();
-        if roster.replace_by_peer(now_ms, directory) {
+        let before = roster.revision();
+        if roster.apply_by_peer(now_ms, change) {
             let revision = roster.revision();
-            info!("upstreams: revision {revision} is a peer's");
+            let how = if is_whole { "whole" } else { "in part" };
+            info!("upstreams: revision {revision} is a peer's, {how}, after {before}");
             self.adopt_directory(&roster.directory());
         }
     }
--- a/crates/gateway/src/peer.rs
+++ b/crates/gateway/src/peer.rs
@@ -14,7 +14,7 @@
 use tarpc::tokio_serde::formats::Bincode;
 use tokio::net::{TcpListener, TcpStream};
 
-use crate::encoding::encode;
+use crate::encoding::{EncodingError, encode};
 use crate::gateway::Gateway;
 
 /// A client of the gateway at the other end of a connection.
@@ -43,6 +43,14 @@
     }
 }
 
+/// What a peer is sent; nothing where it could not be written.
+fn written(value: Result<Vec<u8>, EncodingError>) -> Vec<u8> {
+    value.unwrap_or_else(|error| {
+        spdlog::warn!("fleet: could not write what a peer asks for: {error}");
+        Vec::new()
+    })
+}
+
 #[derive(Clone)]
 struct Server {
     gateway: Arc<Gateway>,
@@ -77,13 +85,15 @@
                 let held = self.gateway.in_force();
                 held.map_or(Ok(Vec::new()), |held| encode(holding, &held.configuration))
             }
-            Holding::Upstreams => encode(holding, &self.gateway.roster.lock().directory()),
-            Holding::Blindness | Holding::Members => Ok(Vec::new()),
+            Holding::Upstreams | Holding::Blindness | Holding::Members => Ok(Vec::new()),
         };
-        held.unwrap_or_else(|error| {
-            spdlog::warn!("fleet: could not write what a peer asks for: {error}");
-            Vec::new()
-        })
+        written(held)
+    }
+
+    async fn upstreams_since(self, _: Context, revision: u64) -> Vec<u8> {
+        self.count("upstreams_since");
+        let change = self.gateway.roster.lock().change_since(revision);
+        written(encode(Holding::Upstreams, &change))
     }
 
     async fn announce(self, _: Context, announcement: Announcement) {
--- a/crates/gateway/src/roster.rs
+++ b/crates/gateway/src/roster.rs
@@ -18,10 +18,16 @@
 /// An outage shorter than this lets no registration lapse: they outlive three heartbeats.
 const OUTAGE_MS: Millis = 1_500;
 
+/// Upstreams that went, of which a peer that is behind can be told. At most this many are kept: ten times
+/// those that go while news pass through a fleet, at hundreds a second.
+const DEPARTURES: usize = 1_024;
+
 #[derive(Debug, Clone)]
 struct Entry {
     registration: Registration,
     is_missing: bool,
+    /// The revision by which it was as it is now.
+    changed_at: u64,
 }
 
 /// The registered upstreams as this host believes them.
@@ -35,6 +41,10 @@
     grace_until_ms: Millis,
     /// Services whose upstreams state when they were started.
     stating_births: HashSet<String>,
+    /// Upstreams that went, and the revision by which each had gone.
+    departed: HashMap<String, u64>,
+    /// What changed up to this revision can't be told one by one.
+    forgotten: u64,
 }
 
 impl Roster {
@@ -106,6 +116,9 @@
             return false;
         }
         self.revision = snapshot.revision;
+        // What went and came back between two lists looks unchanged.
+        self.forgotten = snapshot.revision;
+        self.departed.clear();
         let listed: HashMap<String, Registration> = snapshot
             .items
             .into_iter()
@@ -130,48 +143,80 @@
         changed
     }
 
-    /// Takes what a peer holds, where that is later; true where it changed anything.
+    /// Takes a peer's news; true where they changed anything. News that begin behind this host's
+    /// state are left alone: a comparison of revisions brings what is between.
     ///
-    /// A host that the store turns away would otherwise go on sending to upstreams that have left.
-    pub fn replace_by_peer(&mut self, now_ms: Millis, directory: Directory) -> bool {
+    /// News that begin before it are taken: they tell how all is that changed since then. Each data
+    /// centre's watchers cut the flow of changes at other revisions. A host that had once been told by
+    /// a peer of another one stood between two cuts; while it took only news that began just where it
+    /// stood, it was told of nothing any more but by whole lists, at hundreds of changes a second
+    /// most of what hosts sent each other.
+    pub fn apply_by_peer(&mut self, now_ms: Millis, change: DirectoryChange) -> bool {
         self.heard_ms = now_ms;
-        if directory.revision <= self.revision {
+        if change.from_revision > self.revision || change.revision <= self.revision {
             return false;
         }
-        let snapshot = Snapshot {
-            revision: directory.revision,
-            items: directory.registrations,
-            unusable: Vec::new(),
-        };
-        let changed = self.replace(now_ms, snapshot);
-        self.mark_lapsed(now_ms, &directory.lapsed);
+        let mut changed = false;
+        if change.is_whole() {
+            changed = self.replace(
+                now_ms,
+                Snapshot {
+                    revision: change.revision,
+                    items: change.put,
+                    unusable: Vec::new(),
+                },
+            );
+        } else {
+            self.revision = change.revision;
+            for registration in change.put {
+                changed |= self.put(registration);
+            }
+            for name in &change.gone {
+                changed |= self.drop_entry(name, self.revision);
+            }
+        }
+        self.mark_lapsed(now_ms, &change.lapsed);
         changed
     }
 
-    /// Takes a peer's news; true where it changed anything. News of another state than this
-    /// host's is left alone: a comparison of revisions brings the whole then.
-    pub fn apply_by_peer(&mut self, now_ms: Millis, change: DirectoryChange) -> bool {
-        self.heard_ms = now_ms;
-        let is_whole = change.from_revision == 0 && self.revision <= Directory::PROVISIONAL;
-        if change.from_revision != self.revision && !is_whole {
-            return false;
-        }
-        self.revision = change.revision;
-        let mut changed = false;
-        if is_whole {
-            let named: HashSet<&str> = change.put.iter().map(|one| one.instance.as_str()).collect();
-            let before = self.entries.len();
-            self.entries.retain(|name, _| named.contains(name.as_str()));
-            changed = self.entries.len() != before;
+    /// All that has changed since a revision, for a peer that stands there: whole where that can't be
+    /// told one by one.
+    pub fn change_since(&self, revision: u64) -> DirectoryChange {
+        let from_revision = match revision < self.forgotten {
+            true => 0,
+            false => revision,
+        };
+        let put = self.entries.values();
+        let put = put.filter(|one| from_revision == 0 || one.changed_at > from_revision);
+        let gone = self.departed.iter();
+        let gone = gone.filter(|(_, gone_at)| **gone_at > from_revision);
+        DirectoryChange {
+            from_revision,
+            revision: self.revision,
+            put: put.map(|one| one.registration.clone()).collect(),
+            gone: gone.map(|(name, _)| name.clone()).collect(),
+            lapsed: self.lapsed(),
         }
-        for registration in change.put {
-            changed |= self.put(registration);
+    }
+
+    fn lapsed(&self) -> Vec<String> {
+        let missing = self.entries.values().filter(|entry| entry.is_missing);
+        missing
+            .map(|entry| entry.registration.instance.clone())
+            .collect()
+    }
+
+    /// Drops an entry that had gone by a revision; true where there was one.
+    fn drop_entry(&mut self, name: &str, gone_at: u64) -> bool {
+        if self.entries.remove(name).is_none() {
+            return false;
         }
-        for name in &change.gone {
-            changed |= self.entries.remove(name).is_some();
+        self.departed.insert(name.to_owned(), gone_at);
+        if self.departed.len() > DEPARTURES {
+            self.departed.clear();
+            self.forgotten = self.revision + 1;
         }
-        self.mark_lapsed(now_ms, &change.lapsed);
-        changed
+        true
     }
 
     fn mark_lapsed(&mut self, now_ms: Millis, lapsed: &[String]) {
@@ -205,9 +250,12 @@
         if now_ms < self.grace_until_ms || self.lost_at_ms.is_some() {
             return false;
         }
-        let before = self.entries.len();
-        self.entries.retain(|_, entry| !entry.is_missing);
-        self.entries.len() != before
+        let missing = self.lapsed();
+        for name in &missing {
+            // This host's own conclusion: it is news with the next revision.
+            self.drop_entry(name, self.revision + 1);
+        }
+        !missing.is_empty()
     }
 
     /// What this host believes now.
@@ -215,14 +263,8 @@
         let entries = self.entries.values();
         Directory {
             revision: self.revision,
-            registrations: entries
-                .clone()
-                .map(|entry| entry.registration.clone())
-                .collect(),
-            lapsed: entries
-                .filter(|entry| entry.is_missing)
-                .map(|entry| entry.registration.instance.clone())
-                .collect(),
+            registrations: entries.map(|entry| entry.registration.clone()).collect(),
+            lapsed: self.lapsed(),
         }
     }
 
@@ -242,6 +284,7 @@
         }
         entry.registration.born_ms = Some(born_ms);
         entry.registration.state = RegisteredState::Ready;
+        entry.changed_at = self.revision + 1;
         true
     }
 
@@ -262,23 +305,34 @@
             }
             // Where upstreams state it, an entry without it is from another writer.
             None if self.stating_births.contains(&registration.service) => {
-                return self.entries.remove(&name).is_some();
+                return self.drop_entry(&name, self.revision);
             }
             None => {}
         }
+        self.departed.remove(&name);
+        let held = self.entries.get_mut(&name);
+        if let Some(held) = held
+            && held.registration == registration
+        {
+            if std::mem::take(&mut held.is_missing) {
+                held.changed_at = self.revision;
+            }
+            return false;
+        }
         let entry = Entry {
             registration,
             is_missing: false,
+            changed_at: self.revision,
         };
-        let held = self.entries.insert(name, entry.clone());
-        held.is_none_or(|held| held.registration != entry.registration)
+        self.entries.insert(name, entry);
+        true
     }
 
     /// An entry that can't be used names no upstream, whatever it said before. It has not lapsed with
     /// the store's outage, so there is no grace.
     fn drop_unusable(&mut self, unusable: &Unusable) -> bool {
         let name = unusable.name.as_ref();
-        name.is_some_and(|name| self.entries.remove(name).is_some())
+        name.is_some_and(|name| self.drop_entry(name, self.revision))
     }
 
     fn remove(&mut self, now_ms: Millis, name: &str) -> bool {
@@ -290,7 +344,6 @@
             entry.is_missing = true;
             return false;
         }
-        self.entries.remove(name);
-        true
+        self.drop_entry(name, self.revision)
     }
 }
--- a/crates/gateway/src/spread.rs
+++ b/crates/gateway/src/spread.rs
@@ -9,7 +9,7 @@
 use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::time::Duration;
 
 use fulmarpath_cluster::Members;
@@ -20,7 +20,7 @@
 use spdlog::warn;
 use tokio::time::sleep;
 
-use crate::directory::{Directory, DirectoryChange};
+use crate::directory::DirectoryChange;
 use crate::encoding::{EncodingError, decode, encode};
 use crate::gateway::Gateway;
 
@@ -35,8 +35,8 @@
 /// What this host has passed on, and what it has heard of the store from others.
 #[derive(Debug, Default)]
 pub(crate) struct Spread {
-    /// The upstreams as this host has last passed them on.
-    announced: Mutex<Directory>,
+    /// The revision of the upstreams up to which this host has passed them on.
+    announced: AtomicU64,
     /// Hosts of this area that can't read the store, and until when that is believed.
     blind: Mutex<HashMap<HostKey, Millis>>,
     told_blind_ms: Mutex<Millis>,
@@ -114,14 +114,10 @@
         }
     }
 
-    /// This host reads the upstreams anew, to pass on from then on what differs from what it holds.
+    /// This host reads the upstreams anew, to pass on from then on what has changed since.
     pub(crate) fn begin_announcing(&self) {
-        let held = self.roster.lock().directory();
-        // Others that hold a provisional list hold another one: they need the whole.
-        *self.spread.announced.lock() = match held.is_provisional() {
-            true => Directory::default(),
-            false => held,
-        };
+        let held = self.roster.lock().revision();
+        self.spread.announced.store(held, Ordering::Relaxed);
     }
 
     /// Passes on what has changed of the upstreams, with all that changes within a moment.
@@ -141,16 +137,21 @@
     }
 
     fn announce_directory(self: &Arc<Self>) {
-        let directory = self.roster.lock().directory();
-        let before = {
-            let mut announced = self.spread.announced.lock();
-            std::mem::replace(&mut *announced, directory.clone())
-        };
-        let is_news = before.revision < directory.revision;
-        if is_news && self.is_watcher() {
-            let change = before.change_to(&directory);
-            self.announce(Holding::Upstreams, &change, self.neighbours());
+        if !self.is_watcher() {
+            return;
         }
+        let change = {
+            let roster = self.roster.lock();
+            let before = self
+                .spread
+                .announced
+                .swap(roster.revision(), Ordering::Relaxed);
+            if roster.revision() <= before {
+                return;
+            }
+            roster.change_since(before)
+        };
+        self.announce(Holding::Upstreams, &change, self.neighbours());
     }
 
     /// Tells an audience, over a few of it.
--- a/crates/gateway/tests/directory.rs
+++ b/crates/gateway/tests/directory.rs
@@ -4,8 +4,8 @@
 
 use bincode::Options;
 use fulmarpath_gateway::{
-    CallerLimits, Configuration, Directory, DirectoryChange, RegisteredState, Registration, Route,
-    RouteKind, Share,
+    CallerLimits, Change, Changes, Configuration, DirectoryChange, RegisteredState, Registration,
+    Roster, Route, RouteKind, Share, Snapshot,
 };
 
 fn registration(number: u64, state: RegisteredState) -> Registration {
@@ -21,23 +21,33 @@
     }
 }
 
-fn directory(revision: u64, numbers: std::ops::Range<u64>) -> Directory {
+fn roster(revision: u64, numbers: std::ops::Range<u64>) -> Roster {
     let all = numbers.map(|number| registration(number, RegisteredState::Ready));
-    Directory {
+    let mut roster = Roster::default();
+    let snapshot = Snapshot {
         revision,
-        registrations: all.collect(),
-        lapsed: Vec::new(),
-    }
+        items: all.collect(),
+        unusable: Vec::new(),
+    };
+    roster.replace(0, snapshot);
+    roster
 }
 
 /// What changed is what is new, what differs and what is gone, and nothing else.
 #[test]
 fn a_change_names_only_what_changed() {
-    let before = directory(5, 0..100);
-    let mut after = directory(9, 1..101);
-    after.registrations[0].state = RegisteredState::Draining;
-    let change = before.change_to(&after);
-    let put: Vec<&str> = change.put.iter().map(|one| one.instance.as_str()).collect();
+    let mut roster = roster(5, 0..100);
+    let changes = vec![
+        Change::Put(registration(1, RegisteredState::Draining)),
+        Change::Put(registration(2, RegisteredState::Ready)),
+        Change::Put(registration(100, RegisteredState::Ready)),
+        Change::Gone("i-0000000000".to_owned()),
+    ];
+    let revision = 9;
+    roster.apply(1, Changes { revision, changes });
+    let change = roster.change_since(5);
+    let mut put: Vec<&str> = change.put.iter().map(|one| one.instance.as_str()).collect();
+    put.sort();
     assert_eq!(put, ["i-0000000001", "i-0000000064"]);
     assert_eq!(change.gone, ["i-0000000000"]);
     assert_eq!((change.from_revision, change.revision), (5, 9));
@@ -47,7 +57,8 @@
 /// as it was, and has less than a third of the bytes of its JSON.
 #[test]
 fn the_binary_form_is_short_and_whole() {
-    let change = directory(5, 0..0).change_to(&directory(9, 0..40));
+    let change = roster(9, 0..40).change_since(5);
+    assert_eq!(change.put.len(), 40);
     let bytes = bincode::DefaultOptions::new()
         .serialize(&change)
         .expect("it is written");
--- a/crates/gateway/tests/roster.rs
+++ b/crates/gateway/tests/roster.rs
@@ -49,6 +49,13 @@
     }
 }
 
+fn put(revision: u64, name: &str) -> Changes<Registration> {
+    Changes {
+        revision,
+        changes: vec![Change::Put(registration(name, RegisteredState::Ready))],
+    }
+}
+
 struct Outage {
     lost_ms: u64,
     back_ms: u64,
@@ -124,30 +131,171 @@
     assert_eq!(names(&roster), ["i-2"]);
 }
 
-/// A watcher's news lead from one state to the next; news of another state are left alone, and the
-/// whole of a peer's later state takes their place.
+/// A watcher's news lead from one state to the next. News that begin behind a host's state are left
+/// alone, and what it asks a peer for takes their place.
 #[test]
 fn news_apply_to_their_own_state_only() {
     let mut watcher = Roster::default();
     let mut other = Roster::default();
     watcher.replace(0, snapshot(5, &["i-1", "i-2"]));
     other.replace(0, snapshot(5, &["i-1", "i-2"]));
-    let before = watcher.directory();
     watcher.apply(1, gone(6, "i-1"));
-    let middle = watcher.directory();
-    watcher.replace(2, snapshot(8, &["i-2", "i-3"]));
-    let after = watcher.directory();
-    assert!(
-        !other.apply_by_peer(3, middle.change_to(&after)),
-        "it lacks a state between"
-    );
-    assert!(other.apply_by_peer(4, before.change_to(&middle)));
-    assert!(other.apply_by_peer(5, middle.change_to(&after)));
+    let first = watcher.change_since(5);
+    watcher.apply(2, put(8, "i-3"));
+    let second = watcher.change_since(6);
+    assert!(!other.apply_by_peer(3, second.clone()), "it lacks a state");
+    assert_eq!(other.revision(), 5);
+    assert!(other.apply_by_peer(4, first));
+    assert!(other.apply_by_peer(5, second));
     assert_eq!(names(&other), ["i-2", "i-3"]);
     let mut late = Roster::default();
-    assert!(late.replace_by_peer(6, after));
+    assert!(late.apply_by_peer(6, watcher.change_since(late.revision())));
+    assert_eq!(names(&late), ["i-2", "i-3"]);
+    assert!(!late.apply_by_peer(7, Roster::default().change_since(0)));
     assert_eq!(names(&late), ["i-2", "i-3"]);
-    assert!(!late.replace_by_peer(7, Directory::default()));
+}
+
+/// A host is told by a peer of another data centre, whose watcher cuts the flow of changes at other
+/// revisions, and so stands between two cuts of its own. It goes on with its own watcher's news: it
+/// hears of what went and of what came, and asks nobody for a whole list again.
+#[test]
+fn a_host_between_two_cuts_goes_on_with_the_news() {
+    let mut near = Roster::default();
+    let mut far = Roster::default();
+    near.replace(0, snapshot(10, &["i-1", "i-2", "i-3"]));
+    far.replace(0, snapshot(10, &["i-1", "i-2", "i-3"]));
+    let mut host = Roster::default();
+    far.apply(1, gone(13, "i-1"));
+    host.apply_by_peer(1, far.change_since(0));
+    assert_eq!((host.revision(), names(&host).len()), (13, 2));
+    near.apply(2, gone(13, "i-1"));
+    near.apply(2, put(15, "i-4"));
+    assert!(host.apply_by_peer(2, near.change_since(10)));
+    assert_eq!(names(&host), ["i-2", "i-3", "i-4"]);
+    near.apply(3, gone(18, "i-2"));
+    assert!(host.apply_by_peer(3, near.change_since(15)));
+    assert_eq!(names(&host), names(&near));
+}
+
+struct Told {
+    what: &'static str,
+    /// What the peer sees after its list of revision 10 names i-1 and i-2.
+    seen: fn(&mut Roster),
+    /// The revision that the asking host stands at.
+    since: u64,
+    is_whole: bool,
+    put: &'static [&'static str],
+    gone: &'static [&'static str],
+}
+
+/// A peer tells what has changed since the asker's revision, also what came and went between, and
+/// all there is where it can't tell that.
+#[test]
+fn a_peer_tells_what_has_changed() {
+    let cases = [
+        Told {
+            what: "what came and what went",
+            seen: |peer| {
+                peer.apply(1, put(12, "i-3"));
+                peer.apply(1, gone(14, "i-1"));
+            },
+            since: 10,
+            is_whole: false,
+            put: &["i-3"],
+            gone: &["i-1"],
+        },
+        Told {
+            what: "only what is new to the asker",
+            seen: |peer| {
+                peer.apply(1, put(12, "i-3"));
+                peer.apply(1, gone(14, "i-1"));
+            },
+            since: 13,
+            is_whole: false,
+            put: &[],
+            gone: &["i-1"],
+        },
+        Told {
+            what: "what came and went again, which the asker may have seen come",
+            seen: |peer| {
+                peer.apply(1, put(12, "i-3"));
+                peer.apply(1, gone(14, "i-3"));
+            },
+            since: 12,
+            is_whole: false,
+            put: &[],
+            gone: &["i-3"],
+        },
+        Told {
+            what: "what went and came back, which the asker may have seen go",
+            seen: |peer| {
+                peer.apply(1, gone(12, "i-1"));
+                peer.apply(1, put(14, "i-1"));
+            },
+            since: 12,
+            is_whole: false,
+            put: &["i-1"],
+            gone: &[],
+        },
+        Told {
+            what: "the asker stands before the peer's own list",
+            seen: |peer| {
+                peer.apply(1, put(12, "i-3"));
+            },
+            since: 9,
+            is_whole: true,
+            put: &["i-1", "i-2", "i-3"],
+            gone: &[],
+        },
+        Told {
+            what: "the peer has read the list anew: what went and came back in between is unseen",
+            seen: |peer| {
+                peer.replace(1, snapshot(20, &["i-1", "i-2"]));
+            },
+            since: 15,
+            is_whole: true,
+            put: &["i-1", "i-2"],
+            gone: &[],
+        },
+    ];
+    for case in cases {
+        let mut peer = Roster::default();
+        peer.replace(0, snapshot(10, &["i-1", "i-2"]));
+        (case.seen)(&mut peer);
+        let mut change = peer.change_since(case.since);
+        change
+            .put
+            .sort_by(|one, other| one.instance.cmp(&other.instance));
+        let put: Vec<&str> = change.put.iter().map(|one| one.instance.as_str()).collect();
+        let gone: Vec<&str> = change.gone.iter().map(String::as_str).collect();
+        assert_eq!(change.is_whole(), case.is_whole, "{}", case.what);
+        assert_eq!(
+            (put.as_slice(), gone.as_slice()),
+            (case.put, case.gone),
+            "{}",
+            case.what
+        );
+        assert_eq!(change.revision, peer.revision(), "{}", case.what);
+    }
+}
+
+/// Thousands of upstreams go, more than are remembered one by one: a peer far behind is told all
+/// there is, and one that is up to date hears of the next as before.
+#[test]
+fn what_is_not_remembered_is_told_whole() {
+    let mut peer = Roster::default();
+    let all: Vec<String> = (0..3_000).map(|number| format!("i-{number}")).collect();
+    let all: Vec<&str> = all.iter().map(String::as_str).collect();
+    peer.replace(0, snapshot(10, &all));
+    for (place, name) in all.iter().take(2_900).enumerate() {
+        peer.apply(1, gone(11 + place as u64, name));
+    }
+    let behind = peer.change_since(10);
+    assert!(behind.is_whole());
+    assert_eq!(behind.put.len(), 100);
+    let up_to_date = peer.change_since(peer.revision() - 3);
+    assert!(!up_to_date.is_whole());
+    assert_eq!(up_to_date.gone.len(), 3);
 }
 
 fn unusable(name: Option<&str>) -> Unusable {
@@ -263,7 +411,7 @@
     let whole = |revision, instances| {
         let mut watcher = Roster::default();
         watcher.replace(0, snapshot(revision, instances));
-        Directory::default().change_to(&watcher.directory())
+        watcher.change_since(Directory::PROVISIONAL)
     };
     let mut roster = Roster::default();
     roster.begin(0, snapshot(40, &["i-1", "i-old"]));
--- a/crates/wire/src/gateway.rs
+++ b/crates/wire/src/gateway.rs
@@ -78,6 +78,8 @@
     async fn join(newcomer: Rumour) -> Vec<Rumour>;
     /// All that the sender believes of members, for all that the receiver believes.
     async fn exchange_members(beliefs: Vec<Rumour>) -> Vec<Rumour>;
+    /// What has changed of the upstreams since a revision, in the form that news of them have.
+    async fn upstreams_since(revision: u64) -> Vec<u8>;
     /// What the receiver holds, in the form that the holding has; empty where it holds none.
     async fn holding(holding: Holding) -> Vec<u8>;
     /// Takes news and passes it on.
