Place by organisations' shares where engines are full, and keep pings near

Cause: turns go by time alone, so room goes to whoever asks most. Change: a request whose organisation would hold more than its max-min share of the cell's memory comes behind those that are below theirs (policy/cell/shares); what is held now counts, and hosts state it to the next home.

Where a dozen hosts stand near, two pings of three stay there; a newcomer is told of members near it first.

--- a/crates/bench/src/cmd/cell.rs
+++ b/crates/bench/src/cmd/cell.rs
@@ -2,7 +2,7 @@
 
 use bpaf::Bpaf;
 
-use crate::reclaim::{Row, RowName, Settings, run};
+use crate::reclaim::{Flood, Row, RowName, Settings, run};
 
 /// Compare ways of placing and carrying generations on engines that are reclaimed, in virtual time
 #[derive(Debug, Clone, Bpaf)]
@@ -17,7 +17,7 @@
     /// Memory asked for against that of the engines that are there, about
     #[bpaf(argument("F"), fallback(0.75))]
     load: f64,
-    /// One way only: oracle, stay, move, copy_all, copy_largest or kept
+    /// One way only: oracle, stay, move, copy_all, copy_largest, unfair or kept
     #[bpaf(argument("NAME"))]
     policy: Option<RowName>,
     /// Engines
@@ -29,6 +29,15 @@
     /// One engine crashes each so many seconds; 0 for never
     #[bpaf(argument("S"), fallback(0.0))]
     crash_period_s: f64,
+    /// Organisations, the largest first; each has half the requests of one of half its place
+    #[bpaf(argument("N"), fallback(1))]
+    organisations: usize,
+    /// Place of an organisation that floods for half of the day
+    #[bpaf(argument("N"))]
+    flooder: Option<usize>,
+    /// Its requests then, in times of its usual
+    #[bpaf(argument("F"), fallback(10.0))]
+    flood_times: f64,
     /// json or text
     #[bpaf(argument("FORM"), fallback(String::from("text")))]
     format: String,
@@ -49,11 +58,22 @@
                     duration_s: self.duration_s,
                     seed,
                     crash_period_s: self.crash_period_s,
+                    organisations: self.organisations.max(1),
+                    flood: self.flood(),
                 }));
             }
         }
     }
 
+    fn flood(&self) -> Option<Flood> {
+        let organisation = self.flooder?;
+        let is_there = organisation < self.organisations;
+        is_there.then_some(Flood {
+            organisation,
+            times: self.flood_times,
+        })
+    }
+
     fn print(&self, row: &Row) {
         if self.format == "json" {
             println!("{}", serde_json::to_string(row).unwrap_or_default());
@@ -62,7 +82,7 @@
         println!(
             "{:<12} seed {:<4} whole {:.3} on time {:.3} late {:.3} short {:.3} largest {:.3} \
              longest {:.3} benefit {:.3} refused {:>4} for good {:>4} first {:>4.0} token {:>4.1} lost {:>4} preempt {:>4} moves {:>4} wasted {:>7} pause p50 {:>4.0} \
-             p99 {:>5.0}",
+             p99 {:>5.0} | flooder {:.3} others {:.3} worst {:.3} others refused {:.3}",
             row.policy,
             row.seed,
             row.whole_share,
@@ -82,6 +102,10 @@
             row.wasted_prompt_tokens,
             row.pause_ms_p50,
             row.pause_ms_p99,
+            row.organisations.flooder_on_time_share,
+            row.organisations.others_on_time_share,
+            row.organisations.worst_on_time_share,
+            row.organisations.others_refused_share,
         );
     }
 }
--- a/crates/bench/src/cmd/decide.rs
+++ b/crates/bench/src/cmd/decide.rs
@@ -202,6 +202,7 @@
 
 fn statement(run: u64, engine: u64) -> RunStatement {
     RunStatement {
+        organisation: OrganisationKey(0),
         run: RunKey(run),
         engine: UpstreamKey(engine),
         backup: None,
@@ -214,6 +215,7 @@
 
 fn placement(run: u64, prompt_tokens: u32) -> PlacementRequest {
     PlacementRequest {
+        organisation: OrganisationKey(0),
         run: RunKey(run),
         host: HostKey(1),
         data_centre: 1,
--- a/crates/bench/src/reclaim/mod.rs
+++ b/crates/bench/src/reclaim/mod.rs
@@ -9,5 +9,6 @@
 mod transfer;
 mod world;
 
+pub(crate) use request::Flood;
 pub(crate) use row::{Row, RowName};
 pub(crate) use world::{Settings, run};
--- a/crates/bench/src/reclaim/request.rs
+++ b/crates/bench/src/reclaim/request.rs
@@ -1,8 +1,12 @@
 //! Callers' requests, drawn by the users' sheets.
 
+use std::ops::Range;
+
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
+use super::world::Settings;
+
 /// Tokens of one event.
 const EVENT_TOKENS: u32 = 4;
 /// How far callers' guesses are off: the deviation of their logarithm.
@@ -80,27 +84,82 @@
     pub(super) target_ms: u64,
     pub(super) deadline_ms: u64,
     pub(super) priority: u8,
+    /// Its place among the organisations, the largest first.
+    pub(super) organisation: usize,
+}
+
+/// One organisation sends many times its usual for a part of the day.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Flood {
+    /// Its place among the organisations, the largest first.
+    pub(crate) organisation: usize,
+    /// Its requests, in times of its usual.
+    pub(crate) times: f64,
+}
+
+impl Flood {
+    /// The part of the day in which it comes.
+    const PART: std::ops::Range<f64> = 0.25..0.75;
+}
+
+/// Organisations by size: each has this share of the requests of all.
+fn usual_share(organisation: usize, organisations: usize) -> f64 {
+    let weight = |place: usize| 1.0 / (place + 1) as f64;
+    let all: f64 = (0..organisations).map(weight).sum();
+    weight(organisation) / all
 }
 
 /// Draws the requests of a day before so many engines.
-pub(super) fn draw(engines: usize, load: f64, duration_s: f64, seed: u64) -> Vec<Asked> {
+pub(super) fn draw(settings: &Settings) -> Vec<Asked> {
     let mut asked = Vec::new();
     for (number, kind) in KINDS.iter().enumerate() {
-        let mut rng = ChaCha8Rng::seed_from_u64(seed.wrapping_mul(31).wrapping_add(number as u64));
-        let rate = kind.rate * load * engines as f64;
-        let mut at_s = 0.0;
-        loop {
-            at_s -= (1.0 - rng.random::<f64>()).ln() / rate;
-            if at_s >= duration_s {
-                break;
-            }
-            asked.push(one(&mut rng, kind, at_s));
+        let seed = settings.seed.wrapping_mul(31).wrapping_add(number as u64);
+        let rate = kind.rate * settings.load * settings.engines as f64;
+        let mut rng = ChaCha8Rng::seed_from_u64(seed);
+        let mut usual = arrivals(&mut rng, kind, rate, 0.0..settings.duration_s);
+        let mut rng = ChaCha8Rng::seed_from_u64(seed ^ 0x0a6);
+        for one in &mut usual {
+            one.organisation = whose(&mut rng, settings.organisations);
+        }
+        asked.extend(usual);
+        let Some(flood) = settings.flood else {
+            continue;
+        };
+        let rate = rate * usual_share(flood.organisation, settings.organisations);
+        let part = settings.duration_s * Flood::PART.start..settings.duration_s * Flood::PART.end;
+        let mut more = arrivals(&mut rng, kind, rate * (flood.times - 1.0), part);
+        for one in &mut more {
+            one.organisation = flood.organisation;
         }
+        asked.extend(more);
     }
     asked.sort_by_key(|one| one.at_us);
     asked
 }
 
+fn arrivals(rng: &mut ChaCha8Rng, kind: &Kind, rate: f64, during_s: Range<f64>) -> Vec<Asked> {
+    let mut asked = Vec::new();
+    let mut at_s = during_s.start;
+    loop {
+        at_s -= (1.0 - rng.random::<f64>()).ln() / rate;
+        if at_s >= during_s.end {
+            return asked;
+        }
+        asked.push(one(rng, kind, at_s));
+    }
+}
+
+fn whose(rng: &mut ChaCha8Rng, organisations: usize) -> usize {
+    let mut draw = rng.random::<f64>();
+    for organisation in 0..organisations {
+        draw -= usual_share(organisation, organisations);
+        if draw < 0.0 {
+            return organisation;
+        }
+    }
+    0
+}
+
 fn one(rng: &mut ChaCha8Rng, kind: &Kind, at_s: f64) -> Asked {
     let prompt = kind.prompt_tokens.draw(rng) as u32;
     let events = kind.events.draw(rng).ceil().max(1.0) as u32;
@@ -116,6 +175,7 @@
         target_ms: kind.target_ms,
         deadline_ms: kind.deadline_ms,
         priority: kind.priority,
+        organisation: 0,
     }
 }
 
--- a/crates/bench/src/reclaim/row.rs
+++ b/crates/bench/src/reclaim/row.rs
@@ -2,6 +2,7 @@
 
 use serde::Serialize;
 
+use super::world::Settings;
 use crate::sim::UnknownName;
 
 /// A way of deciding that is compared.
@@ -17,17 +18,20 @@
     CopyAll,
     /// The same for the largest fifth alone.
     CopyLargest,
+    /// The gateway as it is, but for the organisations: all callers are one's.
+    Unfair,
     /// The gateway as it is.
     Kept,
 }
 
 impl RowName {
-    pub(crate) const ALL: [Self; 6] = [
+    pub(crate) const ALL: [Self; 7] = [
         Self::Oracle,
         Self::Stay,
         Self::Move,
         Self::CopyAll,
         Self::CopyLargest,
+        Self::Unfair,
         Self::Kept,
     ];
 
@@ -38,6 +42,7 @@
             Self::Move => "move",
             Self::CopyAll => "copy_all",
             Self::CopyLargest => "copy_largest",
+            Self::Unfair => "unfair",
             Self::Kept => "kept",
         }
     }
@@ -58,6 +63,7 @@
     pub(crate) policy: &'static str,
     pub(crate) load: f64,
     pub(crate) seed: u64,
+    pub(crate) organisations: Organisations,
     pub(crate) asked: usize,
     /// Of the long ones: whole, whole and on time, whole and late.
     pub(crate) whole_share: f64,
@@ -91,6 +97,7 @@
 #[derive(Debug, Clone, Copy, Default)]
 pub(super) struct Fared {
     pub(super) is_long: bool,
+    pub(super) organisation: usize,
     pub(super) prompt_tokens: u32,
     pub(super) length_tokens: u32,
     pub(super) is_whole: bool,
@@ -142,6 +149,51 @@
     sorted.get(place).copied().unwrap_or_default()
 }
 
+/// How organisations fared beside one that floods, or beside the largest.
+#[derive(Debug, Clone, Serialize)]
+pub(crate) struct Organisations {
+    /// Of the requests of the one that floods.
+    pub(crate) flooder_on_time_share: f64,
+    /// Of all others' requests.
+    pub(crate) others_on_time_share: f64,
+    /// Of the worst-served tenth of the others.
+    pub(crate) worst_on_time_share: f64,
+    /// Others' tries that were refused and never served, of their requests.
+    pub(crate) others_refused_share: f64,
+}
+
+/// Organisations with fewer requests say little about how they are served.
+const COUNTED_REQUESTS: usize = 10;
+
+impl Organisations {
+    fn of(settings: &Settings, fared: &[Fared]) -> Self {
+        let flooder = settings.flood.map_or(0, |flood| flood.organisation);
+        let on_time = |of: &[&Fared]| share(of, |one| one.is_on_time);
+        let (own, others): (Vec<&Fared>, Vec<&Fared>) =
+            fared.iter().partition(|one| one.organisation == flooder);
+        let mut each: Vec<f64> = (0..settings.organisations)
+            .filter(|place| *place != flooder)
+            .map(|place| {
+                others
+                    .iter()
+                    .copied()
+                    .filter(move |one| one.organisation == place)
+            })
+            .map(Iterator::collect::<Vec<&Fared>>)
+            .filter(|of| of.len() >= COUNTED_REQUESTS)
+            .map(|of| on_time(&of))
+            .collect();
+        each.sort_by(f64::total_cmp);
+        let worst = &each[..each.len().div_ceil(10)];
+        Self {
+            flooder_on_time_share: on_time(&own),
+            others_on_time_share: on_time(&others),
+            worst_on_time_share: worst.iter().sum::<f64>() / worst.len().max(1) as f64,
+            others_refused_share: share(&others, |one| one.was_refused && !one.is_whole),
+        }
+    }
+}
+
 /// The counts of a day while it runs.
 #[derive(Debug, Default)]
 pub(super) struct Tally {
@@ -154,7 +206,7 @@
 }
 
 impl Tally {
-    pub(super) fn row(mut self, name: RowName, load: f64, seed: u64, fared: &[Fared]) -> Row {
+    pub(super) fn row(mut self, settings: &Settings, fared: &[Fared]) -> Row {
         let mut long: Vec<&Fared> = fared.iter().filter(|one| one.is_long).collect();
         let short: Vec<&Fared> = fared.iter().filter(|one| !one.is_long).collect();
         let mut longest = long.clone();
@@ -170,9 +222,10 @@
         let is_given_up = |one: &&&Fared| one.was_refused && !one.is_whole;
         self.pauses_ms.sort_by(f64::total_cmp);
         Row {
-            policy: name.name(),
-            load,
-            seed,
+            policy: settings.row.name(),
+            load: settings.load,
+            seed: settings.seed,
+            organisations: Organisations::of(settings, fared),
             asked: fared.len(),
             whole_share: share(&long, |one| one.is_whole),
             on_time_share: share(&long, |one| one.is_on_time),
--- a/crates/bench/src/reclaim/world.rs
+++ b/crates/bench/src/reclaim/world.rs
@@ -1,8 +1,8 @@
 //! Callers, their home and its engines through one day.
 
 use fulmarpath_policy::{
-    Cell, CellEngine, HostKey, Millis, Placement, PlacementRequest, RunEnd, RunKey, RunStatement,
-    UpstreamKey,
+    Cell, CellEngine, HostKey, Millis, OrganisationKey, Placement, PlacementRequest, RunEnd,
+    RunKey, RunStatement, UpstreamKey,
 };
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
@@ -10,7 +10,7 @@
 use super::engine::{Engine, FIGURES, Job, Made};
 use super::event::{Agenda, Event};
 use super::loss;
-use super::request::{Asked, draw};
+use super::request::{Asked, Flood, draw};
 use super::row::{Fared, Row, RowName, Tally};
 
 const HOST: HostKey = HostKey(1);
@@ -39,6 +39,8 @@
     pub(crate) seed: u64,
     /// One engine crashes each so many seconds; never at 0.
     pub(crate) crash_period_s: f64,
+    pub(crate) organisations: usize,
+    pub(crate) flood: Option<Flood>,
 }
 
 /// One try of a caller, and what became of it.
@@ -72,16 +74,12 @@
 
 /// Plays a day.
 pub(crate) fn run(settings: Settings) -> Row {
-    let callers = draw(
-        settings.engines,
-        settings.load,
-        settings.duration_s,
-        settings.seed,
-    );
+    let callers = draw(&settings);
     let fared = callers.iter().map(|one| Fared {
         is_long: one.is_long,
         prompt_tokens: one.prompt_tokens,
         length_tokens: one.length_tokens,
+        organisation: one.organisation,
         ..Fared::default()
     });
     let mut world = World {
@@ -98,7 +96,7 @@
     };
     world.play();
     let World { tally, fared, .. } = world;
-    tally.row(settings.row, settings.load, settings.seed, &fared)
+    tally.row(&settings, &fared)
 }
 
 pub(super) fn key_of(engine: usize) -> UpstreamKey {
@@ -184,6 +182,7 @@
         let request = PlacementRequest {
             run: RunKey(one as u64),
             host: HOST,
+            organisation: self.organisation(&asked),
             data_centre: caller as u64 % DATA_CENTRES as u64,
             prompt_tokens: asked.prompt_tokens,
             limit_tokens: asked.limit_tokens,
@@ -194,7 +193,7 @@
             left_ms: asked.deadline_ms.saturating_sub(waited_ms),
             is_last_call,
             without: Vec::new(),
-            can_back_up: self.settings.row == RowName::Kept,
+            can_back_up: matches!(self.settings.row, RowName::Kept | RowName::Unfair),
         };
         match self.cell.place(self.now_ms(), &request) {
             Placement::On { engine, backup, .. } => {
@@ -206,6 +205,13 @@
         }
     }
 
+    fn organisation(&self, asked: &Asked) -> OrganisationKey {
+        match self.settings.row {
+            RowName::Unfair => OrganisationKey(0),
+            _ => OrganisationKey(asked.organisation as u64),
+        }
+    }
+
     fn hint(&self, asked: &Asked) -> u32 {
         match self.settings.row {
             RowName::Oracle => asked.length_tokens,
@@ -384,6 +390,7 @@
                 let job = one.stopped.or(self.engines[engine].find(run).copied());
                 RunStatement {
                     run: RunKey(run as u64),
+                    organisation: self.organisation(asked),
                     engine: key_of(engine),
                     backup: one.backup.map(key_of),
                     prompt_tokens: asked.prompt_tokens,
--- a/crates/bench/tests/cell.rs
+++ b/crates/bench/tests/cell.rs
@@ -88,3 +88,52 @@
 fn days_repeat() {
     assert_eq!(rows("kept", "1.2", &[]), rows("kept", "1.2", &[]));
 }
+
+struct FloodCase {
+    load: &'static str,
+    flooder: &'static str,
+    times: &'static str,
+    /// The most that others may lose of what is on time without the flood.
+    most_lost: f64,
+    /// The least that shares gain the others, and the worst-served tenth of them.
+    least_gain: f64,
+    least_gain_of_worst: f64,
+}
+
+/// One of 40 organisations sends many times its usual for half of the day, before engines that are
+/// reclaimed. The others are on time nearly as often as without it, and none of them pays for all:
+/// without shares each lost in proportion to the flood.
+#[rstest]
+#[case::the_largest(FloodCase {
+    load: "0.9", flooder: "0", times: "10",
+    most_lost: 0.1, least_gain: 0.1, least_gain_of_worst: 0.1,
+})]
+#[case::a_middling_one(FloodCase {
+    load: "0.9", flooder: "3", times: "40",
+    most_lost: 0.15, least_gain: 0.1, least_gain_of_worst: 0.05,
+})]
+fn no_organisation_pays_for_anothers_flood(#[case] case: FloodCase) {
+    let organisations = ["--organisations", "40"];
+    let flood = ["--flooder", case.flooder, "--flood-times", case.times];
+    let flooded = [organisations.as_slice(), flood.as_slice()].concat();
+    let share = |rows: &[Value], field: &str| {
+        let sum = rows.iter().map(|row| row["organisations"][field].as_f64());
+        sum.map(|share| share.expect("a share")).sum::<f64>() / rows.len() as f64
+    };
+    let calm = rows("kept", case.load, &organisations);
+    let kept = rows("kept", case.load, &flooded);
+    let unfair = rows("unfair", case.load, &flooded);
+    let others = share(&kept, "others_on_time_share");
+    let lost = share(&calm, "others_on_time_share") - others;
+    assert!(lost < case.most_lost, "{lost}");
+    let gain = others - share(&unfair, "others_on_time_share");
+    assert!(gain > case.least_gain, "{gain}");
+    let worst = share(&kept, "worst_on_time_share") - share(&unfair, "worst_on_time_share");
+    assert!(worst > case.least_gain_of_worst, "{worst}");
+    // What is left over is still the one's that floods.
+    let flooder = share(&kept, "flooder_on_time_share");
+    assert!(
+        flooder > 0.8 * share(&unfair, "flooder_on_time_share"),
+        "{flooder}"
+    );
+}
--- a/crates/cluster/src/members.rs
+++ b/crates/cluster/src/members.rs
@@ -14,6 +14,12 @@
 const FORGET_MS: Millis = 60_000;
 /// Rumours in one message.
 const RUMOURS: usize = 8;
+/// Members of a data centre from which on most pings stay within it. Bytes between data centres are
+/// paid for; with a dozen hosts there the others still hear from it several times a second, and a
+/// data centre that is lost whole is found out within a second.
+const NEAR_MEMBERS: usize = 12;
+/// One ping in so many may go anywhere then.
+const FAR_PERIOD: u32 = 3;
 
 #[derive(Debug)]
 struct Known {
@@ -27,7 +33,11 @@
 pub struct Members {
     me: HostKey,
     known: HashMap<HostKey, Known>,
-    round: Vec<HostKey>,
+    /// Members of this host's data centre that are still to be pinged in this round of them.
+    near: Vec<HostKey>,
+    /// The same of all members.
+    all: Vec<HostKey>,
+    pings: u32,
 }
 
 impl Members {
@@ -53,7 +63,9 @@
         Self {
             me: key,
             known,
-            round: Vec::new(),
+            near: Vec::new(),
+            all: Vec::new(),
+            pings: 0,
         }
     }
 
@@ -192,14 +204,39 @@
             .collect()
     }
 
-    /// The next member to ping: each once in a round, in an order that `draw` shuffles.
+    /// The next member to ping: each once in a round, in an order that `draw` shuffles. Where many stand
+    /// near, most pings go to them.
     pub fn next_target(&mut self, draw: u64) -> Option<MemberNote> {
+        self.pings = self.pings.wrapping_add(1);
+        let is_far = self.pings.is_multiple_of(FAR_PERIOD);
+        let data_centre = self.known[&self.me].rumour.member.data_centre.clone();
+        let is_near = |known: &Known| known.rumour.member.data_centre == data_centre;
+        let near = self.others().filter(|(_, known)| is_near(known)).count();
+        if near < NEAR_MEMBERS || is_far {
+            let mut round = std::mem::take(&mut self.all);
+            let target = self.take_target(&mut round, draw, |_| true);
+            self.all = round;
+            return target;
+        }
+        let mut round = std::mem::take(&mut self.near);
+        let target = self.take_target(&mut round, draw, is_near);
+        self.near = round;
+        target
+    }
+
+    fn take_target(
+        &self,
+        round: &mut Vec<HostKey>,
+        draw: u64,
+        is_of_round: impl Fn(&Known) -> bool,
+    ) -> Option<MemberNote> {
         loop {
-            if self.round.is_empty() {
-                self.round = self.others().map(|(key, _)| key).collect();
-                self.round.sort_by_key(|key| rank(draw, key.0));
+            if round.is_empty() {
+                let others = self.others().filter(|(_, known)| is_of_round(known));
+                *round = others.map(|(key, _)| key).collect();
+                round.sort_by_key(|key| rank(draw, key.0));
             }
-            let key = self.round.pop()?;
+            let key = round.pop()?;
             if let Some(known) = self.known.get(&key)
                 && known.rumour.state != MemberState::Dead
             {
@@ -208,14 +245,18 @@
         }
     }
 
-    /// Members that answer, a few drawn at random, this host among those that may be drawn.
-    pub fn sample(&self, draw: u64, count: usize) -> Vec<Rumour> {
+    /// Members that answer, a few drawn at random, those of a data centre first; this host among those
+    /// that may be drawn.
+    pub fn sample(&self, data_centre: &str, draw: u64, count: usize) -> Vec<Rumour> {
         let alive = self.known.iter();
-        let mut alive: Vec<(u64, &Known)> = alive
+        let mut alive: Vec<((bool, u64), &Known)> = alive
             .filter(|(_, known)| known.rumour.state == MemberState::Alive)
-            .map(|(key, known)| (rank(draw, key.0), known))
+            .map(|(key, known)| {
+                let is_far = known.rumour.member.data_centre != data_centre;
+                ((is_far, rank(draw, key.0)), known)
+            })
             .collect();
-        alive.sort_by_key(|(rank, _)| *rank);
+        alive.sort_by_key(|(order, _)| *order);
         let chosen = alive.into_iter().take(count);
         chosen.map(|(_, known)| known.rumour.clone()).collect()
     }
--- a/crates/cluster/tests/members.rs
+++ b/crates/cluster/tests/members.rs
@@ -168,3 +168,87 @@
     assert_eq!(state_of(&second, names[0]), None);
     assert_eq!(state_of(&first, "zrh-c/late"), Some(MemberState::Alive));
 }
+
+struct Pings {
+    what: &'static str,
+    /// Other members in this host's data centre, and in another one.
+    near: usize,
+    far: usize,
+    /// Pings of 360 that go to the other data centre.
+    sent_far: std::ops::RangeInclusive<usize>,
+}
+
+/// Where many stand near, most pings stay near; nobody is left out for long, and a small data centre
+/// hears of the others as often as of itself.
+#[test]
+fn most_pings_stay_near() {
+    let cases = [
+        Pings {
+            what: "many near",
+            near: 39,
+            far: 156,
+            sent_far: 90..=100,
+        },
+        Pings {
+            what: "few near",
+            near: 3,
+            far: 9,
+            sent_far: 270..=270,
+        },
+        Pings {
+            what: "nobody near",
+            near: 0,
+            far: 9,
+            sent_far: 360..=360,
+        },
+        Pings {
+            what: "nobody far",
+            near: 20,
+            far: 0,
+            sent_far: 0..=0,
+        },
+    ];
+    for case in cases {
+        let mut members = Members::new(note("zrh-a/me"), 1);
+        let near = (0..case.near).map(|number| format!("zrh-a/{number}"));
+        let far = (0..case.far).map(|number| format!("zrh-b/{number}"));
+        for name in near.chain(far) {
+            members.learn(0, rumour(&name, MemberState::Alive, 1));
+        }
+        let targets: Vec<MemberNote> = (0..360)
+            .filter_map(|draw| members.next_target(draw))
+            .collect();
+        let is_far = |note: &&MemberNote| note.data_centre == "zrh-b";
+        let sent_far = targets.iter().filter(is_far).count();
+        assert!(
+            case.sent_far.contains(&sent_far),
+            "{}: {sent_far}",
+            case.what
+        );
+        let pinged: std::collections::BTreeSet<&str> =
+            targets.iter().map(|note| note.name.as_str()).collect();
+        let near = pinged.iter().filter(|name| name.starts_with("zrh-a"));
+        assert_eq!(near.count(), case.near, "{}", case.what);
+        assert!(
+            pinged.len() - case.near >= case.far.min(90),
+            "{}",
+            case.what
+        );
+    }
+}
+
+/// A newcomer is told of members of its own data centre first, and of others where those are few.
+#[test]
+fn a_sample_is_near_first() {
+    let mut members = Members::new(note("zrh-a/me"), 1);
+    for name in ["zrh-b/1", "zrh-b/2", "zrh-c/1", "zrh-c/2", "zrh-c/3"] {
+        members.learn(0, rumour(name, MemberState::Alive, 1));
+    }
+    members.suspect(0, HostKey::of("zrh-b/2"));
+    for draw in 0..20 {
+        let sample = members.sample("zrh-b", draw, 3);
+        assert_eq!(sample[0].member.name, "zrh-b/1");
+        assert_eq!(sample.len(), 3);
+        assert!(sample.iter().all(|one| one.state == MemberState::Alive));
+    }
+}
--- a/crates/gateway/src/intake.rs
+++ b/crates/gateway/src/intake.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use fulmarpath_policy::Millis;
+use fulmarpath_policy::{Millis, OrganisationKey};
 use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::Incoming;
 use hyper::header::HOST;
@@ -53,6 +53,11 @@
         is_repeatable && runs < self.route.max_attempts
     }
 
+    /// Whose it is. What is open to anybody is asked for by one organisation more.
+    pub(crate) fn organisation_key(&self) -> OrganisationKey {
+        OrganisationKey::of(self.organisation.as_deref().unwrap_or_default())
+    }
+
     /// What stays the same where its caller tries again: whose it is, what it asks for, its body.
     pub(crate) fn likeness(&self) -> u64 {
         let mut hasher = Xxh3::new();
--- a/crates/gateway/src/join.rs
+++ b/crates/gateway/src/join.rs
@@ -33,7 +33,8 @@
 /// Between two looks of a watcher at the entries: how long a part of the fleet that knows nothing of
 /// the rest may stay so.
 const ENTRY_CHECK_PERIOD: Duration = Duration::from_secs(5);
-/// Members that a newcomer is told of. With a tenth of them gone it is all but sure to reach one.
+/// Members that a newcomer is told of, those of its own data centre first. With a tenth of them gone it
+/// is all but sure to reach one.
 const SAMPLE: usize = 8;
 /// Members asked for what all hold, one after the other, until one answers.
 const TELLERS: usize = 3;
@@ -126,7 +127,6 @@
         self.learn(&sample);
         let own = self.host_key();
         sample.retain(|one| HostKey::of(&one.member.name) != own);
-        sample.shuffle(&mut rand::rng());
         for teller in sample.into_iter().take(TELLERS) {
             let address = teller.member.address;
             if self.exchange_members(address).await {
@@ -139,10 +139,14 @@
     /// Answers a newcomer, and has all others hear of it.
     pub(crate) fn welcome(self: &Arc<Self>, newcomer: Rumour) -> Vec<Rumour> {
         let now_ms = self.clock.now_ms();
+        let data_centre = newcomer.member.data_centre.clone();
         let (is_news, sample) = {
             let mut members = self.fleet.members.lock();
             let is_news = members.learn(now_ms, newcomer.clone());
-            (is_news, members.sample(rand::random(), SAMPLE))
+            (
+                is_news,
+                members.sample(&data_centre, rand::random(), SAMPLE),
+            )
         };
         if is_news {
             self.announce_soon(newcomer);
--- a/crates/gateway/src/start.rs
+++ b/crates/gateway/src/start.rs
@@ -275,6 +275,7 @@
         Some(PlacementRequest {
             run: ticket.run,
             host: self.host_key(),
+            organisation: inquiry.organisation_key(),
             data_centre: centre_of(&self.settings.host.data_centre),
             prompt_tokens: generation.prompt_tokens,
             limit_tokens: generation.output_limit_tokens,
@@ -300,6 +301,7 @@
     let generation = inquiry.generation.clone().unwrap_or_default();
     RunStatement {
         run: ticket.run,
+        organisation: inquiry.organisation_key(),
         engine: start.chosen.upstream,
         backup: start.backup.as_ref().map(|backup| backup.upstream),
         prompt_tokens: generation.prompt_tokens,
--- a/crates/policy/src/cell/mod.rs
+++ b/crates/policy/src/cell/mod.rs
@@ -13,6 +13,7 @@
 mod forecast;
 mod placement;
 mod run;
+mod shares;
 mod waiting;
 
 use std::collections::{BTreeMap, BTreeSet};
--- a/crates/policy/src/cell/placement.rs
+++ b/crates/policy/src/cell/placement.rs
@@ -7,8 +7,9 @@
 use super::engine::{Engine, PREFILL_TOKENS_PER_MS};
 use super::forecast::{Claim, Forecast};
 use super::run::{Run, RunKey};
+use super::shares::Shares;
 use super::waiting::Turn;
-use crate::key::{HostKey, Millis, UpstreamKey};
+use crate::key::{HostKey, Millis, OrganisationKey, UpstreamKey};
 
 /// A generation holds back the others of its batch; so much later is each token's first sight.
 const CROWD_MS: f32 = 9.0;
@@ -59,6 +60,8 @@
     pub run: RunKey,
     /// The host that will relay it.
     pub host: HostKey,
+    /// The organisation that asks.
+    pub organisation: OrganisationKey,
     /// That host's data centre, hashed.
     pub data_centre: u64,
     /// Prompt tokens.
@@ -174,7 +177,14 @@
     /// Places a generation and counts it, or has it wait for its turn.
     pub fn place(&mut self, now_ms: Millis, request: &PlacementRequest) -> Placement {
         self.waiting.expire(now_ms);
-        let bid = self.bid(now_ms, request);
+        let claim = request.claim(&self.answers);
+        // Where nobody waits there is no turn to decide.
+        let shares = match self.waiting.is_empty() {
+            true => Shares::default(),
+            false => self.shares(now_ms, request.organisation, claim),
+        };
+        let is_over_share = shares.is_over(request.organisation, claim);
+        let bid = self.bid(now_ms, request, claim, is_over_share);
         let open: Vec<&Engine> = self
             .engines
             .values()
@@ -193,7 +203,7 @@
         }
         let mut forecast = self.forecast(now_ms);
         self.reserve_for_leaving(now_ms, &mut forecast);
-        self.reserve_for_waiting(bid.turn, &mut forecast);
+        self.reserve_for_waiting(bid.turn, &shares, &mut forecast);
         let costs = open.iter().filter_map(|engine| {
             let cost = cost_ms(now_ms, &forecast, engine, &bid)?;
             Some((cost, engine))
@@ -223,9 +233,14 @@
     }
 
     /// What a request asks for, with its turn.
-    fn bid<'a>(&mut self, now_ms: Millis, request: &'a PlacementRequest) -> Bid<'a> {
-        let claim = request.claim(&self.answers);
-        let turn = self.waiting.turn(now_ms, request, claim);
+    fn bid<'a>(
+        &mut self,
+        now_ms: Millis,
+        request: &'a PlacementRequest,
+        claim: Claim,
+        is_over_share: bool,
+    ) -> Bid<'a> {
+        let turn = self.waiting.turn(now_ms, request, claim, is_over_share);
         Bid {
             request,
             claim,
--- a/crates/policy/src/cell/run.rs
+++ b/crates/policy/src/cell/run.rs
@@ -5,7 +5,7 @@
 use super::answers::{Answers, Stated};
 use super::engine::TOKEN_MS;
 use super::placement::PlacementRequest;
-use crate::key::{HostKey, Millis, UpstreamKey};
+use crate::key::{HostKey, Millis, OrganisationKey, UpstreamKey};
 
 /// A generation; a hash of its caller's request, the same at every host.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
@@ -19,6 +19,8 @@
 pub struct RunStatement {
     /// The generation.
     pub run: RunKey,
+    /// The organisation that asked for it.
+    pub organisation: OrganisationKey,
     /// The engine that it runs on.
     pub engine: UpstreamKey,
     /// The engine that keeps a running copy of its memory.
@@ -45,6 +47,7 @@
 #[derive(Debug, Clone)]
 pub(super) struct Run {
     host: HostKey,
+    pub(super) organisation: OrganisationKey,
     engine: UpstreamKey,
     backup: Option<UpstreamKey>,
     /// The engine that holds or gets its copy while it moves.
@@ -70,6 +73,7 @@
     ) -> Self {
         Self {
             host: request.host,
+            organisation: request.organisation,
             engine,
             backup,
             moving_to: None,
@@ -86,6 +90,7 @@
     pub(super) fn restored(now_ms: Millis, host: HostKey, statement: &RunStatement) -> Self {
         Self {
             host,
+            organisation: statement.organisation,
             engine: statement.engine,
             backup: statement.backup,
             moving_to: None,
--- a/crates/policy/src/cell/waiting.rs
+++ b/crates/policy/src/cell/waiting.rs
@@ -14,8 +14,9 @@
 use super::forecast::{Claim, Forecast};
 use super::placement::{Bid, PlacementRequest};
 use super::run::RunKey;
+use super::shares::Shares;
 use super::{Cell, CellEngine};
-use crate::key::{Millis, UpstreamKey};
+use crate::key::{Millis, OrganisationKey, UpstreamKey};
 
 /// A request that has not asked again for so long has given up: several of its periods.
 const SILENT_MS: Millis = 250;
@@ -30,8 +31,13 @@
 /// more of all are refused.
 const COST_SHARE: f32 = 0.5;
 
-/// Whose turn it is: what can still be on time, then the more urgent, then what has to start first to
-/// be on time (least laxity), put off by what it costs the others.
+/// Whose turn it is: what can still be on time, then those whose organisation is below its share, then
+/// the more urgent, then what has to start first to be on time (least laxity), put off by what it costs
+/// the others.
+///
+/// A share comes before urgency, which is an organisation's own word of its requests: a flood of urgent
+/// ones would hold everybody else's reports back for as long as it lasts. It comes behind time, for
+/// what is late already is worth little to any caller.
 ///
 /// By arrival alone the large waited as long as the small and then had the longer prompts to read. On
 /// six crowded days of three deployments, three seeds each, the day's worth rose from 0.693 to 0.711 by
@@ -44,6 +50,8 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub(super) struct Turn {
     pub(super) is_late: bool,
+    /// Its organisation holds more than its share of what there is.
+    is_over_share: bool,
     priority: u8,
     /// When it must start at the latest to be on time, put off by its cost.
     due_ms: Millis,
@@ -52,6 +60,7 @@
 
 #[derive(Debug, Clone)]
 struct Waiting {
+    organisation: OrganisationKey,
     turn: Turn,
     since_ms: Millis,
     claim: Claim,
@@ -89,15 +98,20 @@
         now_ms: Millis,
         request: &PlacementRequest,
         claim: Claim,
+        is_over_share: bool,
     ) -> Turn {
         if let Some(known) = self.requests.get(&request.run) {
-            return known.turn;
+            return Turn {
+                is_over_share,
+                ..known.turn
+            };
         }
         let tried_ms = self.refused.get(&request.likeness);
         let tried_ms = tried_ms.map_or(0, |one| now_ms.saturating_sub(one.first_ms));
         let behind_ms = request.patience_ms as f32 * COST_SHARE * self.usual_cost.compare(claim);
         Turn {
             is_late: tried_ms >= request.patience_ms,
+            is_over_share,
             priority: request.priority,
             due_ms: request.latest_ms(now_ms) + behind_ms as Millis,
             run: request.run,
@@ -112,6 +126,7 @@
     pub(super) fn wait(&mut self, now_ms: Millis, bid: &Bid<'_>) {
         let request = bid.request;
         let waiting = Waiting {
+            organisation: request.organisation,
             turn: bid.turn,
             since_ms: self.since_ms(now_ms, request.run),
             claim: bid.claim,
@@ -144,10 +159,30 @@
         self.refused.retain(|_, one| now_ms < one.until_ms);
     }
 
-    fn before(&self, turn: Turn) -> Vec<&Waiting> {
-        let earlier = self.requests.values().filter(|one| one.turn < turn);
-        let mut earlier: Vec<&Waiting> = earlier.collect();
-        earlier.sort_by_key(|one| one.turn);
+    /// Whether nobody waits.
+    pub(super) fn is_empty(&self) -> bool {
+        self.requests.is_empty()
+    }
+
+    /// What each request that waits claims, and whose it is.
+    pub(super) fn claims(&self) -> impl Iterator<Item = (OrganisationKey, Claim)> {
+        let all = self.requests.values();
+        all.map(|one| (one.organisation, one.claim))
+    }
+
+    /// Those whose turn is before another's, by the shares of now: one may have come over its share,
+    /// or below it, since it asked.
+    fn before(&self, turn: Turn, shares: &Shares) -> Vec<(Turn, &Waiting)> {
+        let all = self.requests.values().map(|one| {
+            let is_over_share = shares.is_over(one.organisation, one.claim);
+            let turn = Turn {
+                is_over_share,
+                ..one.turn
+            };
+            (turn, one)
+        });
+        let mut earlier: Vec<(Turn, &Waiting)> = all.filter(|(one, _)| *one < turn).collect();
+        earlier.sort_by_key(|(turn, _)| *turn);
         earlier
     }
 }
@@ -155,9 +190,9 @@
 impl Cell {
     /// Keeps room for the requests whose turn comes before `turn`: for each on the engine that has
     /// most of it, which is where it will fit first.
-    pub(super) fn reserve_for_waiting(&self, turn: Turn, forecast: &mut Forecast) {
+    pub(super) fn reserve_for_waiting(&self, turn: Turn, shares: &Shares, forecast: &mut Forecast) {
         let mut kept = 0;
-        for one in self.waiting.before(turn) {
+        for (_, one) in self.waiting.before(turn, shares) {
             let open = self.engines.values().filter(|engine| {
                 let CellEngine { key, .. } = engine.entry;
                 engine.is_open() && !one.without.contains(&key)
--- a/crates/policy/tests/cell/fixtures.rs
+++ b/crates/policy/tests/cell/fixtures.rs
@@ -1,8 +1,8 @@
 //! Engines of the users' figures, and generations before them.
 
 use fulmarpath_policy::{
-    Cell, CellEngine, EngineFigures, HostKey, Placement, PlacementRequest, RunKey, RunStatement,
-    UpstreamKey,
+    Cell, CellEngine, EngineFigures, HostKey, OrganisationKey, Placement, PlacementRequest, RunKey,
+    RunStatement, UpstreamKey,
 };
 
 pub(crate) const NEAR: u64 = 1;
@@ -39,6 +39,7 @@
     hint_tokens: u32,
 ) -> PlacementRequest {
     PlacementRequest {
+        organisation: OrganisationKey(0),
         run: RunKey(run),
         host: ME,
         data_centre: NEAR,
@@ -57,6 +58,7 @@
 
 pub(crate) fn statement(run: u64, engine: u64, out_tokens: u32, limit_tokens: u32) -> RunStatement {
     RunStatement {
+        organisation: OrganisationKey(0),
         run: RunKey(run),
         engine: UpstreamKey(engine),
         backup: None,
--- a/crates/policy/tests/cell/main.rs
+++ b/crates/policy/tests/cell/main.rs
@@ -4,5 +4,6 @@
 mod crowded;
 mod engines;
 mod fixtures;
+mod floods;
 mod lengths;
 mod placing;
