Say in comments only what was measured

Four comments told as seen what was only reasoned: what news around a dead host spare, what rumours of newcomers would do to pings, what whole lists were of all bytes, what an exchange costs. They say now what would happen, or nothing.

--- a/crates/cluster/src/members.rs
+++ b/crates/cluster/src/members.rs
@@ -109,8 +109,8 @@
     /// Takes in what reaches every member on another way, so that it isn't passed on from here; true
     /// where it was news.
     ///
-    /// With each of some hundred newcomers told again by all who hear of it, pings were full of old
-    /// news for a minute after all hosts had started, and suspicions waited behind them.
+    /// With each of some hundred newcomers told again by all who hear of it, a ping's few rumours would
+    /// be old news for long after all hosts have started, and suspicions would wait behind them.
     pub fn learn(&mut self, now_ms: Millis, rumour: Rumour) -> bool {
         let key = HostKey::of(&rumour.member.name);
         if key == self.me {
--- a/crates/cluster/tests/members.rs
+++ b/crates/cluster/tests/members.rs
@@ -120,8 +120,8 @@
     assert_eq!(members.homes_near(5, "zrh-c", 3).len(), 3);
 }
 
-/// What reaches all members by an announcement isn't passed on as a rumour too: pings were full of
-/// old news after all hosts had started. A death that this host finds is.
+/// What reaches all members by an announcement isn't passed on as a rumour too, which would fill pings
+/// with old news after all hosts have started. A death that this host finds is.
 #[test]
 fn announced_newcomers_are_not_told_again() {
     let mut members = Members::new(note("zrh-a/me"), 1);
--- a/crates/gateway/src/roster.rs
+++ b/crates/gateway/src/roster.rs
@@ -149,8 +149,7 @@
     /// News that begin before it are taken: they tell how all is that changed since then. Each data
     /// centre's watchers cut the flow of changes at other revisions. A host that had once been told by
     /// a peer of another one stood between two cuts; while it took only news that began just where it
-    /// stood, it was told of nothing any more but by whole lists, at hundreds of changes a second
-    /// most of what hosts sent each other.
+    /// stood, it was told of nothing any more but by whole lists.
     pub fn apply_by_peer(&mut self, now_ms: Millis, change: DirectoryChange) -> bool {
         self.heard_ms = now_ms;
         if change.from_revision > self.revision || change.revision <= self.revision {
--- a/crates/gateway/src/spread.rs
+++ b/crates/gateway/src/spread.rs
@@ -207,7 +207,7 @@
     /// Tells one host, or in its place the rest of its branch.
     ///
     /// Hosts die many at once, and each is still believed present for some seconds. Left there, the
-    /// news of a leaving upstream did not reach a third of a data centre before its pings told.
+    /// news of a leaving upstream would reach the rest of the branch only by its pings.
     async fn tell(
         self: Arc<Self>,
         host: SocketAddr,
--- a/crates/policy/src/drift.rs
+++ b/crates/policy/src/drift.rs
@@ -4,7 +4,7 @@
 //! the middle of an announcement's way has just died, or a cut was longer than rumours are told.
 //! Such a host would take others for the homes of things for good, or ask dead ones. Hosts compare
 //! a hash with each ping; while news spread all differ for a moment, so only a host that agrees with
-//! nobody for longer exchanges, which costs some 14 kB before 200 hosts.
+//! nobody for longer exchanges, which costs more the more members there are.
 
 use crate::key::Millis;
 
