Tell from logs what a request asks for, and which runs ended with their upstream

What operators could not see: whether two requests are one by content, and what had just begun on an upstream as it ended. A request's line has its content by hash (organisation, method, host, path, body). A run that its upstream breaks off has a line and a counter where the upstream had given no notice and takes no connection any more; a reset connection has not. How long it had run there stands beside.

Nothing decides by it yet.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -11,6 +11,7 @@
 use hyper::{Request, Response, StatusCode};
 use tokio::time::timeout;
 
+use crate::crashes::BrokenRun;
 use crate::gateway::Gateway;
 use crate::head::{AnswerHead, Continuation, Outbound};
 use crate::instances::Chosen;
@@ -138,6 +139,7 @@
             exchanged = exchange => exchanged,
             () = lost.cancelled() => {
                 flight.judge(Verdict::Unheard);
+                self.note_broken(BrokenRun::new(&flight.chosen, inquiry, id, None));
                 return Err(Failure::Unknown);
             }
         };
@@ -149,6 +151,7 @@
             }
             Ok(Err(_)) => {
                 flight.judge(Verdict::Failed);
+                self.note_broken(BrokenRun::new(&flight.chosen, inquiry, id, None));
                 return Err(Failure::Unknown);
             }
             Err(_) => {
--- /dev/null
+++ b/crates/gateway/src/crashes.rs
@@ -0,0 +1,92 @@
+//! Upstreams that end without notice, and what had just begun there.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use fulmarpath_http::Connection;
+use fulmarpath_policy::{ContentKey, Millis};
+use spdlog::info;
+
+use crate::gateway::Gateway;
+use crate::instances::Chosen;
+use crate::intake::Inquiry;
+
+/// Time for the connection that tells whether an upstream has ended: some ways there and back
+/// between data centres. An upstream that ended refuses it at once; one whose machine is gone too
+/// says nothing.
+const CHECK_BOUND: Duration = Duration::from_millis(250);
+/// A run that has lasted for so long is not what ends its upstream. Requests that do end it within
+/// some 110 ms of their first token; a tenth of a long generation's time is enough to tell the
+/// generations that merely ran beside from them.
+const BEGUN_MS: Millis = 1_000;
+
+/// A run that ended with its connection, before its answer did.
+#[derive(Debug, Clone)]
+pub(crate) struct BrokenRun {
+    chosen: Chosen,
+    request: String,
+    content: ContentKey,
+    /// How long it had run there; `None` where nothing of its answer had come.
+    ran_ms: Option<Millis>,
+}
+
+impl BrokenRun {
+    pub(crate) fn new(
+        chosen: &Chosen,
+        inquiry: &Inquiry,
+        request: &str,
+        ran_ms: Option<Millis>,
+    ) -> Self {
+        Self {
+            chosen: chosen.clone(),
+            request: request.to_owned(),
+            content: inquiry.content,
+            ran_ms,
+        }
+    }
+
+    /// Whether it may be what ended its upstream.
+    pub(crate) fn is_suspect(&self) -> bool {
+        self.ran_ms.is_none_or(|ran_ms| ran_ms < BEGUN_MS)
+    }
+}
+
+impl Gateway {
+    /// An upstream broke off a run: looks whether the upstream itself has ended.
+    ///
+    /// A connection that was reset and an upstream that ended look alike from the connection.
+    /// Taken for each other, requests would be blamed for what a link does.
+    pub(crate) fn note_broken(self: &Arc<Self>, run: BrokenRun) {
+        let gateway = self.clone();
+        tokio::spawn(async move {
+            if gateway.has_ended(&run.chosen).await {
+                gateway.note_crash(&run);
+            }
+        });
+    }
+
+    /// Whether an upstream has ended without notice. One that had given notice ends as it said,
+    /// whatever ran there.
+    async fn has_ended(&self, chosen: &Chosen) -> bool {
+        if chosen.lost.is_cancelled() {
+            return true;
+        }
+        if !self.instances.takes_work(chosen.key) {
+            return false;
+        }
+        Connection::open(chosen.address, CHECK_BOUND).await.is_err()
+    }
+
+    fn note_crash(&self, run: &BrokenRun) {
+        let is_suspect = run.is_suspect();
+        self.metrics.crash(is_suspect);
+        let ran = match run.ran_ms {
+            Some(ran_ms) => format!("after {ran_ms} ms of its answer"),
+            None => "before its answer began".to_owned(),
+        };
+        info!(
+            "crashes: {} ended without notice under request {}, content {:016x}, {ran}",
+            run.chosen.instance, run.request, run.content.0
+        );
+    }
+}
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -14,6 +14,7 @@
 
 use crate::attempt::{Answer, Failure, Terms};
 use crate::configuration::RouteKind;
+use crate::crashes::BrokenRun;
 use crate::gateway::Gateway;
 use crate::hop;
 use crate::instances::Chosen;
@@ -170,7 +171,14 @@
             ..Terms::default()
         };
         let answer = self.dispatch(inquiry, journey, chosen, terms).await?;
+        let sent = answer.flight.chosen.clone();
         let outcome = self.read_whole(answer, inquiry.deadline_ms).await;
+        if outcome
+            .as_ref()
+            .is_err_and(|failure| *failure == Failure::Unknown)
+        {
+            self.note_broken(BrokenRun::new(&sent, inquiry, &journey.id, None));
+        }
         if outcome.is_err() {
             journey.dispatch_ended("broken");
         }
--- a/crates/gateway/src/instances.rs
+++ b/crates/gateway/src/instances.rs
@@ -233,6 +233,12 @@
         Some(table.arena[*key].registration.clone())
     }
 
+    /// Whether a chosen upstream is registered still and has given no notice.
+    pub(crate) fn takes_work(&self, key: InstanceKey) -> bool {
+        let table = self.table.lock();
+        table.arena.get(key).is_some_and(Instance::takes_work)
+    }
+
     /// A request to a chosen upstream is over.
     pub(crate) fn end(&self, now_ms: Millis, chosen: &Chosen, verdict: Verdict) {
         self.with(chosen.key, |one| {
--- a/crates/gateway/src/intake.rs
+++ b/crates/gateway/src/intake.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use fulmarpath_policy::{Millis, OrganisationKey};
+use fulmarpath_policy::{ContentKey, Millis, OrganisationKey};
 use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::Incoming;
 use hyper::header::HOST;
@@ -32,6 +32,7 @@
     /// The organisation's rank, or else the route's; 0 is the most urgent.
     pub(crate) priority: u8,
     pub(crate) generation: Option<GenerationHead>,
+    pub(crate) content: ContentKey,
     /// The last event that the caller has, where the stream may be resumed.
     pub(crate) last_event: Option<u64>,
     pub(crate) method: Method,
@@ -58,13 +59,11 @@
         OrganisationKey::of(self.organisation.as_deref().unwrap_or_default())
     }
 
-    /// What stays the same where its caller tries again: whose it is, what it asks for, its body.
+    /// What stays the same where its caller tries the same prompt again.
     pub(crate) fn likeness(&self) -> u64 {
         let mut hasher = Xxh3::new();
-        self.organisation.hash(&mut hasher);
+        self.content.hash(&mut hasher);
         self.route.name.hash(&mut hasher);
-        self.uri.path().hash(&mut hasher);
-        self.body.hash(&mut hasher);
         if let Some(generation) = &self.generation {
             generation.parts.hash(&mut hasher);
             generation.prompt_tokens.hash(&mut hasher);
@@ -114,12 +113,16 @@
             .pick_service(rand::random())
             .ok_or(Problem::NoUpstream)?;
         let patience_ms = left_ms.unwrap_or(Millis::MAX).min(route.timeout_ms);
+        let organisation = holder.map(|holder| holder.name.clone());
+        let content = content_of(organisation.as_deref(), &parts, &body);
+        journey.asks_for(content);
         let mut headers = parts.headers;
         hop::strip(&mut headers);
         Ok(Inquiry {
             route: route.clone(),
             service: service.to_owned(),
-            organisation: holder.map(|holder| holder.name.clone()),
+            organisation,
+            content,
             priority: holder
                 .and_then(|holder| holder.priority)
                 .unwrap_or(route.priority),
@@ -139,6 +142,16 @@
     in_force.route(host, parts.uri.path())
 }
 
+fn content_of(organisation: Option<&str>, parts: &Parts, body: &Bytes) -> ContentKey {
+    let mut hasher = Xxh3::new();
+    organisation.hash(&mut hasher);
+    parts.method.hash(&mut hasher);
+    parts.headers.get(HOST).hash(&mut hasher);
+    parts.uri.path_and_query().hash(&mut hasher);
+    body.hash(&mut hasher);
+    ContentKey(hasher.finish())
+}
+
 async fn read(body: Incoming, limit_bytes: usize, bound: Duration) -> Result<Bytes, Problem> {
     let collected = timeout(bound, Limited::new(body, limit_bytes).collect()).await;
     match collected {
--- a/crates/gateway/src/journey.rs
+++ b/crates/gateway/src/journey.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use fulmarpath_policy::{Millis, Seen, Verdict};
+use fulmarpath_policy::{ContentKey, Millis, Seen, Verdict};
 use spdlog::info;
 
 use crate::configuration::{Route, RouteKind};
@@ -29,6 +29,7 @@
 pub(crate) struct Journey {
     gateway: Arc<Gateway>,
     pub(crate) id: String,
+    content: Option<ContentKey>,
     pub(crate) arrived_ms: Millis,
     /// Events that were passed on.
     pub(crate) events: u32,
@@ -51,6 +52,7 @@
             version: gateway.version(),
             gateway,
             id: String::new(),
+            content: None,
             arrived_ms,
             events: 0,
             placed_ms: None,
@@ -72,6 +74,11 @@
         self.kind = route.kind.name();
     }
 
+    /// What the request asks for, and for whom.
+    pub(crate) fn asks_for(&mut self, content: ContentKey) {
+        self.content = Some(content);
+    }
+
     /// The request asks for a generation.
     pub(crate) fn asks(&mut self, generation: &GenerationHead) {
         self.size = Some(Size {
@@ -146,6 +153,7 @@
         RequestRecord {
             request: self.id.clone(),
             run: format!("{:016x}", run_of(&self.id).0),
+            content: self.content.map(|content| format!("{:016x}", content.0)),
             route: self.route.clone(),
             kind: self.kind.to_owned(),
             version: self.version,
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -9,6 +9,7 @@
 mod cells;
 mod configuration;
 mod control;
+mod crashes;
 mod directory;
 mod drain;
 mod encoding;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -52,6 +52,12 @@
     pub(crate) what: &'static str,
 }
 
+/// Whether a run may be what ended its upstream.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub(crate) struct CrashLabels {
+    pub(crate) suspect: &'static str,
+}
+
 /// A kind of messages between hosts.
 #[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
 pub(crate) struct MessageLabels {
@@ -86,6 +92,7 @@
     pub(crate) continuations: Family<ContinuationLabels, Counter>,
     pub(crate) running_copies: Counter,
     pub(crate) stalls: Counter,
+    crashes: Family<CrashLabels, Counter>,
     peer_messages: Family<MessageLabels, Counter>,
     pub(crate) store_calls: Family<StoreLabels, Counter>,
     skipped_entries: Family<EntryLabels, Counter>,
@@ -129,6 +136,9 @@
         let help =
             "Pauses over the route's target on one engine: it paused the generation, or its link";
         registry.register("stalls", help, stalls.clone());
+        let crashes = Family::default();
+        let help = "Runs that ended with their upstream, which had given no notice";
+        registry.register("crashed_runs", help, crashes.clone());
         let skipped_entries = Family::default();
         let help = "Entries in the store that could not be used, each time they were read";
         registry.register("skipped_entries", help, skipped_entries.clone());
@@ -156,6 +166,7 @@
             continuations,
             running_copies,
             stalls,
+            crashes,
             store_calls,
             peer_messages,
             skipped_entries,
@@ -182,6 +193,12 @@
         self.continuations.get_or_create(&labels).inc();
     }
 
+    /// Counts a run that ended with its upstream.
+    pub(crate) fn crash(&self, is_suspect: bool) {
+        let suspect = if is_suspect { "yes" } else { "no" };
+        self.crashes.get_or_create(&CrashLabels { suspect }).inc();
+    }
+
     /// Counts a call to the store.
     pub(crate) fn store_call(&self, what: &'static str, outcome: &'static str) {
         let labels = StoreLabels { what, outcome };
--- a/crates/gateway/src/record.rs
+++ b/crates/gateway/src/record.rs
@@ -36,6 +36,9 @@
     pub request: String,
     /// The generation's key in lines of its cell's home.
     pub run: String,
+    /// What it asks for and for whom, by hash: the same in each try of its caller. `None` where it was
+    /// refused before that was known.
+    pub content: Option<String>,
     /// The route's name; empty where none was found.
     pub route: String,
     /// What may be repeated.
--- a/crates/gateway/src/recovery.rs
+++ b/crates/gateway/src/recovery.rs
@@ -7,6 +7,7 @@
 use spdlog::info;
 
 use crate::attempt::{Answer, Terms};
+use crate::crashes::BrokenRun;
 use crate::head::Continuation;
 use crate::instances::Destination;
 use crate::relay::{Relay, Stopped};
@@ -26,6 +27,7 @@
     /// a carry had made so far.
     pub(crate) async fn recover(&mut self) -> bool {
         self.source.flight.judge(Verdict::Failed);
+        self.gateway.note_broken(self.broken_run());
         self.recoveries += 1;
         if self.recoveries > RECOVERIES {
             return false;
@@ -52,6 +54,15 @@
         self.resume().await
     }
 
+    /// What its engine broke off.
+    fn broken_run(&self) -> BrokenRun {
+        let now_ms = self.gateway.clock.now_ms();
+        let begun_ms = self.source.begun_ms;
+        let ran_ms = begun_ms.map(|begun_ms| now_ms.saturating_sub(begun_ms));
+        let chosen = &self.source.flight.chosen;
+        BrokenRun::new(chosen, &self.inquiry, &self.journey.id, ran_ms)
+    }
+
     /// Leaves an engine that is silent in the middle of a stream for the one that keeps a running copy;
     /// stays where that one doesn't go on.
     ///
--- a/crates/gateway/src/source.rs
+++ b/crates/gateway/src/source.rs
@@ -28,6 +28,8 @@
     pub(crate) flight: Flight,
     /// When its answer began.
     pub(crate) since_ms: Millis,
+    /// When the first bytes of its stream came.
+    pub(crate) begun_ms: Option<Millis>,
     body: Incoming,
     _connection: Connection,
 }
@@ -36,6 +38,7 @@
     pub(crate) fn new(now_ms: Millis, answer: Answer) -> Self {
         Self {
             since_ms: now_ms,
+            begun_ms: None,
             flight: answer.flight,
             body: answer.response.into_body(),
             _connection: answer.connection,
@@ -63,6 +66,7 @@
         match frame {
             Ok(Some(Ok(frame))) => {
                 push(events, &frame);
+                self.begun_ms.get_or_insert_with(|| gateway.clock.now_ms());
                 Heard::Bytes
             }
             Ok(None) => Heard::End,
--- a/crates/policy/src/key.rs
+++ b/crates/policy/src/key.rs
@@ -44,3 +44,8 @@
     /// An engine or plain service.
     UpstreamKey
 );
+
+/// What a request asks for and for whom, whichever of its caller's tries it is: a hash of its
+/// organisation, method, path and body.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct ContentKey(pub u64);
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -50,7 +50,7 @@
 pub use home::{Home, HomeLoad};
 pub use home_settings::HomeSettings;
 pub use join::Join;
-pub use key::{HostKey, Millis, ModelKey, OrganisationKey, ServiceKey, UpstreamKey};
+pub use key::{ContentKey, HostKey, Millis, ModelKey, OrganisationKey, ServiceKey, UpstreamKey};
 pub use lag::Lag;
 pub use lengths::{Curve, Lengths};
 pub use limits::{Bounds, LimitTable, Over};
--- a/tests/explain.rs
+++ b/tests/explain.rs
@@ -11,6 +11,7 @@
         outcome: "sent".to_owned(),
     });
     RequestRecord {
+        content: None,
         request: "9c41".to_owned(),
         run: "00000000000000aa".to_owned(),
         route: "drafts".to_owned(),
