Keep requests that end upstreams from the next one, over all hosts

What callers saw: a request under which three engines had ended was sent to engines 5 and 7 times more, each time cutting all that ran there; 10 and 11 engines ended by two contents.

Cause: a poison request (query of death). Each try of its caller is a new request to every host, and nothing counted by content what a request does to upstreams.

Change: two homes of each service record whose answer had just begun, or not, on an upstream that ended without notice. All that a known cause explains is taken back from who began beside; an answer frees at once. Rulings go to every host by announcement and, where missed, with pings. Refused at once, 503, as not run, with the rest of the term.

Why it holds: blame needs three crashes on distinct upstream starts, within a second of the first token, without notice; two contents on all the same upstreams are told apart by running one at a time. Messages: two for each run that broke so, one a host for each ruling. Memory: 4,096 suspects, 1,024 rulings, 4,096 alibis.

--- a/crates/gateway/src/crashes.rs
+++ b/crates/gateway/src/crashes.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use fulmarpath_http::Connection;
-use fulmarpath_policy::{ContentKey, Millis};
+use fulmarpath_policy::{ContentKey, Millis, UpstreamKey};
 use spdlog::info;
 
 use crate::gateway::Gateway;
@@ -25,7 +25,8 @@
 pub(crate) struct BrokenRun {
     chosen: Chosen,
     request: String,
-    content: ContentKey,
+    pub(crate) content: ContentKey,
+    pub(crate) service: String,
     /// How long it had run there; `None` where nothing of its answer had come.
     ran_ms: Option<Millis>,
 }
@@ -41,10 +42,16 @@
             chosen: chosen.clone(),
             request: request.to_owned(),
             content: inquiry.content,
+            service: inquiry.service.clone(),
             ran_ms,
         }
     }
 
+    /// The upstream's start that ended.
+    pub(crate) fn upstream(&self) -> UpstreamKey {
+        self.chosen.upstream
+    }
+
     /// Whether it may be what ended its upstream.
     pub(crate) fn is_suspect(&self) -> bool {
         self.ran_ms.is_none_or(|ran_ms| ran_ms < BEGUN_MS)
@@ -61,6 +68,7 @@
         tokio::spawn(async move {
             if gateway.has_ended(&run.chosen).await {
                 gateway.note_crash(&run);
+                gateway.blame(&run);
             }
         });
     }
--- a/crates/gateway/src/encoding.rs
+++ b/crates/gateway/src/encoding.rs
@@ -23,7 +23,7 @@
 
 fn is_binary(holding: Holding) -> bool {
     match holding {
-        Holding::Upstreams | Holding::Configuration | Holding::Members => true,
+        Holding::Upstreams | Holding::Configuration | Holding::Members | Holding::Rulings => true,
         Holding::Blindness => false,
     }
 }
--- a/crates/gateway/src/fleet.rs
+++ b/crates/gateway/src/fleet.rs
@@ -12,8 +12,8 @@
 use fulmarpath_cluster::Members;
 use fulmarpath_policy::{Drift, HostKey, Join, Lag, Millis};
 use fulmarpath_wire::{
-    GatewayPeerClient, Holding, MemberNote, MemberState, MembersDigest, Peers, Ping, Pong, Rumour,
-    Versions,
+    Digests, GatewayPeerClient, Holding, MemberNote, MemberState, MembersDigest, Peers, Ping, Pong,
+    Rumour, Versions,
 };
 use parking_lot::Mutex;
 use rand::Rng;
@@ -122,10 +122,16 @@
         }
     }
 
+    fn ping_message(&self) -> (Ping, Digests) {
+        let (ping, members) = self.fleet.ping_message(self.versions());
+        let rulings = self.rulings_digest();
+        (ping, Digests { members, rulings })
+    }
+
     /// Pings an address, and takes what its host holds in a later version.
     pub(crate) async fn greet(self: &Arc<Self>, address: SocketAddr) {
-        let (ping, digest) = self.fleet.ping_message(self.versions());
-        if let Some((pong, theirs)) = self.ping_once(address, ping, digest).await {
+        let (ping, digests) = self.ping_message();
+        if let Some((pong, theirs)) = self.ping_once(address, ping, digests).await {
             self.hear_pong(address, pong, theirs).await;
         }
     }
@@ -149,9 +155,9 @@
     }
 
     async fn probe(self: Arc<Self>, target: MemberNote) {
-        let (ping, digest) = self.fleet.ping_message(self.versions());
+        let (ping, digests) = self.ping_message();
         let key = HostKey::of(&target.name);
-        match self.ping_once(target.address, ping, digest).await {
+        match self.ping_once(target.address, ping, digests).await {
             Some((pong, theirs)) => {
                 if pong.from.member.name != target.name {
                     // The address is in use again: the start that had it before is gone.
@@ -184,15 +190,15 @@
         &self,
         address: SocketAddr,
         ping: Ping,
-        digest: MembersDigest,
-    ) -> Option<(Pong, MembersDigest)> {
+        digests: Digests,
+    ) -> Option<(Pong, Digests)> {
         let call = |client: GatewayPeerClient, context| async move {
-            client.ping(context, ping, digest).await
+            client.ping(context, ping, digests).await
         };
         self.fleet.peers.call(address, call).await.ok()
     }
 
-    async fn hear_pong(self: &Arc<Self>, address: SocketAddr, pong: Pong, theirs: MembersDigest) {
+    async fn hear_pong(self: &Arc<Self>, address: SocketAddr, pong: Pong, theirs: Digests) {
         self.hear(&pong.from, pong.rumours);
         self.compare(address, pong.versions, theirs).await;
     }
@@ -216,27 +222,23 @@
     }
 
     /// Answers a ping, and learns from it.
-    pub(crate) fn pong(
-        self: &Arc<Self>,
-        ping: Ping,
-        theirs: MembersDigest,
-    ) -> (Pong, MembersDigest) {
+    pub(crate) fn pong(self: &Arc<Self>, ping: Ping, theirs: Digests) -> (Pong, Digests) {
         let address = ping.from.member.address;
         self.hear(&ping.from, ping.rumours);
         let versions = ping.versions;
         let gateway = self.clone();
         tokio::spawn(async move { gateway.compare(address, versions, theirs).await });
-        let (answer, digest) = self.fleet.ping_message(self.versions());
+        let (answer, digests) = self.ping_message();
         let pong = Pong {
             from: answer.from,
             rumours: answer.rumours,
             versions: answer.versions,
         };
-        (pong, digest)
+        (pong, digests)
     }
 
     /// Fetches what a peer holds in a later version.
-    async fn compare(&self, peer: SocketAddr, theirs: Versions, members: MembersDigest) {
+    async fn compare(&self, peer: SocketAddr, theirs: Versions, digests: Digests) {
         if theirs.root > self.version()
             && let Some(configuration) = self.fetch_configuration(peer).await
         {
@@ -247,9 +249,12 @@
         {
             self.take_upstreams(change);
         }
-        if self.drifts_from(members) {
+        if self.drifts_from(digests.members) {
             self.exchange_members(peer).await;
         }
+        if digests.rulings != self.rulings_digest() {
+            self.exchange_rulings(peer).await;
+        }
     }
 
     fn drifts_from(&self, theirs: MembersDigest) -> bool {
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -46,6 +46,9 @@
             Ok(inquiry) => inquiry,
             Err(problem) => return self.decline(journey, problem),
         };
+        if let Err(problem) = self.bar(&inquiry) {
+            return self.decline(journey, problem);
+        }
         self.count_request(arrived_ms, &inquiry.service);
         let id = journey.id.clone();
         let mut reply = match inquiry.route.kind {
@@ -79,6 +82,7 @@
         let answer = self.try_upstreams(&inquiry, &mut journey).await;
         match answer {
             Ok(whole) => {
+                self.vindicate(&inquiry);
                 journey.end("answered", whole.status.as_u16());
                 pass_on(whole)
             }
@@ -95,6 +99,7 @@
         let mut runs = 0;
         let mut unrun = 0;
         let mut failed_answer = None;
+        let mut has_leave = false;
         let mut problem = Problem::NoUpstream;
         loop {
             let now_ms = self.clock.now_ms();
@@ -110,6 +115,12 @@
             if !tried.is_empty() && !self.may_retry(now_ms, &inquiry.service) {
                 break;
             }
+            if !std::mem::replace(&mut has_leave, true)
+                && let Err(refused) = self.admit(inquiry).await
+            {
+                problem = refused;
+                break;
+            }
             let draw = rand::random();
             let chosen = self
                 .instances
@@ -123,6 +134,7 @@
                 Ok(whole) if whole.status.is_server_error() && may_run_again => {
                     failed_answer = Some(whole);
                     runs += 1;
+                    has_leave = false;
                     continue;
                 }
                 Ok(whole) => return Ok(whole),
@@ -137,6 +149,7 @@
                 continue;
             }
             runs += 1;
+            has_leave = false;
             problem = failure.problem();
             if !inquiry.may_run_again(runs) {
                 break;
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -24,6 +24,7 @@
 use crate::look::Looks;
 use crate::metadata::Metadata;
 use crate::metrics::{Metrics, Readings};
+use crate::quarantine::Quarantine;
 use crate::roster::Roster;
 use crate::runs::Runs;
 use crate::spread::Spread;
@@ -46,7 +47,8 @@
 
 /// One host's gateway.
 ///
-/// Lock order: roster, instances, cells, runs, members, retries, retry bound; none is held across an await.
+/// Lock order: roster, instances, cells, runs, crashes, rulings, members, retries, retry bound; none is held
+/// across an await.
 pub struct Gateway {
     pub(crate) settings: GatewaySettings,
     pub(crate) clock: Clock,
@@ -61,6 +63,7 @@
     pub(crate) duties: Duties,
     pub(crate) looks: Looks,
     pub(crate) spread: Spread,
+    pub(crate) quarantine: Quarantine,
     pub(crate) skipped: Skipped,
     pub(crate) control: Arc<dyn EngineControl>,
     in_force: ArcSwapOption<InForce>,
@@ -92,6 +95,7 @@
             duties: Duties::default(),
             looks: Looks::default(),
             spread: Spread::default(),
+            quarantine: Quarantine::default(),
             skipped: Skipped::default(),
             control,
             dialect,
@@ -236,6 +240,7 @@
             upstreams_age_ms: age(upstreams_heard_ms),
             upstreams: upstreams as i64,
             hosts: hosts as i64,
+            quarantined: self.quarantined() as i64,
             retries_left: left.collect(),
         }
     }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -33,6 +33,7 @@
 mod peer;
 mod presence;
 mod problem;
+mod quarantine;
 mod record;
 mod recovery;
 mod relay;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -77,6 +77,7 @@
     pub(crate) upstreams_age_ms: i64,
     pub(crate) upstreams: i64,
     pub(crate) hosts: i64,
+    pub(crate) quarantined: i64,
     pub(crate) retries_left: Vec<(String, i64)>,
 }
 
@@ -100,6 +101,7 @@
     upstreams_age_ms: Gauge,
     upstreams: Gauge,
     hosts: Gauge,
+    quarantined: Gauge,
     retries_left: Family<ServiceLabels, Gauge>,
     registry: Arc<Registry>,
 }
@@ -158,6 +160,9 @@
         registry.register("upstreams", "Upstreams that are known", upstreams.clone());
         let hosts = Gauge::default();
         registry.register("hosts", "Hosts believed present", hosts.clone());
+        let quarantined = Gauge::default();
+        let help = "Contents that may not run like any other, after upstreams ended under them";
+        registry.register("quarantined", help, quarantined.clone());
         let retries_left = Family::default();
         let help = "Requests of a service that this host may still send once more";
         registry.register("retries_left", help, retries_left.clone());
@@ -174,6 +179,7 @@
             upstreams_age_ms,
             upstreams,
             hosts,
+            quarantined,
             retries_left,
             requests,
             retries,
@@ -223,6 +229,7 @@
         self.upstreams_age_ms.set(readings.upstreams_age_ms);
         self.upstreams.set(readings.upstreams);
         self.hosts.set(readings.hosts);
+        self.quarantined.set(readings.quarantined);
         for (service, left) in &readings.retries_left {
             let service = service.clone();
             let labels = ServiceLabels { service };
--- a/crates/gateway/src/peer.rs
+++ b/crates/gateway/src/peer.rs
@@ -2,10 +2,12 @@
 
 use std::sync::Arc;
 
-use fulmarpath_policy::{Placement, PlacementRequest, RunEnd, RunKey, UpstreamKey};
+use fulmarpath_policy::{
+    ContentKey, Placement, PlacementRequest, Ruling, RunEnd, RunKey, UpstreamKey,
+};
 use fulmarpath_wire::{
-    Announcement, CarryAnswer, CellKey, GatewayPeer, GatewayPeerClient, Holding, MembersDigest,
-    Ping, Pong, Restatement, Rumour, framed,
+    Announcement, CarryAnswer, CellKey, Digests, GatewayPeer, GatewayPeerClient, Holding, Ping,
+    Pong, Restatement, Rumour, framed,
 };
 use futures::StreamExt;
 use tarpc::client::Config;
@@ -63,9 +65,9 @@
 }
 
 impl GatewayPeer for Server {
-    async fn ping(self, _: Context, ping: Ping, members: MembersDigest) -> (Pong, MembersDigest) {
+    async fn ping(self, _: Context, ping: Ping, digests: Digests) -> (Pong, Digests) {
         self.count("ping");
-        self.gateway.pong(ping, members)
+        self.gateway.pong(ping, digests)
     }
 
     async fn join(self, _: Context, newcomer: Rumour) -> Vec<Rumour> {
@@ -85,7 +87,9 @@
                 let held = self.gateway.in_force();
                 held.map_or(Ok(Vec::new()), |held| encode(holding, &held.configuration))
             }
-            Holding::Upstreams | Holding::Blindness | Holding::Members => Ok(Vec::new()),
+            Holding::Upstreams | Holding::Blindness | Holding::Members | Holding::Rulings => {
+                Ok(Vec::new())
+            }
         };
         written(held)
     }
@@ -134,4 +138,24 @@
         self.count("carry");
         self.gateway.carry_here(run, to).await
     }
+
+    async fn strike(self, _: Context, content: ContentKey, upstream: UpstreamKey) {
+        self.count("strike");
+        self.gateway.hear_strike(content, upstream);
+    }
+
+    async fn may_try(self, _: Context, content: ContentKey) -> bool {
+        self.count("may_try");
+        self.gateway.grant(content)
+    }
+
+    async fn clear(self, _: Context, content: ContentKey) {
+        self.count("clear");
+        self.gateway.hear_clear(content);
+    }
+
+    async fn exchange_rulings(self, _: Context, rulings: Vec<Ruling>) -> Vec<Ruling> {
+        self.count("exchange_rulings");
+        self.gateway.answer_rulings(rulings)
+    }
 }
--- a/crates/gateway/src/problem.rs
+++ b/crates/gateway/src/problem.rs
@@ -35,6 +35,11 @@
     },
     /// The prompt fits into no engine of its service.
     TooLarge,
+    /// Upstreams ended as they began to run requests of its content.
+    Quarantined {
+        /// When to come back.
+        retry_after_ms: Millis,
+    },
     /// This host stops before the generation could be finished.
     Stopping,
     /// No upstream could be reached.
@@ -59,6 +64,7 @@
             | Self::NoUpstream
             | Self::AllRefused
             | Self::Full { .. }
+            | Self::Quarantined { .. }
             | Self::Stopping
             | Self::TooLarge
             | Self::Unreachable
@@ -85,6 +91,7 @@
             Self::NoUpstream => "no_upstream",
             Self::AllRefused => "all_refused",
             Self::Full { .. } => "full",
+            Self::Quarantined { .. } => "quarantined",
             Self::Stopping => "stopping",
             Self::TooLarge => "too_large",
             Self::Unreachable => "unreachable",
@@ -103,7 +110,9 @@
             Self::NoUpstream | Self::Unreachable => Some(400),
             // A place frees in about the time of one small request.
             Self::AllRefused => Some(150),
-            Self::Full { retry_after_ms } => Some(retry_after_ms),
+            Self::Full { retry_after_ms } | Self::Quarantined { retry_after_ms } => {
+                Some(retry_after_ms)
+            }
             // Larger engines may come with another configuration, not sooner.
             Self::TooLarge => Some(30_000),
             // Another host takes it at once.
--- a/crates/gateway/src/record.rs
+++ b/crates/gateway/src/record.rs
@@ -97,6 +97,10 @@
             ),
             "full" => "every engine of its cell was predicted to be full".to_owned(),
             "too_large" => "its prompt fits into no engine of its service".to_owned(),
+            "quarantined" => format!(
+                "upstreams ended as they began to run requests of its content {}",
+                self.content.as_deref().unwrap_or_default()
+            ),
             "stopping" => "this host was stopping and might have cut it".to_owned(),
             "unreachable" => format!("no connection to {at} could be made"),
             "too_late_to_send" => "its time was over before it could be sent".to_owned(),
--- a/crates/gateway/src/recovery.rs
+++ b/crates/gateway/src/recovery.rs
@@ -27,11 +27,17 @@
     /// a carry had made so far.
     pub(crate) async fn recover(&mut self) -> bool {
         self.source.flight.judge(Verdict::Failed);
-        self.gateway.note_broken(self.broken_run());
+        let broken = self.broken_run();
+        let is_suspect = broken.is_suspect();
+        self.gateway.note_broken(broken);
         self.recoveries += 1;
         if self.recoveries > RECOVERIES {
             return false;
         }
+        // One that has run for a while ended nothing, and goes on whatever is ruled on it.
+        if is_suspect && self.gateway.admit(&self.inquiry).await.is_err() {
+            return false;
+        }
         let lost = self.source.engine();
         self.gateway.doubt(self.ticket.cell, lost.upstream);
         if let Some(carrying) = self.carrying.take() {
--- a/crates/gateway/src/spread.rs
+++ b/crates/gateway/src/spread.rs
@@ -241,6 +241,7 @@
             Holding::Upstreams => self.take_change(&value),
             Holding::Blindness => self.hear_blindness(&value),
             Holding::Members => self.take_members(&value),
+            Holding::Rulings => self.take_rulings(&value),
         };
         if let Err(error) = taken {
             warn!("spread: could not read news: {error}");
--- /dev/null
+++ b/crates/policy/src/quarantine/rulings.rs
@@ -0,0 +1,128 @@
+//! The rulings that a host knows.
+
+use std::collections::HashMap;
+
+use xxhash_rust::xxh3::xxh3_64;
+
+use crate::key::{ContentKey, Millis};
+use crate::quarantine::{Admission, Ruling, Standing};
+
+/// Rulings that a host keeps: under 200 kB. Contents that end upstreams are single ones; whoever
+/// writes more of them than this by hand ends an upstream in three tries of each, as before.
+const MOST_RULINGS: usize = 1_024;
+/// After so long a ruling is forgotten: as long as the longest term.
+const FORGET_MS: Millis = 86_400_000;
+
+#[derive(Debug, Clone)]
+struct Kept {
+    /// As it was told, with its age then.
+    ruling: Ruling,
+    told_ms: Millis,
+}
+
+impl Kept {
+    fn age_ms(&self, now_ms: Millis) -> Millis {
+        let since_ms = now_ms.saturating_sub(self.told_ms);
+        self.ruling.age_ms.saturating_add(since_ms)
+    }
+}
+
+/// The rulings that a host knows.
+#[derive(Debug, Clone, Default)]
+pub struct Rulings {
+    kept: HashMap<ContentKey, Kept>,
+}
+
+impl Rulings {
+    /// Takes a ruling; true where it is news.
+    ///
+    /// Two homes may rule on a content at once, and hosts hear of both in any order. The later turn
+    /// holds, and of one turn the more severe, so all hosts come to hold the same.
+    pub fn adopt(&mut self, now_ms: Millis, ruling: Ruling) -> bool {
+        if ruling.age_ms >= FORGET_MS {
+            return false;
+        }
+        let rank = |ruling: &Ruling| (ruling.turn, ruling.standing);
+        let known = self.kept.get(&ruling.content);
+        if known.is_some_and(|known| rank(&known.ruling) >= rank(&ruling)) {
+            return false;
+        }
+        let told_ms = now_ms;
+        self.kept.insert(ruling.content, Kept { ruling, told_ms });
+        self.make_room(now_ms);
+        true
+    }
+
+    /// Whether a request of this content may be sent.
+    pub fn admit(&self, now_ms: Millis, content: ContentKey) -> Admission {
+        let Some(kept) = self.kept.get(&content) else {
+            return Admission::Free;
+        };
+        let left_ms = kept.ruling.term_ms().saturating_sub(kept.age_ms(now_ms));
+        match kept.ruling.standing {
+            Standing::Free => Admission::Free,
+            Standing::Barred if left_ms > 0 => Admission::Refused {
+                retry_after_ms: left_ms,
+            },
+            Standing::OneAtATime | Standing::Barred => Admission::AskHome,
+        }
+    }
+
+    /// The ruling on a content.
+    pub fn find(&self, content: ContentKey) -> Option<&Ruling> {
+        self.kept.get(&content).map(|kept| &kept.ruling)
+    }
+
+    /// All of them, as of now.
+    pub fn all(&self, now_ms: Millis) -> Vec<Ruling> {
+        let all = self.kept.values().map(|kept| Ruling {
+            age_ms: kept.age_ms(now_ms),
+            ..kept.ruling.clone()
+        });
+        all.collect()
+    }
+
+    /// Contents that may not run like any other.
+    pub fn restricted(&self) -> usize {
+        let all = self.kept.values();
+        all.filter(|kept| kept.ruling.standing != Standing::Free)
+            .count()
+    }
+
+    /// A hash of them in no order, to tell whether two hosts know the same.
+    pub fn digest(&mut self, now_ms: Millis) -> u64 {
+        self.forget(now_ms);
+        let each = self.kept.values().map(|kept| {
+            let Ruling {
+                content,
+                turn,
+                standing,
+                ..
+            } = &kept.ruling;
+            let mut bytes = content.0.to_le_bytes().to_vec();
+            bytes.extend(turn.to_le_bytes());
+            bytes.push(*standing as u8);
+            xxh3_64(&bytes)
+        });
+        each.fold(0, |all, one| all ^ one)
+    }
+
+    fn forget(&mut self, now_ms: Millis) {
+        self.kept.retain(|_, kept| kept.age_ms(now_ms) < FORGET_MS);
+    }
+
+    fn make_room(&mut self, now_ms: Millis) {
+        if self.kept.len() <= MOST_RULINGS {
+            return;
+        }
+        self.forget(now_ms);
+        // The mildest first, then the oldest.
+        let least = self.kept.values().min_by_key(|kept| {
+            let age_ms = kept.age_ms(now_ms);
+            (kept.ruling.standing, std::cmp::Reverse(age_ms))
+        });
+        if let Some(content) = least.map(|kept| kept.ruling.content) {
+            self.kept.remove(&content);
+        }
+    }
+}
--- a/crates/wire/src/gateway.rs
+++ b/crates/wire/src/gateway.rs
@@ -3,7 +3,8 @@
 use std::net::SocketAddr;
 
 use fulmarpath_policy::{
-    HostKey, Placement, PlacementRequest, RunEnd, RunKey, RunStatement, UpstreamKey,
+    ContentKey, HostKey, Placement, PlacementRequest, Ruling, RunEnd, RunKey, RunStatement,
+    UpstreamKey,
 };
 use serde::{Deserialize, Serialize};
 
@@ -20,12 +21,27 @@
     Blindness,
     /// Members that have come or leave.
     Members,
+    /// What homes have ruled on requests that end upstreams.
+    Rulings,
 }
 
 /// A hash of the members that a gateway believes present, in no order.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct MembersDigest(pub u64);
 
+/// A hash of the rulings on requests that a gateway knows, in no order.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct RulingsDigest(pub u64);
+
+/// What each ping tells of what the sender holds beside versions.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct Digests {
+    /// Of the members.
+    pub members: MembersDigest,
+    /// Of the rulings.
+    pub rulings: RulingsDigest,
+}
+
 /// Engines of one service that one host places generations on; a hash of the cell's name.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct CellKey(pub u64);
@@ -72,7 +88,7 @@
 pub trait GatewayPeer {
     /// Liveness, rumours of other members and the versions held: `root` is the configuration's,
     /// `host_list` the revision of the upstreams.
-    async fn ping(ping: Ping, members: MembersDigest) -> (Pong, MembersDigest);
+    async fn ping(ping: Ping, digests: Digests) -> (Pong, Digests);
     /// A host that has just started makes itself known; answers with a few members to ask for all
     /// else, drawn anew each time.
     async fn join(newcomer: Rumour) -> Vec<Rumour>;
@@ -94,4 +110,13 @@
     async fn doubt(cell: CellKey, engine: UpstreamKey);
     /// The home of a cell asks the relaying host to carry a generation to another engine.
     async fn carry(run: RunKey, to: UpstreamKey) -> CarryAnswer;
+    /// Tells a home of a service that a request of this content had just begun on an upstream that
+    /// ended.
+    async fn strike(content: ContentKey, upstream: UpstreamKey);
+    /// Asks a home whether a request of this content may be the one that runs.
+    async fn may_try(content: ContentKey) -> bool;
+    /// Tells a home that a request of this content was answered whole.
+    async fn clear(content: ContentKey);
+    /// All rulings that the sender knows, for all that the receiver knows.
+    async fn exchange_rulings(rulings: Vec<Ruling>) -> Vec<Ruling>;
 }
