Hold rulings in the cluster package, for both kinds of hosts

The gateway alone knew of contents that end upstreams. What a host keeps of them (reports as a home, rulings, answers that speak for a content) is one type in the cluster package now; entry hosts get the calls between them and exchange rulings with their pings, whose versions carry a hash of the rulings. Nothing asks them there yet. Stand-in engines and plain services of the own interface can end on a text in a prompt or body.

--- a/crates/cluster/src/node.rs
+++ b/crates/cluster/src/node.rs
@@ -14,7 +14,7 @@
 use fulmarpath_upstream::Plain;
 use fulmarpath_wire::{
     ClaimAnswer, ClaimAsk, Document, FetchAnswer, LimitAnswer, MemberNote, MemberState, PeerClient,
-    Peers, SlotAsk,
+    Peers, SlotAsk, Versions,
 };
 use futures::future::join_all;
 use parking_lot::Mutex;
@@ -31,6 +31,7 @@
 use crate::members::Members;
 use crate::permits::Held;
 use crate::publish::{Change, PublishError, Publisher};
+use crate::quarantine::Quarantine;
 use crate::safeguard::Safeguard;
 
 /// What a node must know of itself.
@@ -92,6 +93,7 @@
     pub(crate) host_list: Arc<dyn HostList>,
     pub(crate) engines: Arc<dyn Engines>,
     pub(crate) claims: ClaimLog,
+    pub(crate) quarantine: Quarantine,
     pub(crate) generations: OnceLock<Arc<dyn Generations>>,
     pub(crate) leaving: AtomicBool,
 }
@@ -129,6 +131,7 @@
             peers: Peers::new(crate::server::client),
             documents: Documents::new(settings.without == Some(Safeguard::RevisionGrows)),
             claims: ClaimLog::new(object_api.clone(), settings.claims),
+            quarantine: Quarantine::default(),
             object_api,
             host_list,
             engines,
@@ -156,6 +159,21 @@
         let _ = self.generations.set(generations);
     }
 
+    /// The versions of what this host holds.
+    pub(crate) fn versions(&self) -> Versions {
+        Versions {
+            rulings: self.quarantine.digest(self.clock.now_ms()),
+            ..self.documents.versions()
+        }
+    }
+
+    /// Whether an engine is listed and not as leaving.
+    pub fn takes_generations(&self, upstream: UpstreamKey) -> bool {
+        let listing = self.documents.listing();
+        let listed = listing.engines.get(&upstream);
+        listed.is_some_and(|listed| listed.entry.state == ListedState::Live)
+    }
+
     /// The node's clock.
     pub fn clock(&self) -> Clock {
         self.clock
@@ -192,7 +210,7 @@
     }
 
     /// The live instances of a plain service, nearest first.
-    pub fn plain(&self, service: &str) -> Vec<Arc<dyn Plain>> {
+    pub fn plain(&self, service: &str) -> Vec<(UpstreamKey, Arc<dyn Plain>)> {
         let listing = self.documents.listing();
         let mut entries: Vec<&HostEntry> = listing.plain(service).collect();
         let draw: u64 = rand::random();
@@ -202,7 +220,10 @@
         });
         entries
             .into_iter()
-            .map(|entry| self.engines.plain(entry.address))
+            .map(|entry| {
+                let upstream = UpstreamKey::of(&entry.name);
+                (upstream, self.engines.plain(entry.address))
+            })
             .collect()
     }
 
@@ -378,7 +399,7 @@
             let ping = fulmarpath_wire::Ping {
                 from: members.me(),
                 rumours: Vec::new(),
-                versions: self.documents.versions(),
+                versions: self.versions(),
             };
             let present: Vec<MemberNote> = members
                 .present()
--- a/crates/cluster/src/server.rs
+++ b/crates/cluster/src/server.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
-use fulmarpath_policy::{Ask, AskId, HostKey, OrganisationKey, UpstreamKey};
+use fulmarpath_policy::{Ask, AskId, ContentKey, HostKey, OrganisationKey, Ruling, UpstreamKey};
 use fulmarpath_wire::{
     AskAnswer, AskReply, ClaimAnswer, ClaimAsk, Document, FetchAnswer, LimitAnswer, Peer,
     PeerClient, PermitId, Ping, Pong, Progress, ProgressReply, SlotAsk, framed,
@@ -116,6 +116,22 @@
         self.node.claims.claim(claim).await
     }
 
+    async fn strike(self, _: Context, content: ContentKey, crash: UpstreamKey) {
+        self.node.hear_strike(content, crash);
+    }
+
+    async fn may_try(self, _: Context, content: ContentKey) -> bool {
+        self.node.grant(content)
+    }
+
+    async fn clear(self, _: Context, content: ContentKey) {
+        self.node.hear_clear(content);
+    }
+
+    async fn exchange_rulings(self, _: Context, rulings: Vec<Ruling>) -> Vec<Ruling> {
+        self.node.answer_rulings(rulings)
+    }
+
     async fn fetch(
         self,
         _: Context,
--- a/crates/cluster/src/spread.rs
+++ b/crates/cluster/src/spread.rs
@@ -270,7 +270,10 @@
         if !self.has(Safeguard::Spread) {
             return;
         }
-        let mine = self.documents.versions();
+        let mine = self.versions();
+        if theirs.rulings != mine.rulings {
+            self.exchange_rulings(peer).await;
+        }
         let newer = [
             (Document::Root, theirs.root > mine.root),
             (Document::HostList, theirs.host_list > mine.host_list),
--- a/crates/cluster/src/swim.rs
+++ b/crates/cluster/src/swim.rs
@@ -70,7 +70,7 @@
         Ping {
             from: members.me(),
             rumours: members.rumours(),
-            versions: self.documents.versions(),
+            versions: self.versions(),
         }
     }
 
@@ -100,8 +100,10 @@
             }
             (members.me(), members.rumours())
         };
-        let mine = self.documents.versions();
-        if ping.versions.root > mine.root || ping.versions.host_list > mine.host_list {
+        let mine = self.versions();
+        let theirs_are_newer =
+            ping.versions.root > mine.root || ping.versions.host_list > mine.host_list;
+        if theirs_are_newer || ping.versions.rulings != mine.rulings {
             let node = self.clone();
             let theirs = ping.versions;
             tokio::spawn(async move { node.compare(address, theirs).await });
--- a/crates/entry/src/plain.rs
+++ b/crates/entry/src/plain.rs
@@ -64,7 +64,7 @@
 ) -> Result<PlainAnswer, Problem> {
     let mut unsent = Some(unsent);
     let instances = entry.node.plain(&request.service);
-    for instance in instances.iter().cycle().take(TRIES) {
+    for (_, instance) in instances.iter().cycle().take(TRIES) {
         let call = PlainCall {
             method: request.method.clone(),
             path: request.path.clone(),
--- a/crates/gateway/src/fleet.rs
+++ b/crates/gateway/src/fleet.rs
@@ -12,8 +12,8 @@
 use fulmarpath_cluster::Members;
 use fulmarpath_policy::{Drift, HostKey, Join, Lag, Millis};
 use fulmarpath_wire::{
-    Digests, GatewayPeerClient, Holding, MemberNote, MemberState, MembersDigest, Peers, Ping, Pong,
-    Rumour, Versions,
+    GatewayPeerClient, Holding, MemberNote, MemberState, MembersDigest, Peers, Ping, Pong, Rumour,
+    Versions,
 };
 use parking_lot::Mutex;
 use rand::Rng;
@@ -119,19 +119,14 @@
         Versions {
             root: self.version(),
             host_list: self.roster.lock().revision(),
+            rulings: self.quarantine.digest(self.clock.now_ms()),
         }
     }
 
-    fn ping_message(&self) -> (Ping, Digests) {
-        let (ping, members) = self.fleet.ping_message(self.versions());
-        let rulings = self.rulings_digest();
-        (ping, Digests { members, rulings })
-    }
-
     /// Pings an address, and takes what its host holds in a later version.
     pub(crate) async fn greet(self: &Arc<Self>, address: SocketAddr) {
-        let (ping, digests) = self.ping_message();
-        if let Some((pong, theirs)) = self.ping_once(address, ping, digests).await {
+        let (ping, digest) = self.fleet.ping_message(self.versions());
+        if let Some((pong, theirs)) = self.ping_once(address, ping, digest).await {
             self.hear_pong(address, pong, theirs).await;
         }
     }
@@ -155,9 +150,9 @@
     }
 
     async fn probe(self: Arc<Self>, target: MemberNote) {
-        let (ping, digests) = self.ping_message();
+        let (ping, digest) = self.fleet.ping_message(self.versions());
         let key = HostKey::of(&target.name);
-        match self.ping_once(target.address, ping, digests).await {
+        match self.ping_once(target.address, ping, digest).await {
             Some((pong, theirs)) => {
                 if pong.from.member.name != target.name {
                     // The address is in use again: the start that had it before is gone.
@@ -190,15 +185,15 @@
         &self,
         address: SocketAddr,
         ping: Ping,
-        digests: Digests,
-    ) -> Option<(Pong, Digests)> {
+        digest: MembersDigest,
+    ) -> Option<(Pong, MembersDigest)> {
         let call = |client: GatewayPeerClient, context| async move {
-            client.ping(context, ping, digests).await
+            client.ping(context, ping, digest).await
         };
         self.fleet.peers.call(address, call).await.ok()
     }
 
-    async fn hear_pong(self: &Arc<Self>, address: SocketAddr, pong: Pong, theirs: Digests) {
+    async fn hear_pong(self: &Arc<Self>, address: SocketAddr, pong: Pong, theirs: MembersDigest) {
         self.hear(&pong.from, pong.rumours);
         self.compare(address, pong.versions, theirs).await;
     }
@@ -222,23 +217,27 @@
     }
 
     /// Answers a ping, and learns from it.
-    pub(crate) fn pong(self: &Arc<Self>, ping: Ping, theirs: Digests) -> (Pong, Digests) {
+    pub(crate) fn pong(
+        self: &Arc<Self>,
+        ping: Ping,
+        theirs: MembersDigest,
+    ) -> (Pong, MembersDigest) {
         let address = ping.from.member.address;
         self.hear(&ping.from, ping.rumours);
         let versions = ping.versions;
         let gateway = self.clone();
         tokio::spawn(async move { gateway.compare(address, versions, theirs).await });
-        let (answer, digests) = self.ping_message();
+        let (answer, digest) = self.fleet.ping_message(self.versions());
         let pong = Pong {
             from: answer.from,
             rumours: answer.rumours,
             versions: answer.versions,
         };
-        (pong, digests)
+        (pong, digest)
     }
 
     /// Fetches what a peer holds in a later version.
-    async fn compare(&self, peer: SocketAddr, theirs: Versions, digests: Digests) {
+    async fn compare(&self, peer: SocketAddr, theirs: Versions, members: MembersDigest) {
         if theirs.root > self.version()
             && let Some(configuration) = self.fetch_configuration(peer).await
         {
@@ -249,10 +248,10 @@
         {
             self.take_upstreams(change);
         }
-        if self.drifts_from(digests.members) {
+        if self.drifts_from(members) {
             self.exchange_members(peer).await;
         }
-        if digests.rulings != self.rulings_digest() {
+        if theirs.rulings != self.versions().rulings {
             self.exchange_rulings(peer).await;
         }
     }
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 
 use arc_swap::ArcSwapOption;
-use fulmarpath_cluster::Clock;
+use fulmarpath_cluster::{Clock, Quarantine};
 use fulmarpath_http::ConnectionRules;
 use fulmarpath_policy::{Millis, RetryBound, RetryWindow};
 use parking_lot::Mutex;
@@ -24,7 +24,6 @@
 use crate::look::Looks;
 use crate::metadata::Metadata;
 use crate::metrics::{Metrics, Readings};
-use crate::quarantine::Quarantine;
 use crate::roster::Roster;
 use crate::runs::Runs;
 use crate::spread::Spread;
@@ -240,7 +239,7 @@
             upstreams_age_ms: age(upstreams_heard_ms),
             upstreams: upstreams as i64,
             hosts: hosts as i64,
-            quarantined: self.quarantined() as i64,
+            quarantined: self.quarantine.restricted() as i64,
             retries_left: left.collect(),
         }
     }
--- a/crates/gateway/src/peer.rs
+++ b/crates/gateway/src/peer.rs
@@ -6,8 +6,8 @@
     ContentKey, Placement, PlacementRequest, Ruling, RunEnd, RunKey, UpstreamKey,
 };
 use fulmarpath_wire::{
-    Announcement, CarryAnswer, CellKey, Digests, GatewayPeer, GatewayPeerClient, Holding, Ping,
-    Pong, Restatement, Rumour, framed,
+    Announcement, CarryAnswer, CellKey, GatewayPeer, GatewayPeerClient, Holding, MembersDigest,
+    Ping, Pong, Restatement, Rumour, framed,
 };
 use futures::StreamExt;
 use tarpc::client::Config;
@@ -65,9 +65,9 @@
 }
 
 impl GatewayPeer for Server {
-    async fn ping(self, _: Context, ping: Ping, digests: Digests) -> (Pong, Digests) {
+    async fn ping(self, _: Context, ping: Ping, members: MembersDigest) -> (Pong, MembersDigest) {
         self.count("ping");
-        self.gateway.pong(ping, digests)
+        self.gateway.pong(ping, members)
     }
 
     async fn join(self, _: Context, newcomer: Rumour) -> Vec<Rumour> {
--- a/crates/gateway/src/quarantine.rs
+++ b/crates/gateway/src/quarantine.rs
@@ -5,16 +5,17 @@
 //! grows with the square of the fleet, whatever crashes at once. What a host has missed it gets with
 //! its next pings.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
 use fulmarpath_policy::{
-    Admission, Alibis, ContentKey, CrashRecord, HostKey, Millis, Ruling, Rulings, ServiceKey,
-    Standing, UpstreamKey,
+    Admission, ContentKey, HostKey, Millis, Ruling, ServiceKey, Standing, UpstreamKey,
 };
-use fulmarpath_wire::{GatewayPeerClient, Holding, MemberNote, RulingsDigest};
-use parking_lot::Mutex;
+use fulmarpath_wire::{GatewayPeerClient, Holding, MemberNote, NoAnswer};
 use spdlog::{info, warn};
+use tarpc::client::RpcError;
+use tarpc::context::Context;
 use tokio::time::sleep;
 
 use crate::crashes::BrokenRun;
@@ -31,88 +32,68 @@
 /// When to come back while another request of the same content runs: about the time of a short one.
 const ANOTHER_RUNS_MS: Millis = 500;
 
-/// What this host knows of requests that end upstreams.
-///
-/// Lock order: crashes, rulings.
-#[derive(Default)]
-pub(crate) struct Quarantine {
-    crashes: Mutex<Crashes>,
-    rulings: Mutex<Rulings>,
-    alibis: Mutex<Alibis>,
-}
-
-/// As a home.
-#[derive(Default)]
-struct Crashes {
-    record: CrashRecord,
-    is_judging: bool,
-}
-
 impl Gateway {
     fn crash_homes(&self, service: &str) -> Vec<(HostKey, MemberNote)> {
         let members = self.fleet.members.lock();
         members.homes_of(ServiceKey::of(service).0, HOMES)
     }
 
-    /// Reports a run that may be what ended its upstream to the homes of its service.
-    pub(crate) fn blame(self: &Arc<Self>, run: &BrokenRun) {
-        let (content, upstream) = (run.content, run.upstream());
-        let now_ms = self.clock.now_ms();
-        if !run.is_suspect() || self.quarantine.alibis.lock().has(now_ms, content) {
-            return;
-        }
-        for (key, note) in self.crash_homes(&run.service) {
+    /// Tells the homes of a service, this host's own part included.
+    fn tell_homes<F>(
+        self: &Arc<Self>,
+        service: &str,
+        here: impl Fn(&Arc<Self>),
+        call: impl Fn(GatewayPeerClient, Context) -> F + Clone + Send + 'static,
+    ) where
+        F: Future<Output = Result<(), RpcError>> + Send,
+    {
+        for (key, note) in self.crash_homes(service) {
             if key == self.host_key() {
-                self.hear_strike(content, upstream);
+                here(self);
                 continue;
             }
-            let gateway = self.clone();
+            let (gateway, call) = (self.clone(), call.clone());
             tokio::spawn(async move {
-                let call = |client: GatewayPeerClient, context| async move {
-                    client.strike(context, content, upstream).await
-                };
-                if let Err(error) = gateway.fleet.peers.call(note.address, call).await {
-                    warn!("quarantine: a home did not hear of a crash: {error}");
+                let told: Result<(), NoAnswer> = gateway.fleet.peers.call(note.address, call).await;
+                if let Err(error) = told {
+                    warn!("quarantine: a home did not hear of a run's end: {error}");
                 }
             });
         }
     }
 
-    /// Records a crash as a home, and rules on it in a moment.
-    pub(crate) fn hear_strike(self: &Arc<Self>, content: ContentKey, upstream: UpstreamKey) {
+    /// Reports a run that may be what ended its upstream to the homes of its service.
+    pub(crate) fn blame(self: &Arc<Self>, run: &BrokenRun) {
+        let (content, upstream) = (run.content, run.upstream());
         let now_ms = self.clock.now_ms();
-        let mut crashes = self.quarantine.crashes.lock();
-        crashes.record.strike(now_ms, content, upstream);
-        self.judge_soon(&mut crashes);
-    }
-
-    fn judge_soon(self: &Arc<Self>, crashes: &mut Crashes) {
-        if std::mem::replace(&mut crashes.is_judging, true) {
+        if !run.is_suspect() || self.quarantine.has_alibi(now_ms, content) {
             return;
         }
-        let gateway = self.clone();
-        tokio::spawn(async move {
-            loop {
-                sleep(JUDGE_PERIOD).await;
-                let (made, is_over) = gateway.judge();
-                gateway.tell_rulings(made);
-                if is_over {
-                    return;
-                }
-            }
-        });
+        self.tell_homes(
+            &run.service,
+            |gateway| gateway.hear_strike(content, upstream),
+            move |client, context| async move { client.strike(context, content, upstream).await },
+        );
     }
 
-    /// Rules on what has settled; whether that was all.
-    fn judge(&self) -> (Vec<Ruling>, bool) {
+    /// Records a crash as a home, and rules on it in a moment.
+    pub(crate) fn hear_strike(self: &Arc<Self>, content: ContentKey, upstream: UpstreamKey) {
         let now_ms = self.clock.now_ms();
-        let mut crashes = self.quarantine.crashes.lock();
-        let made = {
-            let mut rulings = self.quarantine.rulings.lock();
-            crashes.record.judge(now_ms, &mut rulings)
-        };
-        crashes.is_judging = crashes.record.has_unjudged();
-        (made, !crashes.is_judging)
+        if self.quarantine.strike(now_ms, content, upstream) {
+            tokio::spawn(self.clone().judge());
+        }
+    }
+
+    /// Rules as a home until no report waits.
+    async fn judge(self: Arc<Self>) {
+        loop {
+            sleep(JUDGE_PERIOD).await;
+            let judgement = self.quarantine.judge(self.clock.now_ms());
+            self.tell_rulings(judgement.made);
+            if judgement.is_over {
+                return;
+            }
+        }
     }
 
     /// Tells all hosts of rulings that this one has made.
@@ -121,13 +102,10 @@
             return;
         }
         for ruling in &made {
-            let crashes: Vec<String> = ruling
-                .crashes
-                .iter()
-                .map(|upstream| format!("{:016x}", upstream.0))
-                .collect();
+            let crashes = ruling.crashes.iter();
+            let crashes: Vec<String> = crashes.map(|one| format!("{:016x}", one.0)).collect();
             info!(
-                "quarantine: content {:016x} is {} by this home, turn {}; it had begun on {} that ended: {}",
+                "quarantine: content {:016x} is {}, by this home in turn {}; it had begun on {} that ended: {}",
                 ruling.content.0,
                 name(ruling.standing),
                 ruling.turn,
@@ -147,9 +125,8 @@
     fn adopt_rulings(&self, told: Vec<Ruling>, source: &str) {
         let now_ms = self.clock.now_ms();
         for ruling in told {
-            let (content, standing) = (ruling.content, ruling.standing);
-            if self.quarantine.rulings.lock().adopt(now_ms, ruling) {
-                let standing = name(standing);
+            let (content, standing) = (ruling.content, name(ruling.standing));
+            if self.quarantine.adopt(now_ms, ruling) {
                 info!(
                     "quarantine: content {:016x} is {standing}, by {source}",
                     content.0
@@ -158,20 +135,9 @@
         }
     }
 
-    /// A hash of the rulings that this host knows.
-    pub(crate) fn rulings_digest(&self) -> RulingsDigest {
-        let now_ms = self.clock.now_ms();
-        RulingsDigest(self.quarantine.rulings.lock().digest(now_ms))
-    }
-
-    /// Contents that may not run like any other.
-    pub(crate) fn quarantined(&self) -> usize {
-        self.quarantine.rulings.lock().restricted()
-    }
-
     /// Exchanges all rulings with a peer that knows others.
-    pub(crate) async fn exchange_rulings(&self, peer: std::net::SocketAddr) {
-        let own = self.all_rulings();
+    pub(crate) async fn exchange_rulings(&self, peer: SocketAddr) {
+        let own = self.quarantine.rulings(self.clock.now_ms());
         let call = |client: GatewayPeerClient, context| async move {
             client.exchange_rulings(context, own).await
         };
@@ -183,21 +149,14 @@
 
     /// Answers a peer's rulings with this host's.
     pub(crate) fn answer_rulings(&self, theirs: Vec<Ruling>) -> Vec<Ruling> {
-        let own = self.all_rulings();
+        let own = self.quarantine.rulings(self.clock.now_ms());
         self.adopt_rulings(theirs, "a peer");
         own
     }
 
-    fn all_rulings(&self) -> Vec<Ruling> {
-        let now_ms = self.clock.now_ms();
-        self.quarantine.rulings.lock().all(now_ms)
-    }
-
     /// Why a request may not be sent at all, where that is known without asking.
     pub(crate) fn bar(&self, inquiry: &Inquiry) -> Result<(), Problem> {
-        let now_ms = self.clock.now_ms();
-        let rulings = self.quarantine.rulings.lock();
-        match rulings.admit(now_ms, inquiry.content) {
+        match self.quarantine.admit(self.clock.now_ms(), inquiry.content) {
             Admission::Free | Admission::AskHome => Ok(()),
             Admission::Refused { retry_after_ms } => Err(Problem::Quarantined { retry_after_ms }),
         }
@@ -206,20 +165,13 @@
     /// Whether a request may begin to run now. Where its content runs one at a time, this is the one
     /// from then on.
     pub(crate) async fn admit(&self, inquiry: &Inquiry) -> Result<(), Problem> {
-        let now_ms = self.clock.now_ms();
-        let admission = self
-            .quarantine
-            .rulings
-            .lock()
-            .admit(now_ms, inquiry.content);
-        match admission {
-            Admission::Free => Ok(()),
-            Admission::Refused { retry_after_ms } => Err(Problem::Quarantined { retry_after_ms }),
-            Admission::AskHome if self.has_leave(inquiry).await => Ok(()),
-            Admission::AskHome => Err(Problem::Quarantined {
-                retry_after_ms: ANOTHER_RUNS_MS,
-            }),
-        }
+        let retry_after_ms = match self.quarantine.admit(self.clock.now_ms(), inquiry.content) {
+            Admission::Free => return Ok(()),
+            Admission::AskHome if self.has_leave(inquiry).await => return Ok(()),
+            Admission::AskHome => ANOTHER_RUNS_MS,
+            Admission::Refused { retry_after_ms } => retry_after_ms,
+        };
+        Err(Problem::Quarantined { retry_after_ms })
     }
 
     async fn has_leave(&self, inquiry: &Inquiry) -> bool {
@@ -241,54 +193,27 @@
 
     /// Answers as a home whether a request of this content may be the one that runs.
     pub(crate) fn grant(&self, content: ContentKey) -> bool {
-        let now_ms = self.clock.now_ms();
-        self.quarantine.crashes.lock().record.grant(now_ms, content)
+        self.quarantine.grant(self.clock.now_ms(), content)
     }
 
     /// An upstream has answered a request whole: it doesn't end upstreams.
     pub(crate) fn vindicate(self: &Arc<Self>, inquiry: &Inquiry) {
         let content = inquiry.content;
-        let now_ms = self.clock.now_ms();
-        self.quarantine.alibis.lock().note(now_ms, content);
-        let is_restricted = {
-            let rulings = self.quarantine.rulings.lock();
-            let known = rulings.find(content);
-            known.is_some_and(|known| known.standing != Standing::Free)
-        };
-        if !is_restricted {
-            return;
-        }
-        for (key, note) in self.crash_homes(&inquiry.service) {
-            if key == self.host_key() {
-                self.hear_clear(content);
-                continue;
-            }
-            let gateway = self.clone();
-            tokio::spawn(async move {
-                let call = |client: GatewayPeerClient, context| async move {
-                    client.clear(context, content).await
-                };
-                if let Err(error) = gateway.fleet.peers.call(note.address, call).await {
-                    warn!("quarantine: a home did not hear of an answer: {error}");
-                }
-            });
+        if self.quarantine.note_answer(self.clock.now_ms(), content) {
+            self.tell_homes(
+                &inquiry.service,
+                |gateway| gateway.hear_clear(content),
+                move |client, context| async move { client.clear(context, content).await },
+            );
         }
     }
 
     /// Frees a content as a home.
     pub(crate) fn hear_clear(self: &Arc<Self>, content: ContentKey) {
-        let now_ms = self.clock.now_ms();
-        let freed = {
-            let mut crashes = self.quarantine.crashes.lock();
-            let freed = {
-                let mut rulings = self.quarantine.rulings.lock();
-                crashes.record.clear(now_ms, content, &mut rulings)
-            };
-            if crashes.record.has_unjudged() {
-                self.judge_soon(&mut crashes);
-            }
-            freed
-        };
+        let (freed, must_judge) = self.quarantine.clear(self.clock.now_ms(), content);
+        if must_judge {
+            tokio::spawn(self.clone().judge());
+        }
         self.tell_rulings(freed.into_iter().collect());
     }
 }
--- a/crates/standin/src/engine.rs
+++ b/crates/standin/src/engine.rs
@@ -17,12 +17,15 @@
 use parking_lot::Mutex;
 use tokio::net::TcpListener;
 use tokio::sync::{mpsc, watch};
+use tokio_util::sync::CancellationToken;
 
 use crate::answer::{answer_length, answer_token, prompt_tokens};
 use crate::model::{EngineEvent, EngineModel, EngineSpec, Job};
 
 const HEADER_LIMIT_BYTES: usize = 16_384;
 const HEARTBEAT: Duration = Duration::from_millis(250);
+/// How long a prompt that ends its engine runs before: less than a step.
+const ENDS_AFTER: Duration = Duration::from_millis(2);
 
 /// Faults that a test orders; all off at first.
 #[derive(Debug, Default)]
@@ -39,6 +42,10 @@
     pub resume_too_early_tokens: AtomicU32,
     /// Each stream breaks after so many tokens; 0 for never.
     pub break_after_tokens: AtomicU32,
+    /// A prompt with this text ends the engine as it begins to run it; empty for none.
+    pub ends_on: Mutex<String>,
+    /// It has ended: connections are refused, and its streams break.
+    ended: CancellationToken,
     /// Old fencing numbers are taken as well.
     pub ignores_fencing: AtomicBool,
 }
@@ -115,11 +122,16 @@
             work: Arc::default(),
         };
         let server = engine.clone();
+        let server_ended = engine.faults.ended.clone();
         let (stop, stopped) = watch::channel(false);
         tokio::spawn(async move {
             let _stop = stop;
             let handler = move |request| server.clone().handle(request);
-            serve(listener, HEADER_LIMIT_BYTES, stopped, handler).await;
+            let ended = server_ended;
+            tokio::select! {
+                () = serve(listener, HEADER_LIMIT_BYTES, stopped, handler) => {}
+                () = ended.cancelled() => {}
+            }
         });
         tokio::spawn(engine.clone().run());
         Ok(engine)
@@ -141,6 +153,24 @@
         self.state.lock().leaving_since = Some(Instant::now());
     }
 
+    /// Whether a prompt has ended it.
+    pub fn has_ended(&self) -> bool {
+        self.faults.ended.is_cancelled()
+    }
+
+    /// Ends in a moment, where the prompt is one that does that.
+    fn end_on(&self, prompt: &str) {
+        let text = self.faults.ends_on.lock().clone();
+        if text.is_empty() || !prompt.contains(&text) {
+            return;
+        }
+        let ended = self.faults.ended.clone();
+        tokio::spawn(async move {
+            tokio::time::sleep(ENDS_AFTER).await;
+            ended.cancel();
+        });
+    }
+
     /// Starts that were refused because the engine leaves.
     pub fn refused_starts(&self) -> u32 {
         self.state.lock().record.refused_starts
@@ -244,6 +274,7 @@
             return empty(StatusCode::SERVICE_UNAVAILABLE);
         }
         let id = self.next_id.fetch_add(1, Ordering::Relaxed);
+        self.end_on(&request.prompt);
         let first_index = request.already_out.len() as u32;
         let length = answer_length(&request.prompt, request.output_limit_tokens);
         let mut state = self.state.lock();
@@ -336,6 +367,9 @@
             return;
         };
         loop {
+            if self.has_ended() {
+                return;
+            }
             let is_silent = self.faults.silence.load(Ordering::Relaxed) != silence;
             if is_silent || self.is_dead() {
                 // The connection stays open and says nothing until the other side gives up.
@@ -364,10 +398,11 @@
                     return;
                 }
             }
-            if tokio::time::timeout(HEARTBEAT, changed.changed())
-                .await
-                .is_err()
-            {
+            let changed = tokio::select! {
+                changed = tokio::time::timeout(HEARTBEAT, changed.changed()) => changed,
+                () = self.faults.ended.cancelled() => return,
+            };
+            if changed.is_err() {
                 let mut line = serde_json::to_vec(&StreamItem::Heartbeat).unwrap_or_default();
                 line.push(b'\n');
                 if sender.send(line.into()).await.is_err() {
--- a/crates/standin/src/plain.rs
+++ b/crates/standin/src/plain.rs
@@ -5,12 +5,15 @@
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU32, AtomicU64, Ordering};
 
-use fulmarpath_http::{full, serve};
+use fulmarpath_http::{BodyBroken, full, serve, streamed};
+use futures::future::ready;
+use futures::stream::once;
 use http_body_util::BodyExt;
 use hyper::StatusCode;
 use parking_lot::Mutex;
 use tokio::net::TcpListener;
 use tokio::sync::watch;
+use tokio_util::sync::CancellationToken;
 
 const HEADER_LIMIT_BYTES: usize = 16_384;
 
@@ -21,6 +24,10 @@
     pub address: SocketAddr,
     /// So many coming calls are run and never answered.
     pub lose_answers: Arc<AtomicU32>,
+    /// A body with this text ends the service as it begins to run it; empty for none.
+    pub ends_on: Arc<Mutex<String>>,
+    /// Connections are refused, and nothing is answered any more.
+    ended: CancellationToken,
     runs: Arc<AtomicU64>,
     by_path: Arc<Mutex<HashMap<String, u32>>>,
 }
@@ -31,10 +38,13 @@
         let plain = Self {
             address: listener.local_addr()?,
             lose_answers: Arc::default(),
+            ends_on: Arc::default(),
+            ended: CancellationToken::new(),
             runs: Arc::default(),
             by_path: Arc::default(),
         };
         let server = plain.clone();
+        let ended = plain.ended.clone();
         let (stop, stopped) = watch::channel(false);
         tokio::spawn(async move {
             let _stop = stop;
@@ -42,11 +52,19 @@
                 let server = server.clone();
                 async move { server.answer(request).await }
             };
-            serve(listener, HEADER_LIMIT_BYTES, stopped, handler).await;
+            tokio::select! {
+                () = serve(listener, HEADER_LIMIT_BYTES, stopped, handler) => {}
+                () = ended.cancelled() => {}
+            }
         });
         Ok(plain)
     }
 
+    /// Whether a call has ended it.
+    pub fn has_ended(&self) -> bool {
+        self.ended.is_cancelled()
+    }
+
     /// Calls that were run.
     pub fn runs(&self) -> u64 {
         self.runs.load(Ordering::Relaxed)
@@ -74,7 +92,15 @@
         }
         let body = request.into_body().collect().await;
         let body = body.map(|body| body.to_bytes()).unwrap_or_default();
-        let text = format!("{path} {}", String::from_utf8_lossy(&body));
+        let body = String::from_utf8_lossy(&body);
+        let ends_on = self.ends_on.lock().clone();
+        if !ends_on.is_empty() && body.contains(&ends_on) {
+            self.ended.cancel();
+            // The answer breaks off, as that of a process that is gone.
+            let broken = once(ready(Err(BodyBroken)));
+            return hyper::Response::new(streamed(broken));
+        }
+        let text = format!("{path} {body}");
         full(StatusCode::OK, "text/plain", text)
     }
 }
--- a/crates/wire/src/gateway.rs
+++ b/crates/wire/src/gateway.rs
@@ -29,19 +29,6 @@
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct MembersDigest(pub u64);
 
-/// A hash of the rulings on requests that a gateway knows, in no order.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Hash, Serialize, Deserialize)]
-pub struct RulingsDigest(pub u64);
-
-/// What each ping tells of what the sender holds beside versions.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Hash, Serialize, Deserialize)]
-pub struct Digests {
-    /// Of the members.
-    pub members: MembersDigest,
-    /// Of the rulings.
-    pub rulings: RulingsDigest,
-}
-
 /// Engines of one service that one host places generations on; a hash of the cell's name.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct CellKey(pub u64);
@@ -88,7 +75,7 @@
 pub trait GatewayPeer {
     /// Liveness, rumours of other members and the versions held: `root` is the configuration's,
     /// `host_list` the revision of the upstreams.
-    async fn ping(ping: Ping, digests: Digests) -> (Pong, Digests);
+    async fn ping(ping: Ping, members: MembersDigest) -> (Pong, MembersDigest);
     /// A host that has just started makes itself known; answers with a few members to ask for all
     /// else, drawn anew each time.
     async fn join(newcomer: Rumour) -> Vec<Rumour>;
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -10,8 +10,8 @@
 mod service;
 
 pub use gateway::{
-    Announcement, CarryAnswer, CellKey, Digests, GatewayPeer, GatewayPeerClient, Holding,
-    MembersDigest, Restatement, RulingsDigest,
+    Announcement, CarryAnswer, CellKey, GatewayPeer, GatewayPeerClient, Holding, MembersDigest,
+    Restatement,
 };
 pub use message::{
     AskAnswer, AskReply, ClaimAnswer, ClaimAsk, Document, FetchAnswer, GenerationEnd, LimitAnswer,
--- a/crates/wire/src/message.rs
+++ b/crates/wire/src/message.rs
@@ -58,6 +58,8 @@
     pub root: u64,
     /// Of the host list.
     pub host_list: u64,
+    /// Of the rulings on requests that end upstreams: a hash of them in no order.
+    pub rulings: u64,
 }
 
 /// A permit, wherever it is.
--- a/crates/wire/src/service.rs
+++ b/crates/wire/src/service.rs
@@ -1,6 +1,6 @@
 //! The calls that entry hosts make to each other.
 
-use fulmarpath_policy::{Ask, AskId, OrganisationKey, UpstreamKey};
+use fulmarpath_policy::{Ask, AskId, ContentKey, OrganisationKey, Ruling, UpstreamKey};
 
 use crate::message::{
     AskReply, ClaimAnswer, ClaimAsk, Document, FetchAnswer, LimitAnswer, PermitId, Ping, Pong,
@@ -34,6 +34,15 @@
     async fn restate_slots(host: fulmarpath_policy::HostKey, slots: Vec<(OrganisationKey, u32)>);
     /// Claims an idempotency key for one submission.
     async fn claim(claim: ClaimAsk) -> ClaimAnswer;
+    /// Tells a home of a service that a request of this content had just begun on an upstream that
+    /// ended.
+    async fn strike(content: ContentKey, crash: UpstreamKey);
+    /// Asks a home whether a request of this content may be the one that runs.
+    async fn may_try(content: ContentKey) -> bool;
+    /// Tells a home that a request of this content was answered whole.
+    async fn clear(content: ContentKey);
+    /// All rulings that the sender knows, for all that the receiver knows.
+    async fn exchange_rulings(rulings: Vec<Ruling>) -> Vec<Ruling>;
     /// Tokens of a generation that this host holds, from an index on.
     async fn fetch(organisation: OrganisationKey, generation: String, from: u32) -> FetchAnswer;
 }
