Keep bars in the platform's store, where they outlive all hosts

What callers saw (own test): a request that had ended three engines was refused; after all hosts were lost at once it ended another one. Cause: rulings stood on hosts alone. Change: both homes write a bar (kind fulmarpath-bars), try again while the store is away unless the content was freed meanwhile, and remove it when it is; whoever reads the configuration from the store after its start reads the bars, tells its area, and pings do the rest. Only bars are kept: rare, two writes each.

--- a/crates/cluster/src/quarantine.rs
+++ b/crates/cluster/src/quarantine.rs
@@ -78,6 +78,11 @@
         self.rulings.lock().adopt(now_ms, ruling)
     }
 
+    /// The turn of the ruling on a content.
+    pub fn turn(&self, content: ContentKey) -> Option<u32> {
+        self.rulings.lock().find(content).map(|known| known.turn)
+    }
+
     /// All rulings, as of now.
     pub fn rulings(&self, now_ms: Millis) -> Vec<Ruling> {
         self.rulings.lock().all(now_ms)
--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -147,6 +147,7 @@
                             self.announce_configuration();
                         }
                     }
+                    self.read_bars().await;
                 }
                 Err(StoreError::HistoryGone { .. }) => revision = None,
                 Err(error) => {
@@ -249,6 +250,7 @@
                 for configuration in all.items {
                     self.adopt(configuration, "the store, maybe old");
                 }
+                self.read_bars().await;
             }
             Err(error) => {
                 self.metrics.store_failures.inc();
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -5,6 +5,7 @@
 //! writes heads, [`Metadata`] reads the operator's and the upstreams' own entries.
 
 mod attempt;
+mod bars;
 mod carry;
 mod cells;
 mod configuration;
@@ -57,7 +58,8 @@
     AnswerHead, Continuation, Dialect, GenerationHead, HeadError, Outbound, PromptPart, RequestHead,
 };
 pub use metadata::{
-    Change, Changes, Collection, Freshness, HostRegistry, Metadata, Snapshot, StoreError, Unusable,
+    BarRegistry, Change, Changes, Collection, Freshness, HostRegistry, KeptBar, Metadata, Snapshot,
+    StoreError, Unusable,
 };
 pub use presence::{Presence, Present};
 pub use problem::Problem;
--- a/crates/gateway/src/metadata.rs
+++ b/crates/gateway/src/metadata.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use async_trait::async_trait;
+use fulmarpath_policy::{ContentKey, UpstreamKey};
 
 use crate::configuration::Configuration;
 use crate::directory::{HostRegistration, Registration};
@@ -98,6 +99,30 @@
     async fn unregister(&self, name: &str) -> Result<(), StoreError>;
 }
 
+/// A bar of a content that ends upstreams, as the store keeps it.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct KeptBar {
+    /// The content.
+    pub content: ContentKey,
+    /// Counts the rulings on this content.
+    pub turn: u32,
+    /// How often it was barred.
+    pub bars: u32,
+    /// The latest upstreams that ended under it.
+    pub crashes: Vec<UpstreamKey>,
+    /// When it was barred, in Unix milliseconds by the home's clock.
+    pub since_unix_ms: u64,
+}
+
+/// Where bars are kept.
+#[async_trait]
+pub trait BarRegistry: Send + Sync {
+    /// Writes a bar, over an older one of the same content.
+    async fn keep(&self, bar: &KeptBar) -> Result<(), StoreError>;
+    /// Removes the bar of a content; harmless where there is none.
+    async fn lift(&self, content: ContentKey) -> Result<(), StoreError>;
+}
+
 /// The platform's metadata store.
 pub struct Metadata {
     /// The operator's configuration: one object at most.
@@ -108,4 +133,8 @@
     pub hosts: Box<dyn Collection<HostRegistration>>,
     /// Where this host writes its own entry.
     pub registry: Box<dyn HostRegistry>,
+    /// Bars of contents.
+    pub bars: Box<dyn Collection<KeptBar>>,
+    /// Where they are written.
+    pub bar_registry: Box<dyn BarRegistry>,
 }
--- a/crates/gateway/src/quarantine.rs
+++ b/crates/gateway/src/quarantine.rs
@@ -112,6 +112,7 @@
                 crashes.len(),
                 crashes.join(", ")
             );
+            self.keep_bar(ruling);
         }
         self.announce(Holding::Rulings, &made, self.everybody());
     }
@@ -122,17 +123,16 @@
         Ok(())
     }
 
-    fn adopt_rulings(&self, told: Vec<Ruling>, source: &str) {
+    /// Takes rulings; those that are news.
+    pub(crate) fn adopt_rulings(&self, told: Vec<Ruling>, source: &str) -> Vec<Ruling> {
         let now_ms = self.clock.now_ms();
-        for ruling in told {
-            let (content, standing) = (ruling.content, name(ruling.standing));
-            if self.quarantine.adopt(now_ms, ruling) {
-                info!(
-                    "quarantine: content {:016x} is {standing}, by {source}",
-                    content.0
-                );
-            }
+        let mut news = told;
+        news.retain(|ruling| self.quarantine.adopt(now_ms, ruling.clone()));
+        for ruling in &news {
+            let (content, standing) = (ruling.content.0, name(ruling.standing));
+            info!("quarantine: content {content:016x} is {standing}, by {source}");
         }
+        news
     }
 
     /// Exchanges all rulings with a peer that knows others.
@@ -142,7 +142,9 @@
             client.exchange_rulings(context, own).await
         };
         match self.fleet.peers.call(peer, call).await {
-            Ok(theirs) => self.adopt_rulings(theirs, "a peer"),
+            Ok(theirs) => {
+                self.adopt_rulings(theirs, "a peer");
+            }
             Err(error) => warn!("quarantine: could not exchange rulings: {error}"),
         }
     }
--- a/crates/gateway/src/spread.rs
+++ b/crates/gateway/src/spread.rs
@@ -168,7 +168,7 @@
     }
 
     /// The other hosts of this area, in branches.
-    fn neighbours(&self) -> Vec<Vec<SocketAddr>> {
+    pub(crate) fn neighbours(&self) -> Vec<Vec<SocketAddr>> {
         let area = self.area(&self.fleet.members.lock());
         self.audience(|data_centre| area.contains(data_centre))
     }
--- a/crates/policy/src/quarantine/mod.rs
+++ b/crates/policy/src/quarantine/mod.rs
@@ -41,7 +41,7 @@
     pub turn: u32,
     /// How its requests may run.
     pub standing: Standing,
-    /// How often it was barred.
+    /// How often it was barred; a free one keeps the number of its last bars.
     pub bars: u32,
     /// The latest upstreams that ended under it.
     pub crashes: Vec<UpstreamKey>,
@@ -50,6 +50,11 @@
 }
 
 impl Ruling {
+    /// Whether it is so old that no host keeps it.
+    pub fn is_forgotten(&self) -> bool {
+        self.age_ms >= FORGET_MS
+    }
+
     /// How long a bar lasts in all; 0 without one.
     fn term_ms(&self) -> Millis {
         if self.standing != Standing::Barred {
@@ -89,12 +94,14 @@
 /// Crashes after which a content runs one at a time: two may be chance, as where a caller's second
 /// try meets the same trouble as its first.
 const HOLD_CRASHES: usize = 2;
-/// Crashes after which a content is barred: the third came while it ran alone of its kind, and each
-/// one costs the callers of some twenty generations.
+/// Crashes after which a content is barred: the third came while it ran alone of its kind. Each one
+/// cuts what runs beside, one or two generations on an ordinary day, up to all slots on a full one.
 const BAR_CRASHES: usize = 3;
 /// Terms of the first, second and later bars. After each, one request shows whether upstreams bear
 /// the content by now, as with a new version; it costs an upstream where they don't, so three at the
 /// most are spent on a day.
 const TERMS_MS: [Millis; 3] = [300_000, 3_600_000, 86_400_000];
+/// After so long a ruling is forgotten: as long as the longest term.
+const FORGET_MS: Millis = 86_400_000;
 /// Crashes kept of a content. A bar takes three; more only tell more others that they are innocent.
 const MOST_CRASHES: usize = 8;
--- a/crates/policy/src/quarantine/record.rs
+++ b/crates/policy/src/quarantine/record.rs
@@ -143,7 +143,8 @@
         }
         // Requests that were on their way as it was barred change nothing.
         if !is_barred && (standing == Standing::Barred || known.as_ref().is_none_or(is_free)) {
-            let bars = known.as_ref().map_or(0, |known| known.bars);
+            let restricted = known.as_ref().filter(|known| !is_free(known));
+            let bars = restricted.map_or(0, |known| known.bars);
             let ruling = Ruling {
                 turn: known.map_or(1, |known| known.turn + 1),
                 bars: bars + u32::from(standing == Standing::Barred),
@@ -246,7 +247,7 @@
     let ruling = Ruling {
         turn: known.turn + 1,
         standing: Standing::Free,
-        bars: 0,
+        bars: known.bars,
         crashes: Vec::new(),
         age_ms: 0,
         content,
--- a/crates/policy/src/quarantine/rulings.rs
+++ b/crates/policy/src/quarantine/rulings.rs
@@ -5,13 +5,11 @@
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::key::{ContentKey, Millis};
-use crate::quarantine::{Admission, Ruling, Standing};
+use crate::quarantine::{Admission, FORGET_MS, Ruling, Standing};
 
 /// Rulings that a host keeps: under 200 kB. Contents that end upstreams are single ones; whoever
 /// writes more of them than this by hand ends an upstream in three tries of each, as before.
 const MOST_RULINGS: usize = 1_024;
-/// After so long a ruling is forgotten: as long as the longest term.
-const FORGET_MS: Millis = 86_400_000;
 
 #[derive(Debug, Clone)]
 struct Kept {
@@ -39,7 +37,7 @@
     /// Two homes may rule on a content at once, and hosts hear of both in any order. The later turn
     /// holds, and of one turn the more severe, so all hosts come to hold the same.
     pub fn adopt(&mut self, now_ms: Millis, ruling: Ruling) -> bool {
-        if ruling.age_ms >= FORGET_MS {
+        if ruling.is_forgotten() {
             return false;
         }
         let rank = |ruling: &Ruling| (ruling.turn, ruling.standing);
