Have explain show what a content did

A refused request's own lines said that its content ended upstreams, not which and when: those lines stand at other hosts, under other requests. explain now shows the crashes and quarantine lines of its content too. A test with another content beside it.

--- a/src/explain.rs
+++ b/src/explain.rs
@@ -69,12 +69,14 @@
         .filter_map(|(_, line)| RequestRecord::read(&line.payload))
         .filter(|record| record.request == id)
         .collect();
-    let run = records.first().map(|record| record.run.clone());
+    let run = records.first().map(|record| record.run.as_str());
+    let content = records.iter().find_map(|record| record.content.as_deref());
     let speaks = |payload: &str| {
+        // What ended upstreams was this content in other requests as well.
+        let on_content = payload.starts_with("quarantine:") || payload.starts_with("crashes:");
         payload.contains(id)
-            || run
-                .as_ref()
-                .is_some_and(|run| payload.contains(run.as_str()))
+            || run.is_some_and(|run| payload.contains(run))
+            || (on_content && content.is_some_and(|content| payload.contains(content)))
     };
     let mut traces: Vec<Trace> = all
         .iter()
--- a/tests/explain.rs
+++ b/tests/explain.rs
@@ -11,7 +11,7 @@
         outcome: "sent".to_owned(),
     });
     RequestRecord {
-        content: None,
+        content: Some("00000000000000cc".to_owned()),
         request: "9c41".to_owned(),
         run: "00000000000000aa".to_owned(),
         route: "drafts".to_owned(),
@@ -106,6 +106,30 @@
     assert!(shown.contains("host-b cells: 00000000000000aa"), "{shown}");
 }
 
+/// A request was refused because others of its content had ended upstreams: their lines are shown,
+/// with the rulings on the content, and not those of other contents.
+#[test]
+fn shows_what_a_content_did() {
+    let crashed = line(
+        10,
+        "crashes: i-1 ended without notice under request 77, content 00000000000000cc, before",
+    );
+    let barred = line(
+        20,
+        "quarantine: content 00000000000000cc is barred, by a home",
+    );
+    let other = line(
+        21,
+        "quarantine: content 00000000000000dd is barred, by a home",
+    );
+    let refused = request_line(30, &record("quarantined", 503, &[]));
+    let text = [crashed, barred, other, refused].join("\n");
+    let explanation = explain("9c41", &[("host-a".to_owned(), text)]).expect("it is found");
+    let order: Vec<u64> = explanation.traces.iter().map(|trace| trace.at_ms).collect();
+    assert_eq!(order, [10, 20, 30]);
+    assert!(explanation.causes[0].contains("content 00000000000000cc"));
+}
+
 /// An id that nobody wrote of is said not to be found, with how much was looked at.
 #[test]
 fn an_unknown_id_is_not_found() {
