Let a success alone speak for a content

What callers saw (own test): a request that ends upstreams was freed by a sick one's 500 and ended three more: 5 where 3 may. Cause: any whole answer counted, while upstreams that are sick fail what they have not run. Change: a success does, at the own interface too; a stream counts where events came. Why it holds: a success bears the upstream's word that it ran.

--- a/crates/entry/src/plain.rs
+++ b/crates/entry/src/plain.rs
@@ -99,7 +99,10 @@
         };
         match instance.call(call).await {
             Ok(answer) => {
-                entry.node.vindicate(request.key(), content);
+                // A sick instance fails what it has not run.
+                if answer.status.is_success() {
+                    entry.node.vindicate(request.key(), content);
+                }
                 return Ok(answer);
             }
             Err(PlainError::NotRun(_)) => {}
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -82,7 +82,9 @@
         let answer = self.try_upstreams(&inquiry, &mut journey).await;
         match answer {
             Ok(whole) => {
-                self.vindicate(&inquiry);
+                if whole.status.is_success() {
+                    self.vindicate(&inquiry);
+                }
                 journey.end("answered", whole.status.as_u16());
                 pass_on(whole)
             }
--- a/crates/gateway/src/quarantine.rs
+++ b/crates/gateway/src/quarantine.rs
@@ -198,7 +198,8 @@
         self.quarantine.grant(self.clock.now_ms(), content)
     }
 
-    /// An upstream has answered a request whole: it doesn't end upstreams.
+    /// An upstream has answered a request with success: it doesn't end upstreams. A failure says
+    /// nothing: a sick upstream fails what it has not run.
     pub(crate) fn vindicate(self: &Arc<Self>, inquiry: &Inquiry) {
         let content = inquiry.content;
         if self.quarantine.note_answer(self.clock.now_ms(), content) {
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -210,7 +210,9 @@
             return Some(Ok(rest));
         }
         self.source.flight.judge(Verdict::Good);
-        self.gateway.vindicate(&self.inquiry);
+        if self.journey.events > 0 {
+            self.gateway.vindicate(&self.inquiry);
+        }
         self.ticket.is_whole = self.journey.events > 0 && self.inquiry.last_event.is_none();
         self.journey.end("answered", self.status);
         None
