--- a/crates/entry/src/drive.rs
+++ b/crates/entry/src/drive.rs
@@ -6,24 +6,17 @@
 
 use fulmarpath_cluster::{Clock, Node, NotGranted, Permit, PermitRequest, Safeguard};
 use fulmarpath_policy::{ContentKey, Millis, RetryBudget, UpstreamKey};
-use fulmarpath_upstream::{
-    EngineError, Finish, GenerateRequest, ResumeRequest, StreamItem, TokenStream,
-};
+use fulmarpath_upstream::{EngineError, GenerateRequest, ResumeRequest, TokenStream};
 use parking_lot::Mutex;
 use spdlog::{info, warn};
 use tracing::{Instrument, info_span};
 
 use crate::generation::Generation;
 use crate::hop::Hop;
-use crate::metrics::{CallerLabels, Metrics, ServiceLabel};
+use crate::metrics::{CallerLabels, Metrics};
 use crate::outcome::{End, NotRun, NotRunReason, Unsent};
+use crate::stay::Relayed;
 
-/// A first token later than this is a stall.
-const FIRST_TOKEN_BOUND_MS: Millis = 1_500;
-/// A gap between two tokens longer than this is a stall.
-const GAP_BOUND_MS: Millis = 250;
-/// New connections tried to an engine before the generation goes elsewhere.
-const RESUMES: u32 = 2;
 /// How long a generation with tokens out looks for another engine.
 const RECOVERY_BOUND_MS: Millis = 60_000;
 const RECOVERY_PAUSE: Duration = Duration::from_millis(200);
@@ -75,17 +68,6 @@
     pub(crate) hop: Hop,
 }
 
-/// How relaying from one stream ended.
-enum Relayed {
-    Whole(Finish),
-    /// The stream broke, went silent or skipped a token.
-    Broken,
-    /// The home wants the generation moved, and another engine has given a permit.
-    Moved(Permit),
-    /// The caller has left.
-    Left,
-}
-
 /// What became of a generation that was sent to an engine.
 enum Started {
     Streams(Box<dyn TokenStream>),
@@ -119,12 +101,12 @@
     pub(crate) drivers: Arc<Drivers>,
     pub(crate) clock: Clock,
     pub(crate) job: Job,
-    last_token_ms: Option<Millis>,
+    pub(crate) last_token_ms: Option<Millis>,
     /// When the first token of the present engine came.
     pub(crate) begun_ms: Option<Millis>,
     /// Engines that ended when this generation had just begun there.
     pub(crate) ended_engines: u32,
-    attempt: u32,
+    pub(crate) attempt: u32,
 }
 
 impl Driver {
@@ -277,7 +259,7 @@
     }
 
     /// Reads on over a new connection; `None` where the engine doesn't answer or has lost it.
-    async fn resume(&mut self, permit: &Permit) -> Option<Box<dyn TokenStream>> {
+    pub(crate) async fn resume(&mut self, permit: &Permit) -> Option<Box<dyn TokenStream>> {
         self.attempt += 1;
         let request = ResumeRequest {
             generation: self.job.generation.name().to_owned(),
@@ -287,136 +269,7 @@
         permit.engine.resume(&request).await.ok()
     }
 
-    /// Relays from one engine, over new connections where one breaks.
-    ///
-    /// A connection can go silent for good while new ones work. Waiting on would stall the caller
-    /// for ever; going to another engine at once would compute the prompt anew for nothing.
-    async fn stay(&mut self, stream: Box<dyn TokenStream>, permit: &Permit) -> Relayed {
-        let mut stream = stream;
-        let mut resumes = 0;
-        loop {
-            let before = self.job.generation.next_index();
-            match self.relay(&mut *stream, permit).await {
-                Relayed::Broken => {}
-                other => return other,
-            }
-            if self.job.generation.next_index() > before {
-                resumes = 0;
-            }
-            resumes += 1;
-            if resumes > RESUMES {
-                return Relayed::Broken;
-            }
-            match self.resume(permit).await {
-                Some(again) => stream = again,
-                None => return Relayed::Broken,
-            }
-            self.drivers.metrics.recover("new_connection");
-        }
-    }
-
-    fn silence_bound(&self) -> Duration {
-        if self.drivers.node.has(Safeguard::Silence) {
-            self.drivers.silence_bound
-        } else {
-            Duration::MAX
-        }
-    }
-
-    async fn relay(&mut self, stream: &mut dyn TokenStream, permit: &Permit) -> Relayed {
-        loop {
-            let next = tokio::select! {
-                next = stream.next(self.silence_bound()) => next,
-                () = self.left() => return Relayed::Left,
-            };
-            let Ok(Some(item)) = next else {
-                return Relayed::Broken;
-            };
-            match item {
-                StreamItem::Heartbeat => {}
-                StreamItem::Token {
-                    generation,
-                    attempt,
-                    index,
-                    text,
-                } => {
-                    if !self.is_mine(&generation, attempt) {
-                        continue;
-                    }
-                    let wanted = self.job.generation.next_index();
-                    // An engine that resumes too early repeats tokens that are out: drop them.
-                    if index < wanted && self.drivers.node.has(Safeguard::TokenIndex) {
-                        continue;
-                    }
-                    // A gap: the tokens between are lost on this stream, so read on from there.
-                    if index > wanted {
-                        return Relayed::Broken;
-                    }
-                    self.take(wanted, &text);
-                    permit.advance(wanted + 1);
-                }
-                StreamItem::Done {
-                    generation,
-                    attempt,
-                    total_tokens,
-                    finish,
-                } => {
-                    if !self.is_mine(&generation, attempt) {
-                        continue;
-                    }
-                    if total_tokens != self.job.generation.next_index() {
-                        return Relayed::Broken;
-                    }
-                    let answers = &self.drivers.metrics.answers;
-                    answers.get_or_create(&self.job.labels).inc();
-                    return Relayed::Whole(finish);
-                }
-            }
-            if permit.take_move()
-                && let Some(other) = self.other_engine(permit).await
-            {
-                return Relayed::Moved(other);
-            }
-        }
-    }
-
-    /// Whether an item belongs to this generation and this dispatch of it. Without this check a
-    /// late token of an older attempt, or of another request, would reach this caller.
-    fn is_mine(&self, generation: &str, attempt: u32) -> bool {
-        let is_mine = generation == self.job.generation.name() && attempt == self.attempt;
-        is_mine || !self.drivers.node.has(Safeguard::TokenOwner)
-    }
-
-    fn take(&mut self, index: u32, text: &str) {
-        self.job.generation.push(index, text);
-        let now_ms = self.clock.now_ms();
-        self.begun_ms.get_or_insert(now_ms);
-        let metrics = &self.drivers.metrics;
-        let service = ServiceLabel {
-            service: self.job.labels.service.clone(),
-        };
-        metrics.tokens.get_or_create(&self.job.labels).inc();
-        let stall_ms = match self.last_token_ms.replace(now_ms) {
-            None => {
-                let first_ms = now_ms.saturating_sub(self.job.since_ms);
-                let histogram = metrics.first_token_ms.get_or_create(&service);
-                histogram.observe(first_ms as f64);
-                first_ms.saturating_sub(FIRST_TOKEN_BOUND_MS)
-            }
-            Some(last_ms) => {
-                let gap_ms = now_ms.saturating_sub(last_ms);
-                let histogram = metrics.between_tokens_ms.get_or_create(&service);
-                histogram.observe(gap_ms as f64);
-                gap_ms.saturating_sub(GAP_BOUND_MS)
-            }
-        };
-        if stall_ms > 0 {
-            let stalls = metrics.stall_ms.get_or_create(&self.job.labels);
-            stalls.inc_by(stall_ms);
-        }
-    }
-
-    async fn other_engine(&self, permit: &Permit) -> Option<Permit> {
+    pub(crate) async fn other_engine(&self, permit: &Permit) -> Option<Permit> {
         let mut request = self.job.request.clone();
         request.without = vec![permit.upstream];
         request.out_tokens = self.job.generation.next_index();
@@ -427,7 +280,7 @@
     }
 
     /// Resolves once the caller has left a generation that nobody else may ask for.
-    async fn left(&self) {
+    pub(crate) async fn left(&self) {
         const CHECK: Duration = Duration::from_millis(250);
         if self.job.generation.is_keyed() {
             std::future::pending::<()>().await;
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -17,6 +17,7 @@
 mod request;
 mod routes;
 mod server;
+mod stay;
 mod submit;
 
 pub use generation::Generation;
--- a/crates/standin/src/engine.rs
+++ b/crates/standin/src/engine.rs
@@ -1,6 +1,6 @@
 //! A stand-in engine over HTTP, with faults to order.
 
-use std::collections::{HashMap, HashSet};
+use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicU32, AtomicU64, Ordering};
@@ -9,7 +9,7 @@
 use bytes::Bytes;
 use fulmarpath_http::{Reply, empty, json, serve, stream};
 use fulmarpath_upstream::{
-    CacheEvents, EngineState, Finish, GenerateRequest, LoadReport, Order, ResumeRequest, StreamItem,
+    CacheEvents, EngineState, GenerateRequest, LoadReport, Order, ResumeRequest, StreamItem,
 };
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
@@ -19,8 +19,9 @@
 use tokio::sync::{mpsc, watch};
 use tokio_util::sync::CancellationToken;
 
-use crate::answer::{answer_length, answer_token, prompt_tokens};
-use crate::model::{EngineEvent, EngineModel, EngineSpec, Job};
+use crate::answer::{answer_length, prompt_tokens};
+use crate::model::{EngineModel, EngineSpec, Job};
+use crate::runs::{EngineRecord, Run, State};
 
 const HEADER_LIMIT_BYTES: usize = 16_384;
 const HEARTBEAT: Duration = Duration::from_millis(250);
@@ -50,48 +51,6 @@
     pub ignores_fencing: AtomicBool,
 }
 
-/// What the engine saw.
-#[derive(Debug, Default, Clone)]
-pub struct EngineRecord {
-    /// Starts by generation.
-    pub starts: HashMap<String, u32>,
-    /// The generations that were started for a prompt.
-    pub generations: HashMap<String, HashSet<String>>,
-    /// The traces that starts belonged to.
-    pub traceparents: Vec<String>,
-    /// How long after the engine began to leave the last start was asked of it.
-    pub last_ask_after_leaving_ms: u64,
-    /// Tokens computed by generation.
-    pub computed_tokens: HashMap<String, u32>,
-    /// Generations that were cancelled.
-    pub cancelled: Vec<String>,
-    /// Starts that were refused because the engine leaves.
-    pub refused_starts: u32,
-    /// Orders that were carried out.
-    pub orders: Vec<Order>,
-}
-
-#[derive(Debug)]
-struct Run {
-    generation: String,
-    prompt: String,
-    first_index: u32,
-    tokens: Vec<String>,
-    done: Option<(u32, Finish)>,
-    attempt: u32,
-    changed: watch::Sender<u64>,
-}
-
-#[derive(Debug)]
-struct State {
-    model: EngineModel,
-    runs: HashMap<u64, Run>,
-    by_name: HashMap<String, u64>,
-    record: EngineRecord,
-    fencing: u64,
-    leaving_since: Option<Instant>,
-}
-
 /// A stand-in engine.
 #[derive(Debug, Clone)]
 pub struct StandinEngine {
@@ -413,74 +372,6 @@
     }
 }
 
-impl State {
-    fn take_in(&mut self, events: &[EngineEvent]) {
-        for event in events {
-            match *event {
-                EngineEvent::Token { id, index } => self.take_token(id, index),
-                EngineEvent::Done { id } => {
-                    let Some(run) = self.runs.get_mut(&id) else {
-                        continue;
-                    };
-                    let total = run.first_index + run.tokens.len() as u32;
-                    run.done = Some((total, Finish::Stop));
-                    run.changed.send_modify(|count| *count += 1);
-                }
-                EngineEvent::Preempted { .. } => {}
-            }
-        }
-    }
-
-    fn take_token(&mut self, id: u64, index: u32) {
-        let Some(run) = self.runs.get_mut(&id) else {
-            return;
-        };
-        let have = run.first_index + run.tokens.len() as u32;
-        assert_eq!(index, have, "the stand-in engine skipped a token");
-        run.tokens.push(answer_token(&run.prompt, index));
-        run.changed.send_modify(|count| *count += 1);
-        let generation = run.generation.clone();
-        *self.record.computed_tokens.entry(generation).or_default() += 1;
-    }
-
-    fn drop_run(&mut self, id: u64) {
-        self.model.cancel(id);
-        self.runs.remove(&id);
-    }
-
-    fn subscribe(&self, id: u64) -> Option<watch::Receiver<u64>> {
-        self.runs.get(&id).map(|run| run.changed.subscribe())
-    }
-
-    /// What a stream still has to send from `next` on; `None` where a newer attempt reads.
-    fn items(&self, id: u64, attempt: u32, next: u32) -> Option<Vec<StreamItem>> {
-        let run = self.runs.get(&id)?;
-        if run.attempt != attempt {
-            return None;
-        }
-        let generation = &run.generation;
-        let start = (next - run.first_index) as usize;
-        let tokens = run.tokens.iter().enumerate().skip(start);
-        let mut items: Vec<StreamItem> = tokens
-            .map(|(index, text)| StreamItem::Token {
-                generation: generation.clone(),
-                attempt,
-                index: run.first_index + index as u32,
-                text: text.clone(),
-            })
-            .collect();
-        if let Some((total_tokens, finish)) = run.done {
-            items.push(StreamItem::Done {
-                generation: generation.clone(),
-                attempt,
-                total_tokens,
-                finish,
-            });
-        }
-        Some(items)
-    }
-}
-
 async fn decode<T: serde::de::DeserializeOwned>(request: Request<Incoming>) -> Option<T> {
     let body = request.into_body().collect().await.ok()?.to_bytes();
     serde_json::from_slice(&body).ok()
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -9,10 +9,12 @@
 mod model;
 mod object_api;
 mod plain;
+mod runs;
 
 pub use answer::{answer_length, answer_token, prompt_tokens};
-pub use engine::{EngineFaults, EngineRecord, StandinEngine};
+pub use engine::{EngineFaults, StandinEngine};
 pub use host_list::StandinHostList;
 pub use model::{EngineEvent, EngineModel, EngineSpec, Job};
 pub use object_api::{ObjectFaults, StandinObjectApi};
 pub use plain::StandinPlain;
+pub use runs::EngineRecord;
