Have the soak play a request that ends its upstream

The soak missed the fault, as no caller's request did anything to its upstream. Engines stand behind proxies, which take connections when the engine has ended, so these are not ended here.

--- a/crates/bench/src/cmd/soak.rs
+++ b/crates/bench/src/cmd/soak.rs
@@ -34,6 +34,9 @@
     /// their names, entries of other writers
     #[bpaf(long)]
     all_kinds: bool,
+    /// One caller repeats a request that ends the plain upstream that begins to run it
+    #[bpaf(long)]
+    ending: bool,
     /// Seeds at once
     #[bpaf(argument("N"), fallback(3))]
     at_once: usize,
@@ -65,6 +68,7 @@
                     callers: self.callers,
                     faults: self.faults,
                     of_all_kinds: self.all_kinds,
+                    has_ending: self.ending,
                     binary: self.binary.clone(),
                     spoil: self.spoil,
                 };
--- a/crates/bench/src/soak/judge.rs
+++ b/crates/bench/src/soak/judge.rs
@@ -5,6 +5,10 @@
 use fulmarpath_platform_standin::{AskKind, Got, Received, StandInEngine};
 use serde::Serialize;
 
+/// Upstreams that a request may end: three show what it does, and where hosts are lost with what they
+/// knew, three more.
+const MOST_ENDED: u32 = 6;
+
 /// One request and what its caller got.
 #[derive(Debug, Clone)]
 pub(crate) struct Outcome {
@@ -15,7 +19,7 @@
     pub(crate) may_be_cut: bool,
 }
 
-/// Counts of one seed; the first ten are violations.
+/// Counts of one seed; the first ten are violations, and ended upstreams over their bound.
 #[derive(Debug, Clone, Default, Serialize)]
 pub(crate) struct Verdict {
     pub(crate) seed: u64,
@@ -29,6 +33,8 @@
     pub(crate) not_served_again: u32,
     pub(crate) not_in_force: u32,
     pub(crate) old_key_served: u32,
+    /// Upstreams that one caller's request has ended.
+    pub(crate) ended_upstreams: u32,
     pub(crate) requests: u32,
     pub(crate) whole: u32,
     pub(crate) refused: u32,
@@ -48,6 +54,7 @@
             + self.not_served_again
             + self.not_in_force
             + self.old_key_served
+            + self.ended_upstreams.saturating_sub(MOST_ENDED)
     }
 
     /// Judges one request by what its caller got and how often upstreams began it.
--- a/crates/bench/src/soak/mod.rs
+++ b/crates/bench/src/soak/mod.rs
@@ -1,6 +1,7 @@
 //! A fault soak: real hosts as processes, faults from outside, promises checked by what callers
 //! and upstreams see.
 
+mod ending;
 mod fault;
 mod judge;
 mod proxy;
@@ -49,6 +50,8 @@
     pub(crate) faults: usize,
     /// Draws from the faults that came later as well.
     pub(crate) of_all_kinds: bool,
+    /// Whether one caller repeats a request that ends its upstream.
+    pub(crate) has_ending: bool,
     pub(crate) binary: PathBuf,
     pub(crate) spoil: Option<Spoil>,
 }
@@ -94,17 +97,23 @@
     let callers: Vec<_> = (0..settings.callers)
         .map(|caller| tokio::spawn(insist(shared.clone(), settings.seed, caller as u64)))
         .collect();
+    let ending = settings.has_ending.then(|| {
+        stage.end_plains_on(ending::ENDS);
+        tokio::spawn(ending::repeat(shared.clone(), settings.seed))
+    });
     if faults.is_empty() {
         sleep(CALM).await;
     }
     for fault in &faults {
         sleep(Duration::from_millis(rng.random_range(200..900))).await;
         fault.strike(&mut stage, &mut rng).await?;
+        stage.replace_ended_plains().await;
     }
     shared.is_over.store(true, Ordering::Relaxed);
-    for caller in callers {
+    for caller in callers.into_iter().chain(ending) {
         let _ = caller.await;
     }
+    stage.replace_ended_plains().await;
     let mut verdict = Verdict {
         seed: settings.seed,
         faults: faults.iter().map(|fault| format!("{fault:?}")).collect(),
@@ -126,7 +135,9 @@
     }
     let engines = stage.engines.iter().chain(&stage.gone);
     let engines = engines.flat_map(|engine| engine.received());
-    let plains = stage.plains.iter().flat_map(|plain| plain.received());
+    let plains = stage.plains.iter().chain(&stage.ended_plains);
+    let plains = plains.flat_map(|plain| plain.received());
+    verdict.ended_upstreams = stage.ended_plains.len() as u32;
     let begun = begun(engines.chain(plains));
     let mut outcomes = std::mem::take(&mut *shared.outcomes.lock());
     if let Some(spoil) = settings.spoil {
--- a/crates/bench/src/soak/stage.rs
+++ b/crates/bench/src/soak/stage.rs
@@ -1,5 +1,6 @@
 //! Real hosts as processes before stand-ins of the platform, with proxies between them.
 
+use std::collections::HashMap;
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
@@ -99,6 +100,12 @@
     pub(crate) gone: Vec<StandInEngine>,
     pub(crate) engine_links: Vec<Proxy>,
     pub(crate) plains: Vec<StandInPlain>,
+    /// Plain upstreams that a request has ended.
+    pub(crate) ended_plains: Vec<StandInPlain>,
+    /// When those were started that took their places, in Unix milliseconds.
+    plain_births_ms: HashMap<usize, u64>,
+    /// What ends a plain upstream.
+    ends_on: Option<&'static str>,
     /// Engines that have started again.
     births: u64,
     pub(crate) folder: PathBuf,
@@ -140,6 +147,9 @@
             gone: Vec::new(),
             engine_links: Vec::new(),
             plains: Vec::new(),
+            ended_plains: Vec::new(),
+            plain_births_ms: HashMap::new(),
+            ends_on: None,
             births: 0,
             folder,
         };
@@ -190,10 +200,39 @@
     /// Writes a plain upstream's entry, as it does itself.
     pub(crate) fn register_plain(&self, place: usize) {
         let data_centre = DATA_CENTRES[place % DATA_CENTRES.len()];
-        let entry = entry("portal", self.plains[place].address, data_centre, false);
+        let address = self.plains[place].address;
+        let mut entry = entry("portal", address, data_centre, false);
+        if let Some(born_ms) = self.plain_births_ms.get(&place) {
+            entry["born"] = json!(born_ms);
+        }
         self.store.put("servers", &plain_name(place), entry);
     }
 
+    /// From now on a request with this text ends the plain upstream that begins to run it.
+    pub(crate) fn end_plains_on(&mut self, text: &'static str) {
+        self.ends_on = Some(text);
+        self.plains.iter().for_each(|plain| plain.end_on(text));
+    }
+
+    /// Others take the places of plain upstreams that have ended, under their names and elsewhere.
+    pub(crate) async fn replace_ended_plains(&mut self) {
+        for place in 0..self.plains.len() {
+            if !self.plains[place].has_crashed() {
+                continue;
+            }
+            let next = StandInPlain::start(&plain_name(place)).await;
+            if let Some(text) = self.ends_on {
+                next.end_on(text);
+            }
+            let ended = std::mem::replace(&mut self.plains[place], next);
+            self.ended_plains.push(ended);
+            self.births += 1;
+            self.plain_births_ms
+                .insert(place, FIRST_BIRTH_MS + self.births);
+            self.register_plain(place);
+        }
+    }
+
     /// Another writer leaves entries of each kind, one of them over a plain upstream's: the place of
     /// that one.
     pub(crate) fn foreign_entries(&self, rng: &mut ChaCha8Rng) -> usize {
--- a/crates/bench/tests/soak.rs
+++ b/crates/bench/tests/soak.rs
@@ -52,6 +52,19 @@
     assert!(verdict["faults"].to_string().contains(fault), "{text}");
 }
 
+/// One caller repeats a request that ends the plain upstream that begins to run it, beside faults: it
+/// ends three and is refused from then on, and the other callers go on.
+#[test]
+fn a_short_soak_with_a_request_that_ends_upstreams() {
+    let words = [
+        "--seed", "9102", "--seeds", "1", "--faults", "3", "--ending",
+    ];
+    let (fine, verdict, text) = soak(&words);
+    assert!(fine, "{text}");
+    assert!(verdict["ended_upstreams"].as_u64() >= Some(3), "{text}");
+    assert!(verdict["whole"].as_u64() > Some(20), "{text}");
+}
+
 struct Spoilt {
     what: &'static str,
     seed: &'static str,
