Bear strange bars in the store, and name shared bounds of the quarantine once

Anybody who may write to the store can leave a bar that no home would write. Read as it stood, a list of 100,000 upstreams was kept whole, and a turn near the type's end could never be followed. Now the list is cut to eight, counts saturate, and a bar has no turn in the store: any that hosts know goes before it. A test that failed before.

--- a/crates/cluster/src/crashes.rs
+++ b/crates/cluster/src/crashes.rs
@@ -4,11 +4,9 @@
 //! from host to host with the pings, so a crash costs a few messages whatever the fleet's size.
 
 use std::sync::Arc;
-use std::time::Duration;
 
-use fulmarpath_policy::{
-    Admission, ContentKey, HostKey, Millis, Ruling, ServiceKey, Standing, UpstreamKey,
-};
+use fulmarpath_policy::{Admission, ContentKey, HostKey, Millis, Ruling, ServiceKey, UpstreamKey};
+use fulmarpath_store::ListedState;
 use fulmarpath_wire::{MemberNote, PeerClient};
 use spdlog::{info, warn};
 use tarpc::client::RpcError;
@@ -16,13 +14,8 @@
 
 use crate::clock::Clock;
 use crate::node::Node;
+use crate::quarantine::{ANOTHER_RUNS_MS, CRASH_HOMES, JUDGE_PERIOD};
 
-/// Hosts that record a service's crashes: one may be gone with what it knows.
-const HOMES: usize = 2;
-/// Between two looks of a home at reports that have come.
-const JUDGE_PERIOD: Duration = Duration::from_millis(100);
-/// When to come back while another request of the same content runs.
-const ANOTHER_RUNS_MS: Millis = 500;
 /// Reports within this time are of one crash of an upstream. The host list names no starts, and one
 /// that started again in its place is the same to it; a start takes longer than this.
 const ONE_CRASH_MS: Millis = 4_000;
@@ -37,7 +30,7 @@
 
 impl Node {
     fn crash_homes(&self, service: ServiceKey) -> Vec<(HostKey, MemberNote)> {
-        self.members.lock().homes_of(service.0, HOMES)
+        self.members.lock().homes_of(service.0, CRASH_HOMES)
     }
 
     fn tell_homes<F>(
@@ -62,6 +55,13 @@
         }
     }
 
+    /// Whether an engine is listed and not as leaving.
+    pub fn takes_generations(&self, upstream: UpstreamKey) -> bool {
+        let listing = self.documents.listing();
+        let listed = listing.engines.get(&upstream);
+        listed.is_some_and(|listed| listed.entry.state == ListedState::Live)
+    }
+
     /// Reports that a request had just begun on an upstream that ended without notice.
     pub fn blame(
         self: &Arc<Self>,
@@ -189,14 +189,10 @@
 }
 
 fn tell(ruling: &Ruling) {
-    let standing = match ruling.standing {
-        Standing::Free => "free",
-        Standing::OneAtATime => "run one at a time",
-        Standing::Barred => "barred",
-    };
     info!(
-        "crashes: content {:016x} is {standing}; it had begun on {} that ended",
+        "crashes: content {:016x} is {}; it had begun on {} that ended",
         ruling.content.0,
+        ruling.standing.name(),
         ruling.crashes.len()
     );
 }
--- a/crates/cluster/src/lib.rs
+++ b/crates/cluster/src/lib.rs
@@ -33,5 +33,5 @@
 pub use orders::{Orderer, Wanted};
 pub use permits::{NotGranted, Permit, PermitRequest};
 pub use publish::{Change, PublishError, Publisher};
-pub use quarantine::{Judgement, Quarantine};
+pub use quarantine::{ANOTHER_RUNS_MS, CRASH_HOMES, JUDGE_PERIOD, Judgement, Quarantine};
 pub use safeguard::{Safeguard, UnknownSafeguard};
--- a/crates/cluster/src/node.rs
+++ b/crates/cluster/src/node.rs
@@ -14,7 +14,7 @@
 use fulmarpath_upstream::Plain;
 use fulmarpath_wire::{
     ClaimAnswer, ClaimAsk, Document, FetchAnswer, LimitAnswer, MemberNote, MemberState, PeerClient,
-    Peers, SlotAsk, Versions,
+    Peers, SlotAsk,
 };
 use futures::future::join_all;
 use parking_lot::Mutex;
@@ -159,21 +159,6 @@
         let _ = self.generations.set(generations);
     }
 
-    /// The versions of what this host holds.
-    pub(crate) fn versions(&self) -> Versions {
-        Versions {
-            rulings: self.quarantine.digest(self.clock.now_ms()),
-            ..self.documents.versions()
-        }
-    }
-
-    /// Whether an engine is listed and not as leaving.
-    pub fn takes_generations(&self, upstream: UpstreamKey) -> bool {
-        let listing = self.documents.listing();
-        let listed = listing.engines.get(&upstream);
-        listed.is_some_and(|listed| listed.entry.state == ListedState::Live)
-    }
-
     /// The node's clock.
     pub fn clock(&self) -> Clock {
         self.clock
--- a/crates/cluster/src/quarantine.rs
+++ b/crates/cluster/src/quarantine.rs
@@ -1,10 +1,20 @@
 //! What one host knows of requests that end upstreams: as a home of crashes, and as any host.
 
+use std::time::Duration;
+
 use fulmarpath_policy::{
     Admission, Alibis, ContentKey, CrashRecord, Millis, Ruling, Rulings, Standing, UpstreamKey,
 };
 use parking_lot::Mutex;
 
+/// Hosts that record a service's crashes. With one alone, what it knew would be gone with it, and
+/// three more upstreams with that.
+pub const CRASH_HOMES: usize = 2;
+/// Between two looks of a home at reports that have come: those of one moment are ruled on together.
+pub const JUDGE_PERIOD: Duration = Duration::from_millis(100);
+/// When to come back while another request of the same content runs: about the time of a short one.
+pub const ANOTHER_RUNS_MS: Millis = 500;
+
 /// What one host knows of requests that end upstreams.
 ///
 /// Lock order: crashes, rulings; alibis alone.
--- a/crates/cluster/src/swim.rs
+++ b/crates/cluster/src/swim.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use fulmarpath_policy::HostKey;
-use fulmarpath_wire::{MemberNote, MemberState, PeerClient, Ping, Pong};
+use fulmarpath_wire::{MemberNote, MemberState, PeerClient, Ping, Pong, Versions};
 use futures::future::join_all;
 use rand::Rng;
 use spdlog::{info, warn};
@@ -65,6 +65,14 @@
         self.peers.call(address, call).await.ok()
     }
 
+    /// The versions of what this host holds.
+    pub(crate) fn versions(&self) -> Versions {
+        Versions {
+            rulings: self.quarantine.digest(self.clock.now_ms()),
+            ..self.documents.versions()
+        }
+    }
+
     fn ping_message(&self) -> Ping {
         let mut members = self.members.lock();
         Ping {
--- a/crates/gateway/src/bars.rs
+++ b/crates/gateway/src/bars.rs
@@ -31,8 +31,7 @@
         match ruling.standing {
             Standing::OneAtATime => {}
             Standing::Barred => {
-                let bar = kept(Clock::wall_ms(), ruling);
-                tokio::spawn(async move { gateway.write_bar(bar).await });
+                tokio::spawn(async move { gateway.write_bar(ruling).await });
             }
             Standing::Free if ruling.bars > 0 => {
                 tokio::spawn(async move { gateway.lift_bar(ruling.content).await });
@@ -41,14 +40,16 @@
         }
     }
 
-    async fn write_bar(&self, bar: KeptBar) {
+    async fn write_bar(&self, ruling: Ruling) {
+        let (content, turn) = (ruling.content, ruling.turn);
+        let bar = kept(Clock::wall_ms(), ruling);
         for _ in 0..WRITE_TRIES {
             // Written late, it would stand there after the content was freed.
-            if self.quarantine.turn(bar.content) != Some(bar.turn) {
+            if self.quarantine.turn(content) != Some(turn) {
                 return;
             }
             let written = self.metadata.bar_registry.keep(&bar).await;
-            if self.note_write(bar.content, written) {
+            if self.note_write(content, written) {
                 return;
             }
             sleep(WRITE_PERIOD).await;
@@ -109,20 +110,22 @@
 fn kept(unix_ms: u64, ruling: Ruling) -> KeptBar {
     KeptBar {
         content: ruling.content,
-        turn: ruling.turn,
         bars: ruling.bars,
         crashes: ruling.crashes,
         since_unix_ms: unix_ms.saturating_sub(ruling.age_ms),
     }
 }
 
+/// The turn of a bar that the store has told: any that hosts know goes before it.
+const TOLD_TURN: u32 = 1;
+
 /// A clock that is ahead of the one that wrote it ends a bar sooner by so much, one that is behind
 /// later: seconds of minutes.
 fn told(unix_ms: u64, bar: KeptBar) -> Ruling {
     let age_ms: Millis = unix_ms.saturating_sub(bar.since_unix_ms);
     Ruling {
         content: bar.content,
-        turn: bar.turn,
+        turn: TOLD_TURN,
         standing: Standing::Barred,
         bars: bar.bars,
         crashes: bar.crashes,
--- a/crates/gateway/src/metadata.rs
+++ b/crates/gateway/src/metadata.rs
@@ -104,8 +104,6 @@
 pub struct KeptBar {
     /// The content.
     pub content: ContentKey,
-    /// Counts the rulings on this content.
-    pub turn: u32,
     /// How often it was barred.
     pub bars: u32,
     /// The latest upstreams that ended under it.
--- a/crates/gateway/src/quarantine.rs
+++ b/crates/gateway/src/quarantine.rs
@@ -7,11 +7,9 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::time::Duration;
 
-use fulmarpath_policy::{
-    Admission, ContentKey, HostKey, Millis, Ruling, ServiceKey, Standing, UpstreamKey,
-};
+use fulmarpath_cluster::{ANOTHER_RUNS_MS, CRASH_HOMES, JUDGE_PERIOD};
+use fulmarpath_policy::{Admission, ContentKey, HostKey, Ruling, ServiceKey, UpstreamKey};
 use fulmarpath_wire::{GatewayPeerClient, Holding, MemberNote, NoAnswer};
 use spdlog::{info, warn};
 use tarpc::client::RpcError;
@@ -24,18 +22,10 @@
 use crate::intake::Inquiry;
 use crate::problem::Problem;
 
-/// Hosts that record a service's crashes. With one alone, what it knew would be gone with it, and
-/// three more upstreams with that.
-const HOMES: usize = 2;
-/// Between two looks of a home at reports that have come: those of one moment are ruled on together.
-const JUDGE_PERIOD: Duration = Duration::from_millis(100);
-/// When to come back while another request of the same content runs: about the time of a short one.
-const ANOTHER_RUNS_MS: Millis = 500;
-
 impl Gateway {
     fn crash_homes(&self, service: &str) -> Vec<(HostKey, MemberNote)> {
         let members = self.fleet.members.lock();
-        members.homes_of(ServiceKey::of(service).0, HOMES)
+        members.homes_of(ServiceKey::of(service).0, CRASH_HOMES)
     }
 
     /// Tells the homes of a service, this host's own part included.
@@ -107,7 +97,7 @@
             info!(
                 "quarantine: content {:016x} is {}, by this home in turn {}; it had begun on {} that ended: {}",
                 ruling.content.0,
-                name(ruling.standing),
+                ruling.standing.name(),
                 ruling.turn,
                 crashes.len(),
                 crashes.join(", ")
@@ -129,7 +119,7 @@
         let mut news = told;
         news.retain(|ruling| self.quarantine.adopt(now_ms, ruling.clone()));
         for ruling in &news {
-            let (content, standing) = (ruling.content.0, name(ruling.standing));
+            let (content, standing) = (ruling.content.0, ruling.standing.name());
             info!("quarantine: content {content:016x} is {standing}, by {source}");
         }
         news
@@ -220,11 +210,3 @@
         self.tell_rulings(freed.into_iter().collect());
     }
 }
-
-fn name(standing: Standing) -> &'static str {
-    match standing {
-        Standing::Free => "free",
-        Standing::OneAtATime => "run one at a time",
-        Standing::Barred => "barred",
-    }
-}
--- a/crates/policy/src/quarantine/mod.rs
+++ b/crates/policy/src/quarantine/mod.rs
@@ -32,6 +32,17 @@
     Barred,
 }
 
+impl Standing {
+    /// What is told of it in logs.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::Free => "free",
+            Self::OneAtATime => "run one at a time",
+            Self::Barred => "barred",
+        }
+    }
+}
+
 /// What a home has decided on a content.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Ruling {
--- a/crates/policy/src/quarantine/record.rs
+++ b/crates/policy/src/quarantine/record.rs
@@ -147,7 +147,7 @@
             let bars = restricted.map_or(0, |known| known.bars);
             let ruling = Ruling {
                 turn: known.map_or(1, |known| known.turn + 1),
-                bars: bars + u32::from(standing == Standing::Barred),
+                bars: bars.saturating_add(u32::from(standing == Standing::Barred)),
                 crashes: crashes.clone(),
                 age_ms: 0,
                 content,
--- a/crates/policy/src/quarantine/rulings.rs
+++ b/crates/policy/src/quarantine/rulings.rs
@@ -5,7 +5,7 @@
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::key::{ContentKey, Millis};
-use crate::quarantine::{Admission, FORGET_MS, Ruling, Standing};
+use crate::quarantine::{Admission, FORGET_MS, MOST_CRASHES, Ruling, Standing};
 
 /// Rulings that a host keeps: under 200 kB. Contents that end upstreams are single ones; whoever
 /// writes more of them than this by hand ends an upstream in three tries of each, as before.
@@ -36,10 +36,12 @@
     ///
     /// Two homes may rule on a content at once, and hosts hear of both in any order. The later turn
     /// holds, and of one turn the more severe, so all hosts come to hold the same.
-    pub fn adopt(&mut self, now_ms: Millis, ruling: Ruling) -> bool {
+    pub fn adopt(&mut self, now_ms: Millis, mut ruling: Ruling) -> bool {
         if ruling.is_forgotten() {
             return false;
         }
+        // Other writers may leave anything in the store, also a list without end.
+        ruling.crashes.truncate(MOST_CRASHES);
         let rank = |ruling: &Ruling| (ruling.turn, ruling.standing);
         let known = self.kept.get(&ruling.content);
         if known.is_some_and(|known| rank(&known.ruling) >= rank(&ruling)) {
--- a/crates/policy/tests/quarantine.rs
+++ b/crates/policy/tests/quarantine.rs
@@ -258,6 +258,30 @@
     assert!(text.matches("Suspect {").count() <= 4_096);
 }
 
+/// Another writer has left a bar in the store that no home would write. It takes no more memory than
+/// others, and an answer frees its content all the same.
+#[test]
+fn a_strange_bar_does_no_harm() {
+    let mut home = Home::default();
+    let strange = Ruling {
+        content: P,
+        turn: 1,
+        standing: Standing::Barred,
+        bars: u32::MAX,
+        crashes: (0..100_000).map(UpstreamKey).collect(),
+        age_ms: 0,
+    };
+    assert!(home.rulings.adopt(0, strange));
+    let kept = home.rulings.find(P).expect("it is kept");
+    assert!(kept.crashes.len() <= 8);
+    assert!(matches!(home.admit(P), Admission::Refused { .. }));
+    home.now_ms = 86_399_999;
+    home.crash(100_000, &[P]);
+    home.settle();
+    home.clear(P).expect("it had a ruling");
+    assert_eq!(home.admit(P), Admission::Free);
+}
+
 /// A content that ended well lately is no cause. Its word is forgotten after a while.
 #[test]
 fn an_answer_is_an_alibi_for_a_while() {
