Look whether an upstream is there after it has closed its sockets

Cause: the look came at once, while the listener of the process that ended was still open. Change: 40 ms before the look, at the own interface too; and an upstream that takes connections counts as ended where its next start registers within a second. Why it holds: a process's sockets close within its exit; a supervisor's restart shows by its birth.

--- a/crates/entry/src/crash.rs
+++ b/crates/entry/src/crash.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use fulmarpath_cluster::Permit;
+use fulmarpath_http::CLOSING_WAIT;
 use fulmarpath_policy::may_have_ended_it;
 use fulmarpath_upstream::EngineError;
 use spdlog::warn;
@@ -60,6 +61,7 @@
         if !self.drivers.node.takes_generations(permit.upstream) {
             return false;
         }
+        sleep(CLOSING_WAIT).await;
         match timeout(CHECK_BOUND, permit.engine.load()).await {
             Ok(Ok(_)) => false,
             Ok(Err(error)) => matches!(error, EngineError::NotRun(_)),
--- a/crates/gateway/src/crashes.rs
+++ b/crates/gateway/src/crashes.rs
@@ -3,18 +3,18 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use fulmarpath_http::Connection;
+use fulmarpath_http::still_listens;
 use fulmarpath_policy::{ContentKey, Millis, UpstreamKey, may_have_ended_it};
 use spdlog::info;
+use tokio::time::timeout;
 
 use crate::gateway::Gateway;
 use crate::instances::Chosen;
 use crate::intake::Inquiry;
 
-/// Time for the connection that tells whether an upstream has ended: some ways there and back
-/// between data centres. An upstream that ended refuses it at once; one whose machine is gone too
-/// says nothing.
-const CHECK_BOUND: Duration = Duration::from_millis(250);
+/// An upstream that takes connections may have started again in its place already: its registration
+/// says so within this time.
+const RESTART_BOUND: Duration = Duration::from_millis(1_000);
 
 /// A run that ended with its connection, before its answer did.
 #[derive(Debug, Clone)]
@@ -78,7 +78,12 @@
         if !self.instances.takes_work(chosen.key) {
             return false;
         }
-        Connection::open(chosen.address, CHECK_BOUND).await.is_err()
+        if !still_listens(chosen.address).await {
+            return true;
+        }
+        timeout(RESTART_BOUND, chosen.lost.cancelled())
+            .await
+            .is_ok()
     }
 
     fn note_crash(&self, run: &BrokenRun) {
--- a/crates/http/src/connection.rs
+++ b/crates/http/src/connection.rs
@@ -11,7 +11,7 @@
 use hyper_util::rt::TokioIo;
 use socket2::{SockRef, TcpKeepalive};
 use tokio::net::TcpStream;
-use tokio::time::timeout;
+use tokio::time::{sleep, timeout};
 use tokio_util::task::AbortOnDropHandle;
 
 use crate::error::HttpError;
@@ -23,6 +23,19 @@
 /// Bytes that stay unacknowledged for so long end the connection: as long as the signs of life.
 const UNACKNOWLEDGED_BOUND: Duration = Duration::from_millis(3_000);
 
+/// A process that ends closes its sockets one after the other, its listener perhaps last. Asked at
+/// once whether it is there it looks alive, so whoever it broke off waits this long before.
+pub const CLOSING_WAIT: Duration = Duration::from_millis(40);
+/// Time for a connection that tells whether a process is there: some ways there and back between data
+/// centres. One that has ended refuses it at once; one whose machine is gone too says nothing.
+const CHECK_BOUND: Duration = Duration::from_millis(250);
+
+/// Whether a process that has just broken a connection off takes others still.
+pub async fn still_listens(address: SocketAddr) -> bool {
+    sleep(CLOSING_WAIT).await;
+    Connection::open(address, CHECK_BOUND).await.is_ok()
+}
+
 /// An open connection. Dropping it closes it, whatever runs on it.
 #[derive(Debug)]
 pub struct Connection {
--- a/crates/http/src/lib.rs
+++ b/crates/http/src/lib.rs
@@ -7,7 +7,7 @@
 mod server;
 
 pub use client::{Call, get, post_json, send};
-pub use connection::Connection;
+pub use connection::{CLOSING_WAIT, Connection, still_listens};
 pub use error::HttpError;
 pub use lines::Lines;
 pub use server::{
--- a/crates/upstream/src/plain.rs
+++ b/crates/upstream/src/plain.rs
@@ -5,7 +5,7 @@
 
 use async_trait::async_trait;
 use bytes::Bytes;
-use fulmarpath_http::{Connection, HttpError, send};
+use fulmarpath_http::{HttpError, send, still_listens};
 use http_body_util::Full;
 use hyper::header::CONTENT_TYPE;
 use hyper::{Method, Request, StatusCode};
@@ -50,14 +50,10 @@
 pub trait Plain: Send + Sync {
     /// Sends the call once.
     async fn call(&self, call: PlainCall) -> Result<PlainAnswer, PlainError>;
-    /// Whether it still takes connections.
+    /// Whether it still takes connections, after it has broken one off.
     async fn is_there(&self) -> bool;
 }
 
-/// Time for the connection that tells whether a service is there: some ways there and back between
-/// data centres.
-const CHECK_BOUND: Duration = Duration::from_millis(250);
-
 /// A plain service over HTTP.
 #[derive(Debug, Clone)]
 pub struct HttpPlain {
@@ -99,7 +95,7 @@
     }
 
     async fn is_there(&self) -> bool {
-        Connection::open(self.address, CHECK_BOUND).await.is_ok()
+        still_listens(self.address).await
     }
 }
 
