--- a/crates/policy/tests/quarantine.rs
+++ b/crates/policy/tests/quarantine.rs
@@ -113,6 +113,29 @@
     assert_eq!(home.standing(P), Standing::Barred);
 }
 
+/// A caller comes again four times a second, so that the next crash is reported before the one before has
+/// settled. Ruled on only once reports stop, its content ended whatever there was; each crash settles
+/// by itself.
+#[test]
+fn crashes_in_quick_succession_are_ruled_on() {
+    let mut home = Home::default();
+    let mut crashes = 0;
+    while !matches!(home.admit(P), Admission::Refused { .. }) {
+        if home.now_ms.is_multiple_of(250) && home.admit(P) == Admission::Free {
+            home.crash(crashes, &[P]);
+            crashes += 1;
+        }
+        home.now_ms += 50;
+        home.record.judge(home.now_ms, &mut home.rulings);
+        assert!(home.now_ms < 3_000, "{crashes} crashes and no bar");
+        if home.admit(P) == Admission::AskHome && home.record.grant(home.now_ms, P) {
+            home.crash(crashes, &[P]);
+            crashes += 1;
+        }
+    }
+    assert!(crashes <= 4, "{crashes}");
+}
+
 /// One at a time: a second try waits until the first has ended well, or may be taken for lost.
 #[test]
 fn one_runs_at_a_time() {
