Settle each crash by itself

Cause: a content was ruled on 0.3 s after its latest report, and each report began that time anew. Ruled out: reports that are missing (each crash had its line). Change: each crash settles 0.3 s after its own report. Why it holds: the time is for reports of the same crash by others; what is reported of the next one says nothing of it.

--- a/crates/policy/src/quarantine/record.rs
+++ b/crates/policy/src/quarantine/record.rs
@@ -7,9 +7,10 @@
     Admission, BAR_CRASHES, HOLD_CRASHES, MOST_CRASHES, Ruling, Rulings, Standing,
 };
 
-/// After a content's last crash its home waits so long before it rules: the reports of one crash come
-/// from several hosts, some after a connection that is not refused but unanswered (250 ms). Ruled
-/// on at the first report, whoever is reported first would be blamed for the others.
+/// After a crash its home waits so long before it counts it: the reports of one crash come from
+/// several hosts, some after a connection that is not refused but unanswered (250 ms). Counted at
+/// the first report, whoever is reported first would be blamed for the others. Each crash settles by
+/// itself: a caller who comes again sooner than this would put the ruling off for as long as he comes.
 const SETTLE_MS: Millis = 300;
 /// How long one request of a content keeps others from running: until its first token and what may
 /// follow it on a crowded engine. Its end frees the content sooner.
@@ -21,12 +22,53 @@
 /// Crashes whose cause is known, at most. Reports of a crash come within seconds of it.
 const MOST_EXPLAINED: usize = 1_024;
 
+/// An upstream's end, as it was reported for one content.
+#[derive(Debug, Clone, Copy)]
+struct Crash {
+    upstream: UpstreamKey,
+    reported_ms: Millis,
+    is_judged: bool,
+}
+
+impl Crash {
+    fn is_settled(&self, now_ms: Millis) -> bool {
+        now_ms.saturating_sub(self.reported_ms) >= SETTLE_MS
+    }
+}
+
 /// A content that had just begun on upstreams as they ended.
 #[derive(Debug, Clone, Default)]
 struct Suspect {
-    crashes: Vec<UpstreamKey>,
+    crashes: Vec<Crash>,
     struck_ms: Millis,
-    is_judged: bool,
+}
+
+impl Suspect {
+    fn was_on(&self, upstream: UpstreamKey) -> bool {
+        self.crashes.iter().any(|crash| crash.upstream == upstream)
+    }
+
+    fn add(&mut self, crash: Crash) {
+        if self.was_on(crash.upstream) {
+            return;
+        }
+        if self.crashes.len() >= MOST_CRASHES {
+            self.crashes.remove(0);
+        }
+        self.crashes.push(crash);
+    }
+
+    /// Whether a crash has settled that was not ruled on; it counts as ruled on from then on.
+    fn take_due(&mut self, now_ms: Millis) -> bool {
+        let mut is_due = false;
+        for crash in &mut self.crashes {
+            if !crash.is_judged && crash.is_settled(now_ms) {
+                crash.is_judged = true;
+                is_due = true;
+            }
+        }
+        is_due
+    }
 }
 
 /// What the home of a service knows of upstreams that ended.
@@ -51,27 +93,25 @@
         if now_ms.saturating_sub(suspect.struck_ms) >= CRASH_MS {
             suspect.crashes.clear();
         }
-        if suspect.crashes.contains(&upstream) {
+        if suspect.was_on(upstream) {
             return;
         }
-        if suspect.crashes.len() >= MOST_CRASHES {
-            suspect.crashes.remove(0);
-        }
-        suspect.crashes.push(upstream);
+        suspect.add(Crash {
+            upstream,
+            reported_ms: now_ms,
+            is_judged: false,
+        });
         suspect.struck_ms = now_ms;
-        suspect.is_judged = false;
     }
 
     /// Rules on the contents whose reports have come; `rulings` has taken each of them.
     pub fn judge(&mut self, now_ms: Millis, rulings: &mut Rulings) -> Vec<Ruling> {
-        let mut due: Vec<ContentKey> = Vec::new();
-        for (content, suspect) in &mut self.suspects {
-            let is_settled = now_ms.saturating_sub(suspect.struck_ms) >= SETTLE_MS;
-            if is_settled && !suspect.is_judged {
-                suspect.is_judged = true;
-                due.push(*content);
-            }
-        }
+        let suspects = self.suspects.iter_mut();
+        let due = suspects.filter_map(|(content, suspect)| {
+            let is_due = suspect.take_due(now_ms);
+            is_due.then_some(*content)
+        });
+        let mut due: Vec<ContentKey> = due.collect();
         due.sort_unstable();
         let mut made = Vec::new();
         for content in due {
@@ -82,7 +122,8 @@
 
     /// Whether reports wait to be ruled on.
     pub fn has_unjudged(&self) -> bool {
-        self.suspects.values().any(|suspect| !suspect.is_judged)
+        let crashes = self.suspects.values().flat_map(|one| &one.crashes);
+        crashes.into_iter().any(|crash| !crash.is_judged)
     }
 
     /// A request of this content was answered whole: it is not what ends upstreams.
@@ -95,17 +136,17 @@
         self.trials.remove(&content);
         self.explained.retain(|_, cause| *cause != content);
         if let Some(innocent) = self.suspects.remove(&content) {
-            self.judge_again(&innocent.crashes);
+            let upstreams = innocent.crashes.iter().map(|crash| crash.upstream);
+            self.judge_again(&upstreams.collect::<Vec<_>>());
         }
         free(now_ms, content, rulings)
     }
 
     /// Who else was on these upstreams is the likelier cause now.
-    fn judge_again(&mut self, crashes: &[UpstreamKey]) {
-        for suspect in self.suspects.values_mut() {
-            if crashes.iter().any(|crash| suspect.crashes.contains(crash)) {
-                suspect.is_judged = false;
-            }
+    fn judge_again(&mut self, upstreams: &[UpstreamKey]) {
+        let crashes = self.suspects.values_mut().flat_map(|one| &mut one.crashes);
+        for crash in crashes {
+            crash.is_judged &= !upstreams.contains(&crash.upstream);
         }
     }
 
@@ -126,7 +167,7 @@
         rulings: &mut Rulings,
         made: &mut Vec<Ruling>,
     ) {
-        let Some(crashes) = self.crashes_of(content, rulings) else {
+        let Some(crashes) = self.crashes_of(now_ms, content, rulings) else {
             return;
         };
         let known = rulings.find(content).cloned();
@@ -161,28 +202,32 @@
         }
     }
 
-    /// The unexplained crashes of a content, with those of its ruling: a home that has just become
-    /// one has only that. `None` where nothing is left.
-    fn crashes_of(&mut self, content: ContentKey, rulings: &Rulings) -> Option<Vec<UpstreamKey>> {
+    /// The settled, unexplained crashes of a content, with those of its ruling: a home that has just
+    /// become one has only that. `None` where nothing is left.
+    fn crashes_of(
+        &mut self,
+        now_ms: Millis,
+        content: ContentKey,
+        rulings: &Rulings,
+    ) -> Option<Vec<UpstreamKey>> {
         let suspect = self.suspects.get_mut(&content)?;
         let ruled = rulings.find(content).filter(|known| !is_free(known));
-        let mut crashes = ruled.map_or_else(Vec::new, |known| known.crashes.clone());
-        for crash in &suspect.crashes {
-            if !crashes.contains(crash) {
-                crashes.push(*crash);
-            }
+        for upstream in ruled.iter().flat_map(|known| &known.crashes) {
+            suspect.add(Crash {
+                upstream: *upstream,
+                reported_ms: 0,
+                is_judged: true,
+            });
         }
-        let excess = crashes.len().saturating_sub(MOST_CRASHES);
-        crashes.drain(..excess);
-        suspect.crashes.clone_from(&crashes);
-        Some(crashes)
+        let settled = suspect.crashes.iter().filter(|one| one.is_settled(now_ms));
+        Some(settled.map(|crash| crash.upstream).collect())
     }
 
     /// Whether another content was on all the same upstreams. Either may be the cause then, as where
     /// two are sent on to other upstreams in step. Running one at a time tells which.
     fn may_be_another(&self, content: ContentKey, crashes: &[UpstreamKey]) -> bool {
         self.suspects.iter().any(|(other, suspect)| {
-            let shares_all = crashes.iter().all(|crash| suspect.crashes.contains(crash));
+            let shares_all = crashes.iter().all(|crash| suspect.was_on(*crash));
             *other != content && shares_all
         })
     }
@@ -210,7 +255,9 @@
                 continue;
             }
             let before = suspect.crashes.len();
-            suspect.crashes.retain(|crash| !crashes.contains(crash));
+            suspect
+                .crashes
+                .retain(|crash| !crashes.contains(&crash.upstream));
             let fell = suspect.crashes.len() < before;
             if fell && suspect.crashes.len() < HOLD_CRASHES {
                 acquitted.push(*content);
