Give each soak seed loopback addresses of its own

Traced in the hosts' logs: "could not listen on 127.77.112.1:8740", address already in use. Cause: a seed's addresses were its remainder by 200, the same for 7102 and 9102, which the tests play at once; callers of one met hosts of the other. Change: 20,000 seeds have addresses apart. The seeds and checks stay. The file of soak tests: 8 passed.

--- a/crates/bench/src/soak/stage.rs
+++ b/crates/bench/src/soak/stage.rs
@@ -119,6 +119,14 @@
     format!("i-p{place}")
 }
 
+/// The loopback addresses of a seed's hosts. Seeds that are played at once must not share them: their
+/// hosts would find the ports taken, and callers of one meet hosts of the other.
+fn network(seed: u64) -> [u8; 3] {
+    let near = seed % 200;
+    let far = seed / 200 % 100;
+    [127, 77 + far as u8, 10 + near as u8]
+}
+
 /// Engines at an ordinary pace: an answer takes 1.3 s.
 fn rules() -> EngineRules {
     EngineRules {
@@ -161,7 +169,7 @@
             stage.plains.push(plain);
             stage.register_plain(number);
         }
-        let network = (seed % 200) as u8 + 10;
+        let network = network(seed);
         for number in 0..hosts {
             stage.add_host(network, number, &binary)?;
         }
@@ -253,8 +261,14 @@
         over
     }
 
-    fn add_host(&mut self, network: u8, number: usize, binary: &Path) -> Result<(), SoakError> {
-        let ip = IpAddr::V4(Ipv4Addr::new(127, 77, network, number as u8 + 1));
+    fn add_host(
+        &mut self,
+        network: [u8; 3],
+        number: usize,
+        binary: &Path,
+    ) -> Result<(), SoakError> {
+        let [first, second, third] = network;
+        let ip = IpAddr::V4(Ipv4Addr::new(first, second, third, number as u8 + 1));
         let name = format!("host-{number}");
         let file = self.folder.join(format!("{name}.yaml"));
         let seeds: Vec<SocketAddr> = self.hosts.iter().take(3).map(HostProcess::peers).collect();
