--- a/crates/bench/src/cmd/decide.rs
+++ b/crates/bench/src/cmd/decide.rs
@@ -190,6 +190,8 @@
         name: engine,
         data_centre: engine % 4,
         is_draining: false,
+        is_evacuated: false,
+        cold: None,
         figures: EngineFigures {
             memory_tokens: 24_000,
             slots: 24,
--- a/crates/bench/src/reclaim/world.rs
+++ b/crates/bench/src/reclaim/world.rs
@@ -365,6 +365,8 @@
                 is_draining: one
                     .gone_at_us
                     .is_some_and(|gone_us| gone_us <= heard_us + loss::NOTICE_US.end),
+                is_evacuated: false,
+                cold: None,
                 figures: FIGURES,
             })
             .collect();
--- a/crates/cluster/src/documents.rs
+++ b/crates/cluster/src/documents.rs
@@ -106,7 +106,7 @@
         Versions {
             root: root.as_ref().map_or(0, |held| held.root.revision),
             host_list: self.listing.load().document.version,
-            rulings: 0,
+            ..Versions::default()
         }
     }
 
--- a/crates/gateway/src/cells.rs
+++ b/crates/gateway/src/cells.rs
@@ -14,6 +14,7 @@
 use crate::directory::{Directory, RegisteredState, Registration};
 use crate::key::{centre_of, name_of, upstream_of};
 use crate::layout::{self, CellsByEngine};
+use crate::standing::Standing;
 
 /// One cell and the service that it is of.
 struct Table {
@@ -41,7 +42,13 @@
 
 impl Cells {
     /// Takes the engines that are registered now; true where homes have to learn anew what runs.
-    pub(crate) fn adopt(&self, now_ms: Millis, in_force: &InForce, directory: &Directory) -> bool {
+    pub(crate) fn adopt(
+        &self,
+        now_ms: Millis,
+        in_force: &InForce,
+        directory: &Directory,
+        standing_of: impl Fn(UpstreamKey) -> Standing,
+    ) -> bool {
         let mut by_service: HashMap<&str, Vec<&Registration>> = HashMap::new();
         for one in &directory.registrations {
             by_service.entry(&one.service).or_default().push(one);
@@ -69,8 +76,11 @@
                 }
             }
             for (cell, engines) in by_cell {
-                let engines: Vec<CellEngine> =
-                    engines.iter().map(|one| engine(one, traits)).collect();
+                let engines = engines.iter().map(|one| {
+                    let standing = standing_of(upstream_of(one));
+                    engine(one, traits, standing)
+                });
+                let engines: Vec<CellEngine> = engines.collect();
                 by_engine.extend(engines.iter().map(|one| (one.key, cell)));
                 let table = tables.entry(cell).or_insert_with(|| Table {
                     service: service.name.clone(),
@@ -209,12 +219,14 @@
     }
 }
 
-fn engine(registration: &Registration, traits: &EngineTraits) -> CellEngine {
+fn engine(registration: &Registration, traits: &EngineTraits, standing: Standing) -> CellEngine {
     CellEngine {
         key: upstream_of(registration),
         name: name_of(registration),
         data_centre: centre_of(&registration.data_centre),
         is_draining: registration.state == RegisteredState::Draining,
+        is_evacuated: standing.is_evacuated,
+        cold: standing.cold,
         figures: EngineFigures {
             memory_tokens: traits.memory_tokens,
             slots: traits.slots,
--- a/crates/gateway/src/configuration.rs
+++ b/crates/gateway/src/configuration.rs
@@ -83,6 +83,10 @@
     pub name: String,
     /// Connections that one upstream takes from all hosts together.
     pub max_connections: u32,
+    /// How long an upstream is cold after its start; 0 where it is never.
+    pub cold_ms: Millis,
+    /// Requests a second that a cold upstream bears.
+    pub cold_per_second: f32,
     /// Present where the service's upstreams are model engines.
     pub engine: Option<EngineTraits>,
 }
--- a/crates/gateway/src/crashes.rs
+++ b/crates/gateway/src/crashes.rs
@@ -78,6 +78,10 @@
         if !self.instances.takes_work(chosen.key) {
             return false;
         }
+        // More requests than it bears end a cold upstream, whatever they ask for.
+        if self.instances.is_cold(self.clock.now_ms(), chosen.key) {
+            return false;
+        }
         if !still_listens(chosen.address).await {
             return true;
         }
--- a/crates/gateway/src/encoding.rs
+++ b/crates/gateway/src/encoding.rs
@@ -23,7 +23,11 @@
 
 fn is_binary(holding: Holding) -> bool {
     match holding {
-        Holding::Upstreams | Holding::Configuration | Holding::Members | Holding::Rulings => true,
+        Holding::Upstreams
+        | Holding::Configuration
+        | Holding::Members
+        | Holding::Rulings
+        | Holding::Evacuations => true,
         Holding::Blindness => false,
     }
 }
--- /dev/null
+++ b/crates/gateway/src/evacuations.rs
@@ -0,0 +1,153 @@
+//! Follows which data centres the operator evacuates, and has all hosts hear of it.
+
+use std::collections::BTreeSet;
+use std::sync::Arc;
+use std::time::Duration;
+
+use fulmarpath_policy::{EvacuationChange, EvacuationState, Evacuations, Millis};
+use fulmarpath_wire::Holding;
+use spdlog::{info, warn};
+use tokio::time::sleep;
+
+use crate::encoding::{EncodingError, decode};
+use crate::follow::{Contact, WATCH_SHARE, outcome, pause};
+use crate::gateway::Gateway;
+use crate::metadata::{Change, Changes, Freshness, Snapshot, StoreError};
+
+const WHAT: &str = "the evacuations";
+
+impl Gateway {
+    /// Follows the operator's evacuations, which have to be in force within `bound_ms`.
+    pub(crate) async fn follow_evacuations(self: Arc<Self>, bound_ms: Millis) {
+        let source = &self.metadata.evacuations;
+        let wait = Duration::from_millis((bound_ms as f32 * WATCH_SHARE) as Millis);
+        let mut contact = Contact::new(WHAT);
+        let mut revision = None;
+        loop {
+            if !self.is_watcher() {
+                revision = None;
+                sleep(self.until_next_look()).await;
+                continue;
+            }
+            let heard = match revision {
+                None => source.list(Freshness::Newest).await.map(|all| {
+                    revision = Some(all.revision);
+                    self.take_evacuation_list(all);
+                }),
+                Some(seen) => source.watch(seen, wait).await.map(|changes| {
+                    revision = Some(changes.revision);
+                    self.take_evacuation_changes(changes);
+                }),
+            };
+            self.metrics.store_call("evacuations", outcome(&heard));
+            match heard {
+                Ok(()) => contact.heard(),
+                Err(StoreError::HistoryGone { .. }) => revision = None,
+                Err(error) => {
+                    contact.lost(&error);
+                    self.metrics.store_failures.inc();
+                    self.announce_blindness();
+                    revision = None;
+                    pause(contact.failures).await;
+                }
+            }
+        }
+    }
+
+    /// Reads the evacuations once, where no peer has told them.
+    pub(crate) async fn read_evacuations(&self) {
+        if self.settings.evacuation_bound_ms.is_none() {
+            return;
+        }
+        let listed = self.metadata.evacuations.list(Freshness::MayBeOld).await;
+        self.metrics.store_call("evacuations", outcome(&listed));
+        match listed {
+            Ok(all) => {
+                let state = EvacuationState {
+                    revision: EvacuationState::PROVISIONAL,
+                    data_centres: names(&all),
+                };
+                self.hear_evacuations(state, "the store, maybe old");
+            }
+            Err(error) => warn!("store: {WHAT} can't be read: {error}"),
+        }
+    }
+
+    fn take_evacuation_list(self: &Arc<Self>, all: Snapshot<String>) {
+        let names = names(&all);
+        let is_new = self.change_evacuations("the store", |evacuations, now_ms| {
+            evacuations.replace(now_ms, all.revision, names)
+        });
+        if is_new {
+            self.announce_evacuations();
+        }
+    }
+
+    fn take_evacuation_changes(self: &Arc<Self>, changes: Changes<String>) {
+        let steps = changes.changes.into_iter().filter_map(step);
+        let is_new = self.change_evacuations("the store", |evacuations, now_ms| {
+            evacuations.apply(now_ms, changes.revision, steps)
+        });
+        if is_new {
+            self.announce_evacuations();
+        }
+    }
+
+    /// Takes a peer's state.
+    pub(crate) fn hear_evacuations(&self, told: EvacuationState, source: &str) {
+        self.change_evacuations(source, |evacuations, now_ms| evacuations.hear(now_ms, told));
+    }
+
+    /// Takes a watcher's news.
+    pub(crate) fn take_evacuations(&self, value: &[u8]) -> Result<(), EncodingError> {
+        self.hear_evacuations(decode(Holding::Evacuations, value)?, "a watcher");
+        Ok(())
+    }
+
+    fn change_evacuations(
+        &self,
+        source: &str,
+        change: impl FnOnce(&mut Evacuations, Millis) -> bool,
+    ) -> bool {
+        let now_ms = self.clock.now_ms();
+        let roster = self.roster.lock();
+        let state = {
+            let mut evacuations = self.evacuations.lock();
+            if !change(&mut evacuations, now_ms) {
+                return false;
+            }
+            evacuations.state()
+        };
+        let names: Vec<&str> = state.data_centres.iter().map(String::as_str).collect();
+        let revision = state.revision;
+        match names.is_empty() {
+            true => info!("evacuations: none at revision {revision}, by {source}"),
+            false => info!(
+                "evacuations: upstreams in {} get no work at revision {revision}, by {source}",
+                names.join(", ")
+            ),
+        }
+        self.adopt_directory(&roster.directory());
+        true
+    }
+
+    /// Passes on what the store has told this host.
+    fn announce_evacuations(self: &Arc<Self>) {
+        let state = self.evacuations.lock().state();
+        self.announce(Holding::Evacuations, &state, self.neighbours());
+    }
+}
+
+/// The data centres of a list. An entry's name says it all, so one that can't be read counts too.
+fn names(all: &Snapshot<String>) -> BTreeSet<String> {
+    let unreadable = all.unusable.iter().filter_map(|one| one.name.clone());
+    all.items.iter().cloned().chain(unreadable).collect()
+}
+
+fn step(change: Change<String>) -> Option<EvacuationChange> {
+    match change {
+        Change::Put(name) => Some(EvacuationChange::Begins(name)),
+        Change::Gone(name) => Some(EvacuationChange::Ends(name)),
+        Change::Unusable(unusable) => unusable.name.map(EvacuationChange::Begins),
+    }
+}
--- a/crates/gateway/src/fleet.rs
+++ b/crates/gateway/src/fleet.rs
@@ -6,7 +6,7 @@
 use std::collections::HashSet;
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::time::Duration;
 
 use fulmarpath_cluster::Members;
@@ -36,6 +36,9 @@
 /// still get requests.
 const BEHIND_MS: Millis = 300;
 
+/// A host that no other has spoken to for so long may be cut off: some pings each way are due in it.
+const TOUCH_MS: Millis = 1_000;
+
 /// What this host knows of the others.
 pub(crate) struct Fleet {
     pub(crate) members: Mutex<Members>,
@@ -50,6 +53,8 @@
     /// What is being fetched from a peer now.
     fetching: Mutex<HashSet<Holding>>,
     has_entry: AtomicBool,
+    /// When another host last answered or asked.
+    heard_ms: AtomicU64,
 }
 
 impl Fleet {
@@ -75,6 +80,7 @@
             presence: Mutex::default(),
             fetching: Mutex::default(),
             has_entry: AtomicBool::new(false),
+            heard_ms: AtomicU64::new(0),
         }
     }
 
@@ -87,6 +93,17 @@
         self.has_entry.store(true, Ordering::Relaxed);
     }
 
+    /// Whether what this host believes of the others is likely true: it has spoken to one just now, or
+    /// has never met any.
+    pub(crate) fn is_in_touch(&self, now_ms: Millis) -> bool {
+        let join = *self.join.lock();
+        if !join.has_met() {
+            return join.may_watch(now_ms);
+        }
+        let heard_ms = self.heard_ms.load(Ordering::Relaxed);
+        join.may_watch(now_ms) && now_ms.saturating_sub(heard_ms) < TOUCH_MS
+    }
+
     /// Hosts that are believed present, this one with them.
     pub(crate) fn host_count(&self) -> usize {
         self.members.lock().present().count()
@@ -120,6 +137,7 @@
             root: self.version(),
             host_list: self.roster.lock().revision(),
             rulings: self.quarantine.digest(self.clock.now_ms()),
+            evacuations: self.evacuations.lock().revision(),
         }
     }
 
@@ -200,6 +218,7 @@
 
     fn hear(&self, from: &Rumour, rumours: Vec<Rumour>) {
         let now_ms = self.clock.now_ms();
+        self.fleet.heard_ms.store(now_ms, Ordering::Relaxed);
         let mut members = self.fleet.members.lock();
         members.answered(now_ms, from);
         for rumour in rumours {
@@ -238,6 +257,10 @@
 
     /// Fetches what a peer holds in a later version.
     async fn compare(&self, peer: SocketAddr, theirs: Versions, members: MembersDigest) {
+        // Before the configuration, with which a host begins to serve.
+        if self.evacuations.lock().is_behind(theirs.evacuations) {
+            self.fetch_evacuations(peer).await;
+        }
         if theirs.root > self.version()
             && let Some(configuration) = self.fetch_configuration(peer).await
         {
@@ -303,6 +326,16 @@
         self.fetch(peer, holding, call).await
     }
 
+    async fn fetch_evacuations(&self, peer: SocketAddr) {
+        let holding = Holding::Evacuations;
+        let call = |client: GatewayPeerClient, context| async move {
+            client.holding(context, holding).await
+        };
+        if let Some(state) = self.fetch(peer, holding, call).await {
+            self.hear_evacuations(state, "a peer");
+        }
+    }
+
     async fn fetch_upstreams(&self, peer: SocketAddr) -> Option<DirectoryChange> {
         let since = self.roster.lock().revision();
         let call = |client: GatewayPeerClient, context| async move {
--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -16,7 +16,7 @@
 
 /// The part of the time in which a change must be in force for which a watch waits. A store that falls
 /// silent, or loses an answer, shows only when the watch is over; each watch costs a call.
-const WATCH_SHARE: f32 = 0.5;
+pub(crate) const WATCH_SHARE: f32 = 0.5;
 /// Between two tries while the store is away; drawn anew each time, lest all hosts come at once.
 const RETRY_MS: Range<u64> = 150..450;
 /// The same after some tries: each is paid for, and a second of delay after an outage of seconds is
@@ -37,7 +37,8 @@
 /// How often entries that lapsed with the store's outage are looked at.
 const EXPIRE_PERIOD: Duration = Duration::from_millis(100);
 
-async fn pause(failures: u32) {
+/// Waits before the next try after so many failures.
+pub(crate) async fn pause(failures: u32) {
     let range = match failures <= SOON_RETRIES {
         true => RETRY_MS,
         false => LATER_RETRY_MS,
@@ -48,24 +49,24 @@
 
 /// Tells the log of each loss and return of a dependency, once.
 #[derive(Debug)]
-struct Contact {
+pub(crate) struct Contact {
     what: &'static str,
     /// Calls that have failed since the last that succeeded.
-    failures: u32,
+    pub(crate) failures: u32,
 }
 
 impl Contact {
-    fn new(what: &'static str) -> Self {
+    pub(crate) fn new(what: &'static str) -> Self {
         Self { what, failures: 0 }
     }
 
-    fn heard(&mut self) {
+    pub(crate) fn heard(&mut self) {
         if std::mem::take(&mut self.failures) > 0 {
             info!("store: {} can be read again", self.what);
         }
     }
 
-    fn lost(&mut self, error: &StoreError) {
+    pub(crate) fn lost(&mut self, error: &StoreError) {
         self.failures += 1;
         if self.failures == 1 {
             warn!("store: {} can't be read: {error}", self.what);
@@ -233,7 +234,7 @@
     }
 
     /// How long a host that doesn't watch waits until it looks again whether it should.
-    fn until_next_look(&self) -> Duration {
+    pub(crate) fn until_next_look(&self) -> Duration {
         match self.may_read() {
             true => IDLE_PERIOD,
             false => JOIN_PERIOD,
@@ -242,6 +243,8 @@
 
     /// Reads the configuration once, where no peer has told it.
     async fn read_configuration(self: &Arc<Self>) {
+        // Before the configuration, with which this host begins to serve.
+        self.read_evacuations().await;
         let listed = self.metadata.configuration.list(Freshness::MayBeOld).await;
         self.metrics.store_call("configuration", outcome(&listed));
         match listed {
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -29,6 +29,9 @@
 /// upstream: an upstream that hangs shows nothing but silence, and the rest of the time is enough
 /// for another one.
 const PATIENCE_SHARE: f32 = 0.6;
+/// The part of the same time for which a request waits for a start at a cold upstream; the rest is for
+/// its answer.
+const WAIT_SHARE: f32 = 0.5;
 
 /// A whole answer of an upstream.
 pub(crate) struct Whole {
@@ -123,11 +126,18 @@
                 problem = refused;
                 break;
             }
-            let draw = rand::random();
-            let chosen = self
-                .instances
-                .choose(now_ms, &inquiry.service, &tried, draw);
-            let Some(chosen) = chosen else { break };
+            let wait_ms = (inquiry.route.target_ms as f32 * WAIT_SHARE) as Millis;
+            let until_ms = inquiry.deadline_ms.min(journey.arrived_ms + wait_ms);
+            let found = self.find_upstream(&inquiry.service, &tried, until_ms);
+            let chosen = match found.await {
+                Ok(Some(chosen)) => chosen,
+                Ok(None) => break,
+                Err(refused) => {
+                    problem = refused;
+                    break;
+                }
+            };
+            let now_ms = self.clock.now_ms();
             tried.push(chosen.key);
             let may_run_again = inquiry.may_run_again(runs + 1);
             let until_ms = self.until_ms(inquiry, now_ms, may_run_again);
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -9,11 +9,12 @@
 use arc_swap::ArcSwapOption;
 use fulmarpath_cluster::{Clock, Quarantine};
 use fulmarpath_http::ConnectionRules;
-use fulmarpath_policy::{Millis, RetryBound, RetryWindow};
+use fulmarpath_policy::{ColdBound, Evacuations, Millis, RetryBound, RetryWindow};
 use parking_lot::Mutex;
 use spdlog::info;
 
 use crate::cells::Cells;
+use crate::cold::ColdHome;
 use crate::configuration::{Configuration, InForce};
 use crate::control::EngineControl;
 use crate::directory::{Directory, HostRegistration};
@@ -27,6 +28,7 @@
 use crate::roster::Roster;
 use crate::runs::Runs;
 use crate::spread::Spread;
+use crate::standing::Allowances;
 use crate::unusable::Skipped;
 
 /// What a gateway must know of itself.
@@ -40,13 +42,18 @@
     pub seeds: Vec<SocketAddr>,
     /// Within this time a change of the configuration or of the upstreams has to be in force.
     pub change_bound_ms: Millis,
+    /// Within this time an evacuated data centre has to get nothing more; `None` where the operator
+    /// evacuates none, and nobody looks for it.
+    pub evacuation_bound_ms: Option<Millis>,
+    /// What a cold upstream may get; `None` where that isn't bounded.
+    pub cold_bound: Option<ColdBound>,
     /// The time between a stop's signal and the end of the process.
     pub grace_ms: Millis,
 }
 
 /// One host's gateway.
 ///
-/// Lock order: roster, instances, cells, runs, crashes, rulings, members, retries, retry bound; none is held
+/// Lock order: roster, evacuations, instances, cells, runs, crashes, rulings, members, retries, retry bound; none is held
 /// across an await.
 pub struct Gateway {
     pub(crate) settings: GatewaySettings,
@@ -54,6 +61,8 @@
     pub(crate) dialect: Arc<dyn Dialect>,
     pub(crate) metadata: Metadata,
     pub(crate) roster: Mutex<Roster>,
+    pub(crate) evacuations: Mutex<Evacuations>,
+    pub(crate) cold_home: ColdHome,
     pub(crate) instances: Instances,
     pub(crate) metrics: Metrics,
     pub(crate) fleet: Fleet,
@@ -101,6 +110,8 @@
             dialect,
             metadata,
             roster: Mutex::default(),
+            evacuations: Mutex::default(),
+            cold_home: ColdHome::default(),
             metrics: Metrics::default(),
             in_force: ArcSwapOption::empty(),
             retries: Mutex::default(),
@@ -149,11 +160,17 @@
 
     /// Takes what the roster says now.
     pub(crate) fn adopt_directory(&self, directory: &Directory) {
-        self.instances.adopt(directory);
         let now_ms = self.clock.now_ms();
-        let is_new = self
-            .in_force()
-            .is_some_and(|in_force| self.cells.adopt(now_ms, &in_force, directory));
+        let in_force = self.in_force();
+        let allowances = Allowances::of(self.settings.cold_bound, in_force.as_deref());
+        {
+            let evacuations = self.evacuations.lock();
+            self.instances
+                .adopt(now_ms, directory, &evacuations, &allowances);
+        }
+        let standing_of = |engine| self.instances.standing(engine);
+        let is_new = in_force
+            .is_some_and(|in_force| self.cells.adopt(now_ms, &in_force, directory, standing_of));
         if is_new || !self.cells.leaving().is_empty() {
             self.duties.restate_now.notify_one();
         }
@@ -174,6 +191,16 @@
         self.fleet.host_count()
     }
 
+    /// Data centres whose upstreams get no work by the operator's word.
+    pub fn evacuated_count(&self) -> usize {
+        self.evacuations.lock().count()
+    }
+
+    /// Upstreams that get a few new requests a second only.
+    pub fn cold_count(&self) -> usize {
+        self.instances.cold_count(self.clock.now_ms())
+    }
+
     /// Requests that were sent once more.
     pub fn retry_count(&self) -> u64 {
         self.metrics.retries.get()
@@ -242,6 +269,8 @@
             upstreams: upstreams as i64,
             hosts: hosts as i64,
             quarantined: self.quarantine.restricted() as i64,
+            evacuated: self.evacuated_count() as i64,
+            cold: self.cold_count() as i64,
             retries_left: left.collect(),
         }
     }
--- a/crates/gateway/src/homes.rs
+++ b/crates/gateway/src/homes.rs
@@ -70,7 +70,15 @@
                 Err(error) => warn!("cells: placed without a home: {error}"),
             }
         }
-        self.cells.place(self.clock.now_ms(), cell, &request)
+        let placement = self.cells.place(self.clock.now_ms(), cell, &request);
+        // A cell's home counts what it starts at a cold engine; a host in its place has to ask.
+        if let Placement::On { engine, .. } = placement
+            && !self.is_home(cell)
+            && let Err(retry_after_ms) = self.ask_if_cold(engine).await
+        {
+            return Placement::Full { retry_after_ms };
+        }
+        placement
     }
 
     /// Places as the cell's home.
@@ -222,7 +230,7 @@
 
     /// Carries a generation that this host relays to another engine.
     pub(crate) async fn carry_here(&self, run: RunKey, to: UpstreamKey) -> CarryAnswer {
-        let Some(destination) = self.instances.find(to) else {
+        let Some(destination) = self.instances.destination(to) else {
             return CarryAnswer::Stayed;
         };
         self.runs.carry(run, destination).await
--- a/crates/gateway/src/instances.rs
+++ b/crates/gateway/src/instances.rs
@@ -4,7 +4,7 @@
 use std::net::SocketAddr;
 
 use fulmarpath_policy::{
-    Choice, FlightId, Gauge, Millis, StatedLoad, UpstreamKey, Verdict, choose,
+    Choice, Cold, Evacuations, FlightId, Gauge, Millis, StatedLoad, UpstreamKey, Verdict, choose,
 };
 use parking_lot::Mutex;
 use slotmap::{SlotMap, new_key_type};
@@ -13,6 +13,7 @@
 
 use crate::directory::{Directory, RegisteredState, Registration};
 use crate::key::upstream_of;
+use crate::standing::{Allowance, Allowances, Standing};
 
 new_key_type! {
     /// An upstream's start in this host's arena.
@@ -25,6 +26,14 @@
     gauge: Gauge,
     /// The upstream has said on a connection that it is leaving.
     is_leaving: bool,
+    /// Its data centre gets no work.
+    is_evacuated: bool,
+    /// Until when it is cold, by its own word or by what has just happened to it.
+    cold_until_ms: Millis,
+    /// What it bears while it is cold; `None` where its service's upstreams never are.
+    allowance: Option<Allowance>,
+    /// No connection to it could be made, and nothing has come from it since.
+    is_unreachable: bool,
     /// Cancelled when it is known to have started again.
     lost: CancellationToken,
 }
@@ -35,16 +44,46 @@
             registration,
             gauge: Gauge::default(),
             is_leaving: false,
+            is_evacuated: false,
+            cold_until_ms: 0,
+            allowance: None,
+            is_unreachable: false,
             lost: CancellationToken::new(),
         }
     }
 
+    /// Takes its entry's word on how long it will be cold.
+    fn state_cold(&mut self, now_ms: Millis) {
+        let until_ms = now_ms + self.registration.cold_ms;
+        self.cold_until_ms = self.cold_until_ms.max(until_ms);
+    }
+
     fn is_start_of(&self, registration: &Registration) -> bool {
         self.registration.born_ms == registration.born_ms
     }
 
     fn takes_work(&self) -> bool {
-        self.registration.state == RegisteredState::Ready && !self.is_leaving
+        self.registration.state == RegisteredState::Ready && !self.is_leaving && !self.is_evacuated
+    }
+
+    /// Set while it is cold, where its service's upstreams can be.
+    fn cold(&self, now_ms: Millis) -> Option<Cold> {
+        let allowance = self.allowance?;
+        (now_ms < self.cold_until_ms).then_some(Cold {
+            until_ms: self.cold_until_ms,
+            starts: allowance.starts,
+        })
+    }
+
+    /// It is cold for as long as its service's upstreams are from this moment on.
+    fn turn_cold(&mut self, since_ms: Millis) {
+        let cold_ms = self.allowance.map_or(0, |allowance| allowance.cold_ms);
+        self.cold_until_ms = self.cold_until_ms.max(since_ms + cold_ms);
+    }
+
+    /// Whether each of its slots is taken, as far as this host can tell.
+    fn is_full(&self, now_ms: Millis) -> bool {
+        self.gauge.occupancy(now_ms) >= self.registration.slots.max(1) as f32
     }
 }
 
@@ -87,6 +126,22 @@
     }
 }
 
+/// What there is for a request.
+#[derive(Debug)]
+pub(crate) enum Found {
+    /// This upstream, where the request is counted already.
+    Warm(Chosen),
+    /// Cold ones alone, or warm ones that are full.
+    Cold {
+        /// The cold ones.
+        cold: Vec<UpstreamKey>,
+        /// A warm one that is full.
+        full: Option<UpstreamKey>,
+    },
+    /// None that takes work.
+    Nobody,
+}
+
 #[derive(Debug, Default)]
 struct Table {
     arena: SlotMap<InstanceKey, Instance>,
@@ -100,19 +155,24 @@
     ///
     /// Its requests would wait on connections that may never end: an upstream that starts again
     /// behind a cut resets nothing.
-    fn adopt(&mut self, registration: &Registration) -> InstanceKey {
+    fn adopt(&mut self, now_ms: Millis, registration: &Registration) -> InstanceKey {
         let known = self.by_name.remove(&registration.instance);
         if let Some(key) = known {
             let one = &mut self.arena[key];
             if one.is_start_of(registration) {
-                one.registration = registration.clone();
+                if one.registration != *registration {
+                    one.registration = registration.clone();
+                    one.state_cold(now_ms);
+                }
                 return key;
             }
             info!("upstreams: {} has started again", registration.instance);
             one.lost.cancel();
             self.arena.remove(key);
         }
-        self.arena.insert(Instance::new(registration.clone()))
+        let mut one = Instance::new(registration.clone());
+        one.state_cold(now_ms);
+        self.arena.insert(one)
     }
 
     /// Counts a request at an upstream.
@@ -145,13 +205,26 @@
     }
 
     /// Takes a newer directory; what is known of the upstreams that stay is kept.
-    pub(crate) fn adopt(&self, directory: &Directory) {
+    pub(crate) fn adopt(
+        &self,
+        now_ms: Millis,
+        directory: &Directory,
+        evacuations: &Evacuations,
+        allowances: &Allowances,
+    ) {
         let mut table = self.table.lock();
         let mut by_name = HashMap::new();
         let mut by_upstream = HashMap::new();
         let mut by_service: HashMap<String, Vec<InstanceKey>> = HashMap::new();
         for registration in &directory.registrations {
-            let key = table.adopt(registration);
+            let key = table.adopt(now_ms, registration);
+            let one = &mut table.arena[key];
+            one.allowance = allowances.get(&registration.service);
+            one.is_evacuated = evacuations.covers(&registration.data_centre);
+            // What an evacuated data centre comes back from has turned its upstreams cold.
+            if let Some(ended_ms) = evacuations.ended_ms(&registration.data_centre) {
+                one.turn_cold(ended_ms);
+            }
             by_upstream.insert(upstream_of(registration), key);
             by_name.insert(registration.instance.clone(), key);
             let same = by_service.entry(registration.service.clone()).or_default();
@@ -166,30 +239,86 @@
         table.by_service = by_service;
     }
 
-    /// Chooses an upstream of a service and counts the request there.
+    /// Chooses an upstream of a service, and counts the request there unless it has to be asked for
+    /// first.
+    ///
+    /// Cold ones are left alone while a warm one has room: each of their starts costs a question.
     pub(crate) fn choose(
         &self,
         now_ms: Millis,
         service: &str,
         without: &[InstanceKey],
         draw: f32,
-    ) -> Option<Chosen> {
+    ) -> Found {
         let mut table = self.table.lock();
-        let choices: Vec<Choice<InstanceKey>> = table
-            .by_service
-            .get(service)?
-            .iter()
-            .filter(|key| !without.contains(key))
-            .map(|key| (*key, &table.arena[*key]))
-            .filter(|(_, one)| one.takes_work())
+        let same = table.by_service.get(service).map_or(&[][..], Vec::as_slice);
+        let same = same.iter().filter(|key| !without.contains(key));
+        let open = same.filter(|key| table.arena[**key].takes_work());
+        let (cold, warm): (Vec<InstanceKey>, Vec<InstanceKey>) =
+            open.partition(|key| table.arena[**key].cold(now_ms).is_some());
+        let choices: Vec<Choice<InstanceKey>> = warm
+            .into_iter()
+            .map(|key| (key, &table.arena[key]))
             .map(|(key, one)| Choice {
                 key,
                 cost: one.gauge.cost(now_ms),
                 near: one.registration.data_centre == self.data_centre,
             })
             .collect();
-        let key = choose(&choices, draw)?;
-        Some(table.start(now_ms, key))
+        let warm = choose(&choices, draw);
+        let has_room = warm.is_some_and(|key| !table.arena[key].is_full(now_ms));
+        if let Some(key) = warm
+            && (has_room || cold.is_empty())
+        {
+            return Found::Warm(table.start(now_ms, key));
+        }
+        if cold.is_empty() {
+            return Found::Nobody;
+        }
+        let upstream = |key: &InstanceKey| upstream_of(&table.arena[*key].registration);
+        Found::Cold {
+            cold: cold.iter().map(upstream).collect(),
+            full: warm.as_ref().map(upstream),
+        }
+    }
+
+    /// Whether a service has upstreams, and all of them stand in evacuated data centres.
+    pub(crate) fn is_evacuated(&self, service: &str) -> bool {
+        let table = self.table.lock();
+        let same = table.by_service.get(service).map_or(&[][..], Vec::as_slice);
+        let mut same = same.iter().map(|key| &table.arena[*key]);
+        same.len() > 0 && same.all(|one| one.is_evacuated)
+    }
+
+    /// Whether an upstream may get work.
+    pub(crate) fn standing(&self, upstream: UpstreamKey) -> Standing {
+        let table = self.table.lock();
+        let Some(key) = table.by_upstream.get(&upstream) else {
+            return Standing::default();
+        };
+        let one = &table.arena[*key];
+        let cold = one.allowance.map(|allowance| Cold {
+            until_ms: one.cold_until_ms,
+            starts: allowance.starts,
+        });
+        Standing {
+            is_evacuated: one.is_evacuated,
+            cold,
+        }
+    }
+
+    /// Upstreams that are cold now.
+    pub(crate) fn cold_count(&self, now_ms: Millis) -> usize {
+        let table = self.table.lock();
+        let all = table.arena.values();
+        all.filter(|one| one.cold(now_ms).is_some()).count()
+    }
+
+    /// Whether a chosen upstream is cold.
+    pub(crate) fn is_cold(&self, now_ms: Millis, key: InstanceKey) -> bool {
+        let table = self.table.lock();
+        let one = table.arena.get(key);
+        one.is_some_and(|one| one.cold(now_ms).is_some())
     }
 
     /// Counts a request at the upstream that its home has chosen; `None` where this host knows that
@@ -199,9 +328,9 @@
     }
 
     /// Counts a generation that goes on at an upstream, also at one that is leaving: it may have to
-    /// go on where it was.
+    /// go on where it was. An evacuated one gets nothing whatsoever.
     pub(crate) fn take_again(&self, now_ms: Millis, upstream: UpstreamKey) -> Option<Chosen> {
-        self.take_if(now_ms, upstream, |_| true)
+        self.take_if(now_ms, upstream, |one| !one.is_evacuated)
     }
 
     fn take_if(
@@ -215,6 +344,13 @@
         may_take(&table.arena[key]).then(|| table.start(now_ms, key))
     }
 
+    /// An engine that a generation may go on at; `None` where it gets no work.
+    pub(crate) fn destination(&self, upstream: UpstreamKey) -> Option<Destination> {
+        let standing = self.standing(upstream);
+        let found = self.find(upstream);
+        found.filter(|_| !standing.is_evacuated)
+    }
+
     /// Where an upstream listens.
     pub(crate) fn find(&self, upstream: UpstreamKey) -> Option<Destination> {
         let table = self.table.lock();
@@ -256,6 +392,10 @@
     ) {
         self.with(key, |one| {
             one.gauge.answered(latency_ms);
+            // One that was away comes back cold, and its entry may not say so yet.
+            if std::mem::take(&mut one.is_unreachable) {
+                one.turn_cold(now_ms);
+            }
             if let Some(load) = load {
                 one.gauge.state(now_ms, load);
             }
@@ -264,7 +404,10 @@
 
     /// No connection could be made.
     pub(crate) fn unreachable(&self, now_ms: Millis, key: InstanceKey) {
-        self.with(key, |one| one.gauge.unreachable(now_ms));
+        self.with(key, |one| {
+            one.gauge.unreachable(now_ms);
+            one.is_unreachable = true;
+        });
     }
 
     /// The upstream had better be spared for a while.
--- a/crates/gateway/src/metadata.rs
+++ b/crates/gateway/src/metadata.rs
@@ -127,6 +127,8 @@
     pub configuration: Box<dyn Collection<Configuration>>,
     /// The upstreams.
     pub registrations: Box<dyn Collection<Registration>>,
+    /// Names of the data centres that the operator evacuates.
+    pub evacuations: Box<dyn Collection<String>>,
     /// Our own hosts.
     pub hosts: Box<dyn Collection<HostRegistration>>,
     /// Where this host writes its own entry.
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -78,6 +78,8 @@
     pub(crate) upstreams: i64,
     pub(crate) hosts: i64,
     pub(crate) quarantined: i64,
+    pub(crate) evacuated: i64,
+    pub(crate) cold: i64,
     pub(crate) retries_left: Vec<(String, i64)>,
 }
 
@@ -93,6 +95,7 @@
     pub(crate) continuations: Family<ContinuationLabels, Counter>,
     pub(crate) running_copies: Counter,
     pub(crate) stalls: Counter,
+    pub(crate) cold_waits: Counter,
     crashes: Family<CrashLabels, Counter>,
     peer_messages: Family<MessageLabels, Counter>,
     pub(crate) store_calls: Family<StoreLabels, Counter>,
@@ -102,6 +105,8 @@
     upstreams: Gauge,
     hosts: Gauge,
     quarantined: Gauge,
+    evacuated: Gauge,
+    cold: Gauge,
     retries_left: Family<ServiceLabels, Gauge>,
     registry: Arc<Registry>,
 }
@@ -163,6 +168,15 @@
         let quarantined = Gauge::default();
         let help = "Contents that may not run like any other, after upstreams ended under them";
         registry.register("quarantined", help, quarantined.clone());
+        let evacuated = Gauge::default();
+        let help = "Data centres whose upstreams get no work by the operator's word";
+        registry.register("evacuated_data_centres", help, evacuated.clone());
+        let cold = Gauge::default();
+        let help = "Upstreams that get a few new requests a second only";
+        registry.register("cold_upstreams", help, cold.clone());
+        let cold_waits = Counter::default();
+        let help = "Requests for a start at a cold upstream that were put off";
+        registry.register("cold_waits", help, cold_waits.clone());
         let retries_left = Family::default();
         let help = "Requests of a service that this host may still send once more";
         registry.register("retries_left", help, retries_left.clone());
@@ -180,6 +194,9 @@
             upstreams,
             hosts,
             quarantined,
+            evacuated,
+            cold,
+            cold_waits,
             retries_left,
             requests,
             retries,
@@ -230,6 +247,8 @@
         self.upstreams.set(readings.upstreams);
         self.hosts.set(readings.hosts);
         self.quarantined.set(readings.quarantined);
+        self.evacuated.set(readings.evacuated);
+        self.cold.set(readings.cold);
         for (service, left) in &readings.retries_left {
             let service = service.clone();
             let labels = ServiceLabels { service };
--- a/crates/gateway/src/peer.rs
+++ b/crates/gateway/src/peer.rs
@@ -7,7 +7,7 @@
 };
 use fulmarpath_wire::{
     Announcement, CarryAnswer, CellKey, GatewayPeer, GatewayPeerClient, Holding, MembersDigest,
-    Ping, Pong, Restatement, Rumour, framed,
+    Ping, Pong, Restatement, Rumour, StartAnswer, framed,
 };
 use futures::StreamExt;
 use tarpc::client::Config;
@@ -87,6 +87,7 @@
                 let held = self.gateway.in_force();
                 held.map_or(Ok(Vec::new()), |held| encode(holding, &held.configuration))
             }
+            Holding::Evacuations => encode(holding, &self.gateway.evacuations.lock().state()),
             Holding::Upstreams | Holding::Blindness | Holding::Members | Holding::Rulings => {
                 Ok(Vec::new())
             }
@@ -139,6 +140,11 @@
         self.gateway.carry_here(run, to).await
     }
 
+    async fn start_cold(self, _: Context, upstream: UpstreamKey) -> StartAnswer {
+        self.count("start_cold");
+        self.gateway.grant_cold_start(upstream)
+    }
+
     async fn strike(self, _: Context, content: ContentKey, upstream: UpstreamKey) {
         self.count("strike");
         self.gateway.hear_strike(content, upstream);
--- a/crates/gateway/src/problem.rs
+++ b/crates/gateway/src/problem.rs
@@ -33,6 +33,16 @@
         /// When to come back.
         retry_after_ms: Millis,
     },
+    /// Every upstream of the service stands in an evacuated data centre.
+    Evacuated {
+        /// When to come back.
+        retry_after_ms: Millis,
+    },
+    /// Every upstream of the service is cold, and bears no more requests now.
+    Cold {
+        /// When to come back.
+        retry_after_ms: Millis,
+    },
     /// The prompt fits into no engine of its service.
     TooLarge,
     /// Upstreams ended as they began to run requests of its content.
@@ -64,6 +74,8 @@
             | Self::NoUpstream
             | Self::AllRefused
             | Self::Full { .. }
+            | Self::Evacuated { .. }
+            | Self::Cold { .. }
             | Self::Quarantined { .. }
             | Self::Stopping
             | Self::TooLarge
@@ -91,6 +103,8 @@
             Self::NoUpstream => "no_upstream",
             Self::AllRefused => "all_refused",
             Self::Full { .. } => "full",
+            Self::Evacuated { .. } => "evacuated",
+            Self::Cold { .. } => "cold",
             Self::Quarantined { .. } => "quarantined",
             Self::Stopping => "stopping",
             Self::TooLarge => "too_large",
@@ -110,9 +124,10 @@
             Self::NoUpstream | Self::Unreachable => Some(400),
             // A place frees in about the time of one small request.
             Self::AllRefused => Some(150),
-            Self::Full { retry_after_ms } | Self::Quarantined { retry_after_ms } => {
-                Some(retry_after_ms)
-            }
+            Self::Full { retry_after_ms }
+            | Self::Evacuated { retry_after_ms }
+            | Self::Cold { retry_after_ms }
+            | Self::Quarantined { retry_after_ms } => Some(retry_after_ms),
             // Larger engines may come with another configuration, not sooner.
             Self::TooLarge => Some(30_000),
             // Another host takes it at once.
--- a/crates/gateway/src/recovery.rs
+++ b/crates/gateway/src/recovery.rs
@@ -177,7 +177,7 @@
         copy: &str,
     ) -> bool {
         let now_ms = self.gateway.clock.now_ms();
-        let chosen = self.gateway.instances.take_again(now_ms, at.upstream);
+        let chosen = self.gateway.take_continuation(at.upstream).await;
         let Some(chosen) = chosen else { return false };
         let service = &self.inquiry.service;
         self.gateway.count_continuation(now_ms, service);
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -88,6 +88,9 @@
         tokio::spawn(self.clone().answer_peers(peers));
         tokio::spawn(self.clone().follow_configuration());
         tokio::spawn(self.clone().follow_registrations());
+        if let Some(bound_ms) = self.settings.evacuation_bound_ms {
+            tokio::spawn(self.clone().follow_evacuations(bound_ms));
+        }
         tokio::spawn(self.clone().expire_registrations());
         tokio::spawn(self.clone().restate_runs());
         tokio::spawn(self.clone().carry_off_leaving());
--- a/crates/gateway/src/spread.rs
+++ b/crates/gateway/src/spread.rs
@@ -242,6 +242,7 @@
             Holding::Blindness => self.hear_blindness(&value),
             Holding::Members => self.take_members(&value),
             Holding::Rulings => self.take_rulings(&value),
+            Holding::Evacuations => self.take_evacuations(&value),
         };
         if let Err(error) = taken {
             warn!("spread: could not read news: {error}");
--- a/crates/gateway/src/start.rs
+++ b/crates/gateway/src/start.rs
@@ -242,7 +242,7 @@
                 } => {
                     journey.seen(seen);
                     if let Some(chosen) = self.instances.take(now_ms, engine) {
-                        let backup = backup.and_then(|backup| self.instances.find(backup));
+                        let backup = backup.and_then(|one| self.instances.destination(one));
                         return Ok(Some(Start { chosen, backup }));
                     }
                     without.push(engine);
@@ -254,10 +254,9 @@
                 Placement::TooLarge => return Err(Problem::TooLarge),
                 Placement::NoEngine => {
                     let tried: Vec<_> = tried.iter().map(|one| one.key).collect();
-                    let draw = rand::random();
                     let chosen = self
-                        .instances
-                        .choose(now_ms, &inquiry.service, &tried, draw);
+                        .find_upstream(&inquiry.service, &tried, until_ms)
+                        .await?;
                     return Ok(chosen.map(|chosen| Start {
                         chosen,
                         backup: None,
--- a/crates/policy/src/cell/carry.rs
+++ b/crates/policy/src/cell/carry.rs
@@ -87,7 +87,9 @@
                 self.destination(now_ms, &forecast, &copying_ms, run, left_ms, is_free)?;
             Some((key, to, takes_ms))
         })?;
-        self.engines.get_mut(&to)?.receive(now_ms, takes_ms);
+        let receiver = self.engines.get_mut(&to)?;
+        receiver.receive(now_ms, takes_ms);
+        receiver.note_start(now_ms);
         let run = self.runs.get_mut(&key)?;
         run.move_to(to);
         Some(Carry {
--- a/crates/policy/src/cell/engine.rs
+++ b/crates/policy/src/cell/engine.rs
@@ -1,5 +1,6 @@
 //! One engine of a cell.
 
+use crate::cold::{Cold, ColdStarts};
 use crate::key::{Millis, UpstreamKey};
 
 /// Prompt tokens that an engine reads in a millisecond beside a batch that goes on: a chunk of 112
@@ -49,6 +50,10 @@
     pub data_centre: u64,
     /// Whether it takes nothing new.
     pub is_draining: bool,
+    /// Whether its data centre is evacuated: it gets nothing, and what runs there ends there.
+    pub is_evacuated: bool,
+    /// Set while it bears a few new requests a second only.
+    pub cold: Option<Cold>,
     /// Its build.
     pub figures: EngineFigures,
 }
@@ -63,6 +68,8 @@
     /// It had no room for a transfer; none is sent here before.
     refused_until_ms: Millis,
     left_behind: Vec<LeftBehind>,
+    /// What was started there lately, so far as it was cold.
+    cold_starts: ColdStarts,
     left_at_ms: Option<Millis>,
     /// No connection to it can be made: it gets nothing new.
     pub(super) is_gone: bool,
@@ -85,6 +92,7 @@
             receiving_until_ms: 0,
             refused_until_ms: 0,
             left_behind: Vec::new(),
+            cold_starts: ColdStarts::default(),
             left_at_ms: entry.is_draining.then_some(now_ms),
             is_gone: false,
             stated_end_ms: None,
@@ -125,7 +133,24 @@
 
     /// Whether new generations may start on it.
     pub(super) fn is_open(&self) -> bool {
-        !self.is_leaving() && !self.is_gone
+        !self.is_leaving() && !self.is_gone && !self.entry.is_evacuated
+    }
+
+    pub(super) fn is_cold(&self, now_ms: Millis) -> bool {
+        self.entry.cold.is_some_and(|cold| now_ms < cold.until_ms)
+    }
+
+    /// Whether one more request may be sent there now, by what it bears.
+    pub(super) fn may_start(&self, now_ms: Millis) -> bool {
+        let cold = self.entry.cold.filter(|cold| now_ms < cold.until_ms);
+        cold.is_none_or(|cold| now_ms >= self.cold_starts.next_ms(cold.starts))
+    }
+
+    /// A request is sent there.
+    pub(super) fn note_start(&mut self, now_ms: Millis) {
+        if self.is_cold(now_ms) {
+            self.cold_starts.note(now_ms);
+        }
     }
 
     /// A transfer to this engine begins, and takes so long.
@@ -149,7 +174,9 @@
 
     /// Whether a transfer may begin to it.
     pub(super) fn can_receive(&self, now_ms: Millis) -> bool {
-        self.is_open() && now_ms >= self.receiving_until_ms.max(self.refused_until_ms)
+        self.is_open()
+            && self.may_start(now_ms)
+            && now_ms >= self.receiving_until_ms.max(self.refused_until_ms)
     }
 
     /// A transfer was cut, and what it brought so far stays here.
--- a/crates/policy/src/cell/placement.rs
+++ b/crates/policy/src/cell/placement.rs
@@ -223,7 +223,7 @@
         };
         let seen = see(now_ms, &forecast, engine, &bid);
         let engine = engine.entry.key;
-        let backup = self.backup_for(&forecast, engine, &bid);
+        let backup = self.backup_for(now_ms, &forecast, engine, &bid);
         self.start(now_ms, engine, backup, request);
         Placement::On {
             engine,
@@ -251,6 +251,7 @@
 
     fn backup_for(
         &self,
+        now_ms: Millis,
         forecast: &Forecast,
         main: UpstreamKey,
         bid: &Bid<'_>,
@@ -262,7 +263,8 @@
         let others = self
             .engines
             .values()
-            .filter(|engine| engine.entry.key != main && engine.is_open());
+            .filter(|engine| engine.entry.key != main && engine.is_open())
+            .filter(|engine| !engine.is_cold(now_ms));
         let shares = others.map(|engine| {
             let share = forecast.peak_share(engine, bid.claim);
             (share, engine.entry.key)
@@ -290,6 +292,7 @@
             return;
         };
         chosen.prefill(now_ms, request.prompt_tokens);
+        chosen.note_start(now_ms);
         let first_token_ms = chosen.prefilled_at_ms as Millis;
         let run = Run::placed(now_ms, first_token_ms, engine, backup, request);
         self.runs.insert(request.run, run);
@@ -308,7 +311,7 @@
         true if wait_ms + request.read_ms() > patience_ms => bid.full_share.min(LATE_FULL_SHARE),
         _ => bid.full_share,
     };
-    if share > full_share || running >= engine.entry.figures.slots {
+    if share > full_share || running >= engine.entry.figures.slots || !engine.may_start(now_ms) {
         return None;
     }
     let far = engine.entry.data_centre != request.data_centre;
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -9,8 +9,10 @@
 mod branches;
 mod cell;
 mod choose;
+mod cold;
 mod division;
 mod drift;
+mod evacuations;
 mod fair;
 mod fit;
 mod gauge;
@@ -42,8 +44,10 @@
     RunStatement, Seen,
 };
 pub use choose::{Choice, choose};
+pub use cold::{Cold, ColdBound, ColdStarts};
 pub use division::Division;
 pub use drift::Drift;
+pub use evacuations::{EvacuationChange, EvacuationState, Evacuations};
 pub use fair::Fairness;
 pub use fit::{FitRule, Footprint};
 pub use gauge::{FlightId, Gauge, StatedLoad, Verdict};
--- a/crates/policy/tests/cell/fixtures.rs
+++ b/crates/policy/tests/cell/fixtures.rs
@@ -22,6 +22,8 @@
         key: UpstreamKey(key),
         data_centre,
         is_draining,
+        is_evacuated: false,
+        cold: None,
         figures: FIGURES,
     }
 }
--- a/crates/policy/tests/cell/main.rs
+++ b/crates/policy/tests/cell/main.rs
@@ -7,3 +7,4 @@
 mod floods;
 mod lengths;
 mod placing;
+mod standing;
--- /dev/null
+++ b/crates/policy/tests/cell/standing.rs
@@ -0,0 +1,88 @@
+//! Engines whose data centre is evacuated, and cold ones, before a crowd of short prompts.
+
+use fulmarpath_policy::{CarryEnd, Cold, Placement, RunEnd, RunKey, UpstreamKey};
+
+use crate::fixtures::{FAR, ME, NEAR, cell, engine, engine_of, request, statement};
+
+const COLD: Cold = Cold {
+    until_ms: 3_000,
+    starts: 3,
+};
+
+/// Guards against work that is sent on to an evacuated data centre, and against runs that are cut there.
+#[test]
+fn an_evacuated_engine_gets_nothing_and_keeps_what_it_has() {
+    let mut evacuated = engine(1, NEAR, false);
+    let mut cell = cell(&[evacuated, engine(2, FAR, false)]);
+    let first = engine_of(cell.place(0, &request(1, 2_000, 400, 200)));
+    assert_eq!(first, Some(1), "near, and as empty");
+    evacuated.is_evacuated = true;
+    cell.set_engines(10, &[evacuated, engine(2, FAR, false)]);
+    for run in 2..8 {
+        let placed = engine_of(cell.place(20, &request(run, 500, 16, 8)));
+        assert_eq!(placed, Some(2));
+    }
+    assert!(cell.leaving().is_empty(), "what runs there ends there");
+}
+
+/// Guards against a leaving engine's generations that are carried to an evacuated data centre.
+#[test]
+fn nothing_is_carried_to_an_evacuated_engine() {
+    let mut evacuated = engine(2, NEAR, false);
+    evacuated.is_evacuated = true;
+    let mut cell = cell(&[engine(1, NEAR, true), evacuated, engine(3, FAR, false)]);
+    cell.restate(0, ME, &[statement(1, 1, 40, 900)]);
+    let carry = cell.next_carry(10, UpstreamKey(1)).expect("one to carry");
+    assert_eq!(carry.to, UpstreamKey(3));
+}
+
+/// Guards against callers that wait for room where all data centres are evacuated.
+#[test]
+fn where_all_is_evacuated_nobody_waits() {
+    let mut evacuated = engine(1, NEAR, false);
+    evacuated.is_evacuated = true;
+    let placed = cell(&[evacuated]).place(0, &request(1, 2_000, 400, 200));
+    assert_eq!(placed, Placement::NoEngine);
+}
+
+/// Guards against a crowd that a cold engine, which is the emptiest, draws and crashes under.
+#[test]
+fn a_cold_engine_gets_its_starts_only() {
+    let mut cold = engine(1, NEAR, false);
+    cold.cold = Some(COLD);
+    let mut cell = cell(&[cold]);
+    let mut started_ms = Vec::new();
+    for (run, now_ms) in (0..2_900_u64).step_by(20).enumerate() {
+        let run = run as u64;
+        let placed = cell.place(now_ms, &request(run, 100, 8, 4));
+        match engine_of(placed) {
+            Some(_) => {
+                started_ms.push(now_ms);
+                cell.end(now_ms, RunKey(run), RunEnd::default());
+            }
+            None => assert!(matches!(placed, Placement::Full { .. })),
+        }
+    }
+    for from_ms in &started_ms {
+        let second = *from_ms..*from_ms + 1_000;
+        let starts = started_ms.iter().filter(|one| second.contains(one)).count();
+        assert!(starts <= 3, "{starts} from {from_ms} ms on");
+    }
+    assert!(started_ms.len() >= 8);
+    let warm = cell.place(3_000, &request(9_000, 100, 8, 4));
+    assert_eq!(engine_of(warm), Some(1), "no longer cold");
+}
+
+/// Guards against carries that come on top of the starts of a cold engine.
+#[test]
+fn carries_count_as_starts() {
+    let mut cold = engine(2, NEAR, false);
+    cold.cold = Some(Cold { starts: 1, ..COLD });
+    let mut cell = cell(&[engine(1, NEAR, true), cold]);
+    let runs = [statement(1, 1, 40, 900), statement(2, 1, 50, 900)];
+    cell.restate(0, ME, &runs);
+    let first = cell.next_carry(10, UpstreamKey(1)).expect("one to carry");
+    cell.carried(60, first, CarryEnd::Moved);
+    assert_eq!(cell.next_carry(70, UpstreamKey(1)), None);
+    assert!(cell.next_carry(1_010, UpstreamKey(1)).is_some());
+}
--- /dev/null
+++ b/crates/policy/tests/evacuations.rs
@@ -0,0 +1,108 @@
+//! Which data centres a host believes evacuated, as news of them come in any order.
+
+use std::collections::BTreeSet;
+
+use fulmarpath_policy::EvacuationChange::{Begins, Ends};
+use fulmarpath_policy::{EvacuationChange, EvacuationState, Evacuations};
+use rstest::rstest;
+
+enum News {
+    /// All entries of the store.
+    Lists(u64, &'static [&'static str]),
+    /// Changes of the store.
+    Watches(u64, Vec<EvacuationChange>),
+    /// A peer's state.
+    Tells(u64, &'static [&'static str]),
+}
+use News::{Lists, Tells, Watches};
+
+struct Case {
+    news: Vec<News>,
+    evacuated: &'static [&'static str],
+    revision: u64,
+}
+
+fn names(of: &[&str]) -> BTreeSet<String> {
+    of.iter().map(|name| (*name).to_owned()).collect()
+}
+
+fn begins(name: &str) -> EvacuationChange {
+    Begins(name.to_owned())
+}
+
+fn ends(name: &str) -> EvacuationChange {
+    Ends(name.to_owned())
+}
+
+/// Guards against a host that falls back to an older state, or misses a later one: news come from the
+/// store and from peers, late and crossed.
+#[rstest]
+#[case::nothing_heard(Case { news: vec![], evacuated: &[], revision: 0 })]
+#[case::listed(Case { news: vec![Lists(9, &["a"])], evacuated: &["a"], revision: 9 })]
+#[case::begins(Case {
+    news: vec![Lists(9, &[]), Watches(12, vec![begins("a")])], evacuated: &["a"], revision: 12,
+})]
+#[case::ends(Case {
+    news: vec![Lists(9, &["a", "b"]), Watches(12, vec![ends("a")])], evacuated: &["b"], revision: 12,
+})]
+#[case::comes_and_goes_in_one_watch(Case {
+    news: vec![Lists(9, &[]), Watches(12, vec![begins("a"), ends("a")])], evacuated: &[], revision: 9,
+})]
+#[case::nothing_changes(Case {
+    news: vec![Lists(9, &["a"]), Watches(12, vec![]), Watches(15, vec![])], evacuated: &["a"], revision: 9,
+})]
+#[case::a_peer_knows_more(Case {
+    news: vec![Lists(9, &[]), Tells(12, &["a"])], evacuated: &["a"], revision: 12,
+})]
+#[case::a_peer_knows_less(Case {
+    news: vec![Lists(9, &[]), Watches(20, vec![]), Tells(12, &["a"])], evacuated: &[], revision: 9,
+})]
+#[case::an_old_list(Case {
+    news: vec![Tells(12, &["a"]), Lists(9, &[])], evacuated: &["a"], revision: 12,
+})]
+#[case::history_is_lost_and_it_ended_meanwhile(Case {
+    news: vec![Lists(9, &["a"]), Lists(30, &[])], evacuated: &[], revision: 30,
+})]
+#[case::listed_again_unchanged(Case {
+    news: vec![Lists(9, &["a"]), Lists(30, &["a"])], evacuated: &["a"], revision: 9,
+})]
+#[case::a_host_that_was_cut_off_tells_of_an_ended_one(Case {
+    news: vec![Tells(EvacuationState::PROVISIONAL, &[]), Lists(30, &[]), Tells(12, &["a"])],
+    evacuated: &[],
+    revision: 30,
+})]
+fn later_states_replace_earlier_ones(#[case] case: Case) {
+    let mut evacuations = Evacuations::default();
+    for one in case.news {
+        match one {
+            Lists(revision, all) => evacuations.replace(0, revision, names(all)),
+            Watches(revision, changes) => evacuations.apply(0, revision, changes),
+            Tells(revision, all) => {
+                let data_centres = names(all);
+                evacuations.hear(
+                    0,
+                    EvacuationState {
+                        revision,
+                        data_centres,
+                    },
+                )
+            }
+        };
+    }
+    let state = evacuations.state();
+    assert_eq!(state.data_centres, names(case.evacuated));
+    assert_eq!(state.revision, case.revision);
+}
+
+/// Guards against upstreams that are taken for warm as their data centre is taken back.
+#[test]
+fn the_end_is_remembered_until_the_next_begin() {
+    let mut evacuations = Evacuations::default();
+    evacuations.replace(100, 5, names(&["a"]));
+    assert_eq!(evacuations.ended_ms("a"), None);
+    assert_eq!(evacuations.oldest_ms(), Some(100));
+    evacuations.apply(900, 7, [ends("a")]);
+    assert_eq!(evacuations.ended_ms("a"), Some(900));
+    evacuations.apply(1_500, 8, [begins("a")]);
+    assert_eq!(evacuations.ended_ms("a"), None);
+}
--- a/crates/wire/src/gateway.rs
+++ b/crates/wire/src/gateway.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 
 use fulmarpath_policy::{
-    ContentKey, HostKey, Placement, PlacementRequest, Ruling, RunEnd, RunKey, RunStatement,
+    ContentKey, HostKey, Millis, Placement, PlacementRequest, Ruling, RunEnd, RunKey, RunStatement,
     UpstreamKey,
 };
 use serde::{Deserialize, Serialize};
@@ -23,6 +23,8 @@
     Members,
     /// What homes have ruled on requests that end upstreams.
     Rulings,
+    /// The evacuated data centres.
+    Evacuations,
 }
 
 /// A hash of the members that a gateway believes present, in no order.
@@ -70,6 +72,18 @@
     Over,
 }
 
+/// The answer to a request to start something at a cold upstream.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub enum StartAnswer {
+    /// It may start at once.
+    Now,
+    /// It may ask again after so long.
+    Later {
+        /// The wait.
+        wait_ms: Millis,
+    },
+}
+
 /// What one gateway may ask of another.
 #[tarpc::service]
 pub trait GatewayPeer {
@@ -97,6 +111,8 @@
     async fn doubt(cell: CellKey, engine: UpstreamKey);
     /// The home of a cell asks the relaying host to carry a generation to another engine.
     async fn carry(run: RunKey, to: UpstreamKey) -> CarryAnswer;
+    /// Asks the home of a cold upstream for a start there.
+    async fn start_cold(upstream: UpstreamKey) -> StartAnswer;
     /// Tells a home of a service that a request of this content had just begun on an upstream that
     /// ended.
     async fn strike(content: ContentKey, upstream: UpstreamKey);
--- a/crates/wire/src/message.rs
+++ b/crates/wire/src/message.rs
@@ -60,6 +60,8 @@
     pub host_list: u64,
     /// Of the rulings on requests that end upstreams: a hash of them in no order.
     pub rulings: u64,
+    /// Of the evacuated data centres.
+    pub evacuations: u64,
 }
 
 /// A permit, wherever it is.
--- a/tests/log_lines.rs
+++ b/tests/log_lines.rs
@@ -97,6 +97,8 @@
         seeds: Vec::new(),
         change_bound_ms: 2_000,
         grace_ms: 4_000,
+        evacuation_bound_ms: None,
+        cold_bound: None,
     };
     let (dialect, control) = (Arc::new(HeaderDialect), Arc::new(EngineClient));
     let gateway = Gateway::new(settings, dialect, control, metadata(store.address));
