Bar a content once more only for crashes that came after its term

What callers saw: a request that upstreams bear by now could be refused for the next term, an hour in place of five minutes, though nothing had crashed since.

Cause: as a content ends well, who else was on its upstreams is judged again. One that is barred, with a crash in common that came while both were barred, was ruled on anew when its term was over, by the crashes it had been barred for. Ruled out: crashes before the bar, which are taken back from others.

Change: a barred content isn't judged again; it was taken for the cause already, and only its own next crash makes the term longer. The new test failed before.

--- a/crates/policy/src/quarantine/record.rs
+++ b/crates/policy/src/quarantine/record.rs
@@ -137,15 +137,19 @@
         self.explained.retain(|_, cause| *cause != content);
         if let Some(innocent) = self.suspects.remove(&content) {
             let upstreams = innocent.crashes.iter().map(|crash| crash.upstream);
-            self.judge_again(&upstreams.collect::<Vec<_>>());
+            self.judge_again(&upstreams.collect::<Vec<_>>(), rulings);
         }
         free(now_ms, content, rulings)
     }
 
-    /// Who else was on these upstreams is the likelier cause now.
-    fn judge_again(&mut self, upstreams: &[UpstreamKey]) {
-        let crashes = self.suspects.values_mut().flat_map(|one| &mut one.crashes);
-        for crash in crashes {
+    /// Who else was on these upstreams is the likelier cause now. One that is barred was taken for the
+    /// cause already: ruled on again when its term is over, it would get the next term for nothing new.
+    fn judge_again(&mut self, upstreams: &[UpstreamKey], rulings: &Rulings) {
+        let others = self.suspects.iter_mut().filter(|(content, _)| {
+            let known = rulings.find(**content);
+            known.is_none_or(|known| known.standing != Standing::Barred)
+        });
+        for crash in others.flat_map(|(_, one)| &mut one.crashes) {
             crash.is_judged &= !upstreams.contains(&crash.upstream);
         }
     }
--- a/crates/policy/tests/quarantine.rs
+++ b/crates/policy/tests/quarantine.rs
@@ -315,3 +315,28 @@
     assert!(!alibis.has(75_000, P));
     assert!(!alibis.has(75_000, X));
 }
+
+/// Guards against a content that is barred once more for crashes it was barred for already, as another
+/// one that was on the same upstream ends well.
+#[test]
+fn anothers_answer_bars_nobody_once_more() {
+    let mut home = Home::default();
+    let crashes: [&[ContentKey]; 6] = [&[P, X], &[P], &[X], &[P], &[X], &[X]];
+    for (upstream, contents) in crashes.into_iter().enumerate() {
+        home.crash(upstream as u64, contents);
+        home.settle();
+    }
+    assert_eq!(
+        (home.standing(P), home.standing(X)),
+        (Standing::Barred, Standing::Barred)
+    );
+    // Requests of both were on their way to one upstream.
+    home.crash(6, &[P, X]);
+    home.settle();
+    home.now_ms += FIRST_TERM_MS;
+    assert_eq!(home.admit(P), Admission::AskHome);
+    assert!(home.record.grant(home.now_ms, X));
+    home.clear(X).expect("it had a ruling");
+    assert!(home.settle().is_empty(), "nothing has crashed since");
+    assert_eq!(home.admit(P), Admission::AskHome);
+}
