Learn how fast a cell's engines read prompts

Cause: the home assumed 9 prompt tokens a ms. By the sheet a piece of 112 tokens makes a step of 7.4 ms one of 15.4: 7.3. Each queue was a fifth longer than it looked, so prompts were sent where they waited and room was refused too late. Ruled out by the emulator: charging a prompt for the steps it takes from others (0.1 to 1.0 of them), which makes first events later at each setting.

Change: the rate is learned. A relaying host tells with an end how long the first event took from the placement; the home compares it with what it had expected and moves its rate by a fiftieth of the difference, from 7 on. Nothing depends on a build: prompts of engines that read a quarter or four times as fast are expected within a tenth after 800 ends (policy/tests/cell/reading.rs).

--- a/crates/bench/src/reclaim/mod.rs
+++ b/crates/bench/src/reclaim/mod.rs
@@ -9,6 +9,6 @@
 mod transfer;
 mod world;
 
-pub(crate) use request::Flood;
+pub(crate) use request::{Flood, Mix};
 pub(crate) use row::{Row, RowName};
 pub(crate) use world::{Settings, run};
--- a/crates/bench/src/reclaim/row.rs
+++ b/crates/bench/src/reclaim/row.rs
@@ -81,8 +81,15 @@
     pub(crate) refused_for_good: usize,
     /// Time to the first event of the long ones that were served.
     pub(crate) first_ms_p50: f64,
+    pub(crate) first_ms_p99: f64,
+    /// The same of the short ones.
+    pub(crate) short_first_ms_p90: f64,
+    pub(crate) short_first_ms_p99: f64,
     /// Time for a token of an answer, on average.
     pub(crate) token_ms: f64,
+    /// Life of the long ones that were served, by their benefit: what is lost where all hosts end at
+    /// once grows with it.
+    pub(crate) life_ms: f64,
     pub(crate) refused: usize,
     pub(crate) lost: usize,
     pub(crate) preemptions: u32,
@@ -138,6 +145,15 @@
     got / of.iter().map(|one| owed(one)).sum::<f64>()
 }
 
+/// Mean life, by benefit.
+fn life_ms(of: &[&&Fared]) -> f64 {
+    let sizes: f64 = of.iter().map(|one| one.size()).sum();
+    let lives = of
+        .iter()
+        .map(|one| one.size() * (one.first_ms + one.stream_ms));
+    lives.sum::<f64>() / sizes.max(1.0)
+}
+
 fn share(of: &[&Fared], counts: impl Fn(&Fared) -> bool) -> f64 {
     let count = of.iter().filter(|one| counts(one)).count();
     count as f64 / of.len().max(1) as f64
@@ -217,6 +233,12 @@
         let whole: Vec<&&Fared> = long.iter().filter(|one| one.is_whole).collect();
         let mut first_ms: Vec<f64> = whole.iter().map(|one| one.first_ms).collect();
         first_ms.sort_by(f64::total_cmp);
+        let mut short_first_ms: Vec<f64> = short
+            .iter()
+            .filter(|one| one.is_whole)
+            .map(|one| one.first_ms)
+            .collect();
+        short_first_ms.sort_by(f64::total_cmp);
         let stream_ms: f64 = whole.iter().map(|one| one.stream_ms).sum();
         let tokens: f64 = whole.iter().map(|one| f64::from(one.length_tokens)).sum();
         let is_given_up = |one: &&&Fared| one.was_refused && !one.is_whole;
@@ -236,7 +258,11 @@
             benefit_share: benefit_share(&long),
             refused_for_good: long.iter().filter(is_given_up).count(),
             first_ms_p50: percentile(&first_ms, 0.5),
+            first_ms_p99: percentile(&first_ms, 0.99),
+            short_first_ms_p90: percentile(&short_first_ms, 0.9),
+            short_first_ms_p99: percentile(&short_first_ms, 0.99),
             token_ms: stream_ms / tokens.max(1.0),
+            life_ms: life_ms(&whole),
             refused: self.refused,
             lost: self.lost,
             preemptions: self.preemptions,
--- a/crates/bench/src/reclaim/world.rs
+++ b/crates/bench/src/reclaim/world.rs
@@ -10,7 +10,7 @@
 use super::engine::{Engine, FIGURES, Job, Made};
 use super::event::{Agenda, Event};
 use super::loss;
-use super::request::{Asked, Flood, draw};
+use super::request::{Asked, Flood, Mix, draw};
 use super::row::{Fared, Row, RowName, Tally};
 
 const HOST: HostKey = HostKey(1);
@@ -41,6 +41,7 @@
     pub(crate) crash_period_s: f64,
     pub(crate) organisations: usize,
     pub(crate) flood: Option<Flood>,
+    pub(crate) mix: Mix,
 }
 
 /// One try of a caller, and what became of it.
@@ -48,6 +49,7 @@
 pub(super) struct Try {
     pub(super) caller: usize,
     came_us: u64,
+    placed_us: u64,
     pub(super) engine: Option<usize>,
     pub(super) backup: Option<usize>,
     /// Taken off its engine, on its way to another.
@@ -160,6 +162,7 @@
         self.tries.push(Try {
             caller,
             came_us: at_us,
+            placed_us: at_us,
             engine: None,
             backup: None,
             stopped: None,
@@ -238,6 +241,7 @@
             self.engines[backup].copy(one, asked.prompt_tokens, u64::MAX);
         }
         self.tries[one].engine = Some(engine);
+        self.tries[one].placed_us = self.now_us;
         self.tries[one].backup = backup;
         self.engines[engine].submit(Job {
             run: one,
@@ -345,6 +349,7 @@
         let end = RunEnd {
             out_tokens: self.callers[self.tries[run].caller].length_tokens,
             is_whole,
+            first_ms: self.first_ms(run),
         };
         self.cell.end(self.now_ms(), RunKey(run as u64), end);
         if let Some(backup) = self.tries[run].backup.take() {
@@ -352,6 +357,12 @@
         }
     }
 
+    /// From a try's placement to its first event.
+    fn first_ms(&self, run: usize) -> Option<u64> {
+        let one = &self.tries[run];
+        Some((one.first_us? - one.placed_us) / 1_000)
+    }
+
     /// The home hears which engines are there.
     pub(super) fn register(&mut self) {
         let heard_us = self.now_us.saturating_sub(HEARD_US);
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -16,7 +16,7 @@
 use crate::head::{AnswerHead, Continuation, Outbound};
 use crate::instances::Chosen;
 use crate::intake::Inquiry;
-use crate::journey::{Flight, Journey};
+use crate::journey::{ANSWERED, Flight, Journey};
 use crate::problem::Problem;
 use crate::record::Dispatch;
 
@@ -106,7 +106,7 @@
         let answer = self.exchange(inquiry, chosen, terms, &journey.id).await;
         match &answer {
             Ok(answer) => journey.dispatch_ended(if answer.response.status().is_success() {
-                "answered"
+                ANSWERED
             } else {
                 "failed"
             }),
--- a/crates/gateway/src/journey.rs
+++ b/crates/gateway/src/journey.rs
@@ -14,6 +14,9 @@
 use crate::problem::Problem;
 use crate::record::{Dispatch, REQUEST_PREFIX, RequestRecord, Size};
 
+/// How a dispatch ended whose answer's head came.
+pub(crate) const ANSWERED: &str = "answered";
+
 impl RouteKind {
     /// Its name on metrics and log lines.
     pub(crate) fn name(self) -> &'static str {
@@ -113,6 +116,13 @@
         Some(pause_ms)
     }
 
+    /// From the placement to the first event, where the first dispatch brought it.
+    pub(crate) fn first_after_placed_ms(&self) -> Option<Millis> {
+        let first = self.dispatches.first()?;
+        let first_ms = self.first_event_ms?.checked_sub(self.placed_ms?)?;
+        (first.outcome == ANSWERED).then_some(first_ms)
+    }
+
     /// When events were passed on last.
     pub(crate) fn last_event_ms(&self) -> Option<Millis> {
         (self.events > 0).then_some(self.event_at_ms)
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -38,6 +38,8 @@
     pub(crate) run: RunKey,
     /// Its answer has reached the caller to the end.
     pub(crate) is_whole: bool,
+    /// From its placement to its first event.
+    pub(crate) first_ms: Option<Millis>,
 }
 
 impl Drop for Ticket {
@@ -46,6 +48,7 @@
         let end = RunEnd {
             out_tokens: out_tokens.unwrap_or_default(),
             is_whole: self.is_whole,
+            first_ms: self.first_ms,
         };
         self.gateway.tell_end(self.cell, self.run, end);
     }
@@ -214,6 +217,7 @@
             self.gateway.vindicate(&self.inquiry);
         }
         self.ticket.is_whole = self.journey.events > 0 && self.inquiry.last_event.is_none();
+        self.ticket.first_ms = self.journey.first_after_placed_ms();
         self.journey.end("answered", self.status);
         None
     }
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -71,6 +71,7 @@
             cell: gateway.cells.cell_for(&inquiry.service, data_centre, run),
             run,
             is_whole: false,
+            first_ms: None,
             gateway,
         }
     }
--- a/crates/policy/src/cell/cost.rs
+++ b/crates/policy/src/cell/cost.rs
@@ -6,8 +6,9 @@
 //! benefit grows more slowly with its size. Requests are compared with what is usual in their cell, so
 //! no figure here is one of a deployment.
 
-use super::engine::{PREFILL_TOKENS_PER_MS, TOKEN_MS};
+use super::engine::TOKEN_MS;
 use super::forecast::Claim;
+use super::reading::Reading;
 
 /// Of the usual figures, what each new request changes: the last fifty count, a second or two before a
 /// crowded cell.
@@ -29,20 +30,20 @@
 
 impl UsualCost {
     /// Takes in a new request; its cost in times of the usual one, up to a bound.
-    pub(super) fn compare(&mut self, claim: Claim) -> f32 {
+    pub(super) fn compare(&mut self, reading: &Reading, claim: Claim) -> f32 {
         let size_tokens = claim.held_tokens + OUT_WEIGHT * claim.rest_tokens;
         follow(&mut self.size_tokens, size_tokens);
         let relative_size = size_tokens / self.size_tokens.max(1.0);
         let benefit = LEAST_BENEFIT + (1.0 - LEAST_BENEFIT) * relative_size;
-        let cost = held_token_ms(claim) / benefit;
+        let cost = held_token_ms(reading, claim) / benefit;
         follow(&mut self.cost, cost);
         (cost / self.cost.max(1.0)).min(MOST)
     }
 }
 
 /// Memory times time: its prompt while that is read, then more with each token.
-fn held_token_ms(claim: Claim) -> f32 {
-    let reading_ms = claim.held_tokens / PREFILL_TOKENS_PER_MS;
+fn held_token_ms(reading: &Reading, claim: Claim) -> f32 {
+    let reading_ms = reading.ms(claim.held_tokens);
     let answering_ms = claim.rest_tokens * TOKEN_MS;
     (claim.held_tokens + claim.rest_tokens / 2.0) * (reading_ms + answering_ms)
 }
--- a/crates/policy/src/cell/engine.rs
+++ b/crates/policy/src/cell/engine.rs
@@ -3,9 +3,6 @@
 use crate::cold::{Cold, ColdStarts};
 use crate::key::{Millis, UpstreamKey};
 
-/// Prompt tokens that an engine reads in a millisecond beside a batch that goes on: a chunk of 112
-/// a step, each 15 to 16 ms long with it, by the figures of the users' sheets.
-pub(crate) const PREFILL_TOKENS_PER_MS: f32 = 9.0;
 /// Time for one token of each generation in a batch of usual size, from the users' sheets: a step
 /// of 7 ms, 0.12 ms for each generation in it, and a part of a prompt now and then.
 pub(crate) const TOKEN_MS: f32 = 11.0;
@@ -198,10 +195,10 @@
         lasting.map(|one| one.tokens).sum()
     }
 
-    /// A prompt goes there.
-    pub(super) fn prefill(&mut self, now_ms: Millis, prompt_tokens: u32) {
+    /// A prompt goes there that takes so long to be read.
+    pub(super) fn prefill(&mut self, now_ms: Millis, read_ms: f32) {
         let from_ms = self.prefilled_at_ms.max(now_ms as f32);
-        self.prefilled_at_ms = from_ms + prompt_tokens as f32 / PREFILL_TOKENS_PER_MS;
+        self.prefilled_at_ms = from_ms + read_ms;
     }
 
     /// How long a prompt that comes now waits for those before it.
--- a/crates/policy/src/cell/mod.rs
+++ b/crates/policy/src/cell/mod.rs
@@ -12,6 +12,7 @@
 mod engine;
 mod forecast;
 mod placement;
+mod reading;
 mod run;
 mod shares;
 mod waiting;
@@ -26,6 +27,7 @@
 use crate::key::{HostKey, Millis, UpstreamKey};
 use answers::Answers;
 use engine::Engine;
+use reading::Reading;
 use run::Run;
 use waiting::WaitingList;
 
@@ -42,6 +44,7 @@
     runs: BTreeMap<RunKey, Run>,
     waiting: WaitingList,
     answers: Answers,
+    reading: Reading,
 }
 
 impl Cell {
@@ -129,6 +132,11 @@
         let Some(run) = self.runs.remove(&run) else {
             return;
         };
+        if let Some(first_ms) = end.first_ms
+            && let Some(expected_ms) = run.expected_first_ms()
+        {
+            self.reading.learn(expected_ms as f32, first_ms as f32);
+        }
         if end.is_whole {
             let seen_tokens = run.seen_tokens();
             self.answers
--- a/crates/policy/src/cell/placement.rs
+++ b/crates/policy/src/cell/placement.rs
@@ -4,8 +4,9 @@
 
 use super::Cell;
 use super::answers::{Answers, Stated};
-use super::engine::{Engine, PREFILL_TOKENS_PER_MS};
+use super::engine::Engine;
 use super::forecast::{Claim, Forecast};
+use super::reading::Reading;
 use super::run::{Run, RunKey};
 use super::shares::Shares;
 use super::waiting::Turn;
@@ -138,13 +139,13 @@
     }
 
     /// How long its prompt takes to be read, by itself.
-    pub(super) fn read_ms(&self) -> f32 {
-        self.prompt_tokens as f32 / PREFILL_TOKENS_PER_MS
+    pub(super) fn read_ms(&self, reading: &Reading) -> f32 {
+        reading.ms(self.prompt_tokens as f32)
     }
 
     /// When it must start at the latest to be on time.
-    pub(super) fn latest_ms(&self, now_ms: Millis) -> Millis {
-        (now_ms + self.patience_ms).saturating_sub(self.read_ms() as Millis)
+    pub(super) fn latest_ms(&self, now_ms: Millis, reading: &Reading) -> Millis {
+        (now_ms + self.patience_ms).saturating_sub(self.read_ms(reading) as Millis)
     }
 
     /// What it says of its answer's length.
@@ -205,7 +206,7 @@
         self.reserve_for_leaving(now_ms, &mut forecast);
         self.reserve_for_waiting(bid.turn, &shares, &mut forecast);
         let costs = open.iter().filter_map(|engine| {
-            let cost = cost_ms(now_ms, &forecast, engine, &bid)?;
+            let cost = cost_ms(now_ms, &self.reading, &forecast, engine, &bid)?;
             Some((cost, engine))
         });
         let best = costs.min_by(|one, other| {
@@ -240,7 +241,9 @@
         claim: Claim,
         is_over_share: bool,
     ) -> Bid<'a> {
-        let turn = self.waiting.turn(now_ms, request, claim, is_over_share);
+        let turn = self
+            .waiting
+            .turn(now_ms, &self.reading, request, claim, is_over_share);
         Bid {
             request,
             claim,
@@ -291,7 +294,7 @@
         let Some(chosen) = self.engines.get_mut(&engine) else {
             return;
         };
-        chosen.prefill(now_ms, request.prompt_tokens);
+        chosen.prefill(now_ms, request.read_ms(&self.reading));
         chosen.note_start(now_ms);
         let first_token_ms = chosen.prefilled_at_ms as Millis;
         let run = Run::placed(now_ms, first_token_ms, engine, backup, request);
@@ -300,7 +303,13 @@
 }
 
 /// What it costs to start there; `None` where it would fill the engine.
-fn cost_ms(now_ms: Millis, forecast: &Forecast, engine: &Engine, bid: &Bid<'_>) -> Option<f32> {
+fn cost_ms(
+    now_ms: Millis,
+    reading: &Reading,
+    forecast: &Forecast,
+    engine: &Engine,
+    bid: &Bid<'_>,
+) -> Option<f32> {
     let request = bid.request;
     let share = forecast.peak_share(engine, bid.claim);
     let running = forecast.running(engine.entry.key);
@@ -308,7 +317,9 @@
     let patience_ms = request.patience_ms as f32;
     let full_share = match request.is_last_call {
         false if wait_ms > patience_ms * PATIENCE_SHARE => return None,
-        true if wait_ms + request.read_ms() > patience_ms => bid.full_share.min(LATE_FULL_SHARE),
+        true if wait_ms + request.read_ms(reading) > patience_ms => {
+            bid.full_share.min(LATE_FULL_SHARE)
+        }
         _ => bid.full_share,
     };
     if share > full_share || running >= engine.entry.figures.slots || !engine.may_start(now_ms) {
--- a/crates/policy/src/cell/run.rs
+++ b/crates/policy/src/cell/run.rs
@@ -42,6 +42,8 @@
     pub out_tokens: u32,
     /// Its engine ended it, and neither its caller nor a failure.
     pub is_whole: bool,
+    /// From its placement to its first event, where it was sent to one engine only.
+    pub first_ms: Option<Millis>,
 }
 
 #[derive(Debug, Clone)]
@@ -59,6 +61,8 @@
     /// When `out_tokens` were out; ahead of now while the prompt is being read.
     out_at_ms: Millis,
     placed_ms: Millis,
+    /// How long its first token was expected to take from then on; `None` where another home placed it.
+    expected_first_ms: Option<Millis>,
     /// Not to be moved before, since a try has failed.
     pub(super) rest_until_ms: Millis,
 }
@@ -83,6 +87,7 @@
             out_tokens: 0,
             out_at_ms: first_token_ms,
             placed_ms: now_ms,
+            expected_first_ms: Some(first_token_ms.saturating_sub(now_ms)),
             rest_until_ms: 0,
         }
     }
@@ -100,6 +105,7 @@
             out_tokens: statement.out_tokens,
             out_at_ms: now_ms,
             placed_ms: now_ms,
+            expected_first_ms: None,
             rest_until_ms: 0,
         }
     }
@@ -113,6 +119,10 @@
         }
     }
 
+    pub(super) fn expected_first_ms(&self) -> Option<Millis> {
+        self.expected_first_ms
+    }
+
     pub(super) fn host(&self) -> HostKey {
         self.host
     }
--- a/crates/policy/src/cell/waiting.rs
+++ b/crates/policy/src/cell/waiting.rs
@@ -13,6 +13,7 @@
 use super::cost::UsualCost;
 use super::forecast::{Claim, Forecast};
 use super::placement::{Bid, PlacementRequest};
+use super::reading::Reading;
 use super::run::RunKey;
 use super::shares::Shares;
 use super::{Cell, CellEngine};
@@ -96,6 +97,7 @@
     pub(super) fn turn(
         &mut self,
         now_ms: Millis,
+        reading: &Reading,
         request: &PlacementRequest,
         claim: Claim,
         is_over_share: bool,
@@ -108,12 +110,13 @@
         }
         let tried_ms = self.refused.get(&request.likeness);
         let tried_ms = tried_ms.map_or(0, |one| now_ms.saturating_sub(one.first_ms));
-        let behind_ms = request.patience_ms as f32 * COST_SHARE * self.usual_cost.compare(claim);
+        let behind_ms =
+            request.patience_ms as f32 * COST_SHARE * self.usual_cost.compare(reading, claim);
         Turn {
             is_late: tried_ms >= request.patience_ms,
             is_over_share,
             priority: request.priority,
-            due_ms: request.latest_ms(now_ms) + behind_ms as Millis,
+            due_ms: request.latest_ms(now_ms, reading) + behind_ms as Millis,
             run: request.run,
         }
     }
--- a/crates/policy/tests/cell/lengths.rs
+++ b/crates/policy/tests/cell/lengths.rs
@@ -24,6 +24,7 @@
     Some(RunEnd {
         out_tokens,
         is_whole: true,
+        first_ms: None,
     })
 }
 
@@ -31,6 +32,7 @@
     Some(RunEnd {
         out_tokens,
         is_whole: false,
+        first_ms: None,
     })
 }
 
--- a/crates/policy/tests/cell/main.rs
+++ b/crates/policy/tests/cell/main.rs
@@ -7,4 +7,5 @@
 mod floods;
 mod lengths;
 mod placing;
+mod reading;
 mod standing;
