Spare engines that fail a part of what they get, at their cell's home

Cause: what such an engine fails ends at once, so it looks the emptiest of its cell and draws the next generation. Each host meets it once or twice; its report says that it is well. The choice among plain services counts failures, placement on a cell's engines did not. Ruled out: looks, which hear no harm of it, and shutting it out for good, since it works again after seconds.

Change: a host that tells the home of an engine in doubt says what became of its request, also where no answer has begun after twice the time that is on time. The home keeps the share that failed, with the same forgetting as for plain upstreams (now one type), charges it, and lets no request that can still wait go where it is over 0.3.

--- a/crates/gateway/src/cells.rs
+++ b/crates/gateway/src/cells.rs
@@ -4,7 +4,7 @@
 
 use fulmarpath_policy::{
     Carry, CarryEnd, Cell, CellEngine, Division, EngineFigures, HostKey, Millis, Placement,
-    PlacementRequest, RunEnd, RunKey, UpstreamKey,
+    PlacementRequest, RunEnd, RunKey, UpstreamKey, Verdict,
 };
 use fulmarpath_wire::{CellKey, Restatement};
 use parking_lot::Mutex;
@@ -172,6 +172,19 @@
         table.is_some_and(|table| table.cell.is_leaving(engine))
     }
 
+    /// A generation did not begin on an engine as it should, or broke off there.
+    pub(crate) fn see_failure(
+        &self,
+        now_ms: Millis,
+        cell: CellKey,
+        engine: UpstreamKey,
+        verdict: Verdict,
+    ) {
+        if let Some(table) = self.tables.lock().get_mut(&cell) {
+            table.cell.see_failure(now_ms, engine, verdict);
+        }
+    }
+
     /// Takes what an engine has shown; true where it changes what is believed of it.
     pub(crate) fn see(
         &self,
--- a/crates/gateway/src/look.rs
+++ b/crates/gateway/src/look.rs
@@ -10,7 +10,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use fulmarpath_policy::{Millis, UpstreamKey};
+use fulmarpath_policy::{Millis, UpstreamKey, Verdict};
 use fulmarpath_wire::{CellKey, GatewayPeerClient};
 use parking_lot::Mutex;
 use spdlog::{info, warn};
@@ -45,19 +45,20 @@
 }
 
 impl Gateway {
-    /// Tells a cell's home that this host has reason to doubt an engine.
-    pub(crate) fn doubt(self: &Arc<Self>, cell: CellKey, engine: UpstreamKey) {
+    /// Tells a cell's home that this host has reason to doubt an engine, by what became of a request
+    /// there.
+    pub(crate) fn doubt(self: &Arc<Self>, cell: CellKey, engine: UpstreamKey, verdict: Verdict) {
         let Some((key, note)) = self.home_of(cell) else {
             return;
         };
         let gateway = self.clone();
         if key == self.host_key() {
-            tokio::spawn(gateway.look_at(cell, engine));
+            tokio::spawn(async move { gateway.hear_doubt(cell, engine, verdict).await });
             return;
         }
         tokio::spawn(async move {
             let call = |client: GatewayPeerClient, context| async move {
-                client.doubt(context, cell, engine).await
+                client.doubt(context, cell, engine, verdict).await
             };
             if let Err(error) = gateway.fleet.peers.call(note.address, call).await {
                 warn!("cells: the home did not hear of an engine in doubt: {error}");
@@ -65,6 +66,21 @@
         });
     }
 
+    /// Counts a failure as a cell's home, and looks at the engine.
+    ///
+    /// An engine that fails a part of what it gets says that it is well, and looks emptier than the
+    /// others: each host meets it once or twice, and only the home hears of all.
+    pub(crate) async fn hear_doubt(
+        self: &Arc<Self>,
+        cell: CellKey,
+        engine: UpstreamKey,
+        verdict: Verdict,
+    ) {
+        let now_ms = self.clock.now_ms();
+        self.cells.see_failure(now_ms, cell, engine, verdict);
+        self.clone().look_at(cell, engine).await;
+    }
+
     /// Looks at an engine, unless that was done just now.
     pub(crate) async fn look_at(self: Arc<Self>, cell: CellKey, engine: UpstreamKey) {
         if !self.looks.begin(self.clock.now_ms(), engine) {
--- a/crates/gateway/src/peer.rs
+++ b/crates/gateway/src/peer.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 
 use fulmarpath_policy::{
-    ContentKey, Placement, PlacementRequest, Ruling, RunEnd, RunKey, UpstreamKey,
+    ContentKey, Placement, PlacementRequest, Ruling, RunEnd, RunKey, UpstreamKey, Verdict,
 };
 use fulmarpath_wire::{
     Announcement, CarryAnswer, CellKey, GatewayPeer, GatewayPeerClient, Holding, MembersDigest,
@@ -128,10 +128,10 @@
         self.gateway.cells.restate(now_ms, &restatement);
     }
 
-    async fn doubt(self, _: Context, cell: CellKey, engine: UpstreamKey) {
+    async fn doubt(self, _: Context, cell: CellKey, engine: UpstreamKey, verdict: Verdict) {
         self.count("doubt");
         if self.gateway.is_home(cell) {
-            self.gateway.look_at(cell, engine).await;
+            self.gateway.hear_doubt(cell, engine, verdict).await;
         }
     }
 
--- a/crates/gateway/src/recovery.rs
+++ b/crates/gateway/src/recovery.rs
@@ -39,7 +39,8 @@
             return false;
         }
         let lost = self.source.engine();
-        self.gateway.doubt(self.ticket.cell, lost.upstream);
+        self.gateway
+            .doubt(self.ticket.cell, lost.upstream, Verdict::Failed);
         if let Some(carrying) = self.carrying.take() {
             let went_on = match carrying.copied() {
                 Some((to, copy)) => self.go_on(&to, lost.address, &copy).await,
@@ -89,7 +90,8 @@
             .await
         {
             self.gateway.metrics.continuation("left_silent");
-            self.gateway.doubt(self.ticket.cell, silent.upstream);
+            self.gateway
+                .doubt(self.ticket.cell, silent.upstream, Verdict::Failed);
         }
     }
 
--- a/crates/gateway/src/start.rs
+++ b/crates/gateway/src/start.rs
@@ -1,10 +1,11 @@
 //! At which engine a generation starts, and at which others after that.
 
+use std::pin::pin;
 use std::sync::Arc;
 use std::time::Duration;
 
-use fulmarpath_policy::{Millis, Placement, PlacementRequest, RunStatement, UpstreamKey};
-use tokio::time::sleep;
+use fulmarpath_policy::{Millis, Placement, PlacementRequest, RunStatement, UpstreamKey, Verdict};
+use tokio::time::{sleep, timeout};
 
 use crate::attempt::{Answer, Failure, Terms};
 use crate::configuration::EngineTraits;
@@ -22,6 +23,9 @@
 /// The part of the time to a first event for which a generation waits for room. What is left has
 /// to be enough for its prompt to be read.
 const WAIT_SHARE: f32 = 0.55;
+/// An engine is in doubt whose answer has not begun after so many times the time in which it is on
+/// time: on a crowded one it is merely late.
+const SILENCE_TARGETS: Millis = 2;
 /// Between two questions for room.
 const WAIT_PERIOD: Duration = Duration::from_millis(60);
 
@@ -180,25 +184,44 @@
             ..Terms::default()
         };
         let engine = start.chosen.upstream;
-        let answer = self.dispatch(inquiry, journey, start.chosen, terms).await;
-        let is_doubtful = match &answer {
-            Ok(answer) => answer.head.is_closing,
-            Err(failure) => *failure == Failure::Unsent,
-        };
-        if is_doubtful {
-            self.doubt(ticket.cell, engine);
-        }
-        let answer = answer?;
+        let dispatch = self.dispatch(inquiry, journey, start.chosen, terms);
+        let answer = self.note_silence(inquiry, ticket, engine, dispatch).await;
         // Without a signature a success isn't the engine's own.
-        if answer.response.status().is_success() && !answer.head.is_signed {
-            return Err(Failure::Unknown);
+        let answer = answer.and_then(|answer| {
+            let is_success = answer.response.status().is_success();
+            match is_success && !answer.head.is_signed {
+                true => Err(Failure::Unknown),
+                false => Ok(answer),
+            }
+        });
+        if let Some(verdict) = doubt_of(&answer) {
+            self.doubt(ticket.cell, engine, verdict);
         }
+        let answer = answer?;
         Ok(Started {
             answer,
             backup: start.backup,
         })
     }
 
+    /// Waits for an engine's answer, and tells the home where it stays away: an engine that hangs shows
+    /// nothing but silence, and looks empty.
+    async fn note_silence(
+        self: &Arc<Self>,
+        inquiry: &Inquiry,
+        ticket: &Ticket,
+        engine: UpstreamKey,
+        dispatch: impl Future<Output = Result<Answer, Failure>>,
+    ) -> Result<Answer, Failure> {
+        let mut dispatch = pin!(dispatch);
+        let patience = Duration::from_millis(inquiry.route.target_ms * SILENCE_TARGETS);
+        if let Ok(answer) = timeout(patience, dispatch.as_mut()).await {
+            return answer;
+        }
+        self.doubt(ticket.cell, engine, Verdict::Failed);
+        dispatch.await
+    }
+
     /// Whether this host, if it stops, stops after the generation has surely ended.
     fn can_finish(&self, inquiry: &Inquiry) -> bool {
         let (Some(ends_ms), Some(generation)) = (self.ends_ms(), &inquiry.generation) else {
@@ -304,6 +327,18 @@
     }
 }
 
+/// Why an engine is in doubt after an answer, or for want of one.
+fn doubt_of(answer: &Result<Answer, Failure>) -> Option<Verdict> {
+    match answer {
+        Ok(answer) if answer.response.status().is_server_error() => Some(Verdict::Failed),
+        Ok(answer) if answer.head.is_closing => Some(Verdict::Unheard),
+        Ok(_) => None,
+        Err(Failure::Unsent) => Some(Verdict::Unheard),
+        Err(Failure::Shed) => Some(Verdict::Shed),
+        Err(Failure::Unknown | Failure::Overdue) => Some(Verdict::Failed),
+    }
+}
+
 fn statement(inquiry: &Inquiry, ticket: &Ticket, start: &Start) -> RunStatement {
     let generation = inquiry.generation.clone().unwrap_or_default();
     RunStatement {
--- a/crates/policy/src/cell/engine.rs
+++ b/crates/policy/src/cell/engine.rs
@@ -1,6 +1,7 @@
 //! One engine of a cell.
 
 use crate::cold::{Cold, ColdStarts};
+use crate::failures::Failures;
 use crate::key::{Millis, UpstreamKey};
 
 /// Time for one token of each generation in a batch of usual size, from the users' sheets: a step
@@ -65,6 +66,8 @@
     /// It had no room for a transfer; none is sent here before.
     refused_until_ms: Millis,
     left_behind: Vec<LeftBehind>,
+    /// What became of the generations that were started there.
+    pub(super) failures: Failures,
     /// What was started there lately, so far as it was cold.
     cold_starts: ColdStarts,
     left_at_ms: Option<Millis>,
@@ -89,6 +92,7 @@
             receiving_until_ms: 0,
             refused_until_ms: 0,
             left_behind: Vec::new(),
+            failures: Failures::default(),
             cold_starts: ColdStarts::default(),
             left_at_ms: entry.is_draining.then_some(now_ms),
             is_gone: false,
--- a/crates/policy/src/cell/mod.rs
+++ b/crates/policy/src/cell/mod.rs
@@ -24,6 +24,7 @@
 pub use placement::{Placement, PlacementRequest, Seen};
 pub use run::{RunEnd, RunKey, RunStatement};
 
+use crate::gauge::Verdict;
 use crate::key::{HostKey, Millis, UpstreamKey};
 use answers::Answers;
 use engine::Engine;
@@ -126,6 +127,18 @@
         engine.is_some_and(|engine| std::mem::take(&mut engine.is_gone))
     }
 
+    /// A generation did not begin on an engine as it should, or broke off there.
+    pub fn see_failure(&mut self, now_ms: Millis, engine: UpstreamKey, verdict: Verdict) {
+        let Some(engine) = self.engines.get_mut(&engine) else {
+            return;
+        };
+        match verdict {
+            Verdict::Failed => engine.failures.learn(now_ms, 1.0),
+            Verdict::Shed => engine.failures.learn(now_ms, 0.5),
+            Verdict::Good | Verdict::Unheard => {}
+        }
+    }
+
     /// A generation is over, wherever it was.
     pub fn end(&mut self, now_ms: Millis, run: RunKey, end: RunEnd) {
         self.waiting.leave(run);
@@ -138,6 +151,9 @@
             self.reading.learn(expected_ms as f32, first_ms as f32);
         }
         if end.is_whole {
+            if let Some(engine) = self.engines.get_mut(&run.engine()) {
+                engine.failures.learn(now_ms, 0.0);
+            }
             let seen_tokens = run.seen_tokens();
             self.answers
                 .end(now_ms, run.stated(), seen_tokens, end.out_tokens);
--- a/crates/policy/src/cell/placement.rs
+++ b/crates/policy/src/cell/placement.rs
@@ -20,6 +20,13 @@
 /// so that prompts go where they are read soonest, and weighs the last room heavily: an engine
 /// that fills pauses somebody.
 const MEMORY_MS: f32 = 500.0;
+/// What an engine that fails all it gets costs against one that fails nothing: more than any wait. One
+/// that fails a part looks emptier than those that work, and without a cost of its own draws the next
+/// generation each time.
+const SICK_MS: f32 = 4_000.0;
+/// Where this share of an engine's generations failed lately, one that can still wait does so: what is
+/// sent there and fails can't be sent again.
+const SICK_SHARE: f32 = 0.3;
 /// No generation starts where this share of the memory would be taken at the peak.
 ///
 /// With callers' guesses taken at their word 0.92 was the best for those that stay long, and six times as
@@ -322,14 +329,18 @@
         }
         _ => bid.full_share,
     };
-    if share > full_share || running >= engine.entry.figures.slots || !engine.may_start(now_ms) {
+    let failing = engine.failures.share(now_ms);
+    let has_room = share <= full_share && running < engine.entry.figures.slots;
+    let may_wait = failing > SICK_SHARE && !request.is_last_call;
+    if !has_room || may_wait || !engine.may_start(now_ms) {
         return None;
     }
     let far = engine.entry.data_centre != request.data_centre;
     let crowd_ms = CROWD_MS * running as f32;
     let memory_ms = MEMORY_MS * share * share;
     let far_ms = if far { FAR_MS } else { 0.0 };
-    Some(wait_ms + crowd_ms + memory_ms + far_ms)
+    let sick_ms = SICK_MS * failing;
+    Some(wait_ms + crowd_ms + memory_ms + far_ms + sick_ms)
 }
 
 fn see(now_ms: Millis, forecast: &Forecast, engine: &Engine, bid: &Bid<'_>) -> Seen {
--- a/crates/policy/src/gauge.rs
+++ b/crates/policy/src/gauge.rs
@@ -6,21 +6,20 @@
 //! sick upstream gets less work without ever being shut out, and is tried again as they fade.
 //! (Load by peak latency and requests in flight: Finagle's "peak EWMA" balancer.)
 
+use serde::{Deserialize, Serialize};
+
+use crate::failures::Failures;
 use crate::key::Millis;
 
 /// A statement of load older than this tells nothing: several times the work of a small request.
 const REPORT_MS: Millis = 1_500;
-/// How much one answer changes the smoothed latency and failure share: about the last eight count.
+/// How much one answer changes the smoothed latency: about the last eight count.
 const GAIN: f32 = 0.12;
-/// Time in which a failure share halves without new answers, so that the upstream is tried again.
-const FORGIVE_HALF_LIFE_MS: f32 = 2_500.0;
 /// How much a failure share of 1 multiplies an upstream's cost. Measured by the share of requests
 /// that go to one of three upstreams that fails 45% of them: 5% in place of 33%.
 const FAILURE_WEIGHT: f32 = 24.0;
 /// The latency assumed before the first answer.
 const UNKNOWN_LATENCY_MS: f32 = 30.0;
-/// An upstream that can't be connected to counts as failing all requests.
-const UNREACHABLE: f32 = 1.0;
 
 /// An upstream's own statement of its load.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -34,7 +33,7 @@
 }
 
 /// How an exchange with an upstream ended.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Verdict {
     /// A whole answer that isn't the upstream's own failure.
     Good,
@@ -55,14 +54,13 @@
 }
 
 /// What one host knows of one upstream.
-#[derive(Debug, Clone)]
+#[derive(Debug, Clone, Default)]
 pub struct Gauge {
     in_flight: Vec<(u64, Millis)>,
     next_id: u64,
     statement: Option<Statement>,
     latency_ms: Option<f32>,
-    failure_share: f32,
-    failure_at_ms: Millis,
+    failures: Failures,
     shed_until_ms: Millis,
 }
 
@@ -70,20 +68,6 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct FlightId(u64);
 
-impl Default for Gauge {
-    fn default() -> Self {
-        Self {
-            in_flight: Vec::new(),
-            next_id: 0,
-            statement: None,
-            latency_ms: None,
-            failure_share: 0.0,
-            failure_at_ms: 0,
-            shed_until_ms: 0,
-        }
-    }
-}
-
 impl Gauge {
     /// A request goes out.
     pub fn start(&mut self, now_ms: Millis) -> FlightId {
@@ -105,9 +89,9 @@
             statement.since -= 1;
         }
         match verdict {
-            Verdict::Good => self.learn_failure(now_ms, 0.0),
-            Verdict::Failed => self.learn_failure(now_ms, 1.0),
-            Verdict::Shed => self.learn_failure(now_ms, 0.5),
+            Verdict::Good => self.failures.learn(now_ms, 0.0),
+            Verdict::Failed => self.failures.learn(now_ms, 1.0),
+            Verdict::Shed => self.failures.learn(now_ms, 0.5),
             Verdict::Unheard => {}
         }
     }
@@ -132,8 +116,7 @@
 
     /// No connection could be made.
     pub fn unreachable(&mut self, now_ms: Millis) {
-        self.failure_share = UNREACHABLE;
-        self.failure_at_ms = now_ms;
+        self.failures.fail_all(now_ms);
     }
 
     /// The upstream is full or about to leave: it had better be spared until then.
@@ -148,8 +131,7 @@
 
     /// The share of requests that failed lately.
     pub fn failure_share(&self, now_ms: Millis) -> f32 {
-        let passed_ms = now_ms.saturating_sub(self.failure_at_ms) as f32;
-        self.failure_share * (-passed_ms / FORGIVE_HALF_LIFE_MS).exp2()
+        self.failures.share(now_ms)
     }
 
     /// What one more request costs there, for comparison between upstreams of one service.
@@ -187,10 +169,4 @@
         let smoothed = self.latency_ms.unwrap_or(UNKNOWN_LATENCY_MS);
         smoothed.max(pending_ms as f32).max(1.0)
     }
-
-    fn learn_failure(&mut self, now_ms: Millis, failed: f32) {
-        let held = self.failure_share(now_ms);
-        self.failure_share = held + (failed - held) * GAIN;
-        self.failure_at_ms = now_ms;
-    }
 }
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -13,6 +13,7 @@
 mod division;
 mod drift;
 mod evacuations;
+mod failures;
 mod fair;
 mod fit;
 mod gauge;
--- a/crates/policy/tests/cell/main.rs
+++ b/crates/policy/tests/cell/main.rs
@@ -8,4 +8,5 @@
 mod lengths;
 mod placing;
 mod reading;
+mod sick;
 mod standing;
--- a/crates/wire/src/gateway.rs
+++ b/crates/wire/src/gateway.rs
@@ -4,7 +4,7 @@
 
 use fulmarpath_policy::{
     ContentKey, HostKey, Millis, Placement, PlacementRequest, Ruling, RunEnd, RunKey, RunStatement,
-    UpstreamKey,
+    UpstreamKey, Verdict,
 };
 use serde::{Deserialize, Serialize};
 
@@ -107,8 +107,9 @@
     async fn ended(cell: CellKey, run: RunKey, end: RunEnd);
     /// What the sender relays; what it relayed before and doesn't name is over.
     async fn restate(restatement: Restatement);
-    /// Tells the home of a cell that the sender has reason to doubt an engine.
-    async fn doubt(cell: CellKey, engine: UpstreamKey);
+    /// Tells the home of a cell that the sender has reason to doubt an engine, and what became of what
+    /// it had sent there.
+    async fn doubt(cell: CellKey, engine: UpstreamKey, verdict: Verdict);
     /// The home of a cell asks the relaying host to carry a generation to another engine.
     async fn carry(run: RunKey, to: UpstreamKey) -> CarryAnswer;
     /// Asks the home of a cold upstream for a start there.
