--- a/crates/cluster/src/lib.rs
+++ b/crates/cluster/src/lib.rs
@@ -1,6 +1,7 @@
 //! What entry hosts agree on: who is alive, who is home of what, the configuration in force, and
 //! which submissions have been claimed.
 
+mod circuit_breakers;
 mod claims;
 mod clock;
 mod configuration;
@@ -13,18 +14,18 @@
 mod node;
 mod orders;
 mod permits;
+pub mod poison;
 mod progress;
 mod publish;
-mod quarantine;
 mod safeguard;
 mod server;
 mod spread;
 mod swim;
 
+pub use circuit_breakers::{CRASH_HOMES, CircuitBreakers, Evaluation};
 pub use claims::{ClaimError, ClaimLog, ClaimSettings};
 pub use clock::Clock;
 pub use configuration::{ChangeKind, Entry, InForce, Parts, Root};
-pub use crashes::Quarantined;
 pub use engines::{Engines, HttpEngines};
 pub use homes::EngineSeen;
 pub use lease::{LEASE_MS, Lease, LeaseRecord, ORDER_MS, Turn};
@@ -32,6 +33,6 @@
 pub use node::{Generations, Node, NodeSettings, StartError};
 pub use orders::{Orderer, Wanted};
 pub use permits::{NotGranted, Permit, PermitRequest};
+pub use poison::Quarantined;
 pub use publish::{Change, PublishError, Publisher};
-pub use quarantine::{ANOTHER_RUNS_MS, CRASH_HOMES, JUDGE_PERIOD, Judgement, Quarantine};
 pub use safeguard::{Safeguard, UnknownSafeguard};
--- a/crates/cluster/src/node.rs
+++ b/crates/cluster/src/node.rs
@@ -22,6 +22,7 @@
 use tokio::net::TcpListener;
 use xxhash_rust::xxh3::xxh3_64;
 
+use crate::circuit_breakers::CircuitBreakers;
 use crate::claims::{ClaimLog, ClaimSettings};
 use crate::clock::Clock;
 use crate::configuration::InForce;
@@ -31,7 +32,6 @@
 use crate::members::Members;
 use crate::permits::Held;
 use crate::publish::{Change, PublishError, Publisher};
-use crate::quarantine::Quarantine;
 use crate::safeguard::Safeguard;
 
 /// What a node must know of itself.
@@ -93,7 +93,7 @@
     pub(crate) host_list: Arc<dyn HostList>,
     pub(crate) engines: Arc<dyn Engines>,
     pub(crate) claims: ClaimLog,
-    pub(crate) quarantine: Quarantine,
+    pub(crate) circuit_breakers: CircuitBreakers,
     pub(crate) generations: OnceLock<Arc<dyn Generations>>,
     pub(crate) leaving: AtomicBool,
 }
@@ -131,7 +131,7 @@
             peers: Peers::new(crate::server::client),
             documents: Documents::new(settings.without == Some(Safeguard::RevisionGrows)),
             claims: ClaimLog::new(object_api.clone(), settings.claims),
-            quarantine: Quarantine::default(),
+            circuit_breakers: CircuitBreakers::default(),
             object_api,
             host_list,
             engines,
--- a/crates/cluster/src/server.rs
+++ b/crates/cluster/src/server.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
-use fulmarpath_policy::{Ask, AskId, ContentKey, HostKey, OrganisationKey, Ruling, UpstreamKey};
+use fulmarpath_policy::{Ask, AskId, Circuit, ContentKey, HostKey, OrganisationKey, UpstreamKey};
 use fulmarpath_wire::{
     AskAnswer, AskReply, ClaimAnswer, ClaimAsk, Document, FetchAnswer, LimitAnswer, Peer,
     PeerClient, PermitId, Ping, Pong, Progress, ProgressReply, SlotAsk, framed,
@@ -15,6 +15,7 @@
 use tokio::net::{TcpListener, TcpStream};
 
 use crate::node::Node;
+use crate::poison;
 
 /// A client of the peer at the other end of a connection.
 pub(crate) fn client(socket: TcpStream) -> PeerClient {
@@ -116,20 +117,20 @@
         self.node.claims.claim(claim).await
     }
 
-    async fn strike(self, _: Context, content: ContentKey, crash: UpstreamKey) {
-        self.node.hear_strike(content, crash);
+    async fn report_crash(self, _: Context, content: ContentKey, crash: UpstreamKey) {
+        poison::hear_crash(&self.node.as_circuit_host(), content, crash);
     }
 
-    async fn may_try(self, _: Context, content: ContentKey) -> bool {
-        self.node.grant(content)
+    async fn may_probe(self, _: Context, content: ContentKey) -> bool {
+        poison::grant_probe(self.node.as_ref(), content)
     }
 
-    async fn clear(self, _: Context, content: ContentKey) {
-        self.node.hear_clear(content);
+    async fn report_success(self, _: Context, content: ContentKey) {
+        poison::hear_success(&self.node.as_circuit_host(), content);
     }
 
-    async fn exchange_rulings(self, _: Context, rulings: Vec<Ruling>) -> Vec<Ruling> {
-        self.node.answer_rulings(rulings)
+    async fn exchange_circuits(self, _: Context, circuits: Vec<Circuit>) -> Vec<Circuit> {
+        poison::answer_circuits(self.node.as_ref(), circuits)
     }
 
     async fn fetch(
--- a/crates/cluster/src/spread.rs
+++ b/crates/cluster/src/spread.rs
@@ -16,6 +16,7 @@
 
 use crate::configuration::{InForce, ROOT_KEY, Root, part_hash, part_key};
 use crate::node::Node;
+use crate::poison::exchange_circuits;
 use crate::safeguard::Safeguard;
 
 /// Watchers in each data centre; their number doesn't grow with the fleet.
@@ -271,8 +272,8 @@
             return;
         }
         let mine = self.versions();
-        if theirs.rulings != mine.rulings {
-            self.exchange_rulings(peer).await;
+        if theirs.circuits != mine.circuits {
+            exchange_circuits(self.as_ref(), peer).await;
         }
         let newer = [
             (Document::Root, theirs.root > mine.root),
--- a/crates/cluster/src/swim.rs
+++ b/crates/cluster/src/swim.rs
@@ -68,7 +68,7 @@
     /// The versions of what this host holds.
     pub(crate) fn versions(&self) -> Versions {
         Versions {
-            rulings: self.quarantine.digest(self.clock.now_ms()),
+            circuits: self.circuit_breakers.digest(self.clock.now_ms()),
             ..self.documents.versions()
         }
     }
@@ -111,7 +111,7 @@
         let mine = self.versions();
         let theirs_are_newer =
             ping.versions.root > mine.root || ping.versions.host_list > mine.host_list;
-        if theirs_are_newer || ping.versions.rulings != mine.rulings {
+        if theirs_are_newer || ping.versions.circuits != mine.circuits {
             let node = self.clone();
             let theirs = ping.versions;
             tokio::spawn(async move { node.compare(address, theirs).await });
--- a/crates/entry/src/crash.rs
+++ b/crates/entry/src/crash.rs
@@ -17,9 +17,9 @@
 /// Engines that may end under one generation until it is given up. Without a bound its host took it to
 /// every engine in turn, and each ended with all that ran there.
 const MOST_ENDED: u32 = 3;
-/// After the second of them the homes' ruling is waited for, which stands some 400 ms after the
+/// After the second of them the homes' decision is waited for, which stands some 400 ms after the
 /// reports; a caller whose answer had not begun can bear that.
-const RULING_WAIT: Duration = Duration::from_millis(700);
+const CIRCUIT_WAIT: Duration = Duration::from_millis(700);
 
 impl Driver {
     /// Whether the generation may begin to run, by what its content has done to engines.
@@ -43,7 +43,8 @@
             return true;
         }
         let (service, content) = (self.job.request.service, self.job.content);
-        self.drivers.node.blame(service, content, permit.upstream);
+        let node = &self.drivers.node;
+        node.report_ended(service, content, permit.upstream);
         self.ended_engines += 1;
         if self.ended_engines >= MOST_ENDED {
             let name = self.job.generation.name();
@@ -51,7 +52,7 @@
             return false;
         }
         if self.ended_engines + 1 == MOST_ENDED {
-            sleep(RULING_WAIT).await;
+            sleep(CIRCUIT_WAIT).await;
         }
         true
     }
--- a/crates/entry/src/drive.rs
+++ b/crates/entry/src/drive.rs
@@ -147,7 +147,7 @@
             match self.stay(stream, &permit).await {
                 Relayed::Whole(finish) => {
                     let (service, content) = (self.job.request.service, self.job.content);
-                    self.drivers.node.vindicate(service, content);
+                    self.drivers.node.note_success(service, content);
                     permit.finish();
                     return End::Whole(finish);
                 }
--- a/crates/entry/src/plain.rs
+++ b/crates/entry/src/plain.rs
@@ -101,7 +101,7 @@
             Ok(answer) => {
                 // A sick instance fails what it has not run.
                 if answer.status.is_success() {
-                    entry.node.vindicate(request.key(), content);
+                    entry.node.note_success(request.key(), content);
                 }
                 return Ok(answer);
             }
@@ -109,7 +109,7 @@
             Err(PlainError::OutcomeUnknown(_)) => {
                 has_leave = false;
                 if !instance.is_there().await {
-                    entry.node.blame(request.key(), content, *upstream);
+                    entry.node.report_ended(request.key(), content, *upstream);
                 }
                 if entry.node.has(Safeguard::NotRunProof) {
                     unsent = None;
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -138,7 +138,7 @@
         let exchanged = tokio::select! {
             exchanged = exchange => exchanged,
             () = lost.cancelled() => {
-                flight.judge(Verdict::Unheard);
+                flight.note(Verdict::Unheard);
                 self.note_broken(BrokenRun::new(&flight.chosen, inquiry, id, None));
                 return Err(Failure::Unknown);
             }
@@ -146,23 +146,23 @@
         let response = match exchanged {
             Ok(Ok(response)) => response,
             Ok(Err(HttpError::Unreachable { .. })) => {
-                flight.judge(Verdict::Failed);
+                flight.note(Verdict::Failed);
                 return Err(Failure::Unsent);
             }
             Ok(Err(_)) => {
-                flight.judge(Verdict::Failed);
+                flight.note(Verdict::Failed);
                 self.note_broken(BrokenRun::new(&flight.chosen, inquiry, id, None));
                 return Err(Failure::Unknown);
             }
             Err(_) => {
-                flight.judge(Verdict::Failed);
+                flight.note(Verdict::Failed);
                 return Err(Failure::Overdue);
             }
         };
         let head = self.dialect.answer(response.status(), response.headers());
         let now_ms = self.clock.now_ms();
         if head.is_not_run {
-            flight.judge(Verdict::Shed);
+            flight.note(Verdict::Shed);
             self.instances.spare_until(now_ms + FULL_MS, key);
             if response.status() == StatusCode::MISDIRECTED_REQUEST {
                 self.instances.leave(key);
@@ -171,7 +171,7 @@
         }
         // An upstream may send one answer too many; its id tells which request it belongs to.
         if head.id.as_deref() != Some(id) {
-            flight.judge(Verdict::Failed);
+            flight.note(Verdict::Failed);
             return Err(Failure::Unknown);
         }
         if head.is_closing {
--- a/crates/gateway/src/crashes.rs
+++ b/crates/gateway/src/crashes.rs
@@ -58,13 +58,13 @@
     /// An upstream broke off a run: looks whether the upstream itself has ended.
     ///
     /// A connection that was reset and an upstream that ended look alike from the connection.
-    /// Taken for each other, requests would be blamed for what a link does.
+    /// Taken for each other, requests would be suspected for what a link does.
     pub(crate) fn note_broken(self: &Arc<Self>, run: BrokenRun) {
         let gateway = self.clone();
         tokio::spawn(async move {
             if gateway.has_ended(&run.chosen).await {
                 gateway.note_crash(&run);
-                gateway.blame(&run);
+                gateway.report_broken(&run);
             }
         });
     }
--- a/crates/gateway/src/encoding.rs
+++ b/crates/gateway/src/encoding.rs
@@ -26,7 +26,7 @@
         Holding::Upstreams
         | Holding::Configuration
         | Holding::Members
-        | Holding::Rulings
+        | Holding::Circuits
         | Holding::Evacuations => true,
         Holding::Blindness => false,
     }
--- a/crates/gateway/src/fleet.rs
+++ b/crates/gateway/src/fleet.rs
@@ -10,6 +10,7 @@
 use std::time::Duration;
 
 use fulmarpath_cluster::Members;
+use fulmarpath_cluster::poison::exchange_circuits;
 use fulmarpath_policy::{Drift, HostKey, Join, Lag, Millis};
 use fulmarpath_wire::{
     GatewayPeerClient, Holding, MemberNote, MemberState, MembersDigest, Peers, Ping, Pong, Rumour,
@@ -136,7 +137,7 @@
         Versions {
             root: self.version(),
             host_list: self.roster.lock().revision(),
-            rulings: self.quarantine.digest(self.clock.now_ms()),
+            circuits: self.circuit_breakers.digest(self.clock.now_ms()),
             evacuations: self.evacuations.lock().revision(),
         }
     }
@@ -274,8 +275,8 @@
         if self.drifts_from(members) {
             self.exchange_members(peer).await;
         }
-        if theirs.rulings != self.versions().rulings {
-            self.exchange_rulings(peer).await;
+        if theirs.circuits != self.versions().circuits {
+            exchange_circuits(self, peer).await;
         }
     }
 
--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -148,7 +148,7 @@
                             self.announce_configuration();
                         }
                     }
-                    self.read_bars().await;
+                    self.read_circuits().await;
                 }
                 Err(StoreError::HistoryGone { .. }) => revision = None,
                 Err(error) => {
@@ -243,9 +243,11 @@
 
     /// Reads the configuration once, where no peer has told it.
     async fn read_configuration(self: &Arc<Self>) {
-        // Before the configuration, with which this host begins to serve.
-        self.read_evacuations().await;
-        let listed = self.metadata.configuration.list(Freshness::MayBeOld).await;
+        // With the configuration this host begins to serve, so the evacuations have to be known by then.
+        let (listed, ()) = tokio::join!(
+            self.metadata.configuration.list(Freshness::MayBeOld),
+            self.read_evacuations()
+        );
         self.metrics.store_call("configuration", outcome(&listed));
         match listed {
             Ok(all) => {
@@ -253,7 +255,7 @@
                 for configuration in all.items {
                     self.adopt(configuration, "the store, maybe old");
                 }
-                self.read_bars().await;
+                self.read_circuits().await;
             }
             Err(error) => {
                 self.metrics.store_failures.inc();
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -49,7 +49,7 @@
             Ok(inquiry) => inquiry,
             Err(problem) => return self.decline(journey, problem),
         };
-        if let Err(problem) = self.bar(&inquiry) {
+        if let Err(problem) = self.refuse_if_open(&inquiry) {
             return self.decline(journey, problem);
         }
         self.count_request(arrived_ms, &inquiry.service);
@@ -86,7 +86,7 @@
         match answer {
             Ok(whole) => {
                 if whole.status.is_success() {
-                    self.vindicate(&inquiry);
+                    self.note_success(&inquiry);
                 }
                 journey.end("answered", whole.status.as_u16());
                 pass_on(whole)
@@ -104,7 +104,7 @@
         let mut runs = 0;
         let mut unrun = 0;
         let mut failed_answer = None;
-        let mut has_leave = false;
+        let mut is_admitted = false;
         let mut problem = Problem::NoUpstream;
         loop {
             let now_ms = self.clock.now_ms();
@@ -120,7 +120,7 @@
             if !tried.is_empty() && !self.may_retry(now_ms, &inquiry.service) {
                 break;
             }
-            if !std::mem::replace(&mut has_leave, true)
+            if !std::mem::replace(&mut is_admitted, true)
                 && let Err(refused) = self.admit(inquiry).await
             {
                 problem = refused;
@@ -146,7 +146,7 @@
                 Ok(whole) if whole.status.is_server_error() && may_run_again => {
                     failed_answer = Some(whole);
                     runs += 1;
-                    has_leave = false;
+                    is_admitted = false;
                     continue;
                 }
                 Ok(whole) => return Ok(whole),
@@ -161,7 +161,7 @@
                 continue;
             }
             runs += 1;
-            has_leave = false;
+            is_admitted = false;
             problem = failure.problem();
             if !inquiry.may_run_again(runs) {
                 break;
@@ -232,21 +232,21 @@
         let body = match collected {
             Ok(Ok(body)) => body.to_bytes(),
             Ok(Err(_)) => {
-                flight.judge(Verdict::Failed);
+                flight.note(Verdict::Failed);
                 return Err(Failure::Unknown);
             }
             Err(_) => {
-                flight.judge(Verdict::Failed);
+                flight.note(Verdict::Failed);
                 return Err(Failure::Overdue);
             }
         };
         // Without a signature a success isn't the upstream's own.
         if parts.status.is_success() && !head.is_signed {
-            flight.judge(Verdict::Failed);
+            flight.note(Verdict::Failed);
             return Err(Failure::Unknown);
         }
         let is_failure = parts.status.is_server_error();
-        flight.judge(if is_failure {
+        flight.note(if is_failure {
             Verdict::Failed
         } else {
             Verdict::Good
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 
 use arc_swap::ArcSwapOption;
-use fulmarpath_cluster::{Clock, Quarantine};
+use fulmarpath_cluster::{CircuitBreakers, Clock};
 use fulmarpath_http::ConnectionRules;
 use fulmarpath_policy::{ColdBound, Evacuations, Millis, RetryBound, RetryWindow};
 use parking_lot::Mutex;
@@ -53,7 +53,7 @@
 
 /// One host's gateway.
 ///
-/// Lock order: roster, evacuations, instances, cells, runs, crashes, rulings, members, retries, retry bound; none is held
+/// Lock order: roster, evacuations, instances, cells, runs, crashes, circuits, members, retries, retry bound; none is held
 /// across an await.
 pub struct Gateway {
     pub(crate) settings: GatewaySettings,
@@ -71,7 +71,7 @@
     pub(crate) duties: Duties,
     pub(crate) looks: Looks,
     pub(crate) spread: Spread,
-    pub(crate) quarantine: Quarantine,
+    pub(crate) circuit_breakers: CircuitBreakers,
     pub(crate) skipped: Skipped,
     pub(crate) control: Arc<dyn EngineControl>,
     in_force: ArcSwapOption<InForce>,
@@ -81,7 +81,7 @@
     adopted_ms: AtomicU64,
     /// When the process ends, once it was told to; 0 before.
     ends_ms: AtomicU64,
-    pub(crate) has_read_bars: AtomicBool,
+    pub(crate) has_read_circuits: AtomicBool,
 }
 
 impl Gateway {
@@ -104,7 +104,7 @@
             duties: Duties::default(),
             looks: Looks::default(),
             spread: Spread::default(),
-            quarantine: Quarantine::default(),
+            circuit_breakers: CircuitBreakers::default(),
             skipped: Skipped::default(),
             control,
             dialect,
@@ -118,7 +118,7 @@
             retry_bound: Mutex::new(settings.retries),
             adopted_ms: AtomicU64::new(0),
             ends_ms: AtomicU64::new(0),
-            has_read_bars: AtomicBool::new(false),
+            has_read_circuits: AtomicBool::new(false),
             settings,
         }
     }
@@ -268,7 +268,7 @@
             upstreams_age_ms: age(upstreams_heard_ms),
             upstreams: upstreams as i64,
             hosts: hosts as i64,
-            quarantined: self.quarantine.restricted() as i64,
+            quarantined: self.circuit_breakers.restricted() as i64,
             evacuated: self.evacuated_count() as i64,
             cold: self.cold_count() as i64,
             retries_left: left.collect(),
--- a/crates/gateway/src/journey.rs
+++ b/crates/gateway/src/journey.rs
@@ -204,7 +204,7 @@
     }
 
     /// How the exchange went.
-    pub(crate) fn judge(&mut self, verdict: Verdict) {
+    pub(crate) fn note(&mut self, verdict: Verdict) {
         self.verdict = verdict;
     }
 }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -5,7 +5,6 @@
 //! writes heads, [`Metadata`] reads the operator's and the upstreams' own entries.
 
 mod attempt;
-mod bars;
 mod carry;
 mod cells;
 mod cold;
@@ -34,9 +33,9 @@
 mod metadata;
 mod metrics;
 mod peer;
+mod poison;
 mod presence;
 mod problem;
-mod quarantine;
 mod record;
 mod recovery;
 mod relay;
@@ -47,6 +46,7 @@
 mod spread;
 mod standing;
 mod start;
+mod stored_circuits;
 mod stream;
 mod unusable;
 
@@ -61,8 +61,8 @@
     AnswerHead, Continuation, Dialect, GenerationHead, HeadError, Outbound, PromptPart, RequestHead,
 };
 pub use metadata::{
-    BarRegistry, Change, Changes, Collection, Freshness, HostRegistry, KeptBar, Metadata, Snapshot,
-    StoreError, Unusable,
+    Change, Changes, CircuitRegistry, Collection, Freshness, HostRegistry, Metadata, Snapshot,
+    StoreError, StoredCircuit, Unusable,
 };
 pub use presence::{Presence, Present};
 pub use problem::Problem;
--- a/crates/gateway/src/metadata.rs
+++ b/crates/gateway/src/metadata.rs
@@ -99,26 +99,26 @@
     async fn unregister(&self, name: &str) -> Result<(), StoreError>;
 }
 
-/// A bar of a content that ends upstreams, as the store keeps it.
+/// An open circuit of a content that ends upstreams, as the store keeps it.
 #[derive(Debug, Clone, PartialEq, Eq)]
-pub struct KeptBar {
+pub struct StoredCircuit {
     /// The content.
     pub content: ContentKey,
-    /// How often it was barred.
-    pub bars: u32,
+    /// How often it was opened.
+    pub openings: u32,
     /// The latest upstreams that ended under it.
     pub crashes: Vec<UpstreamKey>,
-    /// When it was barred, in Unix milliseconds by the home's clock.
+    /// When it was opened, in Unix milliseconds by the home's clock.
     pub since_unix_ms: u64,
 }
 
-/// Where bars are kept.
+/// Where open circuits are stored.
 #[async_trait]
-pub trait BarRegistry: Send + Sync {
-    /// Writes a bar, over an older one of the same content.
-    async fn keep(&self, bar: &KeptBar) -> Result<(), StoreError>;
-    /// Removes the bar of a content; harmless where there is none.
-    async fn lift(&self, content: ContentKey) -> Result<(), StoreError>;
+pub trait CircuitRegistry: Send + Sync {
+    /// Writes a circuit, over an older one of the same content.
+    async fn store(&self, circuit: &StoredCircuit) -> Result<(), StoreError>;
+    /// Removes the circuit of a content; harmless where there is none.
+    async fn remove(&self, content: ContentKey) -> Result<(), StoreError>;
 }
 
 /// The platform's metadata store.
@@ -133,8 +133,8 @@
     pub hosts: Box<dyn Collection<HostRegistration>>,
     /// Where this host writes its own entry.
     pub registry: Box<dyn HostRegistry>,
-    /// Bars of contents.
-    pub bars: Box<dyn Collection<KeptBar>>,
+    /// Open circuits of contents.
+    pub circuits: Box<dyn Collection<StoredCircuit>>,
     /// Where they are written.
-    pub bar_registry: Box<dyn BarRegistry>,
+    pub circuit_registry: Box<dyn CircuitRegistry>,
 }
--- a/crates/gateway/src/peer.rs
+++ b/crates/gateway/src/peer.rs
@@ -2,8 +2,9 @@
 
 use std::sync::Arc;
 
+use fulmarpath_cluster::poison;
 use fulmarpath_policy::{
-    ContentKey, Placement, PlacementRequest, Ruling, RunEnd, RunKey, UpstreamKey, Verdict,
+    Circuit, ContentKey, Placement, PlacementRequest, RunEnd, RunKey, UpstreamKey, Verdict,
 };
 use fulmarpath_wire::{
     Announcement, CarryAnswer, CellKey, GatewayPeer, GatewayPeerClient, Holding, MembersDigest,
@@ -88,7 +89,7 @@
                 held.map_or(Ok(Vec::new()), |held| encode(holding, &held.configuration))
             }
             Holding::Evacuations => encode(holding, &self.gateway.evacuations.lock().state()),
-            Holding::Upstreams | Holding::Blindness | Holding::Members | Holding::Rulings => {
+            Holding::Upstreams | Holding::Blindness | Holding::Members | Holding::Circuits => {
                 Ok(Vec::new())
             }
         };
@@ -145,23 +146,23 @@
         self.gateway.grant_cold_start(upstream)
     }
 
-    async fn strike(self, _: Context, content: ContentKey, upstream: UpstreamKey) {
-        self.count("strike");
-        self.gateway.hear_strike(content, upstream);
+    async fn report_crash(self, _: Context, content: ContentKey, upstream: UpstreamKey) {
+        self.count("report_crash");
+        poison::hear_crash(&self.gateway.as_circuit_host(), content, upstream);
     }
 
-    async fn may_try(self, _: Context, content: ContentKey) -> bool {
-        self.count("may_try");
-        self.gateway.grant(content)
+    async fn may_probe(self, _: Context, content: ContentKey) -> bool {
+        self.count("may_probe");
+        poison::grant_probe(self.gateway.as_ref(), content)
     }
 
-    async fn clear(self, _: Context, content: ContentKey) {
-        self.count("clear");
-        self.gateway.hear_clear(content);
+    async fn report_success(self, _: Context, content: ContentKey) {
+        self.count("report_success");
+        poison::hear_success(&self.gateway.as_circuit_host(), content);
     }
 
-    async fn exchange_rulings(self, _: Context, rulings: Vec<Ruling>) -> Vec<Ruling> {
-        self.count("exchange_rulings");
-        self.gateway.answer_rulings(rulings)
+    async fn exchange_circuits(self, _: Context, circuits: Vec<Circuit>) -> Vec<Circuit> {
+        self.count("exchange_circuits");
+        poison::answer_circuits(self.gateway.as_ref(), circuits)
     }
 }
--- /dev/null
+++ b/crates/gateway/src/poison.rs
@@ -0,0 +1,128 @@
+//! Poison requests, as gateways hold them back together.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use async_trait::async_trait;
+use fulmarpath_cluster::poison::{self, CircuitHost};
+use fulmarpath_cluster::{CRASH_HOMES, CircuitBreakers};
+use fulmarpath_policy::{Admission, Circuit, ContentKey, HostKey, Millis, ServiceKey, UpstreamKey};
+use fulmarpath_wire::{GatewayPeerClient, Holding, MemberNote, NoAnswer};
+
+use crate::crashes::BrokenRun;
+use crate::encoding::{EncodingError, decode};
+use crate::gateway::Gateway;
+use crate::intake::Inquiry;
+use crate::problem::Problem;
+
+#[async_trait]
+impl CircuitHost for Gateway {
+    fn breakers(&self) -> &CircuitBreakers {
+        &self.circuit_breakers
+    }
+
+    fn now_ms(&self) -> Millis {
+        self.clock.now_ms()
+    }
+
+    fn key(&self) -> HostKey {
+        self.host_key()
+    }
+
+    fn crash_homes(&self, service: ServiceKey) -> Vec<(HostKey, MemberNote)> {
+        let members = self.fleet.members.lock();
+        members.homes_of(service.0, CRASH_HOMES)
+    }
+
+    async fn report_crash(
+        &self,
+        home: SocketAddr,
+        content: ContentKey,
+        upstream: UpstreamKey,
+    ) -> Result<(), NoAnswer> {
+        let call = |client: GatewayPeerClient, context| async move {
+            client.report_crash(context, content, upstream).await
+        };
+        self.fleet.peers.call(home, call).await
+    }
+
+    async fn report_success(&self, home: SocketAddr, content: ContentKey) -> Result<(), NoAnswer> {
+        let call = |client: GatewayPeerClient, context| async move {
+            client.report_success(context, content).await
+        };
+        self.fleet.peers.call(home, call).await
+    }
+
+    async fn ask_probe(&self, home: SocketAddr, content: ContentKey) -> Result<bool, NoAnswer> {
+        let call = |client: GatewayPeerClient, context| async move {
+            client.may_probe(context, content).await
+        };
+        self.fleet.peers.call(home, call).await
+    }
+
+    async fn swap_circuits(
+        &self,
+        peer: SocketAddr,
+        own: Vec<Circuit>,
+    ) -> Result<Vec<Circuit>, NoAnswer> {
+        let call = |client: GatewayPeerClient, context| async move {
+            client.exchange_circuits(context, own).await
+        };
+        self.fleet.peers.call(peer, call).await
+    }
+
+    fn tell_circuits(self: Arc<Self>, decided: &[Circuit]) {
+        for circuit in decided {
+            self.store_circuit(circuit);
+        }
+        self.announce(Holding::Circuits, &decided, self.everybody());
+    }
+}
+
+impl Gateway {
+    pub(crate) fn as_circuit_host(self: &Arc<Self>) -> Arc<dyn CircuitHost> {
+        self.clone()
+    }
+
+    /// Reports a run that may be what ended its upstream to the homes of its service.
+    pub(crate) fn report_broken(self: &Arc<Self>, run: &BrokenRun) {
+        if run.is_suspect() {
+            let service = ServiceKey::of(&run.service);
+            let host = self.as_circuit_host();
+            poison::report_crash(&host, service, run.content, run.upstream());
+        }
+    }
+
+    /// Takes a home's news.
+    pub(crate) fn take_circuits(&self, value: &[u8]) -> Result<(), EncodingError> {
+        poison::adopt_circuits(self, decode(Holding::Circuits, value)?, "a home");
+        Ok(())
+    }
+
+    /// Why a request may not be sent at all, where that is known without asking.
+    pub(crate) fn refuse_if_open(&self, inquiry: &Inquiry) -> Result<(), Problem> {
+        let admission = self
+            .circuit_breakers
+            .admit(self.clock.now_ms(), inquiry.content);
+        match admission {
+            Admission::Free | Admission::AskHome => Ok(()),
+            Admission::Refused { retry_after_ms } => Err(Problem::Quarantined { retry_after_ms }),
+        }
+    }
+
+    /// Whether a request may begin to run now. Where its content runs one at a time, this is the one
+    /// from then on.
+    pub(crate) async fn admit(&self, inquiry: &Inquiry) -> Result<(), Problem> {
+        let service = ServiceKey::of(&inquiry.service);
+        let admitted = poison::admit(self, service, inquiry.content).await;
+        admitted.map_err(|quarantined| Problem::Quarantined {
+            retry_after_ms: quarantined.retry_after_ms,
+        })
+    }
+
+    /// An upstream has answered a request with success.
+    pub(crate) fn note_success(self: &Arc<Self>, inquiry: &Inquiry) {
+        let service = ServiceKey::of(&inquiry.service);
+        poison::note_success(&self.as_circuit_host(), service, inquiry.content);
+    }
+}
--- a/crates/gateway/src/recovery.rs
+++ b/crates/gateway/src/recovery.rs
@@ -26,7 +26,7 @@
     /// Goes on after an engine was lost: from the running copy of its memory, or from the copy that
     /// a carry had made so far.
     pub(crate) async fn recover(&mut self) -> bool {
-        self.source.flight.judge(Verdict::Failed);
+        self.source.flight.note(Verdict::Failed);
         let broken = self.broken_run();
         let is_suspect = broken.is_suspect();
         self.gateway.note_broken(broken);
@@ -34,7 +34,7 @@
         if self.recoveries > RECOVERIES {
             return false;
         }
-        // One that has run for a while ended nothing, and goes on whatever is ruled on it.
+        // One that has run for a while ended nothing, and goes on whatever its circuit.
         if is_suspect && self.gateway.admit(&self.inquiry).await.is_err() {
             return false;
         }
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -203,7 +203,7 @@
     }
 
     fn give_up(&mut self, outcome: &'static str, broken: BodyBroken) -> BodyBroken {
-        self.source.flight.judge(Verdict::Failed);
+        self.source.flight.note(Verdict::Failed);
         self.journey.end(outcome, self.status);
         broken
     }
@@ -212,9 +212,9 @@
         if let Some(rest) = self.events.take_rest() {
             return Some(Ok(rest));
         }
-        self.source.flight.judge(Verdict::Good);
+        self.source.flight.note(Verdict::Good);
         if self.journey.events > 0 {
-            self.gateway.vindicate(&self.inquiry);
+            self.gateway.note_success(&self.inquiry);
         }
         self.ticket.is_whole = self.journey.events > 0 && self.inquiry.last_event.is_none();
         self.ticket.first_ms = self.journey.first_after_placed_ms();
--- a/crates/gateway/src/spread.rs
+++ b/crates/gateway/src/spread.rs
@@ -241,7 +241,7 @@
             Holding::Upstreams => self.take_change(&value),
             Holding::Blindness => self.hear_blindness(&value),
             Holding::Members => self.take_members(&value),
-            Holding::Rulings => self.take_rulings(&value),
+            Holding::Circuits => self.take_circuits(&value),
             Holding::Evacuations => self.take_evacuations(&value),
         };
         if let Err(error) = taken {
--- a/crates/gateway/src/start.rs
+++ b/crates/gateway/src/start.rs
@@ -116,7 +116,7 @@
         last_event: Option<u64>,
     ) -> Result<Started, Problem> {
         let mut problem = Problem::NoUpstream;
-        let mut has_leave = false;
+        let mut is_admitted = false;
         while tries.tried.len() < DISPATCHES {
             let now_ms = self.clock.now_ms();
             if now_ms >= inquiry.deadline_ms {
@@ -125,19 +125,19 @@
             if !tries.tried.is_empty() && !self.may_retry(now_ms, &inquiry.service) {
                 break;
             }
-            if !std::mem::replace(&mut has_leave, true) {
+            if !std::mem::replace(&mut is_admitted, true) {
                 self.admit(inquiry).await?;
             }
             let found = self.find_start(inquiry, ticket, journey, tries).await?;
             let Some(start) = found else { break };
             // It may have waited for room while others showed what it does.
-            self.bar(inquiry)?;
+            self.refuse_if_open(inquiry)?;
             tries.tried.push(start.chosen.clone());
             let tried = self.try_engine(inquiry, ticket, journey, start, last_event);
             let failure = match tried.await {
                 Ok(started) => {
                     tries.runs += 1;
-                    has_leave = false;
+                    is_admitted = false;
                     let has_failed = started.answer.response.status().is_server_error();
                     if !has_failed || !inquiry.may_run_again(tries.runs) {
                         return Ok(started);
@@ -148,7 +148,7 @@
                 Err(failure) => failure,
             };
             tries.runs += u32::from(!failure.is_not_run());
-            has_leave &= failure.is_not_run();
+            is_admitted &= failure.is_not_run();
             problem = failure.problem();
             let is_last = match failure {
                 Failure::Unsent | Failure::Shed => false,
--- /dev/null
+++ b/crates/gateway/src/stored_circuits.rs
@@ -0,0 +1,135 @@
+//! Stores open circuits, so that they outlive all hosts.
+//!
+//! Without this, three more upstreams would end after each loss of all hosts. Only open ones are stored: they
+//! are rare, a write each by both homes, and those hosts read them once after their start that read
+//! the configuration there.
+
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use fulmarpath_cluster::Clock;
+use fulmarpath_cluster::poison::adopt_circuits;
+use fulmarpath_policy::{Circuit, CircuitState, ContentKey, Millis};
+use fulmarpath_wire::Holding;
+use spdlog::warn;
+use tokio::time::sleep;
+
+use crate::follow::outcome;
+use crate::gateway::Gateway;
+use crate::metadata::{Freshness, StoreError, StoredCircuit};
+
+/// Between two tries to write while the store is away.
+const WRITE_PERIOD: Duration = Duration::from_secs(1);
+/// Tries: the store's longest outages are over by then, and the hosts know the circuit themselves.
+const WRITE_TRIES: u32 = 60;
+
+impl Gateway {
+    /// Stores what this host has decided as a home.
+    pub(crate) fn store_circuit(self: &Arc<Self>, circuit: &Circuit) {
+        let gateway = self.clone();
+        let circuit = circuit.clone();
+        match circuit.state {
+            CircuitState::HalfOpen => {}
+            CircuitState::Open => {
+                tokio::spawn(async move { gateway.write_circuit(circuit).await });
+            }
+            CircuitState::Closed if circuit.openings > 0 => {
+                tokio::spawn(async move { gateway.remove_circuit(circuit.content).await });
+            }
+            CircuitState::Closed => {}
+        }
+    }
+
+    async fn write_circuit(&self, circuit: Circuit) {
+        let (content, version) = (circuit.content, circuit.version);
+        let stored = stored(Clock::wall_ms(), circuit);
+        for _ in 0..WRITE_TRIES {
+            // Written late, it would stand there after the circuit was closed.
+            if self.circuit_breakers.version(content) != Some(version) {
+                return;
+            }
+            let written = self.metadata.circuit_registry.store(&stored).await;
+            if self.note_write(content, written) {
+                return;
+            }
+            sleep(WRITE_PERIOD).await;
+        }
+    }
+
+    async fn remove_circuit(&self, content: ContentKey) {
+        for _ in 0..WRITE_TRIES {
+            let removed = self.metadata.circuit_registry.remove(content).await;
+            if self.note_write(content, removed) {
+                return;
+            }
+            sleep(WRITE_PERIOD).await;
+        }
+    }
+
+    fn note_write(&self, content: ContentKey, written: Result<(), StoreError>) -> bool {
+        self.metrics.store_call("a_circuit", outcome(&written));
+        if let Err(error) = &written {
+            let content = content.0;
+            warn!("circuits: could not store the one of content {content:016x}: {error}");
+        }
+        written.is_ok()
+    }
+
+    /// Reads the open circuits once after this host's start, and tells its area.
+    pub(crate) async fn read_circuits(self: &Arc<Self>) {
+        if self.has_read_circuits.load(Ordering::Relaxed) {
+            return;
+        }
+        let listed = self.metadata.circuits.list(Freshness::Newest).await;
+        self.metrics.store_call("circuits", outcome(&listed));
+        match listed {
+            Ok(all) => {
+                self.has_read_circuits.store(true, Ordering::Relaxed);
+                self.skip_of_list("the circuits", &all);
+                let unix_ms = Clock::wall_ms();
+                let circuits = all.items.into_iter().map(|one| told(unix_ms, one));
+                let (old, circuits) = circuits.partition(Circuit::is_forgotten);
+                let news = adopt_circuits(self.as_ref(), circuits, "the store");
+                if !news.is_empty() {
+                    self.announce(Holding::Circuits, &news, self.neighbours());
+                }
+                self.remove_old(old).await;
+            }
+            Err(error) => warn!("circuits: they can't be read: {error}"),
+        }
+    }
+
+    async fn remove_old(&self, old: Vec<Circuit>) {
+        for circuit in old {
+            let removed = self.metadata.circuit_registry.remove(circuit.content).await;
+            self.note_write(circuit.content, removed);
+        }
+    }
+}
+
+fn stored(unix_ms: u64, circuit: Circuit) -> StoredCircuit {
+    StoredCircuit {
+        content: circuit.content,
+        openings: circuit.openings,
+        crashes: circuit.crashes,
+        since_unix_ms: unix_ms.saturating_sub(circuit.age_ms),
+    }
+}
+
+/// The version of a circuit that the store has told: any that hosts know goes before it.
+const TOLD_VERSION: u32 = 1;
+
+/// A clock that is ahead of the one that wrote it half-opens a circuit sooner by so much, one that is behind
+/// later: seconds of minutes.
+fn told(unix_ms: u64, stored: StoredCircuit) -> Circuit {
+    let age_ms: Millis = unix_ms.saturating_sub(stored.since_unix_ms);
+    Circuit {
+        content: stored.content,
+        version: TOLD_VERSION,
+        state: CircuitState::Open,
+        openings: stored.openings,
+        crashes: stored.crashes,
+        age_ms,
+    }
+}
--- a/crates/policy/src/quarantine/mod.rs
+++ b/crates/policy/src/circuit/mod.rs
@@ -1,79 +1,80 @@
-//! Requests that end whatever upstream begins to run them (queries of death), told by their content.
+//! Poison requests, which end whatever upstream begins to run them, told by their content and held back
+//! by a circuit breaker for each content.
 //!
 //! Such a request costs all that runs on an upstream each time its caller tries again, at any host.
 //! No host sees enough: the tries are new requests, each at another host and another upstream. So all
-//! hosts report to the home of a service who had just begun on an upstream that ended, the home rules
-//! on contents, and every host keeps the rulings.
+//! hosts report to the home of a service who had just begun on an upstream that ended, the home decides
+//! on each content's circuit, and every host keeps the circuits.
 //!
-//! Blame is shared by whoever began beside, so two crashes don't bar: they let one request of a
-//! content run at a time. One that is innocent ends well then and is free again; a third crash shows
-//! one that is not.
+//! Whoever began beside is suspected as well, so two crashes don't open a circuit: they half-open it,
+//! and one request of the content runs at a time, as a probe. One that does no harm ends well then and
+//! closes it; a third crash opens it.
 
-mod alibi;
+mod circuits;
 mod record;
-mod rulings;
+mod successes;
 
 use serde::{Deserialize, Serialize};
 
 use crate::key::{ContentKey, Millis, UpstreamKey};
 
-pub use alibi::Alibis;
+pub use circuits::Circuits;
 pub use record::CrashRecord;
-pub use rulings::Rulings;
+pub use successes::Successes;
 
 /// How requests of one content may run, in order of severity.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
-pub enum Standing {
+pub enum CircuitState {
     /// Like any other.
-    Free,
-    /// One at a time in the whole fleet, with leave of the home.
-    OneAtATime,
-    /// Not at all for a term, then one at a time.
-    Barred,
+    Closed,
+    /// One at a time in the whole fleet, as a probe that the home grants.
+    HalfOpen,
+    /// Not at all for a time, then one at a time.
+    Open,
 }
 
-impl Standing {
+impl CircuitState {
     /// What is told of it in logs.
     pub fn name(self) -> &'static str {
         match self {
-            Self::Free => "free",
-            Self::OneAtATime => "run one at a time",
-            Self::Barred => "barred",
+            Self::Closed => "closed",
+            Self::HalfOpen => "half-open",
+            Self::Open => "open",
         }
     }
 }
 
-/// What a home has decided on a content.
+/// The circuit of a content, as a home has decided.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Ruling {
+pub struct Circuit {
     /// The content.
     pub content: ContentKey,
-    /// Counts the rulings on this content; a later one replaces an earlier one.
-    pub turn: u32,
+    /// Counts the decisions on this content; a later one replaces an earlier one.
+    pub version: u32,
     /// How its requests may run.
-    pub standing: Standing,
-    /// How often it was barred; a free one keeps the number of its last bars.
-    pub bars: u32,
+    pub state: CircuitState,
+    /// How often it was opened; a closed one keeps the number.
+    pub openings: u32,
     /// The latest upstreams that ended under it.
     pub crashes: Vec<UpstreamKey>,
     /// Since the decision.
     pub age_ms: Millis,
 }
 
-impl Ruling {
+impl Circuit {
     /// Whether it is so old that no host keeps it.
     pub fn is_forgotten(&self) -> bool {
         self.age_ms >= FORGET_MS
     }
 
-    /// How long a bar lasts in all; 0 without one.
-    fn term_ms(&self) -> Millis {
-        if self.standing != Standing::Barred {
+    /// How long it is open in all; 0 where it isn't.
+    fn open_ms(&self) -> Millis {
+        if self.state != CircuitState::Open {
             return 0;
         }
-        let last = TERMS_MS.len() - 1;
-        let served = (self.bars as usize).saturating_sub(1);
-        TERMS_MS[served.min(last)]
+        let last = OPEN_MS.len() - 1;
+        let before = (self.openings as usize).saturating_sub(1);
+        OPEN_MS[before.min(last)]
     }
 }
 
@@ -82,11 +83,11 @@
 pub enum Admission {
     /// It may.
     Free,
-    /// It may if the home lets it be the one that runs.
+    /// It may if the home grants it as the probe.
     AskHome,
     /// It may not.
     Refused {
-        /// Until the bar ends.
+        /// Until the circuit is half-open.
         retry_after_ms: Millis,
     },
 }
@@ -102,17 +103,17 @@
     ran_ms.is_none_or(|ran_ms| ran_ms < BEGUN_MS)
 }
 
-/// Crashes after which a content runs one at a time: two may be chance, as where a caller's second
+/// Crashes after which a circuit is half-open: two may be chance, as where a caller's second
 /// try meets the same trouble as its first.
-const HOLD_CRASHES: usize = 2;
-/// Crashes after which a content is barred: the third came while it ran alone of its kind. Each one
+const HALF_OPEN_CRASHES: usize = 2;
+/// Crashes after which it is open: the third came while its content ran alone of its kind. Each one
 /// cuts what runs beside, one or two generations on an ordinary day, up to all slots on a full one.
-const BAR_CRASHES: usize = 3;
-/// Terms of the first, second and later bars. After each, one request shows whether upstreams bear
+const OPEN_CRASHES: usize = 3;
+/// How long it is open the first, second and later times. After each, one request shows whether upstreams bear
 /// the content by now, as with a new version; it costs an upstream where they don't, so three at the
 /// most are spent on a day.
-const TERMS_MS: [Millis; 3] = [300_000, 3_600_000, 86_400_000];
-/// After so long a ruling is forgotten: as long as the longest term.
+const OPEN_MS: [Millis; 3] = [300_000, 3_600_000, 86_400_000];
+/// After so long a circuit is forgotten: as long as one is open at the most.
 const FORGET_MS: Millis = 86_400_000;
-/// Crashes kept of a content. A bar takes three; more only tell more others that they are innocent.
+/// Crashes kept of a content. Opening takes three; more only clear more others.
 const MOST_CRASHES: usize = 8;
--- a/crates/policy/src/quarantine/record.rs
+++ b/crates/policy/src/circuit/record.rs
@@ -1,20 +1,20 @@
-//! What the home of a service knows of upstreams that ended, and how it rules.
+//! What the home of a service knows of upstreams that ended, and how it decides on circuits.
 
 use std::collections::HashMap;
 
-use crate::key::{ContentKey, Millis, UpstreamKey};
-use crate::quarantine::{
-    Admission, BAR_CRASHES, HOLD_CRASHES, MOST_CRASHES, Ruling, Rulings, Standing,
+use crate::circuit::{
+    Admission, Circuit, CircuitState, Circuits, HALF_OPEN_CRASHES, MOST_CRASHES, OPEN_CRASHES,
 };
+use crate::key::{ContentKey, Millis, UpstreamKey};
 
 /// After a crash its home waits so long before it counts it: the reports of one crash come from
 /// several hosts, some after a connection that is not refused but unanswered (250 ms). Counted at
-/// the first report, whoever is reported first would be blamed for the others. Each crash settles by
-/// itself: a caller who comes again sooner than this would put the ruling off for as long as he comes.
+/// the first report, whoever is reported first would be taken for the cause of the others. Each crash settles by
+/// itself: a caller who comes again sooner than this would put the decision off for as long as he comes.
 const SETTLE_MS: Millis = 300;
-/// How long one request of a content keeps others from running: until its first token and what may
-/// follow it on a crowded engine. Its end frees the content sooner.
-const TRIAL_MS: Millis = 5_000;
+/// How long a probe keeps others of its content from running: until its first token and what may
+/// follow it on a crowded engine. Its end lets the next one run sooner.
+const PROBE_MS: Millis = 5_000;
 /// A crash counts for so long. A caller that comes back later is like a new one.
 const CRASH_MS: Millis = 600_000;
 /// Contents that were reported, at most: some 1 MB. The oldest reports yield.
@@ -27,7 +27,7 @@
 struct Crash {
     upstream: UpstreamKey,
     reported_ms: Millis,
-    is_judged: bool,
+    is_evaluated: bool,
 }
 
 impl Crash {
@@ -40,7 +40,7 @@
 #[derive(Debug, Clone, Default)]
 struct Suspect {
     crashes: Vec<Crash>,
-    struck_ms: Millis,
+    reported_ms: Millis,
 }
 
 impl Suspect {
@@ -58,12 +58,12 @@
         self.crashes.push(crash);
     }
 
-    /// Whether a crash has settled that was not ruled on; it counts as ruled on from then on.
+    /// Whether a crash has settled that was not decided on; it counts as decided on from then on.
     fn take_due(&mut self, now_ms: Millis) -> bool {
         let mut is_due = false;
         for crash in &mut self.crashes {
-            if !crash.is_judged && crash.is_settled(now_ms) {
-                crash.is_judged = true;
+            if !crash.is_evaluated && crash.is_settled(now_ms) {
+                crash.is_evaluated = true;
                 is_due = true;
             }
         }
@@ -78,19 +78,19 @@
     /// Who ended an upstream, where that is known.
     explained: HashMap<UpstreamKey, ContentKey>,
     /// Until when one request of a content may be running.
-    trials: HashMap<ContentKey, Millis>,
+    probes: HashMap<ContentKey, Millis>,
 }
 
 impl CrashRecord {
     /// A request of this content had just begun on an upstream that ended.
-    pub fn strike(&mut self, now_ms: Millis, content: ContentKey, upstream: UpstreamKey) {
+    pub fn report(&mut self, now_ms: Millis, content: ContentKey, upstream: UpstreamKey) {
         let cause = self.explained.get(&upstream);
         if cause.is_some_and(|cause| *cause != content) {
             return;
         }
         self.make_room(now_ms);
         let suspect = self.suspects.entry(content).or_default();
-        if now_ms.saturating_sub(suspect.struck_ms) >= CRASH_MS {
+        if now_ms.saturating_sub(suspect.reported_ms) >= CRASH_MS {
             suspect.crashes.clear();
         }
         if suspect.was_on(upstream) {
@@ -99,13 +99,13 @@
         suspect.add(Crash {
             upstream,
             reported_ms: now_ms,
-            is_judged: false,
+            is_evaluated: false,
         });
-        suspect.struck_ms = now_ms;
+        suspect.reported_ms = now_ms;
     }
 
-    /// Rules on the contents whose reports have come; `rulings` has taken each of them.
-    pub fn judge(&mut self, now_ms: Millis, rulings: &mut Rulings) -> Vec<Ruling> {
+    /// Decides on the contents whose reports have come; `circuits` has taken each of them.
+    pub fn evaluate(&mut self, now_ms: Millis, circuits: &mut Circuits) -> Vec<Circuit> {
         let suspects = self.suspects.iter_mut();
         let due = suspects.filter_map(|(content, suspect)| {
             let is_due = suspect.take_due(now_ms);
@@ -115,15 +115,15 @@
         due.sort_unstable();
         let mut made = Vec::new();
         for content in due {
-            self.rule(now_ms, content, rulings, &mut made);
+            self.decide(now_ms, content, circuits, &mut made);
         }
         made
     }
 
-    /// Whether reports wait to be ruled on.
-    pub fn has_unjudged(&self) -> bool {
+    /// Whether reports wait to be decided on.
+    pub fn has_unevaluated(&self) -> bool {
         let crashes = self.suspects.values().flat_map(|one| &one.crashes);
-        crashes.into_iter().any(|crash| !crash.is_judged)
+        crashes.into_iter().any(|crash| !crash.is_evaluated)
     }
 
     /// A request of this content was answered whole: it is not what ends upstreams.
@@ -131,96 +131,96 @@
         &mut self,
         now_ms: Millis,
         content: ContentKey,
-        rulings: &mut Rulings,
-    ) -> Option<Ruling> {
-        self.trials.remove(&content);
+        circuits: &mut Circuits,
+    ) -> Option<Circuit> {
+        self.probes.remove(&content);
         self.explained.retain(|_, cause| *cause != content);
-        if let Some(innocent) = self.suspects.remove(&content) {
-            let upstreams = innocent.crashes.iter().map(|crash| crash.upstream);
-            self.judge_again(&upstreams.collect::<Vec<_>>(), rulings);
+        if let Some(cleared) = self.suspects.remove(&content) {
+            let upstreams = cleared.crashes.iter().map(|crash| crash.upstream);
+            self.evaluate_again(&upstreams.collect::<Vec<_>>(), circuits);
         }
-        free(now_ms, content, rulings)
+        close(now_ms, content, circuits)
     }
 
-    /// Who else was on these upstreams is the likelier cause now. One that is barred was taken for the
-    /// cause already: ruled on again when its term is over, it would get the next term for nothing new.
-    fn judge_again(&mut self, upstreams: &[UpstreamKey], rulings: &Rulings) {
+    /// Who else was on these upstreams is the likelier cause now. One whose circuit is open was taken
+    /// for the cause already: decided on again when it is half-open, it would open for longer for nothing new.
+    fn evaluate_again(&mut self, upstreams: &[UpstreamKey], circuits: &Circuits) {
         let others = self.suspects.iter_mut().filter(|(content, _)| {
-            let known = rulings.find(**content);
-            known.is_none_or(|known| known.standing != Standing::Barred)
+            let known = circuits.find(**content);
+            known.is_none_or(|known| known.state != CircuitState::Open)
         });
         for crash in others.flat_map(|(_, one)| &mut one.crashes) {
-            crash.is_judged &= !upstreams.contains(&crash.upstream);
+            crash.is_evaluated &= !upstreams.contains(&crash.upstream);
         }
     }
 
-    /// Whether a request of a content that runs one at a time may be the one.
-    pub fn grant(&mut self, now_ms: Millis, content: ContentKey) -> bool {
-        self.trials.retain(|_, until_ms| now_ms < *until_ms);
-        if self.trials.contains_key(&content) {
+    /// Whether a request of a content that runs one at a time may be the probe.
+    pub fn grant_probe(&mut self, now_ms: Millis, content: ContentKey) -> bool {
+        self.probes.retain(|_, until_ms| now_ms < *until_ms);
+        if self.probes.contains_key(&content) {
             return false;
         }
-        self.trials.insert(content, now_ms + TRIAL_MS);
+        self.probes.insert(content, now_ms + PROBE_MS);
         true
     }
 
-    fn rule(
+    fn decide(
         &mut self,
         now_ms: Millis,
         content: ContentKey,
-        rulings: &mut Rulings,
-        made: &mut Vec<Ruling>,
+        circuits: &mut Circuits,
+        made: &mut Vec<Circuit>,
     ) {
-        let Some(crashes) = self.crashes_of(now_ms, content, rulings) else {
+        let Some(crashes) = self.crashes_of(now_ms, content, circuits) else {
             return;
         };
-        let known = rulings.find(content).cloned();
-        let standing = match crashes.len() {
-            count if count >= BAR_CRASHES && !self.may_be_another(content, &crashes) => {
-                Standing::Barred
+        let known = circuits.find(content).cloned();
+        let state = match crashes.len() {
+            count if count >= OPEN_CRASHES && !self.may_be_another(content, &crashes) => {
+                CircuitState::Open
             }
-            count if count >= HOLD_CRASHES => Standing::OneAtATime,
+            count if count >= HALF_OPEN_CRASHES => CircuitState::HalfOpen,
             _ => return,
         };
-        let is_barred = matches!(rulings.admit(now_ms, content), Admission::Refused { .. });
-        if standing == Standing::Barred {
+        let is_open = matches!(circuits.admit(now_ms, content), Admission::Refused { .. });
+        if state == CircuitState::Open {
             self.explain(content, &crashes);
         }
-        // Requests that were on their way as it was barred change nothing.
-        if !is_barred && (standing == Standing::Barred || known.as_ref().is_none_or(is_free)) {
-            let restricted = known.as_ref().filter(|known| !is_free(known));
-            let bars = restricted.map_or(0, |known| known.bars);
-            let ruling = Ruling {
-                turn: known.map_or(1, |known| known.turn + 1),
-                bars: bars.saturating_add(u32::from(standing == Standing::Barred)),
+        // Requests that were on their way as it opened change nothing.
+        if !is_open && (state == CircuitState::Open || known.as_ref().is_none_or(is_closed)) {
+            let restricted = known.as_ref().filter(|known| !is_closed(known));
+            let openings = restricted.map_or(0, |known| known.openings);
+            let circuit = Circuit {
+                version: known.map_or(1, |known| known.version + 1),
+                openings: openings.saturating_add(u32::from(state == CircuitState::Open)),
                 crashes: crashes.clone(),
                 age_ms: 0,
                 content,
-                standing,
+                state,
             };
-            rulings.adopt(now_ms, ruling.clone());
-            made.push(ruling);
+            circuits.adopt(now_ms, circuit.clone());
+            made.push(circuit);
         }
-        if standing == Standing::Barred {
-            made.extend(self.acquit_others(now_ms, content, &crashes, rulings));
+        if state == CircuitState::Open {
+            made.extend(self.clear_others(now_ms, content, &crashes, circuits));
         }
     }
 
-    /// The settled, unexplained crashes of a content, with those of its ruling: a home that has just
+    /// The settled, unexplained crashes of a content, with those of its circuit: a home that has just
     /// become one has only that. `None` where nothing is left.
     fn crashes_of(
         &mut self,
         now_ms: Millis,
         content: ContentKey,
-        rulings: &Rulings,
+        circuits: &Circuits,
     ) -> Option<Vec<UpstreamKey>> {
         let suspect = self.suspects.get_mut(&content)?;
-        let ruled = rulings.find(content).filter(|known| !is_free(known));
-        for upstream in ruled.iter().flat_map(|known| &known.crashes) {
+        let decided = circuits.find(content).filter(|known| !is_closed(known));
+        for upstream in decided.iter().flat_map(|known| &known.crashes) {
             suspect.add(Crash {
                 upstream: *upstream,
                 reported_ms: 0,
-                is_judged: true,
+                is_evaluated: true,
             });
         }
         let settled = suspect.crashes.iter().filter(|one| one.is_settled(now_ms));
@@ -244,18 +244,18 @@
         self.explained.extend(causes);
     }
 
-    /// Takes back what others were blamed for of crashes whose cause is known now.
-    fn acquit_others(
+    /// Takes back what others were suspected of in crashes whose cause is known now.
+    fn clear_others(
         &mut self,
         now_ms: Millis,
-        culprit: ContentKey,
+        cause: ContentKey,
         crashes: &[UpstreamKey],
-        rulings: &mut Rulings,
-    ) -> Vec<Ruling> {
-        let mut acquitted = Vec::new();
+        circuits: &mut Circuits,
+    ) -> Vec<Circuit> {
+        let mut cleared = Vec::new();
         for (content, suspect) in &mut self.suspects {
-            let standing = rulings.find(*content).map(|known| known.standing);
-            if *content == culprit || standing == Some(Standing::Barred) {
+            let state = circuits.find(*content).map(|known| known.state);
+            if *content == cause || state == Some(CircuitState::Open) {
                 continue;
             }
             let before = suspect.crashes.len();
@@ -263,16 +263,16 @@
                 .crashes
                 .retain(|crash| !crashes.contains(&crash.upstream));
             let fell = suspect.crashes.len() < before;
-            if fell && suspect.crashes.len() < HOLD_CRASHES {
-                acquitted.push(*content);
+            if fell && suspect.crashes.len() < HALF_OPEN_CRASHES {
+                cleared.push(*content);
             }
         }
         self.suspects
             .retain(|_, suspect| !suspect.crashes.is_empty());
-        acquitted.sort_unstable();
-        let freed = acquitted.into_iter();
-        freed
-            .filter_map(|content| free(now_ms, content, rulings))
+        cleared.sort_unstable();
+        let closed = cleared.into_iter();
+        closed
+            .filter_map(|content| close(now_ms, content, circuits))
             .collect()
     }
 
@@ -281,32 +281,32 @@
             return;
         }
         self.suspects
-            .retain(|_, suspect| now_ms.saturating_sub(suspect.struck_ms) < CRASH_MS);
+            .retain(|_, suspect| now_ms.saturating_sub(suspect.reported_ms) < CRASH_MS);
         if self.suspects.len() < MOST_SUSPECTS {
             return;
         }
-        let oldest = self.suspects.iter().min_by_key(|(_, one)| one.struck_ms);
-        if let Some((content, _)) = oldest.map(|(content, one)| (*content, one.struck_ms)) {
+        let oldest = self.suspects.iter().min_by_key(|(_, one)| one.reported_ms);
+        if let Some((content, _)) = oldest.map(|(content, one)| (*content, one.reported_ms)) {
             self.suspects.remove(&content);
         }
     }
 }
 
-/// Lifts the ruling on a content, where there is one.
-fn free(now_ms: Millis, content: ContentKey, rulings: &mut Rulings) -> Option<Ruling> {
-    let known = rulings.find(content).filter(|known| !is_free(known))?;
-    let ruling = Ruling {
-        turn: known.turn + 1,
-        standing: Standing::Free,
-        bars: known.bars,
+/// Closes a content's circuit, where it isn't.
+fn close(now_ms: Millis, content: ContentKey, circuits: &mut Circuits) -> Option<Circuit> {
+    let known = circuits.find(content).filter(|known| !is_closed(known))?;
+    let circuit = Circuit {
+        version: known.version + 1,
+        state: CircuitState::Closed,
+        openings: known.openings,
         crashes: Vec::new(),
         age_ms: 0,
         content,
     };
-    rulings.adopt(now_ms, ruling.clone());
-    Some(ruling)
+    circuits.adopt(now_ms, circuit.clone());
+    Some(circuit)
 }
 
-fn is_free(ruling: &Ruling) -> bool {
-    ruling.standing == Standing::Free
+fn is_closed(circuit: &Circuit) -> bool {
+    circuit.state == CircuitState::Closed
 }
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -9,6 +9,7 @@
 mod branches;
 mod cell;
 mod choose;
+mod circuit;
 mod cold;
 mod division;
 mod drift;
@@ -28,7 +29,6 @@
 mod load;
 mod permit;
 mod pick;
-mod quarantine;
 mod queue;
 mod rendezvous;
 mod retry;
@@ -45,6 +45,9 @@
     RunStatement, Seen,
 };
 pub use choose::{Choice, choose};
+pub use circuit::{
+    Admission, Circuit, CircuitState, Circuits, CrashRecord, Successes, may_have_ended_it,
+};
 pub use cold::{Cold, ColdBound, ColdStarts};
 pub use division::Division;
 pub use drift::Drift;
@@ -62,9 +65,6 @@
 pub use limits::{Bounds, LimitTable, Over};
 pub use load::EngineLoad;
 pub use pick::{Candidate, Pick, pick};
-pub use quarantine::{
-    Admission, Alibis, CrashRecord, Ruling, Rulings, Standing, may_have_ended_it,
-};
 pub use queue::OrderRule;
 pub use rendezvous::{highest, rank};
 pub use retry::RetryBudget;
--- a/crates/policy/tests/quarantine.rs
+++ b/crates/policy/tests/circuit.rs
@@ -1,21 +1,22 @@
-//! Requests that end upstreams: who is blamed, who is let run, and for how long.
+//! Poison requests: who is suspected, who is let run, and for how long.
 
 use fulmarpath_policy::{
-    Admission, Alibis, ContentKey, CrashRecord, Millis, Ruling, Rulings, Standing, UpstreamKey,
+    Admission, Circuit, CircuitState, Circuits, ContentKey, CrashRecord, Millis, Successes,
+    UpstreamKey,
 };
 use rstest::rstest;
 
 /// After this the reports of a crash are in.
 const SETTLED_MS: Millis = 300;
-const FIRST_TERM_MS: Millis = 300_000;
+const FIRST_OPEN_MS: Millis = 300_000;
 const P: ContentKey = ContentKey(1);
 const X: ContentKey = ContentKey(2);
 
-/// A home with its rulings.
+/// A home with its circuits.
 #[derive(Default)]
 struct Home {
     record: CrashRecord,
-    rulings: Rulings,
+    circuits: Circuits,
     now_ms: Millis,
 }
 
@@ -24,60 +25,60 @@
     fn crash(&mut self, upstream: u64, contents: &[ContentKey]) {
         for content in contents {
             let upstream = UpstreamKey(upstream);
-            self.record.strike(self.now_ms, *content, upstream);
+            self.record.report(self.now_ms, *content, upstream);
         }
     }
 
-    fn settle(&mut self) -> Vec<Ruling> {
+    fn settle(&mut self) -> Vec<Circuit> {
         self.now_ms += SETTLED_MS;
-        self.record.judge(self.now_ms, &mut self.rulings)
+        self.record.evaluate(self.now_ms, &mut self.circuits)
     }
 
-    fn standing(&self, content: ContentKey) -> Standing {
-        let ruling = self.rulings.find(content);
-        ruling.map_or(Standing::Free, |ruling| ruling.standing)
+    fn state(&self, content: ContentKey) -> CircuitState {
+        let circuit = self.circuits.find(content);
+        circuit.map_or(CircuitState::Closed, |circuit| circuit.state)
     }
 
     fn admit(&self, content: ContentKey) -> Admission {
-        self.rulings.admit(self.now_ms, content)
+        self.circuits.admit(self.now_ms, content)
     }
 
-    fn clear(&mut self, content: ContentKey) -> Option<Ruling> {
-        self.record.clear(self.now_ms, content, &mut self.rulings)
+    fn clear(&mut self, content: ContentKey) -> Option<Circuit> {
+        self.record.clear(self.now_ms, content, &mut self.circuits)
     }
 }
 
 /// Who had begun on each of the upstreams that ended, and how the two contents stand then.
 struct Case {
     crashes: &'static [&'static [ContentKey]],
-    p: Standing,
-    x: Standing,
+    p: CircuitState,
+    x: CircuitState,
 }
 
 /// One request ends one upstream after another. Others begin beside it, some more than once; each
-/// crash blames all of them alike. The home has to find the one and let the others run.
+/// crash makes all of them suspects alike. The home has to find the one and let the others run.
 #[rstest]
-#[case::one_crash(Case { crashes: &[&[P, X]], p: Standing::Free, x: Standing::Free })]
-#[case::two_crashes(Case { crashes: &[&[P], &[P, X]], p: Standing::OneAtATime, x: Standing::Free })]
-#[case::three(Case { crashes: &[&[P], &[P], &[P]], p: Standing::Barred, x: Standing::Free })]
+#[case::one_crash(Case { crashes: &[&[P, X]], p: CircuitState::Closed, x: CircuitState::Closed })]
+#[case::two_crashes(Case { crashes: &[&[P], &[P, X]], p: CircuitState::HalfOpen, x: CircuitState::Closed })]
+#[case::three(Case { crashes: &[&[P], &[P], &[P]], p: CircuitState::Open, x: CircuitState::Closed })]
 #[case::beside_two_of_three(
-    Case { crashes: &[&[P, X], &[P, X], &[P]], p: Standing::Barred, x: Standing::Free }
+    Case { crashes: &[&[P, X], &[P, X], &[P]], p: CircuitState::Open, x: CircuitState::Closed }
 )]
 #[case::in_step(
-    Case { crashes: &[&[P, X], &[P, X], &[P, X]], p: Standing::OneAtATime, x: Standing::OneAtATime }
+    Case { crashes: &[&[P, X], &[P, X], &[P, X]], p: CircuitState::HalfOpen, x: CircuitState::HalfOpen }
 )]
 #[case::in_step_until_the_fourth(
     Case {
         crashes: &[&[P, X], &[P, X], &[P, X], &[P]],
-        p: Standing::Barred,
-        x: Standing::Free,
+        p: CircuitState::Open,
+        x: CircuitState::Closed,
     }
 )]
 #[case::two_that_end_upstreams(
     Case {
         crashes: &[&[P, X], &[P], &[X], &[P], &[X], &[X]],
-        p: Standing::Barred,
-        x: Standing::Barred,
+        p: CircuitState::Open,
+        x: CircuitState::Open,
     }
 )]
 fn finds_what_ends_upstreams(#[case] case: Case) {
@@ -90,13 +91,13 @@
             }
         }
         home.settle();
-        assert_eq!(home.standing(P), case.p, "at once: {all_at_once}");
-        assert_eq!(home.standing(X), case.x, "at once: {all_at_once}");
+        assert_eq!(home.state(P), case.p, "at once: {all_at_once}");
+        assert_eq!(home.state(X), case.x, "at once: {all_at_once}");
     }
 }
 
-/// Two requests were sent on in step and are blamed alike. One is let run and ends well: it is free
-/// at once, and the other one is barred without another crash.
+/// Two requests were sent on in step and are suspected alike. One is let run and ends well: its circuit
+/// closes at once, and the other one's opens without another crash.
 #[test]
 fn an_answer_tells_two_in_step_apart() {
     let mut home = Home::default();
@@ -105,19 +106,19 @@
     }
     home.settle();
     assert_eq!(home.admit(X), Admission::AskHome);
-    assert!(home.record.grant(home.now_ms, X));
-    let freed = home.clear(X).expect("it had a ruling");
-    assert_eq!(freed.standing, Standing::Free);
-    assert!(home.record.has_unjudged());
+    assert!(home.record.grant_probe(home.now_ms, X));
+    let freed = home.clear(X).expect("it had a circuit");
+    assert_eq!(freed.state, CircuitState::Closed);
+    assert!(home.record.has_unevaluated());
     home.settle();
-    assert_eq!(home.standing(P), Standing::Barred);
+    assert_eq!(home.state(P), CircuitState::Open);
 }
 
 /// A caller comes again four times a second, so that the next crash is reported before the one before has
 /// settled. Ruled on only once reports stop, its content ended whatever there was; each crash settles
 /// by itself.
 #[test]
-fn crashes_in_quick_succession_are_ruled_on() {
+fn crashes_in_quick_succession_are_decided_on() {
     let mut home = Home::default();
     let mut crashes = 0;
     while !matches!(home.admit(P), Admission::Refused { .. }) {
@@ -126,9 +127,9 @@
             crashes += 1;
         }
         home.now_ms += 50;
-        home.record.judge(home.now_ms, &mut home.rulings);
-        assert!(home.now_ms < 3_000, "{crashes} crashes and no bar");
-        if home.admit(P) == Admission::AskHome && home.record.grant(home.now_ms, P) {
+        home.record.evaluate(home.now_ms, &mut home.circuits);
+        assert!(home.now_ms < 3_000, "{crashes} crashes, and it is not open");
+        if home.admit(P) == Admission::AskHome && home.record.grant_probe(home.now_ms, P) {
             home.crash(crashes, &[P]);
             crashes += 1;
         }
@@ -143,9 +144,9 @@
     home.crash(0, &[P]);
     home.crash(1, &[P]);
     home.settle();
-    assert!(home.record.grant(home.now_ms, P));
-    assert!(!home.record.grant(home.now_ms + 4_999, P));
-    assert!(home.record.grant(home.now_ms + 5_000, P));
+    assert!(home.record.grant_probe(home.now_ms, P));
+    assert!(!home.record.grant_probe(home.now_ms + 4_999, P));
+    assert!(home.record.grant_probe(home.now_ms + 5_000, P));
     home.now_ms += 5_000;
     home.clear(P);
     assert_eq!(home.admit(P), Admission::Free);
@@ -159,10 +160,10 @@
         home.crash(7, &[P]);
     }
     home.settle();
-    assert_eq!(home.standing(P), Standing::Free);
+    assert_eq!(home.state(P), CircuitState::Closed);
 }
 
-/// A report that comes late, of a crash whose cause is known, blames nobody else.
+/// A report that comes late, of a crash whose cause is known, makes nobody else a suspect.
 #[test]
 fn a_known_cause_is_the_only_one() {
     let mut home = Home::default();
@@ -174,19 +175,19 @@
         home.crash(upstream, &[X]);
     }
     assert!(home.settle().is_empty());
-    assert_eq!(home.standing(X), Standing::Free);
+    assert_eq!(home.state(X), CircuitState::Closed);
 }
 
-/// Requests that were on their way as their content was barred end upstreams still. The term stays
+/// Requests that were on their way as their circuit opened end upstreams still. The time stays
 /// as it is; only a crash after it makes the next one longer.
 #[test]
-fn terms_grow_by_crashes_after_them() {
+fn open_times_grow_by_crashes_after_them() {
     let mut home = Home::default();
     for upstream in 0..3 {
         home.crash(upstream, &[P]);
     }
     home.settle();
-    let until_ms = home.now_ms + FIRST_TERM_MS;
+    let until_ms = home.now_ms + FIRST_OPEN_MS;
     home.crash(3, &[P]);
     assert!(home.settle().is_empty());
     let retry_after_ms = until_ms - home.now_ms;
@@ -195,60 +196,60 @@
     assert_eq!(home.admit(P), Admission::AskHome);
     home.crash(4, &[P]);
     home.settle();
-    let retry_after_ms = 12 * FIRST_TERM_MS;
+    let retry_after_ms = 12 * FIRST_OPEN_MS;
     assert_eq!(home.admit(P), Admission::Refused { retry_after_ms });
 }
 
-/// A host that becomes home has the rulings alone. The next crash bars, as at the home before.
+/// A host that becomes home has the circuits alone. The next crash openings, as at the home before.
 #[test]
-fn a_new_home_goes_on_from_the_rulings() {
+fn a_new_home_goes_on_from_the_circuits() {
     let mut before = Home::default();
     before.crash(0, &[P]);
     before.crash(1, &[P]);
-    let rulings = before.settle();
+    let circuits = before.settle();
     let mut home = Home::default();
-    for ruling in rulings {
-        assert!(home.rulings.adopt(0, ruling));
+    for circuit in circuits {
+        assert!(home.circuits.adopt(0, circuit));
     }
     home.crash(1, &[P]);
     home.settle();
-    assert_eq!(home.standing(P), Standing::OneAtATime, "a crash told again");
+    assert_eq!(home.state(P), CircuitState::HalfOpen, "a crash told again");
     home.crash(2, &[P]);
     home.settle();
-    assert_eq!(home.standing(P), Standing::Barred);
+    assert_eq!(home.state(P), CircuitState::Open);
 }
 
-/// Hosts hear of rulings in any order and more than once, and from two homes at once.
+/// Hosts hear of circuits in any order and more than once, and from two homes at once.
 #[test]
 fn all_hosts_come_to_hold_the_same() {
-    let ruling = |turn, standing| Ruling {
+    let circuit = |version, state| Circuit {
         content: P,
-        turn,
-        standing,
-        bars: 1,
+        version,
+        state,
+        openings: 1,
         crashes: Vec::new(),
         age_ms: 0,
     };
     let told = [
-        ruling(1, Standing::OneAtATime),
-        ruling(2, Standing::OneAtATime),
-        ruling(2, Standing::Barred),
+        circuit(1, CircuitState::HalfOpen),
+        circuit(2, CircuitState::HalfOpen),
+        circuit(2, CircuitState::Open),
     ];
     let mut digests = Vec::new();
     for order in [[0, 1, 2], [2, 1, 0], [1, 2, 0]] {
-        let mut rulings = Rulings::default();
+        let mut circuits = Circuits::default();
         for place in order {
-            rulings.adopt(0, told[place].clone());
-            assert!(!rulings.adopt(0, told[place].clone()), "told twice");
+            circuits.adopt(0, told[place].clone());
+            assert!(!circuits.adopt(0, told[place].clone()), "told twice");
         }
-        assert_eq!(rulings.find(P), Some(&told[2]));
-        digests.push(rulings.digest(0));
+        assert_eq!(circuits.find(P), Some(&told[2]));
+        digests.push(circuits.digest(0));
     }
     assert!(digests.windows(2).all(|pair| pair[0] == pair[1]));
-    let mut forgetting = Rulings::default();
+    let mut forgetting = Circuits::default();
     forgetting.adopt(0, told[2].clone());
     assert_eq!(forgetting.digest(86_400_000), 0, "forgotten after a day");
-    let old = Ruling {
+    let old = Circuit {
         age_ms: 86_400_000,
         ..told[2].clone()
     };
@@ -266,60 +267,60 @@
         let content = ContentKey(number);
         home.now_ms += 1;
         home.crash(number, &[content]);
-        let ruling = Ruling {
+        let circuit = Circuit {
             content,
-            turn: 1,
-            standing: Standing::Barred,
-            bars: 1,
+            version: 1,
+            state: CircuitState::Open,
+            openings: 1,
             crashes: Vec::new(),
             age_ms: 0,
         };
-        home.rulings.adopt(home.now_ms, ruling);
+        home.circuits.adopt(home.now_ms, circuit);
     }
-    assert!(home.rulings.all(home.now_ms).len() <= 1_024);
+    assert!(home.circuits.all(home.now_ms).len() <= 1_024);
     let text = format!("{:?}", home.record);
     assert!(text.matches("Suspect {").count() <= 4_096);
 }
 
-/// Another writer has left a bar in the store that no home would write. It takes no more memory than
+/// Another writer has left a circuit in the store that no home would write. It takes no more memory than
 /// others, and an answer frees its content all the same.
 #[test]
-fn a_strange_bar_does_no_harm() {
+fn a_strange_circuit_does_no_harm() {
     let mut home = Home::default();
-    let strange = Ruling {
+    let strange = Circuit {
         content: P,
-        turn: 1,
-        standing: Standing::Barred,
-        bars: u32::MAX,
+        version: 1,
+        state: CircuitState::Open,
+        openings: u32::MAX,
         crashes: (0..100_000).map(UpstreamKey).collect(),
         age_ms: 0,
     };
-    assert!(home.rulings.adopt(0, strange));
-    let kept = home.rulings.find(P).expect("it is kept");
+    assert!(home.circuits.adopt(0, strange));
+    let kept = home.circuits.find(P).expect("it is kept");
     assert!(kept.crashes.len() <= 8);
     assert!(matches!(home.admit(P), Admission::Refused { .. }));
     home.now_ms = 86_399_999;
     home.crash(100_000, &[P]);
     home.settle();
-    home.clear(P).expect("it had a ruling");
+    home.clear(P).expect("it had a circuit");
     assert_eq!(home.admit(P), Admission::Free);
 }
 
 /// A content that ended well lately is no cause. Its word is forgotten after a while.
 #[test]
-fn an_answer_is_an_alibi_for_a_while() {
-    let mut alibis = Alibis::default();
-    alibis.note(0, P);
-    assert!(alibis.has(29_999, P));
-    assert!(alibis.has(45_000, P));
-    assert!(!alibis.has(75_000, P));
-    assert!(!alibis.has(75_000, X));
+fn a_success_counts_for_a_while() {
+    let mut successes = Successes::default();
+    successes.note(0, P);
+    assert!(successes.has(29_999, P));
+    assert!(successes.has(45_000, P));
+    assert!(!successes.has(75_000, P));
+    assert!(!successes.has(75_000, X));
 }
 
-/// Guards against a content that is barred once more for crashes it was barred for already, as another
+/// Guards against a circuit that opens once more for crashes it was opened for already, as another
 /// one that was on the same upstream ends well.
 #[test]
-fn anothers_answer_bars_nobody_once_more() {
+fn anothers_answer_opens_nothing_once_more() {
     let mut home = Home::default();
     let crashes: [&[ContentKey]; 6] = [&[P, X], &[P], &[X], &[P], &[X], &[X]];
     for (upstream, contents) in crashes.into_iter().enumerate() {
@@ -327,16 +328,16 @@
         home.settle();
     }
     assert_eq!(
-        (home.standing(P), home.standing(X)),
-        (Standing::Barred, Standing::Barred)
+        (home.state(P), home.state(X)),
+        (CircuitState::Open, CircuitState::Open)
     );
     // Requests of both were on their way to one upstream.
     home.crash(6, &[P, X]);
     home.settle();
-    home.now_ms += FIRST_TERM_MS;
+    home.now_ms += FIRST_OPEN_MS;
     assert_eq!(home.admit(P), Admission::AskHome);
-    assert!(home.record.grant(home.now_ms, X));
-    home.clear(X).expect("it had a ruling");
+    assert!(home.record.grant_probe(home.now_ms, X));
+    home.clear(X).expect("it had a circuit");
     assert!(home.settle().is_empty(), "nothing has crashed since");
     assert_eq!(home.admit(P), Admission::AskHome);
 }
--- a/crates/wire/src/gateway.rs
+++ b/crates/wire/src/gateway.rs
@@ -3,8 +3,8 @@
 use std::net::SocketAddr;
 
 use fulmarpath_policy::{
-    ContentKey, HostKey, Millis, Placement, PlacementRequest, Ruling, RunEnd, RunKey, RunStatement,
-    UpstreamKey, Verdict,
+    Circuit, ContentKey, HostKey, Millis, Placement, PlacementRequest, RunEnd, RunKey,
+    RunStatement, UpstreamKey, Verdict,
 };
 use serde::{Deserialize, Serialize};
 
@@ -21,8 +21,8 @@
     Blindness,
     /// Members that have come or leave.
     Members,
-    /// What homes have ruled on requests that end upstreams.
-    Rulings,
+    /// The circuits of contents that ended upstreams.
+    Circuits,
     /// The evacuated data centres.
     Evacuations,
 }
@@ -116,11 +116,11 @@
     async fn start_cold(upstream: UpstreamKey) -> StartAnswer;
     /// Tells a home of a service that a request of this content had just begun on an upstream that
     /// ended.
-    async fn strike(content: ContentKey, upstream: UpstreamKey);
+    async fn report_crash(content: ContentKey, upstream: UpstreamKey);
     /// Asks a home whether a request of this content may be the one that runs.
-    async fn may_try(content: ContentKey) -> bool;
+    async fn may_probe(content: ContentKey) -> bool;
     /// Tells a home that a request of this content was answered whole.
-    async fn clear(content: ContentKey);
-    /// All rulings that the sender knows, for all that the receiver knows.
-    async fn exchange_rulings(rulings: Vec<Ruling>) -> Vec<Ruling>;
+    async fn report_success(content: ContentKey);
+    /// All circuits that the sender knows, for all that the receiver knows.
+    async fn exchange_circuits(circuits: Vec<Circuit>) -> Vec<Circuit>;
 }
--- a/crates/wire/src/message.rs
+++ b/crates/wire/src/message.rs
@@ -58,8 +58,8 @@
     pub root: u64,
     /// Of the host list.
     pub host_list: u64,
-    /// Of the rulings on requests that end upstreams: a hash of them in no order.
-    pub rulings: u64,
+    /// Of the circuits of contents that ended upstreams: a hash of them in no order.
+    pub circuits: u64,
     /// Of the evacuated data centres.
     pub evacuations: u64,
 }
--- a/crates/wire/src/service.rs
+++ b/crates/wire/src/service.rs
@@ -1,6 +1,6 @@
 //! The calls that entry hosts make to each other.
 
-use fulmarpath_policy::{Ask, AskId, ContentKey, OrganisationKey, Ruling, UpstreamKey};
+use fulmarpath_policy::{Ask, AskId, Circuit, ContentKey, OrganisationKey, UpstreamKey};
 
 use crate::message::{
     AskReply, ClaimAnswer, ClaimAsk, Document, FetchAnswer, LimitAnswer, PermitId, Ping, Pong,
@@ -36,13 +36,13 @@
     async fn claim(claim: ClaimAsk) -> ClaimAnswer;
     /// Tells a home of a service that a request of this content had just begun on an upstream that
     /// ended.
-    async fn strike(content: ContentKey, crash: UpstreamKey);
+    async fn report_crash(content: ContentKey, crash: UpstreamKey);
     /// Asks a home whether a request of this content may be the one that runs.
-    async fn may_try(content: ContentKey) -> bool;
+    async fn may_probe(content: ContentKey) -> bool;
     /// Tells a home that a request of this content was answered whole.
-    async fn clear(content: ContentKey);
-    /// All rulings that the sender knows, for all that the receiver knows.
-    async fn exchange_rulings(rulings: Vec<Ruling>) -> Vec<Ruling>;
+    async fn report_success(content: ContentKey);
+    /// All circuits that the sender knows, for all that the receiver knows.
+    async fn exchange_circuits(circuits: Vec<Circuit>) -> Vec<Circuit>;
     /// Tokens of a generation that this host holds, from an index on.
     async fn fetch(organisation: OrganisationKey, generation: String, from: u32) -> FetchAnswer;
 }
--- a/src/explain.rs
+++ b/src/explain.rs
@@ -73,7 +73,7 @@
     let content = records.iter().find_map(|record| record.content.as_deref());
     let speaks = |payload: &str| {
         // What ended upstreams was this content in other requests as well.
-        let on_content = payload.starts_with("quarantine:") || payload.starts_with("crashes:");
+        let on_content = payload.starts_with("circuits:") || payload.starts_with("crashes:");
         payload.contains(id)
             || run.is_some_and(|run| payload.contains(run))
             || (on_content && content.is_some_and(|content| payload.contains(content)))
--- a/tests/explain.rs
+++ b/tests/explain.rs
@@ -107,23 +107,17 @@
 }
 
 /// A request was refused because others of its content had ended upstreams: their lines are shown,
-/// with the rulings on the content, and not those of other contents.
+/// with the circuits on the content, and not those of other contents.
 #[test]
 fn shows_what_a_content_did() {
     let crashed = line(
         10,
         "crashes: i-1 ended without notice under request 77, content 00000000000000cc, before",
     );
-    let barred = line(
-        20,
-        "quarantine: content 00000000000000cc is barred, by a home",
-    );
-    let other = line(
-        21,
-        "quarantine: content 00000000000000dd is barred, by a home",
-    );
+    let opened = line(20, "circuits: content 00000000000000cc is open, by a home");
+    let other = line(21, "circuits: content 00000000000000dd is open, by a home");
     let refused = request_line(30, &record("quarantined", 503, &[]));
-    let text = [crashed, barred, other, refused].join("\n");
+    let text = [crashed, opened, other, refused].join("\n");
     let explanation = explain("9c41", &[("host-a".to_owned(), text)]).expect("it is found");
     let order: Vec<u64> = explanation.traces.iter().map(|trace| trace.at_ms).collect();
     assert_eq!(order, [10, 20, 30]);
--- a/tests/failures_crashing.rs
+++ b/tests/failures_crashing.rs
@@ -15,7 +15,7 @@
 const UPSTREAMS: usize = 10;
 /// Tries of a caller, each at another host.
 const TRIES: usize = 4;
-/// Between two tries: rulings go from host to host with the pings, each 300 ms.
+/// Between two tries: circuits go from host to host with the pings, each 300 ms.
 const BETWEEN: Duration = Duration::from_millis(1_500);
 /// A request that ends upstreams has shown it by the third.
 const ALLOWED: usize = 3;
