Have the soak empty data centres and bring upstreams back cold

A data centre is evacuated, and what its upstreams get after the bound of the settings is a violation; a plain upstream says that it is cold, and what it gets in one second beyond its bound is one.

--- a/crates/bench/src/cmd/soak.rs
+++ b/crates/bench/src/cmd/soak.rs
@@ -6,7 +6,7 @@
 use bpaf::Bpaf;
 use futures::stream::{self, StreamExt};
 
-use crate::soak::{SoakSettings, Spoil, beside_this, play};
+use crate::soak::{Kinds, SoakSettings, Spoil, beside_this, play};
 
 /// Play seeds of faults against real hosts and check what callers and upstreams see
 #[derive(Debug, Clone, Bpaf)]
@@ -34,6 +34,9 @@
     /// their names, entries of other writers
     #[bpaf(long)]
     all_kinds: bool,
+    /// Draw from those and from data centres that are emptied and upstreams that come back cold
+    #[bpaf(long)]
+    latest_kinds: bool,
     /// One caller repeats a request that ends the plain upstream that begins to run it
     #[bpaf(long)]
     ending: bool,
@@ -56,6 +59,14 @@
         }
     }
 
+    fn kinds(&self) -> Kinds {
+        match (self.latest_kinds, self.all_kinds) {
+            (true, _) => Kinds::All,
+            (false, true) => Kinds::WithBirths,
+            (false, false) => Kinds::First,
+        }
+    }
+
     async fn play(&self) -> bool {
         let started = Instant::now();
         let bound = Duration::from_secs(self.minutes * 60);
@@ -67,7 +78,7 @@
                     hosts: self.hosts,
                     callers: self.callers,
                     faults: self.faults,
-                    of_all_kinds: self.all_kinds,
+                    kinds: self.kinds(),
                     has_ending: self.ending,
                     binary: self.binary.clone(),
                     spoil: self.spoil,
--- a/crates/bench/src/soak/fault.rs
+++ b/crates/bench/src/soak/fault.rs
@@ -1,6 +1,6 @@
 //! The soak's faults, each brought about from outside the hosts.
 
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use fulmarpath_platform_standin::{PlainBehaviour, StoreMode};
 use rand::Rng;
@@ -9,7 +9,14 @@
 
 use super::SoakError;
 use super::proxy::LinkMode;
-use super::stage::Stage;
+use super::stage::{COLD_MS, DATA_CENTRES, Stage};
+
+/// As the hosts' settings have it.
+const EVACUATION_BOUND: Duration = Duration::from_millis(4_000);
+/// An entry's change is heard everywhere within this time.
+const HEARD_BOUND: Duration = Duration::from_millis(600);
+/// Requests that a cold plain upstream may get in a second, by the settings and its service.
+const COLD_MOST: usize = 17;
 
 /// One fault; how long it lasts is its own.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
@@ -33,12 +40,34 @@
     PlainMisbehaves,
     EngineReborn,
     ForeignEntries,
+    Evacuation,
+    ColdReturn,
+}
+
+/// Which faults seeds draw from. Kinds came one after the other, so that a seed that was kept plays what
+/// it played.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Kinds {
+    /// The first ones.
+    First,
+    /// Engines that start again and entries of other writers as well.
+    WithBirths,
+    /// All.
+    All,
+}
+
+impl Kinds {
+    fn count(self) -> usize {
+        match self {
+            Self::First => 17,
+            Self::WithBirths => 19,
+            Self::All => Fault::ALL.len(),
+        }
+    }
 }
 
 impl Fault {
-    /// Those that seeds draw from. The last two came later and are drawn where they are asked for, so
-    /// that a seed that was kept plays what it played.
-    const ALL: [Self; 19] = [
+    const ALL: [Self; 21] = [
         Self::HostKilled,
         Self::HostPaused,
         Self::HostStopped,
@@ -58,13 +87,13 @@
         Self::PlainMisbehaves,
         Self::EngineReborn,
         Self::ForeignEntries,
+        Self::Evacuation,
+        Self::ColdReturn,
     ];
-    const FIRST: usize = 17;
 
     /// Draws one.
-    pub(crate) fn draw(rng: &mut ChaCha8Rng, of_all: bool) -> Self {
-        let count = if of_all { Self::ALL.len() } else { Self::FIRST };
-        Self::ALL[rng.random_range(0..count)]
+    pub(crate) fn draw(rng: &mut ChaCha8Rng, kinds: Kinds) -> Self {
+        Self::ALL[rng.random_range(0..kinds.count())]
     }
 
     /// Whether a caller may hear nothing at all, or only a part, with no planned work to blame.
@@ -81,6 +110,8 @@
                 | Self::StoreLinkSilent
                 | Self::EngineLeaves
                 | Self::ForeignEntries
+                | Self::Evacuation
+                | Self::ColdReturn
         )
     }
 
@@ -150,6 +181,13 @@
                 sleep(lasts).await;
                 stage.register_plain(over);
             }
+            Self::Evacuation => {
+                evacuate(stage, rng.random_range(0..DATA_CENTRES.len()), lasts).await
+            }
+            Self::ColdReturn => {
+                let plain = rng.random_range(0..stage.plains.len());
+                turn_cold(stage, plain).await;
+            }
         }
         Ok(())
     }
@@ -168,6 +206,29 @@
     stage.store.set_mode(StoreMode::Up);
 }
 
+/// A data centre is emptied and taken back; what its upstreams get after the bound is counted.
+async fn evacuate(stage: &mut Stage, data_centre: usize, lasts: Duration) {
+    let name = DATA_CENTRES[data_centre];
+    stage.store.put("evacuations", name, serde_json::json!({}));
+    sleep(EVACUATION_BOUND).await;
+    let before = stage.received_in(data_centre);
+    sleep(lasts).await;
+    stage.sent_to_evacuated += stage.received_in(data_centre) - before;
+    stage.store.remove("evacuations", name);
+    sleep(Duration::from_millis(COLD_MS)).await;
+}
+
+/// A plain upstream says that it is cold; what it gets in one second from a moment on is counted.
+async fn turn_cold(stage: &mut Stage, plain: usize) {
+    stage.register_cold(plain);
+    sleep(HEARD_BOUND).await;
+    let since = Instant::now();
+    sleep(Duration::from_millis(COLD_MS) - HEARD_BOUND).await;
+    let most = stage.plains[plain].most_in_a_second(since);
+    stage.over_cold_rate += most.saturating_sub(COLD_MOST);
+    stage.register_plain(plain);
+}
+
 /// Notice, then the end 1.8 s later, and another engine in its place.
 async fn leave(stage: &mut Stage, place: usize) -> Result<(), SoakError> {
     stage.give_notice(place);
--- a/crates/bench/src/soak/judge.rs
+++ b/crates/bench/src/soak/judge.rs
@@ -19,7 +19,7 @@
     pub(crate) may_be_cut: bool,
 }
 
-/// Counts of one seed; the first ten are violations, and ended upstreams over their bound.
+/// Counts of one seed; the first twelve are violations, and ended upstreams over their bound.
 #[derive(Debug, Clone, Default, Serialize)]
 pub(crate) struct Verdict {
     pub(crate) seed: u64,
@@ -33,6 +33,10 @@
     pub(crate) not_served_again: u32,
     pub(crate) not_in_force: u32,
     pub(crate) old_key_served: u32,
+    /// Requests at upstreams of a data centre that was evacuated for longer than the bound.
+    pub(crate) sent_to_evacuated: u32,
+    /// Requests beyond what cold upstreams may get in a second.
+    pub(crate) over_cold_rate: u32,
     /// Upstreams that one caller's request has ended.
     pub(crate) ended_upstreams: u32,
     pub(crate) requests: u32,
@@ -54,6 +58,8 @@
             + self.not_served_again
             + self.not_in_force
             + self.old_key_served
+            + self.sent_to_evacuated
+            + self.over_cold_rate
             + self.ended_upstreams.saturating_sub(MOST_ENDED)
     }
 
--- a/crates/bench/src/soak/mod.rs
+++ b/crates/bench/src/soak/mod.rs
@@ -14,17 +14,18 @@
 use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
 use std::time::{Duration, Instant};
 
-use fulmarpath_platform_standin::{AskKind, HOST, configuration, exchange, usual};
+use fulmarpath_platform_standin::{AskKind, HOST, exchange, usual};
 use parking_lot::Mutex;
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use tokio::time::sleep;
 
 use self::fault::Fault;
+pub(crate) use self::fault::Kinds;
 pub(crate) use self::judge::Verdict;
 use self::judge::{Outcome, begun};
 pub(crate) use self::spoil::Spoil;
-use self::stage::{FIRST_KEY, Stage};
+use self::stage::{FIRST_KEY, Stage, declared};
 
 /// A seed could not be played.
 #[derive(Debug, thiserror::Error)]
@@ -48,8 +49,8 @@
     pub(crate) hosts: usize,
     pub(crate) callers: usize,
     pub(crate) faults: usize,
-    /// Draws from the faults that came later as well.
-    pub(crate) of_all_kinds: bool,
+    /// The faults that it draws from.
+    pub(crate) kinds: Kinds,
     /// Whether one caller repeats a request that ends its upstream.
     pub(crate) has_ending: bool,
     pub(crate) binary: PathBuf,
@@ -77,7 +78,7 @@
 pub(crate) async fn play(settings: SoakSettings) -> Result<Verdict, SoakError> {
     let mut rng = ChaCha8Rng::seed_from_u64(settings.seed);
     let faults: Vec<Fault> = (0..settings.faults)
-        .map(|_| Fault::draw(&mut rng, settings.of_all_kinds))
+        .map(|_| Fault::draw(&mut rng, settings.kinds))
         .collect();
     let mut stage = Stage::start(settings.seed, settings.hosts, settings.binary).await?;
     let shared = Arc::new(Shared {
@@ -122,9 +123,7 @@
     if !served(&shared.addresses, FIRST_KEY, "after", UP_BOUND).await {
         verdict.not_served_again += 1;
     }
-    stage
-        .store
-        .put("config", "main", configuration(2, SECOND_KEY));
+    stage.store.put("config", "main", declared(2, SECOND_KEY));
     if !served(&shared.addresses, SECOND_KEY, "new", FORCE_BOUND).await {
         verdict.not_in_force += 1;
     }
@@ -137,6 +136,8 @@
     let engines = engines.flat_map(|engine| engine.received());
     let plains = stage.plains.iter().chain(&stage.ended_plains);
     let plains = plains.flat_map(|plain| plain.received());
+    verdict.sent_to_evacuated = stage.sent_to_evacuated as u32;
+    verdict.over_cold_rate = stage.over_cold_rate as u32;
     verdict.ended_upstreams = stage.ended_plains.len() as u32;
     let begun = begun(engines.chain(plains));
     let mut outcomes = std::mem::take(&mut *shared.outcomes.lock());
--- a/crates/bench/src/soak/stage.rs
+++ b/crates/bench/src/soak/stage.rs
@@ -11,7 +11,7 @@
 
 use rand::Rng;
 use rand_chacha::ChaCha8Rng;
-use serde_json::json;
+use serde_json::{Value, json};
 
 use super::SoakError;
 use super::proxy::Proxy;
@@ -99,6 +99,8 @@
     /// Engines that have left, for what they had begun.
     pub(crate) gone: Vec<StandInEngine>,
     pub(crate) engine_links: Vec<Proxy>,
+    /// Where each engine has registered itself.
+    engine_centres: HashMap<String, usize>,
     pub(crate) plains: Vec<StandInPlain>,
     /// Plain upstreams that a request has ended.
     pub(crate) ended_plains: Vec<StandInPlain>,
@@ -108,10 +110,27 @@
     ends_on: Option<&'static str>,
     /// Engines that have started again.
     births: u64,
+    /// Requests that upstreams got after their data centre was evacuated.
+    pub(crate) sent_to_evacuated: usize,
+    /// Requests beyond what cold upstreams may get in a second.
+    pub(crate) over_cold_rate: usize,
     pub(crate) folder: PathBuf,
 }
 
-const DATA_CENTRES: [&str; 3] = ["dc-a", "dc-b", "dc-c"];
+pub(crate) const DATA_CENTRES: [&str; 3] = ["dc-a", "dc-b", "dc-c"];
+/// How long a plain upstream is cold.
+pub(crate) const COLD_MS: u64 = 2_000;
+/// Requests a second that it bears meanwhile.
+const COLD_PER_SECOND: f64 = 8.0;
+
+/// The operator's configuration, in which plain upstreams come back cold.
+pub(crate) fn declared(version: u64, key: &str) -> Value {
+    let mut declared = configuration(version, key);
+    declared["services"][0]["cold-s"] = json!(COLD_MS as f64 / 1_000.0);
+    declared["services"][0]["cold-per-s"] = json!(COLD_PER_SECOND);
+    declared
+}
+
 /// When the engines were started, in Unix milliseconds; those that start again count on from it.
 const FIRST_BIRTH_MS: u64 = 1_780_000_000_000;
 
@@ -145,7 +164,7 @@
         std::fs::create_dir_all(&folder).map_err(|source| SoakError::Process { source })?;
         let link = |source| SoakError::Process { source };
         let store = StandInStore::start().await;
-        store.put("config", "main", configuration(1, FIRST_KEY));
+        store.put("config", "main", declared(1, FIRST_KEY));
         let store_link = Proxy::start(store.address).await.map_err(link)?;
         let mut stage = Self {
             store,
@@ -154,11 +173,14 @@
             engines: Vec::new(),
             gone: Vec::new(),
             engine_links: Vec::new(),
+            engine_centres: HashMap::new(),
             plains: Vec::new(),
             ended_plains: Vec::new(),
             plain_births_ms: HashMap::new(),
             ends_on: None,
             births: 0,
+            sent_to_evacuated: 0,
+            over_cold_rate: 0,
             folder,
         };
         for number in 0..4 {
@@ -188,9 +210,11 @@
     }
 
     /// Writes an engine's entry, as it does itself.
-    fn register_engine(&self, place: usize, is_draining: bool) {
+    fn register_engine(&mut self, place: usize, is_draining: bool) {
         let engine = &self.engines[place];
-        let data_centre = DATA_CENTRES[place % DATA_CENTRES.len()];
+        let centre = place % DATA_CENTRES.len();
+        let data_centre = DATA_CENTRES[centre];
+        self.engine_centres.insert(engine.instance.clone(), centre);
         let mut entry = engine.entry("engines", data_centre, is_draining);
         entry["address"] = self.engine_links[place].address.to_string().into();
         self.store.put("servers", &engine.instance, entry);
@@ -207,9 +231,31 @@
 
     /// Writes a plain upstream's entry, as it does itself.
     pub(crate) fn register_plain(&self, place: usize) {
+        self.write_plain(place, 0);
+    }
+
+    /// The same of one that has turned cold.
+    pub(crate) fn register_cold(&self, place: usize) {
+        self.write_plain(place, COLD_MS);
+    }
+
+    /// Requests that the upstreams of a data centre have got.
+    pub(crate) fn received_in(&self, data_centre: usize) -> usize {
+        let engines = self.engines.iter();
+        let engines =
+            engines.filter(|one| self.engine_centres.get(&one.instance) == Some(&data_centre));
+        let plains = self.plains.iter().enumerate();
+        let plains = plains.filter(|(place, _)| place % DATA_CENTRES.len() == data_centre);
+        let at_engines = engines.map(|one| one.received().len());
+        let at_plains = plains.map(|(_, one)| one.received().len());
+        at_engines.sum::<usize>() + at_plains.sum::<usize>()
+    }
+
+    fn write_plain(&self, place: usize, cold_ms: u64) {
         let data_centre = DATA_CENTRES[place % DATA_CENTRES.len()];
         let address = self.plains[place].address;
         let mut entry = entry("portal", address, data_centre, false);
+        entry["cold-remaining-ms"] = json!(cold_ms);
         if let Some(born_ms) = self.plain_births_ms.get(&place) {
             entry["born"] = json!(born_ms);
         }
@@ -289,7 +335,7 @@
     }
 
     /// The entry of an engine that leaves.
-    pub(crate) fn give_notice(&self, place: usize) {
+    pub(crate) fn give_notice(&mut self, place: usize) {
         self.register_engine(place, true);
     }
 
--- a/crates/bench/tests/soak.rs
+++ b/crates/bench/tests/soak.rs
@@ -52,6 +52,28 @@
     assert!(verdict["faults"].to_string().contains(fault), "{text}");
 }
 
+/// A data centre is emptied and taken back, and an upstream comes back cold, beside other faults: nothing
+/// reaches the emptied one after the bound, and the cold one gets no more than it bears.
+#[test]
+fn a_short_soak_of_the_latest_kinds_finds_nothing() {
+    let words = [
+        "--seed",
+        "1796500005",
+        "--seeds",
+        "1",
+        "--faults",
+        "4",
+        "--latest-kinds",
+    ];
+    let (fine, verdict, text) = soak(&words);
+    assert!(fine, "{text}");
+    let faults = verdict["faults"].to_string();
+    assert!(
+        faults.contains("Evacuation") && faults.contains("ColdReturn"),
+        "{text}"
+    );
+}
+
 /// One caller repeats a request that ends the plain upstream that begins to run it, beside faults: it
 /// ends three and is refused from then on, and the other callers go on.
 #[test]
