--- a/crates/gateway/src/encoding.rs
+++ b/crates/gateway/src/encoding.rs
@@ -1,9 +1,8 @@
 //! How what hosts hold passes between them.
 //!
-//! Registrations change often, and every host hears of each change: their form is binary, under 50
-//! bytes each in place of 190 as JSON. A configuration with 1,400 routes more goes whole from host
-//! to host over links of 10 Mbit/s, three times from each host of the tree: as JSON it was in force
-//! at the last of 81 hosts after 3.1 s, where 3 are allowed.
+//! Registrations change often, and every host hears of each change: their form is binary, a quarter of
+//! JSON. A large configuration goes whole from host to host over slow links, several times from each host
+//! of the tree, and has to be in force everywhere within the operator's bound.
 
 use bincode::Options;
 use fulmarpath_wire::Holding;
--- a/crates/gateway/src/look.rs
+++ b/crates/gateway/src/look.rs
@@ -19,14 +19,14 @@
 use crate::control::EngineLook;
 use crate::gateway::Gateway;
 
-/// Between two looks at one engine for whatever reason. Reports are some 0.56 s old, so a notice is
-/// heard 0.6 to 0.9 s after it was given, which leaves half of the shortest one.
+/// Between two looks at one engine for whatever reason. With the age of its reports a notice is heard so
+/// that half of the shortest one is left.
 const AGAIN_MS: Millis = 300;
 /// Between two rounds of looks at all engines while the store is away, and at those that could not
 /// be reached, to learn that they are back.
 const ROUND_PERIOD: Duration = Duration::from_millis(400);
-/// When a leaving engine is asked how long it will be there: its reports are some 0.56 s old, so an
-/// earlier question is answered as before the notice.
+/// When a leaving engine is asked how long it will be there: its reports lag, so an earlier question is
+/// answered as before the notice.
 const ASK_TIME_LEFT: [Duration; 2] = [Duration::from_millis(620), Duration::from_millis(400)];
 
 /// When each engine was last looked at.
--- a/crates/gateway/src/presence.rs
+++ b/crates/gateway/src/presence.rs
@@ -1,7 +1,7 @@
 //! Tells the log who has come and who is gone: one line for all that changes within a moment.
 //!
-//! Before 195 hosts a line for each change that each host heard made up 72% of all lines of a day on
-//! which all hosts were restarted, and what a caller's complaint is traced by was pushed out.
+//! A line for each change that each host hears would push out what a caller's complaint is traced by,
+//! as where all hosts of a large fleet are restarted.
 
 use std::collections::BTreeMap;
 
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -22,10 +22,8 @@
 use crate::start::{Started, Tries};
 
 /// The part of the longest pause that is on time after which a silent engine is left for the running
-/// copy elsewhere. The rest is for the other engine, which goes on within 9 to 28 ms. Events come each
-/// 35 to 70 ms, on crowded engines too. Engines that go dark reset nothing: on days with some their
-/// streams were lost for want of a word, though copies stood. Leaving them is worth 0.009 of such days'
-/// worth, and 0.005 of all that were played with and without it (96 each).
+/// copy elsewhere; the rest is for the other engine to go on. Engines that go dark reset nothing, and their
+/// streams would be lost for want of a word, though copies stand.
 const SILENCE_SHARE: f32 = 0.6;
 
 /// How long a host that has just woken takes to read what had come meanwhile.
--- a/crates/gateway/src/spread.rs
+++ b/crates/gateway/src/spread.rs
@@ -2,9 +2,9 @@
 //!
 //! A host in each area (a data centre, or several small ones) watches the store, and so does the home
 //! of each cell, which must hear of a leaving engine at once. A watcher passes its news on to its
-//! area along a tree, so no host sends more than a few copies whatever the fleet's size. What a dead host in the tree
-//! keeps from others they find by the versions in the next pings. Watching everywhere would cost a
-//! waiting call a host and one more for each change: half of a day's worth before 81 hosts.
+//! area along a tree, so no host sends more than a few copies whatever the fleet's size. What a dead host in
+//! the tree keeps from others they find by the versions in the next pings. Watching everywhere would cost a
+//! waiting call a host and one more for each change.
 
 use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
--- a/crates/policy/src/cell/carry.rs
+++ b/crates/policy/src/cell/carry.rs
@@ -22,13 +22,9 @@
 const ROOM_SHARE: f32 = 0.97;
 /// The same once little time is left: an engine that fills pauses a generation for a moment, one that
 /// leaves cuts it for good.
-///
-/// Before 48 crowded engines in virtual time (load 1.25, eight seeds) 39 generations of 90 s were cut
-/// where the last moments were like the others, 25 with this, and 18 were paused in place of 13.
 const LAST_ROOM_SHARE: f32 = 1.05;
 /// Little time is left where it is enough for fewer transfers of a generation within its data centre: for
-/// what is tried first, and one that failed. At three transfers to wherever it goes, most of a notice, 41
-/// were paused.
+/// what is tried first, and one that failed. More would be most of a notice, and fill engines without need.
 const LAST_TRANSFERS: f32 = 2.5;
 /// A generation is left where it is if the chance that its engine's end cuts it is below this: a move
 /// costs little, but takes the link from others.
@@ -179,9 +175,7 @@
     /// Keeps room for the next generation of each leaving engine: what it holds was read and made
     /// already, and nobody makes it again. The others leave one after the other, while ends free room.
     ///
-    /// A cell that was filled by new prompts at that moment had no destination for them: before 48 crowded
-    /// engines 20 to 25 generations of a virtual minute were cut by an engine that left, 8 to 10 with
-    /// this, for 30 to 71 refusals more. What runs is not cut for the sake of what is new.
+    /// A cell that is filled by new prompts at that moment has no destination for them. What runs is not cut for the sake of what is new.
     pub(super) fn reserve_for_leaving(&self, now_ms: Millis, forecast: &mut Forecast) {
         let is_open = |engine: &Engine| engine.is_open();
         for engine in self.engines.values() {
--- a/crates/policy/src/cell/engine.rs
+++ b/crates/policy/src/cell/engine.rs
@@ -4,16 +4,15 @@
 use crate::failures::Failures;
 use crate::key::{Millis, UpstreamKey};
 
-/// Time for one token of each generation in a batch of usual size, from the users' sheets: a step
-/// of 7 ms, 0.12 ms for each generation in it, and a part of a prompt now and then.
+/// Time for one token of each generation in a batch of usual size: a step, a little for each generation
+/// in it, and a part of a prompt now and then.
 pub(crate) const TOKEN_MS: f32 = 11.0;
-/// What an engine's notice leaves at least, from the users' sheets.
+/// What an engine's notice leaves at least, until the engine says more itself.
 const NOTICE_MS: Millis = 1_500;
-/// How old an engine's statement of the time it has left may be: 0.56 s in each of some 30 reports
-/// that were compared with the engines' ends, and a little for the way.
+/// How old an engine's statement of the time it has left may be, with a little for the way.
 pub(crate) const REPORT_AGE_MS: Millis = 600;
 /// How long a copy that nobody can use or give up holds its memory, in times of what the operator
-/// states: 8.2 to 8.9 s were seen on 16 engines where 5 s are stated.
+/// states: engines look for such copies now and then only.
 const LEFT_BEHIND_TTLS: f32 = 1.8;
 /// An engine that had no room for a transfer is not tried again for so long: about the time in
 /// which one of its generations ends.
@@ -157,8 +156,8 @@
     /// A transfer to this engine begins, and takes so long.
     ///
     /// Two transfers to one engine share its link: each one's last short copy, for which the
-    /// generation is stopped, then waits behind the other's long one, and callers see pauses of
-    /// 0.9 to 1.6 s where three met. So one at a time.
+    /// generation is stopped, then waits behind the other's long one, which callers see as a pause. So
+    /// one at a time.
     pub(super) fn receive(&mut self, now_ms: Millis, takes_ms: Millis) {
         self.receiving_until_ms = now_ms + takes_ms * OVERDUE;
     }
@@ -182,8 +181,8 @@
 
     /// A transfer was cut, and what it brought so far stays here.
     ///
-    /// Without counting it a home sent generations to engines that held such a copy, where they
-    /// waited for 2 to 6 s: 2.2 requests in the engine's queue on average, 0.3 elsewhere.
+    /// Without counting it a home sends generations to engines that hold such a copy, where they wait in
+    /// the engine's queue until it lapses.
     pub(super) fn leave_behind(&mut self, now_ms: Millis, tokens: f32) {
         let lasts_ms = self.entry.figures.copy_ttl_ms as f32 * LEFT_BEHIND_TTLS;
         self.left_behind.retain(|one| one.until_ms > now_ms);
--- a/crates/policy/src/cell/mod.rs
+++ b/crates/policy/src/cell/mod.rs
@@ -32,8 +32,8 @@
 use run::Run;
 use waiting::WaitingList;
 
-/// Engines that may be closed for not being reached: half of a cell's were gone on no day played,
-/// not even where the store was away through two reclaims.
+/// The part of a cell's engines that may be closed for not being reached: where more are out of reach, it
+/// is likely this host that is cut off.
 const GONE_SHARE: f32 = 0.5;
 
 /// The engines of one cell and the generations on them.
--- a/crates/policy/src/cell/placement.rs
+++ b/crates/policy/src/cell/placement.rs
@@ -29,11 +29,8 @@
 const SICK_SHARE: f32 = 0.3;
 /// No generation starts where this share of the memory would be taken at the peak.
 ///
-/// With callers' guesses taken at their word 0.92 was the best for those that stay long, and six times as
-/// many were paused for want of memory; lengths that are learned leave less to chance. On nine crowded
-/// days before 48 and 56 engines the worth was 0.751 so; with learned lengths 0.726 at 0.92, 0.737 at
-/// 0.95 (twelve days, 0.738 before), 0.758 at 0.97 and 0.762 at 0.98. In virtual time engines pause
-/// ten times as many at 1.02.
+/// Lengths that are learned leave little to chance, so little is kept free; an engine that is promised
+/// more than it has pauses generations.
 const FULL_SHARE: f32 = 0.98;
 /// The same for those that can't be on time any more, or would not be there: served beside the others
 /// they would make others late that still can, and late they are worth a seventh.
@@ -45,9 +42,7 @@
 /// a better engine loses nothing.
 const PATIENCE_SHARE: f32 = 0.45;
 /// A running copy is kept where its engine stays below this share of its memory. Copies save
-/// generations of crashed engines, and hold back others where there is less room: mean worth of the
-/// twelve standard days before 12 and 14 engines 0.683 at 0.20, 0.670 at 0.40, 0.661 at 0.55,
-/// 0.649 at 0.80, one score each.
+/// generations of crashed engines, and hold back others where there is less room.
 const BACKUP_SHARE: f32 = 0.20;
 /// Shorter answers than this are over before an engine's notice is.
 const BACKUP_LEAST_TOKENS: u32 = 160;
@@ -55,10 +50,8 @@
 /// drawn between the two, so that those who were refused together don't meet again.
 ///
 /// A refused request can't be on time any more, so what is left to gain for its caller is to be served
-/// at all, and it comes back once or twice. After the 1.2 s of an answer's usual rest it came back
-/// into the same crowd and was refused again. Callers follow such a word up to a third of their time.
-/// On five crowded days of three deployments, three seeds each, 2.7% of the long answers were refused
-/// for good so, and 4.9% at 1.2 s.
+/// at all, and it comes back once or twice. After an answer's usual rest it comes back into the same
+/// crowd and is refused again. Callers follow such a word up to a third of their time.
 const RETURN_SHARES: std::ops::Range<f32> = 0.20..0.32;
 
 /// A generation to be placed.
@@ -283,10 +276,8 @@
             one.0.total_cmp(&other.0).then(one.1.cmp(&other.1))
         };
         let (share, key) = shares.min_by(by_share)?;
-        // A running copy begins with the whole prompt, 0.2 to 0.4 s on its links. The last short copy of
-        // a generation that leaves, for which it stands still, would wait behind it: callers saw pauses
-        // of 230 to 430 ms. With this, and with carries that keep off links with new copies, 1.1% of the
-        // long answers of 48 days were late, 1.5% without, and worth rose by 0.006.
+        // A running copy begins with the whole prompt on its links. The last short copy of a generation
+        // that leaves, for which it stands still, would wait behind it: a late answer.
         (share < BACKUP_SHARE && self.leaving().is_empty()).then_some(key)
     }
 
--- a/crates/policy/src/cell/waiting.rs
+++ b/crates/policy/src/cell/waiting.rs
@@ -1,12 +1,10 @@
 //! Who waits for room in a cell, and who goes first.
 //!
 //! Answers crowded cells: requests for more memory than there is, of sizes that differ by six. Asked
-//! one by one and without an order, whoever asked next took whatever had just become free: of one
-//! crowded day's largest tenth of reports a third of the tries were refused, of its smallest quarter
-//! none. Requests that fit now get their room by turn, before those that come later; for the first
+//! one by one and without an order, whoever asks next takes whatever has just become free, and the largest
+//! are refused where the smallest never are. Requests that fit now get their room by turn, before those that come later; for the first
 //! that does not fit, room is kept on the engine that has most of it. What is kept is idle, so it is
-//! kept for one only: of the long answers at load 1.15 0.886 are on time so, 0.875 where it is kept
-//! for three (`fulmarpath-bench cell`, six seeds).
+//! kept for one only.
 
 use std::collections::HashMap;
 
@@ -26,10 +24,7 @@
 
 /// How much of its patience a request of the usual cost goes behind one that costs nothing.
 ///
-/// Before 48 crowded engines in virtual time (load 1.25) callers of long answers got 0.778 of their benefit
-/// without it and 0.833 at 1.0, where an engine was full at 0.92; at 0.95, 0.807 at 0.15, 0.820 at 0.25,
-/// 0.837 at 0.5 and 0.840 at 1.0. Those with the largest prompts gain the more the higher it is; beyond 0.5
-/// more of all are refused.
+/// More of it serves more of the large, since the small are gone sooner, and refuses more of all.
 const COST_SHARE: f32 = 0.5;
 
 /// Whose turn it is: what can still be on time, then those whose organisation is below its share, then
@@ -40,13 +35,11 @@
 /// ones would hold everybody else's reports back for as long as it lasts. It comes behind time, for
 /// what is late already is worth little to any caller.
 ///
-/// By arrival alone the large waited as long as the small and then had the longer prompts to read. On
-/// six crowded days of three deployments, three seeds each, the day's worth rose from 0.693 to 0.711 by
-/// what has to start first. What costs little fits where the costly don't, and leaves soon: see
+/// By arrival alone the large wait as long as the small and then have the longer prompts to read. What costs little fits where the costly don't, and leaves soon: see
 /// [`COST_SHARE`]. A request is put off by a bounded part of its patience, so what comes later than that
 /// never overtakes it.
 ///
-/// An answer that is late already is worth a seventh to its caller, by the users' sheets, and takes
+/// An answer that is late already is worth little to its caller, and takes
 /// as much memory as one on time. Served by turns with the others, it makes one of them late too.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub(super) struct Turn {
--- a/crates/policy/src/circuit/mod.rs
+++ b/crates/policy/src/circuit/mod.rs
@@ -92,9 +92,8 @@
     },
 }
 
-/// A run that has lasted for so long is not what ends its upstream. Requests that do end it within
-/// some 110 ms of their first token; a tenth of a long generation's time is enough to tell the
-/// generations that merely ran beside from them.
+/// A run that has lasted for so long is not what ends its upstream. Requests that do end it as they begin;
+/// a tenth of a long generation's time is enough to tell those that merely ran beside from them.
 const BEGUN_MS: Millis = 1_000;
 
 /// Whether a run may be what ended its upstream, after so long there; `None` where nothing of its
--- a/crates/policy/src/division.rs
+++ b/crates/policy/src/division.rs
@@ -7,9 +7,8 @@
 
 use std::collections::BTreeMap;
 
-/// Engines of a cell at the most. Crowded they have some 400 generations, and a placement takes its
-/// home 85 us (`fulmarpath-bench decide` on a busy machine; 1.35 ms with 1,000 engines), 80 times a
-/// second and some 300 times more for requests that wait.
+/// Engines of a cell at the most. A placement looks at each engine and each generation of its cell, and
+/// its home does that for every request that comes and again for every one that waits.
 const CELL_ENGINES: usize = 64;
 /// A division stays until a part would have less than this share of it. Engines come and go, a
 /// sixth of them within seconds, and each change of the division makes all homes learn anew.
--- a/crates/policy/src/gauge.rs
+++ b/crates/policy/src/gauge.rs
@@ -15,8 +15,8 @@
 const REPORT_MS: Millis = 1_500;
 /// How much one answer changes the smoothed latency: about the last eight count.
 const GAIN: f32 = 0.12;
-/// How much a failure share of 1 multiplies an upstream's cost. Measured by the share of requests
-/// that go to one of three upstreams that fails 45% of them: 5% in place of 33%.
+/// How much a failure share of 1 multiplies an upstream's cost: one that fails half of what it gets is
+/// chosen only where the others are many times as busy.
 const FAILURE_WEIGHT: f32 = 24.0;
 /// The latency assumed before the first answer.
 const UNKNOWN_LATENCY_MS: f32 = 30.0;
--- a/crates/policy/src/watchers.rs
+++ b/crates/policy/src/watchers.rs
@@ -1,15 +1,12 @@
 //! Which hosts watch the store for the others.
 //!
 //! Each call to the store is paid for, so few hosts watch, and pass their news on to those around
-//! them. Around means the hosts of a data centre, or of several where each has only a few. A day of a
-//! minute took 986 calls of seven hosts in four data centres that had a watcher each, and 612 with two
-//! for all; of 62 hosts in four, 1,866 and 1,386.
+//! them. Around means the hosts of a data centre, or of several where each has only a few.
 //!
 //! The store may turn away just the hosts that watch it: all others would go on with what they know,
 //! and a key that was taken away would be good there for as long as that lasts. So a watcher that
 //! can't read the store says so, and the next ones watch in its place. Where the store is away for
-//! all, each of those says so in turn, and without a bound the whole fleet ends up asking it: 6,400
-//! calls in an outage of 12 s before 81 hosts, a twentieth of that day's worth.
+//! all, each of those says so in turn, and without a bound the whole fleet ends up asking it.
 
 use std::collections::BTreeMap;
 
