Have explain tell of evacuations and cold upstreams

A request that was refused as evacuated or cold was told to have ended as this version doesn't know. Its cause is a sentence now, and the host's lines on evacuations stand beside it: which, since when, by whose word. The new test failed for want of both.

--- a/crates/gateway/src/record.rs
+++ b/crates/gateway/src/record.rs
@@ -96,6 +96,13 @@
                 self.dispatches.len()
             ),
             "full" => "every engine of its cell was predicted to be full".to_owned(),
+            "evacuated" => {
+                "every upstream of its service stood in an evacuated data centre".to_owned()
+            }
+            "cold" => {
+                "no warm upstream of its service took work, and each cold one had got what it bears"
+                    .to_owned()
+            }
             "too_large" => "its prompt fits into no engine of its service".to_owned(),
             "quarantined" => format!(
                 "upstreams ended as they began to run requests of its content {}",
--- a/tests/explain.rs
+++ b/tests/explain.rs
@@ -124,6 +124,22 @@
     assert!(explanation.causes[0].contains("content 00000000000000cc"));
 }
 
+/// Guards against a refusal that only the operator's own word explains, and that `explain` leaves out.
+#[test]
+fn shows_by_whose_word_upstreams_got_nothing() {
+    let told = line(
+        20,
+        "evacuations: upstreams in dc-b get no work at revision 7, by a watcher",
+    );
+    let other = line(21, "upstreams: 7 known at revision 8");
+    let refused = request_line(30, &record("evacuated", 503, &[]));
+    let text = [told, other, refused].join("\n");
+    let explanation = explain("9c41", &[("host-a".to_owned(), text)]).expect("it is found");
+    let order: Vec<u64> = explanation.traces.iter().map(|trace| trace.at_ms).collect();
+    assert_eq!(order, [20, 30]);
+    assert!(explanation.causes[0].contains("an evacuated data centre"));
+}
+
 /// An id that nobody wrote of is said not to be found, with how much was looked at.
 #[test]
 fn an_unknown_id_is_not_found() {
