Forget the end of an evacuation after ten minutes

Found by reading: each name that ever stood among the evacuations was kept for the life of a host, and another writer may leave names without end. What the end is kept for, cold upstreams, is over in seconds. The new test failed before.

--- a/crates/policy/src/evacuations.rs
+++ b/crates/policy/src/evacuations.rs
@@ -10,6 +10,10 @@
 
 use crate::key::Millis;
 
+/// After so long the end of an evacuation is forgotten: its upstreams are cold for seconds. Other writers
+/// may leave names without end in the store.
+const REMEMBERED_MS: Millis = 600_000;
+
 /// The evacuated data centres at one revision, as hosts tell each other.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct EvacuationState {
@@ -141,6 +145,8 @@
     }
 
     fn set(&mut self, now_ms: Millis, data_centres: BTreeSet<String>) -> bool {
+        self.ended_ms
+            .retain(|_, ended_ms| now_ms.saturating_sub(*ended_ms) < REMEMBERED_MS);
         let ended: Vec<String> = self
             .evacuated
             .keys()
--- a/crates/policy/tests/evacuations.rs
+++ b/crates/policy/tests/evacuations.rs
@@ -106,3 +106,17 @@
     evacuations.apply(1_500, 8, [begins("a")]);
     assert_eq!(evacuations.ended_ms("a"), None);
 }
+
+/// Guards against memory that grows with names that another writer leaves and removes.
+#[test]
+fn old_ends_are_forgotten() {
+    let mut evacuations = Evacuations::default();
+    for number in 1..=1_000_u64 {
+        let now_ms = number * 1_000;
+        let name = format!("strange-{number}");
+        evacuations.apply(now_ms, 2 * number, [begins(&name)]);
+        evacuations.apply(now_ms, 2 * number + 1, [ends(&name)]);
+    }
+    assert_eq!(evacuations.ended_ms("strange-1"), None);
+    assert_eq!(evacuations.ended_ms("strange-1000"), Some(1_000_000));
+}
