Leave cold engines alone on a host that has yet to meet the others

Cause: hosts that start take themselves for the home of every cell until they have met, and each counts its own starts only. Handing out starts had that guard, placing by one's own table had not. Ruled out: a home that died, whose successor starts with nothing counted; each hands out half of the bound.

Change: a host that is not in touch places as if cold engines had refused; what is left for them goes by starts that are handed out.

--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -198,7 +198,7 @@
 
     /// Upstreams that get a few new requests a second only.
     pub fn cold_count(&self) -> usize {
-        self.instances.cold_count(self.clock.now_ms())
+        self.instances.cold(self.clock.now_ms()).len()
     }
 
     /// Requests that were sent once more.
--- a/crates/gateway/src/homes.rs
+++ b/crates/gateway/src/homes.rs
@@ -70,7 +70,7 @@
                 Err(error) => warn!("cells: placed without a home: {error}"),
             }
         }
-        let placement = self.cells.place(self.clock.now_ms(), cell, &request);
+        let placement = self.place_here(cell, request);
         // A cell's home counts what it starts at a cold engine; a host in its place has to ask.
         if let Placement::On { engine, .. } = placement
             && !self.is_home(cell)
@@ -87,9 +87,20 @@
         cell: CellKey,
         request: &PlacementRequest,
     ) -> Option<Placement> {
-        let now_ms = self.clock.now_ms();
         self.is_home(cell)
-            .then(|| self.cells.place(now_ms, cell, request))
+            .then(|| self.place_here(cell, request.clone()))
+    }
+
+    /// Places by this host's own table.
+    ///
+    /// A host that has just started takes itself for the home of every cell until it has met the others:
+    /// where all start at once, each would start what a cold engine bears. It leaves those to others.
+    fn place_here(&self, cell: CellKey, mut request: PlacementRequest) -> Placement {
+        let now_ms = self.clock.now_ms();
+        if !self.fleet.is_in_touch(now_ms) {
+            request.without.extend(self.instances.cold(now_ms));
+        }
+        self.cells.place(now_ms, cell, &request)
     }
 
     /// Tells the cell's home that a generation is over.
--- a/crates/gateway/src/instances.rs
+++ b/crates/gateway/src/instances.rs
@@ -308,10 +308,11 @@
     }
 
     /// Upstreams that are cold now.
-    pub(crate) fn cold_count(&self, now_ms: Millis) -> usize {
+    pub(crate) fn cold(&self, now_ms: Millis) -> Vec<UpstreamKey> {
         let table = self.table.lock();
         let all = table.arena.values();
-        all.filter(|one| one.cold(now_ms).is_some()).count()
+        let cold = all.filter(|one| one.cold(now_ms).is_some());
+        cold.map(|one| upstream_of(&one.registration)).collect()
     }
 
     /// Whether a chosen upstream is cold.
