--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -14,7 +14,7 @@
 use crate::crashes::BrokenRun;
 use crate::gateway::Gateway;
 use crate::head::{AnswerHead, Continuation, Outbound};
-use crate::instances::Chosen;
+use crate::instance::Chosen;
 use crate::intake::Inquiry;
 use crate::journey::{ANSWERED, Flight, Journey};
 use crate::problem::Problem;
--- a/crates/gateway/src/carry.rs
+++ b/crates/gateway/src/carry.rs
@@ -9,7 +9,7 @@
 use tokio::sync::oneshot;
 
 use crate::control::{Copied, CopyError, EngineControl};
-use crate::instances::Destination;
+use crate::instance::Destination;
 use crate::runs::CarryOrder;
 
 /// What a step of a carry has come to.
--- a/crates/gateway/src/cold.rs
+++ b/crates/gateway/src/cold.rs
@@ -15,7 +15,8 @@
 use tokio::time::sleep;
 
 use crate::gateway::Gateway;
-use crate::instances::{Chosen, Found, InstanceKey};
+use crate::instance::{Chosen, InstanceKey};
+use crate::instances::Found;
 use crate::problem::Problem;
 
 /// A home that doesn't answer in time: several ways there and back between data centres.
--- a/crates/gateway/src/crashes.rs
+++ b/crates/gateway/src/crashes.rs
@@ -9,7 +9,7 @@
 use tokio::time::timeout;
 
 use crate::gateway::Gateway;
-use crate::instances::Chosen;
+use crate::instance::Chosen;
 use crate::intake::Inquiry;
 
 /// An upstream that takes connections may have started again in its place already: its registration
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -17,7 +17,7 @@
 use crate::crashes::BrokenRun;
 use crate::gateway::Gateway;
 use crate::hop;
-use crate::instances::Chosen;
+use crate::instance::Chosen;
 use crate::intake::Inquiry;
 use crate::journey::Journey;
 use crate::problem::{Problem, reply};
--- /dev/null
+++ b/crates/gateway/src/instance.rs
@@ -0,0 +1,125 @@
+//! One start of an upstream, as this host knows it, and what is handed out of it.
+
+use std::net::SocketAddr;
+
+use fulmarpath_policy::{Cold, FlightId, Gauge, Millis, UpstreamKey};
+use slotmap::new_key_type;
+use tokio_util::sync::CancellationToken;
+
+use crate::directory::{RegisteredState, Registration};
+use crate::key::upstream_of;
+use crate::standing::Allowance;
+
+new_key_type! {
+    /// An upstream's start in this host's arena.
+    pub(crate) struct InstanceKey;
+}
+
+/// One start of an upstream.
+#[derive(Debug)]
+pub(crate) struct Instance {
+    pub(crate) upstream: UpstreamKey,
+    pub(crate) registration: Registration,
+    pub(crate) gauge: Gauge,
+    /// The upstream has said on a connection that it is leaving.
+    pub(crate) is_leaving: bool,
+    /// Its data centre gets no work.
+    pub(crate) is_evacuated: bool,
+    /// Until when it is cold, by its own word or by what has just happened to it.
+    pub(crate) cold_until_ms: Millis,
+    /// What it bears while it is cold; `None` where its service's upstreams never are.
+    pub(crate) allowance: Option<Allowance>,
+    /// No connection to it could be made, and nothing has come from it since.
+    pub(crate) is_unreachable: bool,
+    /// Cancelled when it is known to have started again.
+    pub(crate) lost: CancellationToken,
+}
+
+impl Instance {
+    pub(crate) fn new(registration: Registration) -> Self {
+        Self {
+            upstream: upstream_of(&registration),
+            registration,
+            gauge: Gauge::default(),
+            is_leaving: false,
+            is_evacuated: false,
+            cold_until_ms: 0,
+            allowance: None,
+            is_unreachable: false,
+            lost: CancellationToken::new(),
+        }
+    }
+
+    /// Takes its entry's word on how long it will be cold.
+    pub(crate) fn state_cold(&mut self, now_ms: Millis) {
+        let until_ms = now_ms + self.registration.cold_ms;
+        self.cold_until_ms = self.cold_until_ms.max(until_ms);
+    }
+
+    pub(crate) fn is_start_of(&self, registration: &Registration) -> bool {
+        self.registration.born_ms == registration.born_ms
+    }
+
+    pub(crate) fn takes_work(&self) -> bool {
+        self.registration.state == RegisteredState::Ready && !self.is_leaving && !self.is_evacuated
+    }
+
+    /// Set while it is cold, where its service's upstreams can be.
+    pub(crate) fn cold(&self, now_ms: Millis) -> Option<Cold> {
+        let allowance = self.allowance?;
+        (now_ms < self.cold_until_ms).then_some(Cold {
+            until_ms: self.cold_until_ms,
+            starts: allowance.starts,
+        })
+    }
+
+    /// It is cold for as long as its service's upstreams are from this moment on.
+    pub(crate) fn turn_cold(&mut self, since_ms: Millis) {
+        let cold_ms = self.allowance.map_or(0, |allowance| allowance.cold_ms);
+        self.cold_until_ms = self.cold_until_ms.max(since_ms + cold_ms);
+    }
+
+    /// Whether each of its slots is taken, as far as this host can tell.
+    pub(crate) fn is_full(&self, now_ms: Millis) -> bool {
+        self.gauge.occupancy(now_ms) >= self.registration.slots.max(1) as f32
+    }
+}
+
+/// An upstream that was chosen for a request.
+#[derive(Debug, Clone)]
+pub(crate) struct Chosen {
+    pub(crate) key: InstanceKey,
+    pub(crate) upstream: UpstreamKey,
+    pub(crate) instance: String,
+    pub(crate) address: SocketAddr,
+    /// Cancelled when the upstream has started again: what ran there is lost.
+    pub(crate) lost: CancellationToken,
+    pub(crate) flight: FlightId,
+}
+
+impl Chosen {
+    /// The upstream, as an engine that a generation may go on at.
+    pub(crate) fn destination(&self) -> Destination {
+        Destination {
+            upstream: self.upstream,
+            address: self.address,
+            lost: self.lost.clone(),
+        }
+    }
+}
+
+/// An engine that a generation may go on at.
+#[derive(Debug, Clone)]
+pub(crate) struct Destination {
+    pub(crate) upstream: UpstreamKey,
+    pub(crate) address: SocketAddr,
+    pub(crate) lost: CancellationToken,
+}
+
+impl Destination {
+    /// The engine has started again: it holds nothing of before, and what has the name of a copy
+    /// there now is another's.
+    pub(crate) fn is_lost(&self) -> bool {
+        self.lost.is_cancelled()
+    }
+}
--- a/crates/gateway/src/instances.rs
+++ b/crates/gateway/src/instances.rs
@@ -1,130 +1,18 @@
 //! The upstreams that this host may send to, and what it knows of each.
 
 use std::collections::HashMap;
-use std::net::SocketAddr;
 
 use fulmarpath_policy::{
-    Choice, Cold, Evacuations, FlightId, Gauge, Millis, StatedLoad, UpstreamKey, Verdict, choose,
+    Choice, Cold, Evacuations, Millis, StatedLoad, UpstreamKey, Verdict, choose,
 };
 use parking_lot::Mutex;
-use slotmap::{SlotMap, new_key_type};
+use slotmap::SlotMap;
 use spdlog::info;
-use tokio_util::sync::CancellationToken;
 
-use crate::directory::{Directory, RegisteredState, Registration};
+use crate::directory::{Directory, Registration};
+use crate::instance::{Chosen, Destination, Instance, InstanceKey};
 use crate::key::upstream_of;
-use crate::standing::{Allowance, Allowances, Standing};
-
-new_key_type! {
-    /// An upstream's start in this host's arena.
-    pub(crate) struct InstanceKey;
-}
-
-#[derive(Debug)]
-struct Instance {
-    registration: Registration,
-    gauge: Gauge,
-    /// The upstream has said on a connection that it is leaving.
-    is_leaving: bool,
-    /// Its data centre gets no work.
-    is_evacuated: bool,
-    /// Until when it is cold, by its own word or by what has just happened to it.
-    cold_until_ms: Millis,
-    /// What it bears while it is cold; `None` where its service's upstreams never are.
-    allowance: Option<Allowance>,
-    /// No connection to it could be made, and nothing has come from it since.
-    is_unreachable: bool,
-    /// Cancelled when it is known to have started again.
-    lost: CancellationToken,
-}
-
-impl Instance {
-    fn new(registration: Registration) -> Self {
-        Self {
-            registration,
-            gauge: Gauge::default(),
-            is_leaving: false,
-            is_evacuated: false,
-            cold_until_ms: 0,
-            allowance: None,
-            is_unreachable: false,
-            lost: CancellationToken::new(),
-        }
-    }
-
-    /// Takes its entry's word on how long it will be cold.
-    fn state_cold(&mut self, now_ms: Millis) {
-        let until_ms = now_ms + self.registration.cold_ms;
-        self.cold_until_ms = self.cold_until_ms.max(until_ms);
-    }
-
-    fn is_start_of(&self, registration: &Registration) -> bool {
-        self.registration.born_ms == registration.born_ms
-    }
-
-    fn takes_work(&self) -> bool {
-        self.registration.state == RegisteredState::Ready && !self.is_leaving && !self.is_evacuated
-    }
-
-    /// Set while it is cold, where its service's upstreams can be.
-    fn cold(&self, now_ms: Millis) -> Option<Cold> {
-        let allowance = self.allowance?;
-        (now_ms < self.cold_until_ms).then_some(Cold {
-            until_ms: self.cold_until_ms,
-            starts: allowance.starts,
-        })
-    }
-
-    /// It is cold for as long as its service's upstreams are from this moment on.
-    fn turn_cold(&mut self, since_ms: Millis) {
-        let cold_ms = self.allowance.map_or(0, |allowance| allowance.cold_ms);
-        self.cold_until_ms = self.cold_until_ms.max(since_ms + cold_ms);
-    }
-
-    /// Whether each of its slots is taken, as far as this host can tell.
-    fn is_full(&self, now_ms: Millis) -> bool {
-        self.gauge.occupancy(now_ms) >= self.registration.slots.max(1) as f32
-    }
-}
-
-/// An upstream that was chosen for a request.
-#[derive(Debug, Clone)]
-pub(crate) struct Chosen {
-    pub(crate) key: InstanceKey,
-    pub(crate) upstream: UpstreamKey,
-    pub(crate) instance: String,
-    pub(crate) address: SocketAddr,
-    /// Cancelled when the upstream has started again: what ran there is lost.
-    pub(crate) lost: CancellationToken,
-    flight: FlightId,
-}
-
-impl Chosen {
-    /// The upstream, as an engine that a generation may go on at.
-    pub(crate) fn destination(&self) -> Destination {
-        Destination {
-            upstream: self.upstream,
-            address: self.address,
-            lost: self.lost.clone(),
-        }
-    }
-}
-
-/// An engine that a generation may go on at.
-#[derive(Debug, Clone)]
-pub(crate) struct Destination {
-    pub(crate) upstream: UpstreamKey,
-    pub(crate) address: SocketAddr,
-    lost: CancellationToken,
-}
-
-impl Destination {
-    /// The engine has started again: it holds nothing of before, and what has the name of a copy
-    /// there now is another's.
-    pub(crate) fn is_lost(&self) -> bool {
-        self.lost.is_cancelled()
-    }
-}
+use crate::standing::{Allowances, Standing};
 
 /// What there is for a request.
 #[derive(Debug)]
@@ -180,7 +68,7 @@
         let one = &mut self.arena[key];
         Chosen {
             key,
-            upstream: upstream_of(&one.registration),
+            upstream: one.upstream,
             instance: one.registration.instance.clone(),
             address: one.registration.address,
             lost: one.lost.clone(),
@@ -275,7 +163,7 @@
         if cold.is_empty() {
             return Found::Nobody;
         }
-        let upstream = |key: &InstanceKey| upstream_of(&table.arena[*key].registration);
+        let upstream = |key: &InstanceKey| table.arena[*key].upstream;
         Found::Cold {
             cold: cold.iter().map(upstream).collect(),
             full: warm.as_ref().map(upstream),
@@ -312,7 +200,7 @@
         let table = self.table.lock();
         let all = table.arena.values();
         let cold = all.filter(|one| one.cold(now_ms).is_some());
-        cold.map(|one| upstream_of(&one.registration)).collect()
+        cold.map(|one| one.upstream).collect()
     }
 
     /// Whether a chosen upstream is cold.
--- a/crates/gateway/src/journey.rs
+++ b/crates/gateway/src/journey.rs
@@ -8,7 +8,7 @@
 use crate::configuration::{Route, RouteKind};
 use crate::gateway::Gateway;
 use crate::head::GenerationHead;
-use crate::instances::Chosen;
+use crate::instance::Chosen;
 use crate::key::run_of;
 use crate::metrics::EndLabels;
 use crate::problem::Problem;
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -23,6 +23,7 @@
 mod head;
 mod homes;
 mod hop;
+mod instance;
 mod instances;
 mod intake;
 mod join;
--- a/crates/gateway/src/recovery.rs
+++ b/crates/gateway/src/recovery.rs
@@ -9,7 +9,7 @@
 use crate::attempt::{Answer, Terms};
 use crate::crashes::BrokenRun;
 use crate::head::Continuation;
-use crate::instances::Destination;
+use crate::instance::Destination;
 use crate::relay::{Relay, Stopped};
 use crate::source::{Heard, Source};
 use crate::start::Started;
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -14,7 +14,7 @@
 use crate::carry::{Carrying, Step};
 use crate::events::{Events, split};
 use crate::gateway::Gateway;
-use crate::instances::Destination;
+use crate::instance::Destination;
 use crate::intake::Inquiry;
 use crate::journey::Journey;
 use crate::runs::CarryOrder;
--- a/crates/gateway/src/runs.rs
+++ b/crates/gateway/src/runs.rs
@@ -7,7 +7,7 @@
 use parking_lot::Mutex;
 use tokio::sync::{mpsc, oneshot};
 
-use crate::instances::Destination;
+use crate::instance::Destination;
 
 /// An order to carry a generation to another engine.
 pub(crate) struct CarryOrder {
--- a/crates/gateway/src/source.rs
+++ b/crates/gateway/src/source.rs
@@ -12,7 +12,7 @@
 use crate::attempt::Answer;
 use crate::events::Events;
 use crate::gateway::Gateway;
-use crate::instances::Destination;
+use crate::instance::Destination;
 use crate::journey::Flight;
 
 /// What came from an engine.
--- a/crates/gateway/src/start.rs
+++ b/crates/gateway/src/start.rs
@@ -11,7 +11,7 @@
 use crate::configuration::EngineTraits;
 use crate::drain::can_finish;
 use crate::gateway::Gateway;
-use crate::instances::{Chosen, Destination};
+use crate::instance::{Chosen, Destination};
 use crate::intake::Inquiry;
 use crate::journey::Journey;
 use crate::key::centre_of;
