Log and count the limits that upstreams name in their answers

The first step against upstreams that get more than the limit they named: no log line and no metric told whether a host had read the field, so nobody could tell a field that isn't read from a limit that each host keeps for itself. The adapter decodes it, each host writes a line where it begins, changes or ends, and limited_upstreams counts. Nothing is decided by it yet.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -161,16 +161,21 @@
         };
         let head = self.dialect.answer(response.status(), response.headers());
         let now_ms = self.clock.now_ms();
+        let is_stray = !head.is_not_run && head.id.as_deref() != Some(id);
+        let is_other = response.status() == StatusCode::MISDIRECTED_REQUEST;
+        if !is_stray && !is_other {
+            self.hear_signals(&flight.chosen, head.signals);
+        }
         if head.is_not_run {
             flight.note(Verdict::Shed);
             self.instances.spare_until(now_ms + FULL_MS, key);
-            if response.status() == StatusCode::MISDIRECTED_REQUEST {
+            if is_other {
                 self.instances.leave(key);
             }
             return Err(Failure::Shed);
         }
         // An upstream may send one answer too many; its id tells which request it belongs to.
-        if head.id.as_deref() != Some(id) {
+        if is_stray {
             flight.note(Verdict::Failed);
             return Err(Failure::Unknown);
         }
--- /dev/null
+++ b/crates/gateway/src/backpressure.rs
@@ -0,0 +1,22 @@
+//! Takes what upstreams ask of their callers, and writes down what changes.
+
+use fulmarpath_policy::Signals;
+use spdlog::info;
+
+use crate::gateway::Gateway;
+use crate::instance::Chosen;
+
+impl Gateway {
+    /// Takes what the head of an upstream's own answer asks for.
+    pub(crate) fn hear_signals(&self, chosen: &Chosen, signals: Signals) {
+        let (before, after) = self.instances.hear_signals(chosen.upstream, signals);
+        let instance = &chosen.instance;
+        match (before.limit_per_s(), after.limit_per_s()) {
+            (before, after) if before == after => {}
+            (_, Some(limit)) => {
+                info!("backpressure: {instance} takes {limit} requests a second from all hosts")
+            }
+            (_, None) => info!("backpressure: {instance} names no limit any more"),
+        }
+    }
+}
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -271,6 +271,7 @@
             quarantined: self.circuit_breakers.restricted() as i64,
             evacuated: self.evacuated_count() as i64,
             cold: self.cold_count() as i64,
+            limited: self.instances.limited_count() as i64,
             retries_left: left.collect(),
         }
     }
--- a/crates/gateway/src/head.rs
+++ b/crates/gateway/src/head.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddr;
 
-use fulmarpath_policy::{Millis, StatedLoad};
+use fulmarpath_policy::{Millis, Signals, StatedLoad};
 use hyper::{HeaderMap, StatusCode};
 
 /// A part of a prompt that other requests may share.
@@ -85,7 +85,7 @@
 }
 
 /// What the head of an upstream's answer says.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq)]
 pub struct AnswerHead {
     /// The request that it answers.
     pub id: Option<String>,
@@ -97,6 +97,8 @@
     pub load: Option<StatedLoad>,
     /// The upstream may be about to leave.
     pub is_closing: bool,
+    /// What the upstream asks of its callers.
+    pub signals: Signals,
 }
 
 /// Reads and writes the fields of heads.
--- a/crates/gateway/src/instances.rs
+++ b/crates/gateway/src/instances.rs
@@ -3,7 +3,8 @@
 use std::collections::HashMap;
 
 use fulmarpath_policy::{
-    Choice, Cold, Evacuations, Millis, StatedLoad, UpstreamKey, Verdict, choose,
+    Backpressure, Choice, Cold, Evacuations, Millis, Signals, StatedLoad, UpstreamKey, Verdict,
+    choose,
 };
 use parking_lot::Mutex;
 use slotmap::SlotMap;
@@ -36,6 +37,9 @@
     by_name: HashMap<String, InstanceKey>,
     by_upstream: HashMap<UpstreamKey, InstanceKey>,
     by_service: HashMap<String, Vec<InstanceKey>>,
+    /// What upstreams ask of their callers. It outlives their entries, which lapse while the store is
+    /// away and come back.
+    backpressure: HashMap<UpstreamKey, Backpressure>,
 }
 
 impl Table {
@@ -258,6 +262,32 @@
         Some(table.arena[*key].registration.clone())
     }
 
+    /// Takes what an answer asks of this upstream's callers; what it asked for before and after.
+    pub(crate) fn hear_signals(
+        &self,
+        upstream: UpstreamKey,
+        signals: Signals,
+    ) -> (Backpressure, Backpressure) {
+        let mut table = self.table.lock();
+        let known = table.backpressure.get(&upstream);
+        let before = known.copied().unwrap_or_default();
+        let mut after = before;
+        after.hear(signals);
+        if after != before {
+            table.backpressure.insert(upstream, after);
+        }
+        (before, after)
+    }
+
+    /// Registered upstreams that name a limit to this host.
+    pub(crate) fn limited_count(&self) -> usize {
+        let table = self.table.lock();
+        let known = table.by_upstream.keys();
+        let heard = known.filter_map(|upstream| table.backpressure.get(upstream));
+        let limited = heard.filter(|one| one.limit_per_s().is_some());
+        limited.count()
+    }
+
     /// Whether a chosen upstream is registered still and has given no notice.
     pub(crate) fn takes_work(&self, key: InstanceKey) -> bool {
         let table = self.table.lock();
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -5,6 +5,7 @@
 //! writes heads, [`Metadata`] reads the operator's and the upstreams' own entries.
 
 mod attempt;
+mod backpressure;
 mod carry;
 mod cells;
 mod cold;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -80,6 +80,7 @@
     pub(crate) quarantined: i64,
     pub(crate) evacuated: i64,
     pub(crate) cold: i64,
+    pub(crate) limited: i64,
     pub(crate) retries_left: Vec<(String, i64)>,
 }
 
@@ -107,6 +108,7 @@
     quarantined: Gauge,
     evacuated: Gauge,
     cold: Gauge,
+    limited: Gauge,
     retries_left: Family<ServiceLabels, Gauge>,
     registry: Arc<Registry>,
 }
@@ -174,6 +176,9 @@
         let cold = Gauge::default();
         let help = "Upstreams that get a few new requests a second only";
         registry.register("cold_upstreams", help, cold.clone());
+        let limited = Gauge::default();
+        let help = "Upstreams that have named a limit in their answers to this host";
+        registry.register("limited_upstreams", help, limited.clone());
         let cold_waits = Counter::default();
         let help = "Requests for a start at a cold upstream that were put off";
         registry.register("cold_waits", help, cold_waits.clone());
@@ -196,6 +201,7 @@
             quarantined,
             evacuated,
             cold,
+            limited,
             cold_waits,
             retries_left,
             requests,
@@ -249,6 +255,7 @@
         self.quarantined.set(readings.quarantined);
         self.evacuated.set(readings.evacuated);
         self.cold.set(readings.cold);
+        self.limited.set(readings.limited);
         for (service, left) in &readings.retries_left {
             let service = service.clone();
             let labels = ServiceLabels { service };
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -6,6 +6,7 @@
 mod absences;
 mod ask;
 mod backlog;
+mod backpressure;
 mod branches;
 mod cell;
 mod choose;
@@ -39,6 +40,7 @@
 
 pub use absences::Absences;
 pub use ask::{Ask, AskId, Outcome, PermitKey, RefusalReason};
+pub use backpressure::{Backpressure, Signals};
 pub use branches::{Listener, branches, parts};
 pub use cell::{
     Carry, CarryEnd, Cell, CellEngine, EngineFigures, Placement, PlacementRequest, RunEnd, RunKey,
