Have the soak play an upstream that names a limit

A plain upstream names half a request a second beside other faults; what it gets in any 4 s, once every host has had an answer that says so, is counted against one and a half times that and five.

--- a/crates/bench/src/cmd/soak.rs
+++ b/crates/bench/src/cmd/soak.rs
@@ -37,6 +37,9 @@
     /// Draw from those and from data centres that are emptied and upstreams that come back cold
     #[bpaf(long)]
     latest_kinds: bool,
+    /// Draw from those and from upstreams that ask for less in their answers
+    #[bpaf(long)]
+    backpressure: bool,
     /// One caller repeats a request that ends the plain upstream that begins to run it
     #[bpaf(long)]
     ending: bool,
@@ -60,10 +63,11 @@
     }
 
     fn kinds(&self) -> Kinds {
-        match (self.latest_kinds, self.all_kinds) {
-            (true, _) => Kinds::All,
-            (false, true) => Kinds::WithBirths,
-            (false, false) => Kinds::First,
+        match (self.backpressure, self.latest_kinds, self.all_kinds) {
+            (true, _, _) => Kinds::All,
+            (false, true, _) => Kinds::WithEvacuations,
+            (false, false, true) => Kinds::WithBirths,
+            (false, false, false) => Kinds::First,
         }
     }
 
--- a/crates/bench/src/soak/fault.rs
+++ b/crates/bench/src/soak/fault.rs
@@ -2,7 +2,7 @@
 
 use std::time::{Duration, Instant};
 
-use fulmarpath_platform_standin::{PlainBehaviour, StoreMode};
+use fulmarpath_platform_standin::{Asked, PlainBehaviour, StoreMode};
 use rand::Rng;
 use rand_chacha::ChaCha8Rng;
 use tokio::time::sleep;
@@ -18,6 +18,15 @@
 /// Requests that a cold plain upstream may get in a second, by the settings and its service.
 const COLD_MOST: usize = 17;
 
+/// What an upstream in need names.
+const LIMIT_PER_S: f32 = 0.5;
+/// The span over which its requests are counted.
+const LIMIT_SPAN: Duration = Duration::from_secs(4);
+/// Requests that it may get in this span: one and a half times what it names, and five.
+const LIMIT_MOST: usize = 8;
+/// Every host has had an answer of each plain upstream within this time.
+const TOLD_BOUND: Duration = Duration::from_millis(1_500);
+
 /// One fault; how long it lasts is its own.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub(crate) enum Fault {
@@ -42,6 +51,7 @@
     ForeignEntries,
     Evacuation,
     ColdReturn,
+    PlainNamesLimit,
 }
 
 /// Which faults seeds draw from. Kinds came one after the other, so that a seed that was kept plays what
@@ -52,7 +62,9 @@
     First,
     /// Engines that start again and entries of other writers as well.
     WithBirths,
-    /// All.
+    /// Data centres that are emptied and upstreams that come back cold as well.
+    WithEvacuations,
+    /// All: upstreams in need as well.
     All,
 }
 
@@ -61,13 +73,14 @@
         match self {
             Self::First => 17,
             Self::WithBirths => 19,
+            Self::WithEvacuations => 21,
             Self::All => Fault::ALL.len(),
         }
     }
 }
 
 impl Fault {
-    const ALL: [Self; 21] = [
+    const ALL: [Self; 22] = [
         Self::HostKilled,
         Self::HostPaused,
         Self::HostStopped,
@@ -89,6 +102,7 @@
         Self::ForeignEntries,
         Self::Evacuation,
         Self::ColdReturn,
+        Self::PlainNamesLimit,
     ];
 
     /// Draws one.
@@ -112,6 +126,7 @@
                 | Self::ForeignEntries
                 | Self::Evacuation
                 | Self::ColdReturn
+                | Self::PlainNamesLimit
         )
     }
 
@@ -188,6 +203,10 @@
                 let plain = rng.random_range(0..stage.plains.len());
                 turn_cold(stage, plain).await;
             }
+            Self::PlainNamesLimit => {
+                let plain = rng.random_range(0..stage.plains.len());
+                name_limit(stage, plain).await;
+            }
         }
         Ok(())
     }
@@ -229,6 +248,20 @@
     stage.register_plain(plain);
 }
 
+/// A plain upstream names a limit; what it gets in some span after all hosts were told is counted.
+async fn name_limit(stage: &mut Stage, plain: usize) {
+    let upstream = stage.plains[plain].clone();
+    upstream.ask(Asked {
+        limit_per_s: Some(LIMIT_PER_S),
+    });
+    sleep(TOLD_BOUND).await;
+    let since = Instant::now();
+    sleep(LIMIT_SPAN + Duration::from_millis(500)).await;
+    let most = upstream.most_within(LIMIT_SPAN, since);
+    stage.over_limit += most.saturating_sub(LIMIT_MOST);
+    upstream.ask(Asked::default());
+}
+
 /// Notice, then the end 1.8 s later, and another engine in its place.
 async fn leave(stage: &mut Stage, place: usize) -> Result<(), SoakError> {
     stage.give_notice(place);
--- a/crates/bench/src/soak/judge.rs
+++ b/crates/bench/src/soak/judge.rs
@@ -19,7 +19,7 @@
     pub(crate) may_be_cut: bool,
 }
 
-/// Counts of one seed; the first twelve are violations, and ended upstreams over their bound.
+/// Counts of one seed; those up to `over_limit` are violations, and ended upstreams over their bound.
 #[derive(Debug, Clone, Default, Serialize)]
 pub(crate) struct Verdict {
     pub(crate) seed: u64,
@@ -37,6 +37,8 @@
     pub(crate) sent_to_evacuated: u32,
     /// Requests beyond what cold upstreams may get in a second.
     pub(crate) over_cold_rate: u32,
+    /// Requests beyond the limits that upstreams have named.
+    pub(crate) over_limit: u32,
     /// Upstreams that one caller's request has ended.
     pub(crate) ended_upstreams: u32,
     pub(crate) requests: u32,
@@ -60,6 +62,7 @@
             + self.old_key_served
             + self.sent_to_evacuated
             + self.over_cold_rate
+            + self.over_limit
             + self.ended_upstreams.saturating_sub(MOST_ENDED)
     }
 
--- a/crates/bench/src/soak/stage.rs
+++ b/crates/bench/src/soak/stage.rs
@@ -114,6 +114,8 @@
     pub(crate) sent_to_evacuated: usize,
     /// Requests beyond what cold upstreams may get in a second.
     pub(crate) over_cold_rate: usize,
+    /// Requests beyond the limits that upstreams have named.
+    pub(crate) over_limit: usize,
     pub(crate) folder: PathBuf,
 }
 
@@ -181,6 +183,7 @@
             births: 0,
             sent_to_evacuated: 0,
             over_cold_rate: 0,
+            over_limit: 0,
             folder,
         };
         for number in 0..4 {
