--- a/src/explain.rs
+++ b/src/explain.rs
@@ -71,13 +71,16 @@
         .collect();
     let run = records.first().map(|record| record.run.as_str());
     let content = records.iter().find_map(|record| record.content.as_deref());
-    let is_evacuated = records.iter().any(|record| record.outcome == "evacuated");
+    let has_ended = |outcome: &str| records.iter().any(|record| record.outcome == outcome);
+    let is_evacuated = has_ended("evacuated");
+    let is_held_back = has_ended("limited");
     let speaks = |payload: &str| {
         // What ended upstreams was this content in other requests as well.
         let on_content = payload.starts_with("circuits:") || payload.starts_with("crashes:");
         payload.contains(id)
             || run.is_some_and(|run| payload.contains(run))
             || (is_evacuated && payload.starts_with("evacuations:"))
+            || (is_held_back && payload.starts_with("backpressure:"))
             || (on_content && content.is_some_and(|content| payload.contains(content)))
     };
     let mut traces: Vec<Trace> = all
--- a/tests/explain.rs
+++ b/tests/explain.rs
@@ -55,6 +55,7 @@
 #[case::broken_stream(Cause { outcome: "stream_broken", status: 200, instances: &["i-1", "i-2"], names: "i-2 was lost after 12 events" })]
 #[case::unknown_outcome(Cause { outcome: "broken", status: 502, instances: &["i-1"], names: "it may have run" })]
 #[case::timeout(Cause { outcome: "timeout", status: 504, instances: &["i-1"], names: "did not answer" })]
+#[case::limited(Cause { outcome: "limited", status: 503, instances: &[], names: "the limit that it named" })]
 #[case::own_failure(Cause { outcome: "answered", status: 500, instances: &["i-1"], names: "i-1 itself failed" })]
 #[case::key(Cause { outcome: "unknown_key", status: 401, instances: &[], names: "version 7" })]
 #[case::too_large(Cause { outcome: "too_large", status: 503, instances: &[], names: "no engine" })]
@@ -124,20 +125,35 @@
     assert!(explanation.causes[0].contains("content 00000000000000cc"));
 }
 
-/// Guards against a refusal that only the operator's own word explains, and that `explain` leaves out.
-#[test]
-fn shows_by_whose_word_upstreams_got_nothing() {
-    let told = line(
-        20,
-        "evacuations: upstreams in dc-b get no work at revision 7, by a watcher",
-    );
+struct Word {
+    outcome: &'static str,
+    /// The line that tells why.
+    told: &'static str,
+    names: &'static str,
+}
+
+/// Guards against a refusal that only the operator's or an upstream's own word explains, and that
+/// `explain` leaves out.
+#[rstest]
+#[case::of_the_operator(Word {
+    outcome: "evacuated",
+    told: "evacuations: upstreams in dc-b get no work at revision 7, by a watcher",
+    names: "an evacuated data centre",
+})]
+#[case::of_an_upstream(Word {
+    outcome: "limited",
+    told: "backpressure: i-1 takes 2.9 requests a second from all hosts",
+    names: "the limit that it named",
+})]
+fn shows_by_whose_word_upstreams_got_nothing(#[case] case: Word) {
+    let told = line(20, case.told);
     let other = line(21, "upstreams: 7 known at revision 8");
-    let refused = request_line(30, &record("evacuated", 503, &[]));
+    let refused = request_line(30, &record(case.outcome, 503, &[]));
     let text = [told, other, refused].join("\n");
     let explanation = explain("9c41", &[("host-a".to_owned(), text)]).expect("it is found");
     let order: Vec<u64> = explanation.traces.iter().map(|trace| trace.at_ms).collect();
     assert_eq!(order, [20, 30]);
-    assert!(explanation.causes[0].contains("an evacuated data centre"));
+    assert!(explanation.causes[0].contains(case.names));
 }
 
 /// An id that nobody wrote of is said not to be found, with how much was looked at.
