Log and count the upstreams that say in their answers that they leave

The first step against requests that reach an upstream which has said so: no line and no metric told whether a host had read it, so a field that isn't read and one that is forgotten looked alike.

--- a/crates/bench/src/soak/fault.rs
+++ b/crates/bench/src/soak/fault.rs
@@ -253,6 +253,7 @@
     let upstream = stage.plains[plain].clone();
     upstream.ask(Asked {
         limit_per_s: Some(LIMIT_PER_S),
+        ..Asked::default()
     });
     sleep(TOLD_BOUND).await;
     let since = Instant::now();
--- a/crates/gateway/src/backpressure.rs
+++ b/crates/gateway/src/backpressure.rs
@@ -22,5 +22,8 @@
             }
             (_, None) => info!("backpressure: {instance} names no limit any more"),
         }
+        if after.is_leaving() && !before.is_leaving() {
+            info!("backpressure: {instance} says that it leaves");
+        }
     }
 }
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -272,6 +272,7 @@
             evacuated: self.evacuated_count() as i64,
             cold: self.cold_count() as i64,
             limited: self.instances.limited_count() as i64,
+            leaving: self.instances.leaving_count() as i64,
             retries_left: left.collect(),
         }
     }
--- a/crates/gateway/src/instances.rs
+++ b/crates/gateway/src/instances.rs
@@ -353,6 +353,14 @@
         closed.map(|(upstream, _)| *upstream).collect()
     }
 
+    /// Registered upstreams that have said to this host that they leave.
+    pub(crate) fn leaving_count(&self) -> usize {
+        let table = self.table.lock();
+        let known = table.by_upstream.keys();
+        let asked = known.filter_map(|upstream| table.backpressure.get(upstream));
+        asked.filter(|asked| asked.is_leaving()).count()
+    }
+
     /// Registered upstreams that name a limit to this host.
     pub(crate) fn limited_count(&self) -> usize {
         let table = self.table.lock();
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -81,6 +81,7 @@
     pub(crate) evacuated: i64,
     pub(crate) cold: i64,
     pub(crate) limited: i64,
+    pub(crate) leaving: i64,
     pub(crate) retries_left: Vec<(String, i64)>,
 }
 
@@ -110,6 +111,7 @@
     evacuated: Gauge,
     cold: Gauge,
     limited: Gauge,
+    leaving: Gauge,
     retries_left: Family<ServiceLabels, Gauge>,
     registry: Arc<Registry>,
 }
@@ -180,6 +182,9 @@
         let limited = Gauge::default();
         let help = "Upstreams that have named a limit in their answers to this host";
         registry.register("limited_upstreams", help, limited.clone());
+        let leaving = Gauge::default();
+        let help = "Upstreams that have said in their answers to this host that they leave";
+        registry.register("leaving_upstreams", help, leaving.clone());
         let cold_waits = Counter::default();
         let help = "Requests for a start at a cold upstream that were put off";
         registry.register("cold_waits", help, cold_waits.clone());
@@ -206,6 +211,7 @@
             evacuated,
             cold,
             limited,
+            leaving,
             cold_waits,
             limit_waits,
             retries_left,
@@ -261,6 +267,7 @@
         self.evacuated.set(readings.evacuated);
         self.cold.set(readings.cold);
         self.limited.set(readings.limited);
+        self.leaving.set(readings.leaving);
         for (service, left) in &readings.retries_left {
             let service = service.clone();
             let labels = ServiceLabels { service };
--- a/crates/policy/src/backpressure.rs
+++ b/crates/policy/src/backpressure.rs
@@ -11,6 +11,8 @@
     /// Requests a second that the upstream takes from all hosts together; `None` where it bears
     /// whatever comes.
     pub limit_per_s: Option<f32>,
+    /// It leaves, and wants nothing new.
+    pub is_leaving: bool,
 }
 
 /// What one upstream asks of its callers, as far as this host has heard.
@@ -21,13 +23,16 @@
     heard_ms: Millis,
     /// Until when its limit leaves no start for this host.
     held_until_ms: Millis,
+    is_leaving: bool,
 }
 
 impl Backpressure {
-    /// Takes what an answer asks for; what it doesn't ask for any more is over.
+    /// Takes what an answer asks for. A limit that it doesn't name any more is over; one that leaves
+    /// doesn't come back.
     pub fn hear(&mut self, now_ms: Millis, signals: Signals) {
         self.limit_per_s = signals.limit_per_s;
         self.heard_ms = now_ms;
+        self.is_leaving |= signals.is_leaving;
         if self.limit_per_s.is_none() {
             self.held_until_ms = 0;
         }
@@ -51,6 +56,11 @@
         self.limit_per_s
     }
 
+    /// Whether it has said that it leaves.
+    pub fn is_leaving(&self) -> bool {
+        self.is_leaving
+    }
+
     /// When it was last heard.
     pub fn heard_ms(&self) -> Millis {
         self.heard_ms
