Send nothing new to an upstream whose answers say that it leaves

Hosts sent to a leaving upstream 2,419 and 2,308 ms after they had passed on its word (bound 2,000), and for 13 s in all, while the store answered nobody and could not take its entry.

Cause: a host believed the registration alone. What it heeded in answers was Connection: close, for 400 ms, since other upstreams close too; its sign on the upstream itself was gone with the entry.

The word stands with what the upstream asks for, by the key of its start: neither an entry that says ready nor one that lapses and comes back undoes it, and another start of the same name begins anew. Plain requests, second tries, placements, running copies and transfers leave it out; a generation may still go on where it was.

--- a/crates/gateway/src/instances.rs
+++ b/crates/gateway/src/instances.rs
@@ -85,6 +85,12 @@
         asked.map_or(0, Backpressure::opens_ms)
     }
 
+    /// Whether an upstream takes new work, by its registration and by its own word.
+    fn takes_work(&self, one: &Instance) -> bool {
+        let asked = self.backpressure.get(&one.upstream);
+        one.takes_work() && !asked.is_some_and(Backpressure::is_leaving)
+    }
+
     fn limit_of(&self, upstream: UpstreamKey) -> Option<f32> {
         self.backpressure.get(&upstream)?.limit_per_s()
     }
@@ -177,7 +183,7 @@
         let mut table = self.table.lock();
         let same = table.by_service.get(service).map_or(&[][..], Vec::as_slice);
         let same = same.iter().filter(|key| !without.contains(key));
-        let open = same.filter(|key| table.arena[**key].takes_work());
+        let open = same.filter(|key| table.takes_work(&table.arena[**key]));
         let opens_ms = |key: &InstanceKey| table.opens_ms(table.arena[*key].upstream);
         let first_ms = open.clone().map(opens_ms).min();
         let open = open.filter(|key| opens_ms(key) <= now_ms);
@@ -256,32 +262,36 @@
     /// Counts a request at the upstream that its home has chosen; `None` where this host knows that
     /// it takes nothing new.
     pub(crate) fn take(&self, now_ms: Millis, upstream: UpstreamKey) -> Option<Chosen> {
-        self.take_if(now_ms, upstream, Instance::takes_work)
+        self.take_if(now_ms, upstream, |table, one| table.takes_work(one))
     }
 
     /// Counts a generation that goes on at an upstream, also at one that is leaving: it may have to
     /// go on where it was. An evacuated one gets nothing whatsoever.
     pub(crate) fn take_again(&self, now_ms: Millis, upstream: UpstreamKey) -> Option<Chosen> {
-        self.take_if(now_ms, upstream, |one| !one.is_evacuated)
+        self.take_if(now_ms, upstream, |_, one| !one.is_evacuated)
     }
 
     fn take_if(
         &self,
         now_ms: Millis,
         upstream: UpstreamKey,
-        may_take: impl FnOnce(&Instance) -> bool,
+        may_take: impl FnOnce(&Table, &Instance) -> bool,
     ) -> Option<Chosen> {
         let mut table = self.table.lock();
         let key = *table.by_upstream.get(&upstream)?;
-        may_take(&table.arena[key]).then(|| table.start(now_ms, key))
+        may_take(&table, &table.arena[key]).then(|| table.start(now_ms, key))
     }
 
-    /// An engine that a generation may go on at; `None` where it gets no work now.
+    /// An engine that a generation may be carried to; `None` where it gets no work now.
     pub(crate) fn destination(&self, now_ms: Millis, upstream: UpstreamKey) -> Option<Destination> {
-        let standing = self.standing(upstream);
-        let opens_ms = self.table.lock().opens_ms(upstream);
+        let is_evacuated = self.standing(upstream).is_evacuated;
+        let is_closed = {
+            let table = self.table.lock();
+            let asked = table.backpressure.get(&upstream);
+            asked.is_some_and(|asked| asked.is_closed(now_ms))
+        };
         let found = self.find(upstream);
-        found.filter(|_| !standing.is_evacuated && opens_ms <= now_ms)
+        found.filter(|_| !is_evacuated && !is_closed)
     }
 
     /// Where an upstream listens.
@@ -345,11 +355,11 @@
         })
     }
 
-    /// Upstreams that take nothing of this host now, by what they ask for.
+    /// Upstreams that take nothing new of this host now, by what they ask for.
     pub(crate) fn closed(&self, now_ms: Millis) -> Vec<UpstreamKey> {
         let table = self.table.lock();
         let asked = table.backpressure.iter();
-        let closed = asked.filter(|(_, asked)| now_ms < asked.opens_ms());
+        let closed = asked.filter(|(_, asked)| asked.is_closed(now_ms));
         closed.map(|(upstream, _)| *upstream).collect()
     }
 
@@ -373,7 +383,8 @@
     /// Whether a chosen upstream is registered still and has given no notice.
     pub(crate) fn takes_work(&self, key: InstanceKey) -> bool {
         let table = self.table.lock();
-        table.arena.get(key).is_some_and(Instance::takes_work)
+        let known = table.arena.get(key);
+        known.is_some_and(|one| table.takes_work(one))
     }
 
     /// A request to a chosen upstream is over.
--- a/crates/gateway/src/start.rs
+++ b/crates/gateway/src/start.rs
@@ -338,7 +338,9 @@
 fn doubt_of(answer: &Result<Answer, Failure>) -> Option<Verdict> {
     match answer {
         Ok(answer) if answer.response.status().is_server_error() => Some(Verdict::Failed),
-        Ok(answer) if answer.head.is_closing => Some(Verdict::Unheard),
+        Ok(answer) if answer.head.is_closing || answer.head.signals.is_leaving => {
+            Some(Verdict::Unheard)
+        }
         Ok(_) => None,
         Err(Failure::Unsent) => Some(Verdict::Unheard),
         Err(Failure::Shed) => Some(Verdict::Shed),
--- a/crates/policy/src/backpressure.rs
+++ b/crates/policy/src/backpressure.rs
@@ -61,12 +61,17 @@
         self.is_leaving
     }
 
+    /// Whether it wants nothing new of this host now.
+    pub fn is_closed(&self, now_ms: Millis) -> bool {
+        self.is_leaving || now_ms < self.opens_ms()
+    }
+
     /// When it was last heard.
     pub fn heard_ms(&self) -> Millis {
         self.heard_ms
     }
 
-    /// From when on this host may send to it; now or before where it may at once.
+    /// From when on this host may send to it, unless it leaves; now or before where it may at once.
     pub fn opens_ms(&self) -> Millis {
         self.held_until_ms
     }
--- a/crates/policy/tests/backpressure.rs
+++ b/crates/policy/tests/backpressure.rs
@@ -7,6 +7,11 @@
     limit_per_s: Some(3.0),
     is_leaving: false,
 };
+const LEAVING: Signals = Signals {
+    limit_per_s: None,
+    is_leaving: true,
+};
+
 struct Told {
     /// What another host was told, and when.
     per_s: f32,
@@ -41,3 +46,12 @@
     asked.hear(1_500, Signals::default());
     assert!(asked.opens_ms() <= 1_500);
 }
+
+/// Guards against a late answer without the word, which would bring one that leaves back.
+#[test]
+fn one_that_leaves_stays_closed() {
+    let mut asked = Backpressure::default();
+    asked.hear(1_000, LEAVING);
+    asked.hear(1_100, Signals::default());
+    assert!(asked.is_closed(600_000));
+}
