Log and count the upstreams that turn a host away and ask for rest

The first step against hosts that ask again before an upstream's Retry-After is over: a dispatch ended as shed, and nothing told what had been asked for.

--- a/crates/gateway/src/backpressure.rs
+++ b/crates/gateway/src/backpressure.rs
@@ -22,6 +22,9 @@
             }
             (_, None) => info!("backpressure: {instance} names no limit any more"),
         }
+        if let Some(rest_ms) = signals.rest_ms {
+            info!("backpressure: {instance} wants nothing from this host for {rest_ms} ms");
+        }
         if after.is_leaving() && !before.is_leaving() {
             info!("backpressure: {instance} says that it leaves");
         }
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -273,6 +273,7 @@
             cold: self.cold_count() as i64,
             limited: self.instances.limited_count() as i64,
             leaving: self.instances.leaving_count() as i64,
+            resting: self.instances.resting_count(now_ms) as i64,
             retries_left: left.collect(),
         }
     }
--- a/crates/gateway/src/instances.rs
+++ b/crates/gateway/src/instances.rs
@@ -365,19 +365,24 @@
 
     /// Registered upstreams that have said to this host that they leave.
     pub(crate) fn leaving_count(&self) -> usize {
+        self.count_asking(Backpressure::is_leaving)
+    }
+
+    /// Registered upstreams that want nothing from this host now.
+    pub(crate) fn resting_count(&self, now_ms: Millis) -> usize {
+        self.count_asking(|asked| asked.rests(now_ms))
+    }
+
+    fn count_asking(&self, asks: impl Fn(&Backpressure) -> bool) -> usize {
         let table = self.table.lock();
         let known = table.by_upstream.keys();
         let asked = known.filter_map(|upstream| table.backpressure.get(upstream));
-        asked.filter(|asked| asked.is_leaving()).count()
+        asked.filter(|asked| asks(asked)).count()
     }
 
     /// Registered upstreams that name a limit to this host.
     pub(crate) fn limited_count(&self) -> usize {
-        let table = self.table.lock();
-        let known = table.by_upstream.keys();
-        known
-            .filter_map(|upstream| table.limit_of(*upstream))
-            .count()
+        self.count_asking(|asked| asked.limit_per_s().is_some())
     }
 
     /// Whether a chosen upstream is registered still and has given no notice.
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -82,6 +82,7 @@
     pub(crate) cold: i64,
     pub(crate) limited: i64,
     pub(crate) leaving: i64,
+    pub(crate) resting: i64,
     pub(crate) retries_left: Vec<(String, i64)>,
 }
 
@@ -112,6 +113,7 @@
     cold: Gauge,
     limited: Gauge,
     leaving: Gauge,
+    resting: Gauge,
     retries_left: Family<ServiceLabels, Gauge>,
     registry: Arc<Registry>,
 }
@@ -185,6 +187,9 @@
         let leaving = Gauge::default();
         let help = "Upstreams that have said in their answers to this host that they leave";
         registry.register("leaving_upstreams", help, leaving.clone());
+        let resting = Gauge::default();
+        let help = "Upstreams that have turned this host away and want nothing from it for a while";
+        registry.register("resting_upstreams", help, resting.clone());
         let cold_waits = Counter::default();
         let help = "Requests for a start at a cold upstream that were put off";
         registry.register("cold_waits", help, cold_waits.clone());
@@ -212,6 +217,7 @@
             cold,
             limited,
             leaving,
+            resting,
             cold_waits,
             limit_waits,
             retries_left,
@@ -268,6 +274,7 @@
         self.cold.set(readings.cold);
         self.limited.set(readings.limited);
         self.leaving.set(readings.leaving);
+        self.resting.set(readings.resting);
         for (service, left) in &readings.retries_left {
             let service = service.clone();
             let labels = ServiceLabels { service };
--- a/crates/policy/src/backpressure.rs
+++ b/crates/policy/src/backpressure.rs
@@ -13,6 +13,8 @@
     pub limit_per_s: Option<f32>,
     /// It leaves, and wants nothing new.
     pub is_leaving: bool,
+    /// It has turned this host away, and wants nothing from it for so long.
+    pub rest_ms: Option<Millis>,
 }
 
 /// What one upstream asks of its callers, as far as this host has heard.
@@ -24,6 +26,8 @@
     /// Until when its limit leaves no start for this host.
     held_until_ms: Millis,
     is_leaving: bool,
+    /// Until when it wants nothing from this host.
+    rest_until_ms: Millis,
 }
 
 impl Backpressure {
@@ -33,6 +37,9 @@
         self.limit_per_s = signals.limit_per_s;
         self.heard_ms = now_ms;
         self.is_leaving |= signals.is_leaving;
+        if let Some(rest_ms) = signals.rest_ms {
+            self.rest_until_ms = self.rest_until_ms.max(now_ms.saturating_add(rest_ms));
+        }
         if self.limit_per_s.is_none() {
             self.held_until_ms = 0;
         }
@@ -61,6 +68,11 @@
         self.is_leaving
     }
 
+    /// Whether it wants nothing from this host now.
+    pub fn rests(&self, now_ms: Millis) -> bool {
+        now_ms < self.rest_until_ms
+    }
+
     /// Whether it wants nothing new of this host now.
     pub fn is_closed(&self, now_ms: Millis) -> bool {
         self.is_leaving || now_ms < self.opens_ms()
--- a/crates/policy/tests/backpressure.rs
+++ b/crates/policy/tests/backpressure.rs
@@ -6,10 +6,12 @@
 const LIMITED: Signals = Signals {
     limit_per_s: Some(3.0),
     is_leaving: false,
+    rest_ms: None,
 };
 const LEAVING: Signals = Signals {
     limit_per_s: None,
     is_leaving: true,
+    rest_ms: None,
 };
 
 struct Told {
