Give an upstream the rest that it asks a host for

A plain upstream turned hosts away with Retry-After: 3 and got 3 and 4 requests from one host in that time, two are allowed; each cost its caller a way there and back, and two ran out of time.

Cause: Retry-After of an upstream was not read. One that refuses was spared as a cost, for 200 ms, and one that refuses at once looks idle beside one that works. Ruled out: that the rest was kept for a request alone; the next request asked 0.24 to 1 s later, when nothing was kept at all.

Until the rest is over the upstream is no choice for anything new from this host, by the same word that a limit's home holds one back with: plain requests, second tries, placements, running copies, transfers. One generation may go on there in each rest, since it is lost otherwise and two requests are allowed. It outlives the entry. Where all of a service rest, callers are told at once when the first is over; those who found it out too. The end is called held_back, for limits as well, as both are what an upstream asks for.

--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -171,7 +171,7 @@
             Some(whole) => Ok(whole),
             // A request that may have run must never be said not to have run.
             None if runs > 0 && problem.says_not_run() => Err(Problem::Broken),
-            None => Err(problem),
+            None => Err(self.when_refused(problem, &inquiry.service)),
         }
     }
 
--- a/crates/gateway/src/instances.rs
+++ b/crates/gateway/src/instances.rs
@@ -219,6 +219,17 @@
         }
     }
 
+    /// When the first upstream of a service takes more of this host; `None` where one does now, or
+    /// where none takes work at all.
+    pub(crate) fn opens_ms(&self, now_ms: Millis, service: &str) -> Option<Millis> {
+        let table = self.table.lock();
+        let same = table.by_service.get(service)?;
+        let open = same.iter().map(|key| &table.arena[*key]);
+        let open = open.filter(|one| table.takes_work(one));
+        let first_ms = open.map(|one| table.opens_ms(one.upstream)).min()?;
+        (first_ms > now_ms).then_some(first_ms)
+    }
+
     /// Whether a service has upstreams, and all of them stand in evacuated data centres.
     pub(crate) fn is_evacuated(&self, service: &str) -> bool {
         let table = self.table.lock();
@@ -262,24 +273,30 @@
     /// Counts a request at the upstream that its home has chosen; `None` where this host knows that
     /// it takes nothing new.
     pub(crate) fn take(&self, now_ms: Millis, upstream: UpstreamKey) -> Option<Chosen> {
-        self.take_if(now_ms, upstream, |table, one| table.takes_work(one))
+        self.take_if(now_ms, upstream, |table, key| {
+            let asked = table.backpressure.get(&upstream);
+            table.takes_work(&table.arena[key]) && !asked.is_some_and(|asked| asked.rests(now_ms))
+        })
     }
 
     /// Counts a generation that goes on at an upstream, also at one that is leaving: it may have to
-    /// go on where it was. An evacuated one gets nothing whatsoever.
+    /// go on where it was. An evacuated one gets nothing whatsoever, one that rests next to nothing.
     pub(crate) fn take_again(&self, now_ms: Millis, upstream: UpstreamKey) -> Option<Chosen> {
-        self.take_if(now_ms, upstream, |_, one| !one.is_evacuated)
+        self.take_if(now_ms, upstream, |table, key| {
+            let asked = table.backpressure.get_mut(&upstream);
+            !table.arena[key].is_evacuated && asked.is_none_or(|asked| asked.may_continue(now_ms))
+        })
     }
 
     fn take_if(
         &self,
         now_ms: Millis,
         upstream: UpstreamKey,
-        may_take: impl FnOnce(&Table, &Instance) -> bool,
+        may_take: impl FnOnce(&mut Table, InstanceKey) -> bool,
     ) -> Option<Chosen> {
         let mut table = self.table.lock();
         let key = *table.by_upstream.get(&upstream)?;
-        may_take(&table, &table.arena[key]).then(|| table.start(now_ms, key))
+        may_take(&mut table, key).then(|| table.start(now_ms, key))
     }
 
     /// An engine that a generation may be carried to; `None` where it gets no work now.
--- a/crates/gateway/src/problem.rs
+++ b/crates/gateway/src/problem.rs
@@ -43,8 +43,8 @@
         /// When to come back.
         retry_after_ms: Millis,
     },
-    /// Every upstream of the service that takes work has got the limit that it names.
-    Limited {
+    /// Every upstream of the service that takes work asks for no more now, by a limit or for rest.
+    HeldBack {
         /// When to come back.
         retry_after_ms: Millis,
     },
@@ -81,7 +81,7 @@
             | Self::Full { .. }
             | Self::Evacuated { .. }
             | Self::Cold { .. }
-            | Self::Limited { .. }
+            | Self::HeldBack { .. }
             | Self::Quarantined { .. }
             | Self::Stopping
             | Self::TooLarge
@@ -111,7 +111,7 @@
             Self::Full { .. } => "full",
             Self::Evacuated { .. } => "evacuated",
             Self::Cold { .. } => "cold",
-            Self::Limited { .. } => "limited",
+            Self::HeldBack { .. } => "held_back",
             Self::Quarantined { .. } => "quarantined",
             Self::Stopping => "stopping",
             Self::TooLarge => "too_large",
@@ -134,7 +134,7 @@
             Self::Full { retry_after_ms }
             | Self::Evacuated { retry_after_ms }
             | Self::Cold { retry_after_ms }
-            | Self::Limited { retry_after_ms }
+            | Self::HeldBack { retry_after_ms }
             | Self::Quarantined { retry_after_ms } => Some(retry_after_ms),
             // Larger engines may come with another configuration, not sooner.
             Self::TooLarge => Some(30_000),
--- a/crates/gateway/src/record.rs
+++ b/crates/gateway/src/record.rs
@@ -103,8 +103,9 @@
                 "no warm upstream of its service took work, and each cold one had got what it bears"
                     .to_owned()
             }
-            "limited" => {
-                "each upstream of its service that took work had got the limit that it named"
+            "held_back" => {
+                "each upstream of its service that took work had got the limit that it named, or \
+                 had asked this host for rest"
                     .to_owned()
             }
             "too_large" => "its prompt fits into no engine of its service".to_owned(),
--- a/crates/gateway/src/start.rs
+++ b/crates/gateway/src/start.rs
@@ -84,7 +84,10 @@
         let started = self.try_engines(inquiry, ticket, journey, tries, inquiry.last_event);
         match started.await {
             Ok(started) => Ok(started),
-            Err(problem) => tries.failed.take().ok_or(tries.honest(problem)),
+            Err(problem) => {
+                let problem = self.when_refused(tries.honest(problem), &inquiry.service);
+                tries.failed.take().ok_or(problem)
+            }
         }
     }
 
--- a/crates/gateway/src/starts.rs
+++ b/crates/gateway/src/starts.rs
@@ -104,7 +104,7 @@
                     }
                 }
                 Found::Later { opens_ms } if opens_ms > until_ms => {
-                    return Err(Problem::Limited {
+                    return Err(Problem::HeldBack {
                         retry_after_ms: opens_ms - now_ms,
                     });
                 }
@@ -157,6 +157,18 @@
         Err(least_ms)
     }
 
+    /// What a caller is told whom every upstream has refused that was asked: when to come back, where
+    /// those that take work have asked for rest meanwhile.
+    pub(crate) fn when_refused(&self, problem: Problem, service: &str) -> Problem {
+        let now_ms = self.clock.now_ms();
+        match (problem, self.instances.opens_ms(now_ms, service)) {
+            (Problem::AllRefused, Some(opens_ms)) => Problem::HeldBack {
+                retry_after_ms: opens_ms - now_ms,
+            },
+            _ => problem,
+        }
+    }
+
     /// Why no upstream of a service takes work, where its caller can be told more than that.
     fn nobody(&self, now_ms: Millis, service: &str) -> Result<Option<Chosen>, Problem> {
         if !self.instances.is_evacuated(service) {
--- a/crates/policy/src/backpressure.rs
+++ b/crates/policy/src/backpressure.rs
@@ -5,6 +5,10 @@
 
 use crate::key::Millis;
 
+/// Generations that may go on in one rest: each is lost otherwise, and an upstream that rests can be
+/// expected to bear one.
+const CONTINUATIONS_A_REST: u32 = 1;
+
 /// What the head of one answer asks for.
 #[derive(Debug, Clone, Copy, Default, PartialEq)]
 pub struct Signals {
@@ -28,6 +32,8 @@
     is_leaving: bool,
     /// Until when it wants nothing from this host.
     rest_until_ms: Millis,
+    /// Generations that went on there since it asked for rest.
+    continued: u32,
 }
 
 impl Backpressure {
@@ -38,6 +44,9 @@
         self.heard_ms = now_ms;
         self.is_leaving |= signals.is_leaving;
         if let Some(rest_ms) = signals.rest_ms {
+            if !self.rests(now_ms) {
+                self.continued = 0;
+            }
             self.rest_until_ms = self.rest_until_ms.max(now_ms.saturating_add(rest_ms));
         }
         if self.limit_per_s.is_none() {
@@ -73,6 +82,15 @@
         now_ms < self.rest_until_ms
     }
 
+    /// Whether a generation may go on there; counted where it rests.
+    pub fn may_continue(&mut self, now_ms: Millis) -> bool {
+        if !self.rests(now_ms) {
+            return true;
+        }
+        self.continued += 1;
+        self.continued <= CONTINUATIONS_A_REST
+    }
+
     /// Whether it wants nothing new of this host now.
     pub fn is_closed(&self, now_ms: Millis) -> bool {
         self.is_leaving || now_ms < self.opens_ms()
@@ -85,6 +103,6 @@
 
     /// From when on this host may send to it, unless it leaves; now or before where it may at once.
     pub fn opens_ms(&self) -> Millis {
-        self.held_until_ms
+        self.held_until_ms.max(self.rest_until_ms)
     }
 }
--- a/crates/policy/tests/backpressure.rs
+++ b/crates/policy/tests/backpressure.rs
@@ -57,3 +57,50 @@
     asked.hear(1_100, Signals::default());
     assert!(asked.is_closed(600_000));
 }
+
+fn rest(rest_ms: u64) -> Signals {
+    Signals {
+        rest_ms: Some(rest_ms),
+        ..Signals::default()
+    }
+}
+
+struct Rests {
+    /// When answers came, and for how long each asked for rest.
+    asked: &'static [(u64, u64)],
+    /// When the host may send again.
+    over_ms: u64,
+}
+
+/// Guards against a rest that a later answer, with a shorter one or with none, cuts off.
+#[rstest]
+#[case::one(Rests { asked: &[(1_000, 3_000)], over_ms: 4_000 })]
+#[case::a_shorter_one_later(Rests { asked: &[(1_000, 3_000), (1_100, 500)], over_ms: 4_000 })]
+#[case::a_longer_one_later(Rests { asked: &[(1_000, 3_000), (1_100, 5_000)], over_ms: 6_100 })]
+#[case::one_without_end(Rests { asked: &[(1_000, u64::MAX)], over_ms: u64::MAX })]
+fn the_longest_rest_counts(#[case] case: Rests) {
+    let mut asked = Backpressure::default();
+    for (now_ms, rest_ms) in case.asked {
+        asked.hear(*now_ms, rest(*rest_ms));
+    }
+    asked.hear(1_200, Signals::default());
+    assert!(asked.is_closed(case.over_ms - 1));
+    assert!(!asked.is_closed(case.over_ms));
+}
+
+/// Guards against generations that go on one after the other at an upstream that rests, each of them the
+/// only one in its host's eyes.
+#[test]
+fn one_generation_goes_on_in_a_rest() {
+    let mut asked = Backpressure::default();
+    assert!(asked.may_continue(500));
+    asked.hear(1_000, rest(3_000));
+    assert!(asked.may_continue(1_100));
+    assert!(!asked.may_continue(1_200));
+    // The same rest, though it is asked for once more.
+    asked.hear(1_300, rest(3_000));
+    assert!(!asked.may_continue(1_400));
+    assert!(asked.may_continue(4_300));
+    asked.hear(5_000, rest(1_000));
+    assert!(asked.may_continue(5_100));
+}
--- a/src/explain.rs
+++ b/src/explain.rs
@@ -73,7 +73,7 @@
     let content = records.iter().find_map(|record| record.content.as_deref());
     let has_ended = |outcome: &str| records.iter().any(|record| record.outcome == outcome);
     let is_evacuated = has_ended("evacuated");
-    let is_held_back = has_ended("limited");
+    let is_held_back = has_ended("held_back");
     let speaks = |payload: &str| {
         // What ended upstreams was this content in other requests as well.
         let on_content = payload.starts_with("circuits:") || payload.starts_with("crashes:");
--- a/tests/explain.rs
+++ b/tests/explain.rs
@@ -55,7 +55,7 @@
 #[case::broken_stream(Cause { outcome: "stream_broken", status: 200, instances: &["i-1", "i-2"], names: "i-2 was lost after 12 events" })]
 #[case::unknown_outcome(Cause { outcome: "broken", status: 502, instances: &["i-1"], names: "it may have run" })]
 #[case::timeout(Cause { outcome: "timeout", status: 504, instances: &["i-1"], names: "did not answer" })]
-#[case::limited(Cause { outcome: "limited", status: 503, instances: &[], names: "the limit that it named" })]
+#[case::held_back(Cause { outcome: "held_back", status: 503, instances: &[], names: "the limit that it named" })]
 #[case::own_failure(Cause { outcome: "answered", status: 500, instances: &["i-1"], names: "i-1 itself failed" })]
 #[case::key(Cause { outcome: "unknown_key", status: 401, instances: &[], names: "version 7" })]
 #[case::too_large(Cause { outcome: "too_large", status: 503, instances: &[], names: "no engine" })]
@@ -141,7 +141,7 @@
     names: "an evacuated data centre",
 })]
 #[case::of_an_upstream(Word {
-    outcome: "limited",
+    outcome: "held_back",
     told: "backpressure: i-1 takes 2.9 requests a second from all hosts",
     names: "the limit that it named",
 })]
