Use a small part of a limit where its home doesn't answer, and begin apart

A test in virtual time has 9 and 410 hosts by themselves; with a free start each it would see 410 in its first span.

Shares are now a quarter of the limit together, and the first start of each comes after a drawn part of the time between two; a host asks its home again after a second at the latest. A question to a home that has lost its power is over after 100 ms, where connecting alone took 300. The soak stops a host in the middle of a limit.

--- a/crates/bench/src/soak/fault.rs
+++ b/crates/bench/src/soak/fault.rs
@@ -205,7 +205,8 @@
             }
             Self::PlainNamesLimit => {
                 let plain = rng.random_range(0..stage.plains.len());
-                name_limit(stage, plain).await;
+                let paused = rng.random_bool(0.5).then_some(host);
+                name_limit(stage, plain, paused).await;
             }
         }
         Ok(())
@@ -248,8 +249,9 @@
     stage.register_plain(plain);
 }
 
-/// A plain upstream names a limit; what it gets in some span after all hosts were told is counted.
-async fn name_limit(stage: &mut Stage, plain: usize) {
+/// A plain upstream names a limit; what it gets in some span after all hosts were told is counted. A host
+/// may stand still meanwhile, which may be the one that hands out its starts.
+async fn name_limit(stage: &mut Stage, plain: usize, paused: Option<usize>) {
     let upstream = stage.plains[plain].clone();
     upstream.ask(Asked {
         limit_per_s: Some(LIMIT_PER_S),
@@ -257,6 +259,11 @@
     });
     sleep(TOLD_BOUND).await;
     let since = Instant::now();
+    if let Some(host) = paused {
+        stage.hosts[host].signal("STOP");
+        sleep(LIMIT_SPAN / 2).await;
+        stage.hosts[host].signal("CONT");
+    }
     sleep(LIMIT_SPAN + Duration::from_millis(500)).await;
     let most = upstream.most_within(LIMIT_SPAN, since);
     stage.over_limit += most.saturating_sub(LIMIT_MOST);
--- a/crates/gateway/src/starts.rs
+++ b/crates/gateway/src/starts.rs
@@ -9,10 +9,10 @@
 use std::time::Duration;
 
 use fulmarpath_policy::{ColdStarts, Millis, Pacer, UpstreamKey};
-use fulmarpath_wire::{GatewayPeerClient, MemberNote, StartAnswer, StartAsk};
+use fulmarpath_wire::{GatewayPeerClient, MemberNote, NamedLimit, NoAnswer, StartAnswer, StartAsk};
 use parking_lot::Mutex;
 use spdlog::warn;
-use tokio::time::sleep;
+use tokio::time::{sleep, timeout};
 
 use crate::gateway::Gateway;
 use crate::instance::{Chosen, InstanceKey};
@@ -26,6 +26,14 @@
 /// Cold upstreams that are asked for at most, one after the other: each question costs a way there
 /// and back.
 const ASKED: usize = 3;
+/// Connecting to a home and asking it: one that has lost its power answers nothing at all.
+const HOME_BOUND: Duration = Duration::from_millis(100);
+/// When to ask again at the latest where a share leaves none: it may be minutes until its next start, and
+/// there is a home again within seconds.
+const SHARE_WAIT_MS: Millis = 1_000;
+/// The part of a limit that hosts use, all together, which no home hands out to them. The home may be there
+/// for others, and hand out the whole.
+const SHARE_WITHOUT_HOME: f32 = 0.25;
 /// How long a generation that goes on elsewhere waits for a start there: its caller sees a pause, and
 /// gives up after seconds.
 const CONTINUATION_WAIT_MS: Millis = 400;
@@ -36,12 +44,29 @@
 #[derive(Debug, Default)]
 struct Starts {
     cold: ColdStarts,
-    paced: Pacer,
+    whole: Pacer,
+    share: Pacer,
 }
 
 impl Starts {
+    fn grant(&mut self, now_ms: Millis, bound: Bound) -> Result<(), Millis> {
+        match bound.paced {
+            Some(Pace::Whole { per_s }) => self.whole.grant(now_ms, per_s)?,
+            Some(Pace::Share { per_s, hosts }) => {
+                let draw = rand::random();
+                let granted = self.share.grant_share(now_ms, per_s, hosts, draw);
+                granted.map_err(|wait_ms| wait_ms.min(SHARE_WAIT_MS))?;
+            }
+            None => {}
+        }
+        match bound.cold {
+            Some(most) => self.cold.grant(now_ms, most),
+            None => Ok(()),
+        }
+    }
+
     fn is_idle(&self, now_ms: Millis) -> bool {
-        self.cold.is_idle(now_ms) && self.paced.is_idle(now_ms)
+        self.cold.is_idle(now_ms) && self.whole.is_idle(now_ms) && self.share.is_idle(now_ms)
     }
 }
 
@@ -50,8 +75,17 @@
 struct Bound {
     /// In any one second, while it is cold.
     cold: Option<u32>,
-    /// A second, by the limit that it names.
-    per_s: Option<f32>,
+    /// By the limit that it names.
+    paced: Option<Pace>,
+}
+
+/// A rate, by the limit that an upstream names.
+#[derive(Debug, Clone, Copy)]
+enum Pace {
+    /// Handed out to all hosts.
+    Whole { per_s: f32 },
+    /// This host's part, where nobody hands it out.
+    Share { per_s: f32, hosts: usize },
 }
 
 /// The starts that this host has handed out.
@@ -64,18 +98,7 @@
     fn grant(&self, now_ms: Millis, upstream: UpstreamKey, bound: Bound) -> Result<(), Millis> {
         let mut starts = self.starts.lock();
         starts.retain(|_, starts| !starts.is_idle(now_ms));
-        let starts = starts.entry(upstream).or_default();
-        let paced_ms = bound.per_s.map_or(0, |_| starts.paced.wait_ms(now_ms));
-        if paced_ms > 0 {
-            return Err(paced_ms);
-        }
-        if let Some(most) = bound.cold {
-            starts.cold.grant(now_ms, most)?;
-        }
-        if let Some(per_s) = bound.per_s {
-            starts.paced.note(now_ms, per_s);
-        }
-        Ok(())
+        starts.entry(upstream).or_default().grant(now_ms, bound)
     }
 }
 
@@ -221,7 +244,12 @@
             client.ask_start(context, upstream, ask).await
         };
         let peers = &self.fleet.peers;
-        match peers.call_within(home.address, ASK_BOUND, call).await {
+        let asked = peers.call_within(home.address, ASK_BOUND, call);
+        let no_answer = NoAnswer {
+            address: home.address,
+        };
+        let answer = timeout(HOME_BOUND, asked).await;
+        match answer.unwrap_or(Err(no_answer)) {
             Ok(answer) => answer,
             Err(error) if ask.is_cold => {
                 warn!("starts: {:016x} got none: {error}", upstream.0);
@@ -230,12 +258,25 @@
                 }
             }
             Err(error) => {
-                warn!("starts: this host's share of {:016x}: {error}", upstream.0);
-                self.grant_start(upstream, ask)
+                warn!("starts: a share alone of {:016x}: {error}", upstream.0);
+                let now_ms = self.clock.now_ms();
+                let bound = Bound {
+                    cold: None,
+                    paced: ask.limit.map(|limit| self.share_of(limit)),
+                };
+                answer_of(self.starts_home.grant(now_ms, upstream, bound))
             }
         }
     }
 
+    /// What this host may use of a limit by itself.
+    fn share_of(&self, limit: NamedLimit) -> Pace {
+        Pace::Share {
+            per_s: limit.per_s * SHARE_WITHOUT_HOME,
+            hosts: self.fleet.host_count().max(1),
+        }
+    }
+
     /// Hands out a start as the home of an upstream.
     ///
     /// A host that is cut off takes itself for the home of everything: one that has not heard another
@@ -257,15 +298,12 @@
         let limit = self.instances.named_limit(now_ms, upstream);
         let bound = Bound {
             cold: cold.filter(|_| ask.is_cold).map(|cold| cold.starts),
-            per_s: limit.map(|limit| match is_home {
-                true => limit.per_s,
-                false => limit.per_s / self.fleet.host_count().max(1) as f32,
+            paced: limit.map(|limit| match is_home {
+                true => Pace::Whole { per_s: limit.per_s },
+                false => self.share_of(limit),
             }),
         };
-        match self.starts_home.grant(now_ms, upstream, bound) {
-            Ok(()) => StartAnswer::Now,
-            Err(wait_ms) => StartAnswer::Later { wait_ms },
-        }
+        answer_of(self.starts_home.grant(now_ms, upstream, bound))
     }
 
     /// Asks for a start where the upstream is cold.
@@ -325,3 +363,10 @@
         self.instances.take_again(self.clock.now_ms(), upstream)
     }
 }
+
+fn answer_of(granted: Result<(), Millis>) -> StartAnswer {
+    match granted {
+        Ok(()) => StartAnswer::Now,
+        Err(wait_ms) => StartAnswer::Later { wait_ms },
+    }
+}
--- a/crates/policy/src/pacer.rs
+++ b/crates/policy/src/pacer.rs
@@ -5,9 +5,9 @@
 /// What comes due within so long may start at once: callers come in bursts, and an upstream's queue
 /// takes those of half a second.
 const BURST_MS: f64 = 500.0;
-/// The least rate. An upstream that names a lower one still gets a request now and then, since its
-/// answers alone tell that the limit is over.
-const LEAST_PER_S: f32 = 0.2;
+/// The longest time between two starts. An upstream that takes next to nothing still gets a request now
+/// and then, since its answers alone tell that the limit is over.
+const LONGEST_MS: f64 = 5_000.0;
 
 /// The starts that were handed out of one rate.
 #[derive(Debug, Clone, Copy, Default)]
@@ -25,8 +25,7 @@
 
     /// Counts a start at a rate.
     pub fn note(&mut self, now_ms: Millis, per_s: f32) {
-        let interval_ms = 1_000.0 / f64::from(per_s.max(LEAST_PER_S));
-        self.due_ms = self.due_ms.max(now_ms as f64) + interval_ms;
+        self.due_ms = self.due_ms.max(now_ms as f64) + interval_ms(per_s);
     }
 
     /// Hands out a start.
@@ -43,8 +42,39 @@
         }
     }
 
+    /// Hands out a start of a rate that so many others share, none of which knows of the rest.
+    ///
+    /// The first comes after a part of the time between two of this one's, which `draw` (0 to 1) decides:
+    /// were it free, all would begin with one each.
+    ///
+    /// # Errors
+    /// How long to wait for the next one, in ms.
+    pub fn grant_share(
+        &mut self,
+        now_ms: Millis,
+        per_s: f32,
+        sharers: usize,
+        draw: f64,
+    ) -> Result<(), Millis> {
+        let interval_ms = interval_ms(per_s) * sharers as f64;
+        if self.is_idle(now_ms) {
+            self.due_ms = now_ms as f64 + BURST_MS + interval_ms * draw;
+        }
+        match self.wait_ms(now_ms) {
+            0 => {
+                self.due_ms += interval_ms;
+                Ok(())
+            }
+            wait_ms => Err(wait_ms),
+        }
+    }
+
     /// Whether nothing of what has started counts any more.
     pub fn is_idle(&self, now_ms: Millis) -> bool {
         self.due_ms <= now_ms as f64
     }
 }
+
+fn interval_ms(per_s: f32) -> f64 {
+    (1_000.0 / f64::from(per_s)).min(LONGEST_MS)
+}
--- a/crates/policy/tests/pacer.rs
+++ b/crates/policy/tests/pacer.rs
@@ -1,6 +1,8 @@
 //! At which rate starts are handed out.
 
 use fulmarpath_policy::Pacer;
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
 use rstest::rstest;
 
 /// The operator's bound on a limit counts over this span.
@@ -66,3 +68,39 @@
     let burst = (0..20).filter(|_| pacer.grant(60_000, 4.0).is_ok());
     assert_eq!(burst.count(), 3);
 }
+
+struct Shares {
+    per_s: f32,
+    hosts: usize,
+    /// Between two questions of one host.
+    step_ms: usize,
+}
+
+/// Guards against hosts that each begin with a start of their own where nobody hands them out.
+#[rstest]
+#[case::few(Shares { per_s: 3.0, hosts: 9, step_ms: 200 })]
+#[case::many(Shares { per_s: 3.0, hosts: 410, step_ms: 700 })]
+#[case::many_and_fast(Shares { per_s: 80.0, hosts: 410, step_ms: 50 })]
+fn shares_together_keep_the_rate(#[case] shares: Shares) {
+    let mut rng = ChaCha8Rng::seed_from_u64(7);
+    let mut granted_ms = Vec::new();
+    for _ in 0..shares.hosts {
+        let mut pacer = Pacer::default();
+        let first_ms = rng.random_range(0..shares.step_ms as u64);
+        for now_ms in (first_ms..60_000).step_by(shares.step_ms) {
+            let draw = rng.random();
+            let granted = pacer.grant_share(now_ms, shares.per_s, shares.hosts, draw);
+            granted_ms.extend(granted.ok().map(|()| now_ms));
+        }
+    }
+    let most = (shares.per_s * SPAN_MS as f32 / 1_000.0 * 1.5 + 5.0) as usize;
+    for from_ms in &granted_ms {
+        let span = *from_ms..from_ms + SPAN_MS;
+        let count = granted_ms.iter().filter(|at| span.contains(at)).count();
+        assert!(
+            count <= most,
+            "{count} from {from_ms} ms on, {most} are allowed"
+        );
+    }
+    assert!(!granted_ms.is_empty());
+}
