Have the soak play upstreams that leave by their own word, and that ask for rest

One says in its answers that it leaves while the store is silent, and another start takes its place; one turns all away and asks for 4 s. What they get once every host was told is counted: nothing, and two from each host.

--- a/crates/bench/src/soak/fault.rs
+++ b/crates/bench/src/soak/fault.rs
@@ -24,6 +24,10 @@
 const LIMIT_SPAN: Duration = Duration::from_secs(4);
 /// Requests that it may get in this span: one and a half times what it names, and five.
 const LIMIT_MOST: usize = 8;
+/// The rest that an upstream asks for.
+const REST_S: f32 = 4.0;
+/// Requests that one host may send to an upstream that it has been asked to let rest.
+const RESTING_MOST: usize = 2;
 /// Every host has had an answer of each plain upstream within this time.
 const TOLD_BOUND: Duration = Duration::from_millis(1_500);
 
@@ -52,6 +56,8 @@
     Evacuation,
     ColdReturn,
     PlainNamesLimit,
+    PlainSaysItLeaves,
+    PlainAsksForRest,
 }
 
 /// Which faults seeds draw from. Kinds came one after the other, so that a seed that was kept plays what
@@ -80,7 +86,7 @@
 }
 
 impl Fault {
-    const ALL: [Self; 22] = [
+    const ALL: [Self; 24] = [
         Self::HostKilled,
         Self::HostPaused,
         Self::HostStopped,
@@ -103,6 +109,8 @@
         Self::Evacuation,
         Self::ColdReturn,
         Self::PlainNamesLimit,
+        Self::PlainSaysItLeaves,
+        Self::PlainAsksForRest,
     ];
 
     /// Draws one.
@@ -127,6 +135,8 @@
                 | Self::Evacuation
                 | Self::ColdReturn
                 | Self::PlainNamesLimit
+                | Self::PlainSaysItLeaves
+                | Self::PlainAsksForRest
         )
     }
 
@@ -208,6 +218,14 @@
                 let paused = rng.random_bool(0.5).then_some(host);
                 name_limit(stage, plain, paused).await;
             }
+            Self::PlainSaysItLeaves => {
+                let plain = rng.random_range(0..stage.plains.len());
+                say_leaving(stage, plain, lasts).await;
+            }
+            Self::PlainAsksForRest => {
+                let plain = rng.random_range(0..stage.plains.len());
+                ask_for_rest(stage, plain).await;
+            }
         }
         Ok(())
     }
@@ -270,6 +288,42 @@
     upstream.ask(Asked::default());
 }
 
+/// A plain upstream says that it leaves while the store is away; what it gets after all hosts were told is
+/// counted. Another start of it takes its place.
+async fn say_leaving(stage: &mut Stage, plain: usize, lasts: Duration) {
+    let upstream = stage.plains[plain].clone();
+    stage.store.set_mode(StoreMode::Silent);
+    upstream.ask(Asked {
+        is_leaving: true,
+        ..Asked::default()
+    });
+    sleep(TOLD_BOUND).await;
+    let before = upstream.received().len();
+    sleep(lasts).await;
+    stage.sent_to_leaving += upstream.received().len() - before;
+    stage.store.set_mode(StoreMode::Up);
+    let left = stage.restart_plain(plain).await;
+    stage.left_plains.push(left);
+}
+
+/// A plain upstream turns all away and asks for rest; what it gets in that time is counted.
+async fn ask_for_rest(stage: &mut Stage, plain: usize) {
+    let upstream = stage.plains[plain].clone();
+    upstream.ask(Asked {
+        rest_s: Some(REST_S),
+        ..Asked::default()
+    });
+    let since = Instant::now();
+    upstream.set(PlainBehaviour::Sheds);
+    sleep(Duration::from_secs_f32(REST_S)).await;
+    let turned_away_at = upstream.turned_away_at();
+    let late = turned_away_at.iter().filter(|at| **at > since + TOLD_BOUND);
+    let most = stage.hosts.len() * RESTING_MOST;
+    stage.sent_to_resting += late.count().saturating_sub(most);
+    upstream.set(PlainBehaviour::Good);
+    upstream.ask(Asked::default());
+}
+
 /// Notice, then the end 1.8 s later, and another engine in its place.
 async fn leave(stage: &mut Stage, place: usize) -> Result<(), SoakError> {
     stage.give_notice(place);
--- a/crates/bench/src/soak/judge.rs
+++ b/crates/bench/src/soak/judge.rs
@@ -19,7 +19,7 @@
     pub(crate) may_be_cut: bool,
 }
 
-/// Counts of one seed; those up to `over_limit` are violations, and ended upstreams over their bound.
+/// Counts of one seed; those up to `sent_to_resting` are violations, and ended upstreams over their bound.
 #[derive(Debug, Clone, Default, Serialize)]
 pub(crate) struct Verdict {
     pub(crate) seed: u64,
@@ -39,6 +39,10 @@
     pub(crate) over_cold_rate: u32,
     /// Requests beyond the limits that upstreams have named.
     pub(crate) over_limit: u32,
+    /// Requests at upstreams that had told all hosts that they leave.
+    pub(crate) sent_to_leaving: u32,
+    /// Requests beyond what upstreams may get that have asked for rest.
+    pub(crate) sent_to_resting: u32,
     /// Upstreams that one caller's request has ended.
     pub(crate) ended_upstreams: u32,
     pub(crate) requests: u32,
@@ -63,6 +67,8 @@
             + self.sent_to_evacuated
             + self.over_cold_rate
             + self.over_limit
+            + self.sent_to_leaving
+            + self.sent_to_resting
             + self.ended_upstreams.saturating_sub(MOST_ENDED)
     }
 
--- a/crates/bench/src/soak/mod.rs
+++ b/crates/bench/src/soak/mod.rs
@@ -135,10 +135,13 @@
     let engines = stage.engines.iter().chain(&stage.gone);
     let engines = engines.flat_map(|engine| engine.received());
     let plains = stage.plains.iter().chain(&stage.ended_plains);
+    let plains = plains.chain(&stage.left_plains);
     let plains = plains.flat_map(|plain| plain.received());
     verdict.sent_to_evacuated = stage.sent_to_evacuated as u32;
     verdict.over_cold_rate = stage.over_cold_rate as u32;
     verdict.over_limit = stage.over_limit as u32;
+    verdict.sent_to_leaving = stage.sent_to_leaving as u32;
+    verdict.sent_to_resting = stage.sent_to_resting as u32;
     verdict.ended_upstreams = stage.ended_plains.len() as u32;
     let begun = begun(engines.chain(plains));
     let mut outcomes = std::mem::take(&mut *shared.outcomes.lock());
--- a/crates/bench/src/soak/stage.rs
+++ b/crates/bench/src/soak/stage.rs
@@ -104,6 +104,8 @@
     pub(crate) plains: Vec<StandInPlain>,
     /// Plain upstreams that a request has ended.
     pub(crate) ended_plains: Vec<StandInPlain>,
+    /// Plain upstreams that have left, for what they had begun.
+    pub(crate) left_plains: Vec<StandInPlain>,
     /// When those were started that took their places, in Unix milliseconds.
     plain_births_ms: HashMap<usize, u64>,
     /// What ends a plain upstream.
@@ -114,6 +116,10 @@
     pub(crate) sent_to_evacuated: usize,
     /// Requests beyond what cold upstreams may get in a second.
     pub(crate) over_cold_rate: usize,
+    /// Requests that upstreams got after their answers had told all hosts that they leave.
+    pub(crate) sent_to_leaving: usize,
+    /// Requests beyond what upstreams may get that have asked for rest.
+    pub(crate) sent_to_resting: usize,
     /// Requests beyond the limits that upstreams have named.
     pub(crate) over_limit: usize,
     pub(crate) folder: PathBuf,
@@ -178,12 +184,15 @@
             engine_centres: HashMap::new(),
             plains: Vec::new(),
             ended_plains: Vec::new(),
+            left_plains: Vec::new(),
             plain_births_ms: HashMap::new(),
             ends_on: None,
             births: 0,
             sent_to_evacuated: 0,
             over_cold_rate: 0,
             over_limit: 0,
+            sent_to_leaving: 0,
+            sent_to_resting: 0,
             folder,
         };
         for number in 0..4 {
@@ -274,22 +283,27 @@
     /// Others take the places of plain upstreams that have ended, under their names and elsewhere.
     pub(crate) async fn replace_ended_plains(&mut self) {
         for place in 0..self.plains.len() {
-            if !self.plains[place].has_crashed() {
-                continue;
+            if self.plains[place].has_crashed() {
+                let ended = self.restart_plain(place).await;
+                self.ended_plains.push(ended);
             }
-            let next = StandInPlain::start(&plain_name(place)).await;
-            if let Some(text) = self.ends_on {
-                next.end_on(text);
-            }
-            let ended = std::mem::replace(&mut self.plains[place], next);
-            self.ended_plains.push(ended);
-            self.births += 1;
-            self.plain_births_ms
-                .insert(place, FIRST_BIRTH_MS + self.births);
-            self.register_plain(place);
         }
     }
 
+    /// Another start of a plain upstream takes its place, under its name and elsewhere.
+    pub(crate) async fn restart_plain(&mut self, place: usize) -> StandInPlain {
+        let next = StandInPlain::start(&plain_name(place)).await;
+        if let Some(text) = self.ends_on {
+            next.end_on(text);
+        }
+        self.births += 1;
+        self.plain_births_ms
+            .insert(place, FIRST_BIRTH_MS + self.births);
+        let before = std::mem::replace(&mut self.plains[place], next);
+        self.register_plain(place);
+        before
+    }
+
     /// Another writer leaves entries of each kind, one of them over a plain upstream's: the place of
     /// that one.
     pub(crate) fn foreign_entries(&self, rng: &mut ChaCha8Rng) -> usize {
