Have the other upstreams look worse while one rests in the soak

With idle neighbours the check could not fail: one that refuses was left alone for its cost. Their requests take 300 ms meanwhile.

--- a/crates/bench/src/soak/fault.rs
+++ b/crates/bench/src/soak/fault.rs
@@ -26,6 +26,8 @@
 const LIMIT_MOST: usize = 8;
 /// The rest that an upstream asks for.
 const REST_S: f32 = 4.0;
+/// The work of each request at upstreams that are busy.
+const BUSY_WORK: Duration = Duration::from_millis(300);
 /// Requests that one host may send to an upstream that it has been asked to let rest.
 const RESTING_MOST: usize = 2;
 /// Every host has had an answer of each plain upstream within this time.
@@ -306,13 +308,15 @@
     stage.left_plains.push(left);
 }
 
-/// A plain upstream turns all away and asks for rest; what it gets in that time is counted.
+/// A plain upstream turns all away and asks for rest, while the others are slow and look worse; what it gets
+/// in that time is counted.
 async fn ask_for_rest(stage: &mut Stage, plain: usize) {
     let upstream = stage.plains[plain].clone();
     upstream.ask(Asked {
         rest_s: Some(REST_S),
         ..Asked::default()
     });
+    stage.plains.iter().for_each(|one| one.work_for(BUSY_WORK));
     let since = Instant::now();
     upstream.set(PlainBehaviour::Sheds);
     sleep(Duration::from_secs_f32(REST_S)).await;
@@ -320,6 +324,10 @@
     let late = turned_away_at.iter().filter(|at| **at > since + TOLD_BOUND);
     let most = stage.hosts.len() * RESTING_MOST;
     stage.sent_to_resting += late.count().saturating_sub(most);
+    stage
+        .plains
+        .iter()
+        .for_each(|one| one.work_for(Duration::ZERO));
     upstream.set(PlainBehaviour::Good);
     upstream.ask(Asked::default());
 }
