--- a/crates/bench/tests/soak.rs
+++ b/crates/bench/tests/soak.rs
@@ -74,6 +74,26 @@
     );
 }
 
+struct Asking {
+    seed: &'static str,
+    faults: &'static str,
+    fault: &'static str,
+}
+
+/// Guards against hosts that send an upstream more than it asks for in its answers.
+#[rstest]
+#[case::a_limit(Asking { seed: "1796700104", faults: "2", fault: "PlainNamesLimit" })]
+#[case::leaving(Asking { seed: "1796700100", faults: "1", fault: "PlainSaysItLeaves" })]
+#[case::rest(Asking { seed: "1796700002", faults: "2", fault: "PlainAsksForRest" })]
+fn a_short_soak_of_upstreams_that_ask_for_less_finds_nothing(#[case] case: Asking) {
+    let Asking { seed, faults, .. } = case;
+    let words = ["--seed", seed, "--seeds", "1", "--faults", faults];
+    let words = [&words[..], &["--backpressure"]].concat();
+    let (fine, verdict, text) = soak(&words);
+    assert!(fine, "{text}");
+    assert!(verdict["faults"].to_string().contains(case.fault), "{text}");
+}
+
 /// One caller repeats a request that ends the plain upstream that begins to run it, beside faults: it
 /// ends three and is refused from then on, and the other callers go on.
 #[test]
