--- a/crates/policy/tests/pacer.rs
+++ b/crates/policy/tests/pacer.rs
@@ -101,3 +101,33 @@
     assert_keeps(shares.per_s, &granted_ms);
     assert!(!granted_ms.is_empty());
 }
+
+struct Succession {
+    per_s: f32,
+    /// How long both hand out starts, before the earlier home has heard of its successor.
+    overlap_ms: u64,
+}
+
+/// Guards against a bound that is broken whenever another host takes over, which knows nothing of what was
+/// handed out.
+#[rstest]
+#[case::at_once(Succession { per_s: 3.0, overlap_ms: 0 })]
+#[case::both_for_a_second(Succession { per_s: 3.0, overlap_ms: 1_000 })]
+#[case::both_for_a_second_of_a_high_rate(Succession { per_s: 80.0, overlap_ms: 1_000 })]
+fn another_home_keeps_the_bound(#[case] case: Succession) {
+    const TAKES_OVER_MS: u64 = 10_000;
+    let mut homes = [Pacer::default(), Pacer::default()];
+    let mut granted_ms = Vec::new();
+    for now_ms in 0..20_000 {
+        let is_home = [
+            now_ms < TAKES_OVER_MS + case.overlap_ms,
+            now_ms >= TAKES_OVER_MS,
+        ];
+        for (home, is_home) in homes.iter_mut().zip(is_home) {
+            if is_home && home.grant(now_ms, case.per_s).is_ok() {
+                granted_ms.push(now_ms);
+            }
+        }
+    }
+    assert_keeps(case.per_s, &granted_ms);
+}
