Log and count the store's eras and the answers that are dropped as old

A store that came back with a lower revision and one that drops its history again and again looked the same in the logs: refused watches and lists that changed nothing. Each answer's era is now read by the adapter and stands with its revision; a line with both eras where a later one is heard, and by what; a gauge of the latest; a counter, and a line a second at most, of answers of the store that tell of a state before the one that is known. No decision changes: what is compared is the number alone, as before.

--- a/crates/gateway/src/evacuations.rs
+++ b/crates/gateway/src/evacuations.rs
@@ -31,11 +31,13 @@
             }
             let heard = match revision {
                 None => source.list(Freshness::Newest).await.map(|all| {
-                    revision = Some(all.revision);
+                    revision = Some(all.revision.number);
+                    self.hear_era(all.revision.era, "its list of the evacuations");
                     self.take_evacuation_list(all);
                 }),
                 Some(seen) => source.watch(seen, wait).await.map(|changes| {
-                    revision = Some(changes.revision);
+                    revision = Some(changes.revision.number);
+                    self.hear_era(changes.revision.era, "a watch of the evacuations");
                     self.take_evacuation_changes(changes);
                 }),
             };
@@ -76,7 +78,7 @@
     fn take_evacuation_list(self: &Arc<Self>, all: Snapshot<String>) {
         let names = names(&all);
         let is_new = self.change_evacuations("the store", |evacuations, now_ms| {
-            evacuations.replace(now_ms, all.revision, names)
+            evacuations.replace(now_ms, all.revision.number, names)
         });
         if is_new {
             self.announce_evacuations();
@@ -86,7 +88,7 @@
     fn take_evacuation_changes(self: &Arc<Self>, changes: Changes<String>) {
         let steps = changes.changes.into_iter().filter_map(step);
         let is_new = self.change_evacuations("the store", |evacuations, now_ms| {
-            evacuations.apply(now_ms, changes.revision, steps)
+            evacuations.apply(now_ms, changes.revision.number, steps)
         });
         if is_new {
             self.announce_evacuations();
--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use fulmarpath_policy::Millis;
+use fulmarpath_policy::{Millis, Revision};
 use rand::Rng;
 use spdlog::{info, warn};
 use tokio::time::sleep;
@@ -121,7 +121,8 @@
             let heard = match revision {
                 None => source.list(Freshness::Newest).await.map(|all| {
                     self.skip_of_list("the configuration", &all);
-                    (all.revision, all.items)
+                    self.hear_era(all.revision.era, "its list of the configuration");
+                    (all.revision.number, all.items)
                 }),
                 Some(seen) => source
                     .watch(seen, self.part_of_change_bound(WATCH_SHARE))
@@ -135,7 +136,8 @@
                                 Change::Put(configuration) => Some(configuration),
                                 Change::Gone(_) | Change::Unusable(_) => None,
                             });
-                        (changes.revision, puts.collect())
+                        self.hear_era(changes.revision.era, "a watch of the configuration");
+                        (changes.revision.number, puts.collect())
                     }),
             };
             self.metrics.store_call("configuration", outcome(&heard));
@@ -185,6 +187,7 @@
                     .await;
                 changes.map(|changes| {
                     self.skip_of_changes("the upstreams", &changes);
+                    self.hear_upstreams_at(changes.revision, "a watch of the upstreams");
                     self.roster_step(|roster, now_ms| roster.apply(now_ms, changes));
                 })
             } else {
@@ -192,6 +195,7 @@
                 let list = source.list(Freshness::Newest).await;
                 list.map(|list| {
                     self.skip_of_list("the upstreams", &list);
+                    self.hear_upstreams_at(list.revision, "its list of the upstreams");
                     self.roster_step(|roster, now_ms| roster.replace(now_ms, list));
                 })
             };
@@ -305,6 +309,16 @@
         }
     }
 
+    /// Hears the revision at which the store tells of the upstreams.
+    fn hear_upstreams_at(&self, heard: Revision, source: &str) {
+        let era = self.store_era.latest();
+        self.hear_era(heard.era, source);
+        let held = Revision::new(era, self.roster.lock().revision());
+        if heard.number < held.number {
+            self.drop_answer("the upstreams", heard, held);
+        }
+    }
+
     fn roster_step(&self, step: impl FnOnce(&mut Roster, Millis) -> bool) {
         let now_ms = self.clock.now_ms();
         let mut roster = self.roster.lock();
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -29,6 +29,7 @@
 use crate::spread::Spread;
 use crate::standing::Allowances;
 use crate::starts::StartsHome;
+use crate::store_era::StoreEra;
 use crate::unusable::Skipped;
 
 /// What a gateway must know of itself.
@@ -73,6 +74,7 @@
     pub(crate) spread: Spread,
     pub(crate) circuit_breakers: CircuitBreakers,
     pub(crate) skipped: Skipped,
+    pub(crate) store_era: StoreEra,
     pub(crate) control: Arc<dyn EngineControl>,
     in_force: ArcSwapOption<InForce>,
     retries: Mutex<HashMap<String, RetryWindow>>,
@@ -106,6 +108,7 @@
             spread: Spread::default(),
             circuit_breakers: CircuitBreakers::default(),
             skipped: Skipped::default(),
+            store_era: StoreEra::default(),
             control,
             dialect,
             metadata,
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -48,6 +48,7 @@
 mod standing;
 mod start;
 mod starts;
+mod store_era;
 mod stored_circuits;
 mod stream;
 mod unusable;
--- a/crates/gateway/src/metadata.rs
+++ b/crates/gateway/src/metadata.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use async_trait::async_trait;
-use fulmarpath_policy::{ContentKey, UpstreamKey};
+use fulmarpath_policy::{ContentKey, Revision, UpstreamKey};
 
 use crate::configuration::Configuration;
 use crate::directory::{HostRegistration, Registration};
@@ -35,7 +35,7 @@
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Snapshot<T> {
     /// The store's revision.
-    pub revision: u64,
+    pub revision: Revision,
     /// The objects.
     pub items: Vec<T>,
     /// Objects among them that can't be used.
@@ -66,7 +66,7 @@
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Changes<T> {
     /// Up to which revision.
-    pub revision: u64,
+    pub revision: Revision,
     /// In order.
     pub changes: Vec<Change<T>>,
 }
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -92,6 +92,7 @@
     pub(crate) retries: Counter,
     pub(crate) store_failures: Counter,
     pub(crate) configuration_version: Gauge,
+    pub(crate) store_era: Gauge,
     pub(crate) first_byte_ms: Histogram,
     pub(crate) pause_ms: Histogram,
     pub(crate) transfers: Family<TransferLabels, Counter>,
@@ -104,6 +105,7 @@
     peer_messages: Family<MessageLabels, Counter>,
     pub(crate) store_calls: Family<StoreLabels, Counter>,
     skipped_entries: Family<EntryLabels, Counter>,
+    dropped_answers: Family<EntryLabels, Counter>,
     configuration_age_ms: Gauge,
     upstreams_age_ms: Gauge,
     upstreams: Gauge,
@@ -124,6 +126,7 @@
         let retries = Counter::default();
         let store_failures = Counter::default();
         let configuration_version = Gauge::default();
+        let store_era = Gauge::default();
         let first_byte_ms = Histogram::new(LATENCY_BUCKETS_MS);
         let pause_ms = Histogram::new(PAUSE_BUCKETS_MS);
         let mut registry = Registry::with_prefix("fulmarpath_gateway");
@@ -133,6 +136,8 @@
         registry.register("store_failures", help, store_failures.clone());
         let help = "The configuration in force";
         registry.register("configuration_version", help, configuration_version.clone());
+        let help = "The latest era of the store that was heard of: it grows as the store comes back from a copy";
+        registry.register("store_era", help, store_era.clone());
         let help = "Time from a request to the first byte of its answer";
         registry.register("first_byte_ms", help, first_byte_ms.clone());
         let help = "Pauses between the events of a stream";
@@ -156,6 +161,9 @@
         let skipped_entries = Family::default();
         let help = "Entries in the store that could not be used, each time they were read";
         registry.register("skipped_entries", help, skipped_entries.clone());
+        let dropped_answers = Family::default();
+        let help = "Answers of the store that told of a state before the one that was known";
+        registry.register("dropped_answers", help, dropped_answers.clone());
         let store_calls = Family::default();
         let help = "Calls to the store by what they are for and their outcome";
         registry.register("store_calls", help, store_calls.clone());
@@ -208,6 +216,7 @@
             store_calls,
             peer_messages,
             skipped_entries,
+            dropped_answers,
             configuration_age_ms,
             upstreams_age_ms,
             upstreams,
@@ -225,6 +234,7 @@
             retries,
             store_failures,
             configuration_version,
+            store_era,
             first_byte_ms,
             pause_ms,
             registry: Arc::new(registry),
@@ -263,6 +273,12 @@
         self.skipped_entries.get_or_create(&labels).inc_by(count);
     }
 
+    /// Counts an answer of the store that was dropped.
+    pub(crate) fn drop_answer(&self, what: &'static str) {
+        let labels = EntryLabels { what };
+        self.dropped_answers.get_or_create(&labels).inc();
+    }
+
     /// The page for the collector of metrics.
     pub(crate) fn page(&self, readings: &Readings) -> String {
         self.configuration_age_ms.set(readings.configuration_age_ms);
--- a/crates/gateway/src/roster.rs
+++ b/crates/gateway/src/roster.rs
@@ -8,7 +8,7 @@
 
 use std::collections::{HashMap, HashSet};
 
-use fulmarpath_policy::Millis;
+use fulmarpath_policy::{Millis, Revision};
 
 use crate::directory::{Directory, DirectoryChange, RegisteredState, Registration};
 use crate::metadata::{Change, Changes, Snapshot, Unusable};
@@ -112,12 +112,12 @@
 
     /// Takes a whole list; true where it changed anything.
     pub fn replace(&mut self, now_ms: Millis, snapshot: Snapshot<Registration>) -> bool {
-        if snapshot.revision < self.revision {
+        if snapshot.revision.number < self.revision {
             return false;
         }
-        self.revision = snapshot.revision;
+        self.revision = snapshot.revision.number;
         // What went and came back between two lists looks unchanged.
-        self.forgotten = snapshot.revision;
+        self.forgotten = snapshot.revision.number;
         self.departed.clear();
         let listed: HashMap<String, Registration> = snapshot
             .items
@@ -160,7 +160,7 @@
             changed = self.replace(
                 now_ms,
                 Snapshot {
-                    revision: change.revision,
+                    revision: Revision::new(0, change.revision),
                     items: change.put,
                     unusable: Vec::new(),
                 },
@@ -229,10 +229,10 @@
 
     /// Takes the changes since the revision; true where they changed anything.
     pub fn apply(&mut self, now_ms: Millis, changes: Changes<Registration>) -> bool {
-        if changes.revision < self.revision {
+        if changes.revision.number < self.revision {
             return false;
         }
-        self.revision = changes.revision;
+        self.revision = changes.revision.number;
         let mut changed = false;
         for change in changes.changes {
             changed |= match change {
--- a/crates/gateway/tests/directory.rs
+++ b/crates/gateway/tests/directory.rs
@@ -7,6 +7,7 @@
     CallerLimits, Change, Changes, Configuration, DirectoryChange, RegisteredState, Registration,
     Roster, Route, RouteKind, Share, Snapshot,
 };
+use fulmarpath_policy::Revision;
 
 fn registration(number: u64, state: RegisteredState) -> Registration {
     Registration {
@@ -25,7 +26,7 @@
     let all = numbers.map(|number| registration(number, RegisteredState::Ready));
     let mut roster = Roster::default();
     let snapshot = Snapshot {
-        revision,
+        revision: Revision::new(1, revision),
         items: all.collect(),
         unusable: Vec::new(),
     };
@@ -43,7 +44,7 @@
         Change::Put(registration(100, RegisteredState::Ready)),
         Change::Gone("i-0000000000".to_owned()),
     ];
-    let revision = 9;
+    let revision = Revision::new(1, 9);
     roster.apply(1, Changes { revision, changes });
     let change = roster.change_since(5);
     let mut put: Vec<&str> = change.put.iter().map(|one| one.instance.as_str()).collect();
--- a/crates/gateway/tests/roster.rs
+++ b/crates/gateway/tests/roster.rs
@@ -5,6 +5,7 @@
 use fulmarpath_gateway::{
     Change, Changes, Directory, RegisteredState, Registration, Roster, Snapshot, Unusable,
 };
+use fulmarpath_policy::Revision;
 use rstest::rstest;
 
 fn registration(instance: &str, state: RegisteredState) -> Registration {
@@ -20,10 +21,15 @@
     }
 }
 
+/// A revision of the one era that the store is in.
+fn at(number: u64) -> Revision {
+    Revision::new(1, number)
+}
+
 fn snapshot(revision: u64, instances: &[&str]) -> Snapshot<Registration> {
     let items = instances.iter();
     Snapshot {
-        revision,
+        revision: at(revision),
         items: items
             .map(|name| registration(name, RegisteredState::Ready))
             .collect(),
@@ -44,14 +50,14 @@
 
 fn gone(revision: u64, name: &str) -> Changes<Registration> {
     Changes {
-        revision,
+        revision: at(revision),
         changes: vec![Change::Gone(name.to_owned())],
     }
 }
 
 fn put(revision: u64, name: &str) -> Changes<Registration> {
     Changes {
-        revision,
+        revision: at(revision),
         changes: vec![Change::Put(registration(name, RegisteredState::Ready))],
     }
 }
@@ -108,7 +114,7 @@
     roster.replace(
         500,
         Snapshot {
-            revision: 5,
+            revision: at(5),
             items,
             unusable: Vec::new(),
         },
@@ -333,7 +339,7 @@
         roster.apply(
             6_100,
             Changes {
-                revision: 6,
+                revision: at(6),
                 changes,
             },
         );
@@ -376,7 +382,13 @@
     let mut roster = Roster::default();
     let put = |roster: &mut Roster, revision, born_ms| {
         let changes = vec![Change::Put(born("i-1", born_ms))];
-        roster.apply(revision, Changes { revision, changes })
+        roster.apply(
+            revision,
+            Changes {
+                revision: at(revision),
+                changes,
+            },
+        )
     };
     put(&mut roster, 1, case.held_ms);
     put(&mut roster, 2, case.next_ms);
@@ -391,7 +403,7 @@
 fn its_own_word_comes_before_its_entry() {
     let mut roster = Roster::default();
     let listed = |revision, born_ms| Snapshot {
-        revision,
+        revision: at(revision),
         items: vec![born("i-1", Some(born_ms))],
         unusable: Vec::new(),
     };
