--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -199,6 +199,11 @@
         self.evacuations.lock().count()
     }
 
+    /// Contents that may not run like any other, after upstreams ended under them.
+    pub fn open_circuit_count(&self) -> usize {
+        self.circuit_breakers.restricted()
+    }
+
     /// Upstreams that get a few new requests a second only.
     pub fn cold_count(&self) -> usize {
         self.instances.cold(self.clock.now_ms()).len()
@@ -271,7 +276,7 @@
             upstreams_age_ms: age(upstreams_heard_ms),
             upstreams: upstreams as i64,
             hosts: hosts as i64,
-            quarantined: self.circuit_breakers.restricted() as i64,
+            quarantined: self.open_circuit_count() as i64,
             evacuated: self.evacuated_count() as i64,
             cold: self.cold_count() as i64,
             limited: self.instances.limited_count() as i64,
