Write hosts' own entries and open circuits again where the store has come back from a copy

What hosts had written themselves nobody writes again: a copy lost their entries, without which parts of a fleet that know nothing of each other never meet, and open circuits, without which three more upstreams end under a request after all hosts are lost.

Cause: a host noted once that it had written its entry, and once that it had read the circuits, without the era. Both notes have the era now. A circuit is written only while it stands as it was, so a late write brings back nothing. A host's entry that is there again after the host has gone is removed as any other whose host doesn't answer.

--- a/crates/gateway/src/fleet.rs
+++ b/crates/gateway/src/fleet.rs
@@ -6,7 +6,7 @@
 use std::collections::HashSet;
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 
 use fulmarpath_cluster::Members;
@@ -53,7 +53,8 @@
     presence: Mutex<Presence>,
     /// What is being fetched from a peer now.
     fetching: Mutex<HashSet<Holding>>,
-    has_entry: AtomicBool,
+    /// The store's era in which this start of the host has written its entry.
+    entry_era: Mutex<Option<u64>>,
     /// When another host last answered or asked.
     heard_ms: AtomicU64,
 }
@@ -80,18 +81,23 @@
             drift: Mutex::new(Drift::new(now_ms)),
             presence: Mutex::default(),
             fetching: Mutex::default(),
-            has_entry: AtomicBool::new(false),
+            entry_era: Mutex::default(),
             heard_ms: AtomicU64::new(0),
         }
     }
 
-    /// Whether this start of the host has written its entry into the store.
-    pub(crate) fn has_entry(&self) -> bool {
-        self.has_entry.load(Ordering::Relaxed)
+    /// Whether this start of the host has ever written its entry into the store.
+    pub(crate) fn has_written_entry(&self) -> bool {
+        self.entry_era.lock().is_some()
     }
 
-    pub(crate) fn note_entry(&self) {
-        self.has_entry.store(true, Ordering::Relaxed);
+    /// Whether it has written the entry in an era of the store: a copy may lack one of before.
+    pub(crate) fn has_entry(&self, era: u64) -> bool {
+        *self.entry_era.lock() == Some(era)
+    }
+
+    pub(crate) fn note_entry(&self, era: u64) {
+        *self.entry_era.lock() = Some(era);
     }
 
     /// Whether what this host believes of the others is likely true: it has spoken to one just now, or
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -3,7 +3,7 @@
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 
 use arc_swap::ArcSwapOption;
@@ -85,7 +85,8 @@
     adopted_ms: AtomicU64,
     /// When the process ends, once it was told to; 0 before.
     ends_ms: AtomicU64,
-    pub(crate) has_read_circuits: AtomicBool,
+    /// The store's era in which this host has read the circuits there.
+    pub(crate) circuits_era: Mutex<Option<u64>>,
 }
 
 impl Gateway {
@@ -123,7 +124,7 @@
             retry_bound: Mutex::new(settings.retries),
             adopted_ms: AtomicU64::new(0),
             ends_ms: AtomicU64::new(0),
-            has_read_circuits: AtomicBool::new(false),
+            circuits_era: Mutex::default(),
             settings,
         }
     }
--- a/crates/gateway/src/join.rs
+++ b/crates/gateway/src/join.rs
@@ -179,7 +179,7 @@
             members.me()
         };
         self.announce_members(&[me]);
-        if self.fleet.has_entry() {
+        if self.fleet.has_written_entry() {
             let name = &self.settings.host.name;
             self.remove_entry(name).await;
         }
@@ -231,7 +231,8 @@
     }
 
     async fn check_entries(self: &Arc<Self>, absences: &mut Absences) {
-        if !self.fleet.has_entry() && !self.write_entry().await {
+        let era = self.store_era.latest();
+        if !self.fleet.has_entry(era) && !self.write_entry().await {
             return;
         }
         let Some(mut others) = self.named_hosts(Freshness::MayBeOld).await else {
@@ -272,13 +273,15 @@
     }
 
     async fn write_entry(&self) -> bool {
+        // Where a later era is heard of meanwhile, the entry may be lost.
+        let era = self.store_era.latest();
         let written = self.metadata.registry.register(&self.settings.host).await;
         self.metrics.store_call("own_entry", outcome(&written));
         match written {
-            Ok(()) => self.fleet.note_entry(),
+            Ok(()) => self.fleet.note_entry(era),
             Err(error) => warn!("fleet: could not write this host's entry: {error}"),
         }
-        self.fleet.has_entry()
+        self.fleet.has_written_entry()
     }
 
     async fn remove_entry(&self, name: &str) {
--- a/crates/gateway/src/stored_circuits.rs
+++ b/crates/gateway/src/stored_circuits.rs
@@ -2,17 +2,18 @@
 //!
 //! Without this, three more upstreams would end after each loss of all hosts. Only open ones are stored: they
 //! are rare, a write each by both homes, and those hosts read them once after their start that read
-//! the configuration there.
+//! the configuration there. They read them again where the store has come back from a copy, write what it
+//! lacks and remove what was closed since: nobody else does.
 
+use std::collections::HashMap;
 use std::sync::Arc;
-use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use fulmarpath_cluster::Clock;
 use fulmarpath_cluster::poison::adopt_circuits;
-use fulmarpath_policy::{Circuit, CircuitState, ContentKey, Millis};
+use fulmarpath_policy::{Circuit, CircuitState, ContentKey, Millis, Restoration};
 use fulmarpath_wire::Holding;
-use spdlog::warn;
+use spdlog::{info, warn};
 use tokio::time::sleep;
 
 use crate::follower::outcome;
@@ -76,17 +77,21 @@
         written.is_ok()
     }
 
-    /// Reads the open circuits once after this host's start, and tells its area.
+    /// Reads the open circuits once after this host's start and once in each era of the store after
+    /// that, and tells its area.
     pub(crate) async fn read_circuits(self: &Arc<Self>) {
-        if self.has_read_circuits.load(Ordering::Relaxed) {
+        let era = self.store_era.latest();
+        if *self.circuits_era.lock() == Some(era) {
             return;
         }
         let listed = self.metadata.circuits.list(Freshness::Newest).await;
         self.metrics.store_call("circuits", outcome(&listed));
         match listed {
             Ok(all) => {
-                self.has_read_circuits.store(true, Ordering::Relaxed);
+                *self.circuits_era.lock() = Some(era);
                 self.skip_of_list("the circuits", &all);
+                let stored = all.items.iter();
+                let stored = stored.map(|one| (one.content, one.openings)).collect();
                 let unix_ms = Clock::wall_ms();
                 let circuits = all.items.into_iter().map(|one| told(unix_ms, one));
                 let (old, circuits) = circuits.partition(Circuit::is_forgotten);
@@ -95,11 +100,32 @@
                     self.announce(Holding::Circuits, &news, self.neighbours());
                 }
                 self.remove_old(old).await;
+                self.restore_circuits(&stored);
             }
             Err(error) => warn!("circuits: they can't be read: {error}"),
         }
     }
 
+    /// Brings the store to what this host knows, where it came back from a copy.
+    fn restore_circuits(self: &Arc<Self>, stored: &HashMap<ContentKey, u32>) {
+        let known = self.circuit_breakers.circuits(self.clock.now_ms());
+        let Restoration { write, remove } = Restoration::of(known, stored);
+        if !write.is_empty() || !remove.is_empty() {
+            let (lacks, has) = (write.len(), remove.len());
+            info!(
+                "circuits: the store lacks {lacks} and has {has} that were closed, which is put right"
+            );
+        }
+        for circuit in write {
+            let gateway = self.clone();
+            tokio::spawn(async move { gateway.write_circuit(circuit).await });
+        }
+        for content in remove {
+            let gateway = self.clone();
+            tokio::spawn(async move { gateway.remove_circuit(content).await });
+        }
+    }
+
     async fn remove_old(&self, old: Vec<Circuit>) {
         for circuit in old {
             let removed = self.metadata.circuit_registry.remove(circuit.content).await;
--- a/crates/policy/src/circuit/mod.rs
+++ b/crates/policy/src/circuit/mod.rs
@@ -12,6 +12,7 @@
 
 mod circuits;
 mod record;
+mod restoration;
 mod successes;
 
 use serde::{Deserialize, Serialize};
@@ -20,6 +21,7 @@
 
 pub use circuits::Circuits;
 pub use record::CrashRecord;
+pub use restoration::Restoration;
 pub use successes::Successes;
 
 /// How requests of one content may run, in order of severity.
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -50,7 +50,8 @@
 };
 pub use choose::{Choice, choose};
 pub use circuit::{
-    Admission, Circuit, CircuitState, Circuits, CrashRecord, Successes, may_have_ended_it,
+    Admission, Circuit, CircuitState, Circuits, CrashRecord, Restoration, Successes,
+    may_have_ended_it,
 };
 pub use cold::{Cold, ColdBound, ColdStarts};
 pub use division::Division;
--- a/crates/policy/tests/circuit.rs
+++ b/crates/policy/tests/circuit.rs
@@ -1,8 +1,8 @@
 //! Poison requests: who is suspected, who is let run, and for how long.
 
 use fulmarpath_policy::{
-    Admission, Circuit, CircuitState, Circuits, ContentKey, CrashRecord, Millis, Successes,
-    UpstreamKey,
+    Admission, Circuit, CircuitState, Circuits, ContentKey, CrashRecord, Millis, Restoration,
+    Successes, UpstreamKey,
 };
 use rstest::rstest;
 
@@ -341,3 +341,38 @@
     assert!(home.settle().is_empty(), "nothing has crashed since");
     assert_eq!(home.admit(P), Admission::AskHome);
 }
+
+struct Mending {
+    state: CircuitState,
+    openings: u32,
+    /// How often the stored circuit was opened; `None` where the store has none.
+    stored: Option<u32>,
+    writes: bool,
+    removes: bool,
+}
+
+/// Guards against what homes have decided being lost, or there again, with a store that comes back from a
+/// copy.
+#[rstest]
+#[case::lost(Mending { state: CircuitState::Open, openings: 1, stored: None, writes: true, removes: false })]
+#[case::there(Mending { state: CircuitState::Open, openings: 1, stored: Some(1), writes: false, removes: false })]
+#[case::opened_again(Mending { state: CircuitState::Open, openings: 2, stored: Some(1), writes: true, removes: false })]
+#[case::lost_half_open(Mending { state: CircuitState::HalfOpen, openings: 1, stored: None, writes: true, removes: false })]
+#[case::never_opened(Mending { state: CircuitState::HalfOpen, openings: 0, stored: None, writes: false, removes: false })]
+#[case::closed_since(Mending { state: CircuitState::Closed, openings: 1, stored: Some(1), writes: false, removes: true })]
+#[case::closed(Mending { state: CircuitState::Closed, openings: 1, stored: None, writes: false, removes: false })]
+fn a_store_is_brought_to_what_is_known(#[case] case: Mending) {
+    let content = ContentKey(7);
+    let known = Circuit {
+        content,
+        version: 3,
+        state: case.state,
+        openings: case.openings,
+        crashes: Vec::new(),
+        age_ms: 0,
+    };
+    let stored = case.stored.map(|openings| (content, openings));
+    let restoration = Restoration::of(vec![known], &stored.into_iter().collect());
+    assert_eq!(!restoration.write.is_empty(), case.writes);
+    assert_eq!(!restoration.remove.is_empty(), case.removes);
+}
