Tell all hosts of each other where two parts of a fleet have met

Found by a test that failed once beside others: two parts of a fleet that started while the store was away met by one host each five seconds after its return, and two of six hosts had not heard of the last one after ten. Until then each part places generations as if it had all engines to itself.

Cause: the meeting host learnt all of the other part, and was itself announced there; everybody else heard of the others by comparing hashes with pings, one exchange in three seconds each.

A host that has met one it did not know now announces all that it knows, over a few, as newcomers are. It is one message to each host where parts meet, which is rare; hosts exchanged as much by their pings before.

--- a/crates/gateway/src/join.rs
+++ b/crates/gateway/src/join.rs
@@ -189,6 +189,13 @@
         self.announce(Holding::Members, &news, self.everybody());
     }
 
+    /// Tells all hosts of all that are known, where two parts of the fleet have just met by one host each.
+    /// Left to pings, the last host of a part heard of the other one after ten seconds.
+    fn announce_all_known(self: &Arc<Self>) {
+        let known = self.fleet.members.lock().beliefs();
+        self.announce_members(&known);
+    }
+
     /// Writes this host's entry and speaks to others that have one; how long to wait then.
     async fn look_for_others(self: &Arc<Self>) -> Duration {
         if !self.write_entry().await {
@@ -247,6 +254,7 @@
         for (name, address) in others.into_iter().take(NAMED) {
             if self.meet_any(&[address]).await {
                 absences.answer(&name);
+                self.announce_all_known();
             } else if absences.miss(&name) {
                 info!("fleet: {name} is gone, its entry is removed");
                 self.remove_entry(&name).await;
