--- a/crates/policy/tests/evacuations.rs
+++ b/crates/policy/tests/evacuations.rs
@@ -126,3 +126,98 @@
     assert_eq!(evacuations.ended_ms("strange-1"), None);
     assert_eq!(evacuations.ended_ms("strange-1000"), Some(1_000_000));
 }
+
+/// What a host hears around a store's return from a copy, each at an era and a number.
+enum Word {
+    Stores(u64, u64, &'static [&'static str]),
+    Changes(u64, u64, EvacuationChange),
+    /// A peer's state, without what it keeps for a while.
+    Peer(u64, u64, &'static [&'static str]),
+    /// So long later.
+    Later(u64),
+}
+use Word::{Changes, Later, Peer, Stores};
+
+struct Return {
+    words: Vec<Word>,
+    evacuated: &'static [&'static str],
+}
+
+/// Guards against work for a data centre whose evacuation a copy of the store lacks, and against keeping
+/// it out of work for good.
+#[rstest]
+#[case::lacks_it(Return { words: vec![Stores(1, 50, &["a"]), Stores(2, 40, &[])], evacuated: &["a"] })]
+#[case::lacks_it_by_a_peer(Return { words: vec![Stores(1, 50, &["a"]), Peer(2, 40, &[])], evacuated: &["a"] })]
+#[case::news_of_others_in_between(Return {
+    words: vec![Stores(1, 50, &["a"]), Stores(2, 40, &[]), Changes(2, 41, begins("b"))],
+    evacuated: &["a", "b"],
+})]
+#[case::a_peers_news_in_between(Return {
+    words: vec![Stores(1, 50, &["a"]), Stores(2, 40, &[]), Peer(2, 41, &["b"])], evacuated: &["a", "b"],
+})]
+#[case::never_written_again(Return {
+    words: vec![Stores(1, 50, &["a"]), Stores(2, 40, &[]), Later(30_000)], evacuated: &[],
+})]
+#[case::written_again(Return {
+    words: vec![
+        Stores(1, 50, &["a"]), Stores(2, 40, &[]), Changes(2, 41, begins("a")), Later(30_000),
+    ],
+    evacuated: &["a"],
+})]
+#[case::written_again_and_ended(Return {
+    words: vec![
+        Stores(1, 50, &["a"]), Stores(2, 40, &[]), Changes(2, 41, begins("a")), Changes(2, 42, ends("a")),
+    ],
+    evacuated: &[],
+})]
+#[case::there_again(Return {
+    words: vec![Stores(1, 50, &["a"]), Changes(1, 51, ends("a")), Stores(2, 40, &["a"])], evacuated: &["a"],
+})]
+#[case::an_earlier_era_comes_late(Return {
+    words: vec![Stores(2, 40, &["a"]), Stores(1, 50, &[]), Peer(1, 51, &[])], evacuated: &["a"],
+})]
+#[case::two_returns(Return {
+    words: vec![Stores(1, 50, &["a"]), Stores(2, 40, &[]), Later(20_000), Stores(3, 30, &[]), Later(9_000)],
+    evacuated: &["a"],
+})]
+fn an_evacuation_outlives_the_copy_that_lacks_it(#[case] case: Return) {
+    let mut evacuations = Evacuations::default();
+    let mut now_ms = 0;
+    for word in case.words {
+        match word {
+            Stores(era, number, all) => {
+                evacuations.replace(now_ms, Revision::new(era, number), names(all));
+            }
+            Changes(era, number, change) => {
+                evacuations.apply(now_ms, Revision::new(era, number), [change]);
+            }
+            Peer(era, number, all) => {
+                let told = EvacuationState {
+                    revision: Revision::new(era, number),
+                    data_centres: names(all),
+                    ..EvacuationState::default()
+                };
+                evacuations.hear(now_ms, told);
+            }
+            Later(ms) => now_ms += ms,
+        }
+        evacuations.expire(now_ms);
+    }
+    assert_eq!(
+        evacuations.state(now_ms).data_centres,
+        names(case.evacuated)
+    );
+}
+
+/// Guards against a host that keeps for good what its peer keeps for a while.
+#[test]
+fn a_peer_passes_on_how_long_it_keeps_one() {
+    let mut first = Evacuations::default();
+    first.replace(0, Revision::new(1, 50), names(&["a"]));
+    first.replace(1_000, Revision::new(2, 40), names(&[]));
+    let mut second = Evacuations::default();
+    second.hear(500, first.state(11_000));
+    assert!(!second.expire(20_000));
+    assert!(second.expire(20_500));
+    assert_eq!(second.count(), 0);
+}
