Tell in explain by which state of the store a request's upstreams were known

On-call engineers could not see from a request whether hosts had heard of a return of the store before it was sent. Its line now has the revision and era by which upstreams were known as it ended, explain says them, and shows the lines that tell of a return within a minute of the request, with both eras and who told.

--- a/crates/gateway/src/journey.rs
+++ b/crates/gateway/src/journey.rs
@@ -167,6 +167,7 @@
             route: self.route.clone(),
             kind: self.kind.to_owned(),
             version: self.version,
+            upstreams: self.gateway.roster.lock().revision(),
             outcome: outcome.to_owned(),
             status,
             took_ms: self.gateway.clock.now_ms().saturating_sub(self.arrived_ms),
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -77,3 +77,4 @@
 pub use record::{Dispatch, REQUEST_PREFIX, RequestRecord, Size};
 pub use roster::Roster;
 pub use serve::{Listen, ListenError, Listeners};
+pub use store_era::RETURN_PREFIX;
--- a/crates/gateway/src/record.rs
+++ b/crates/gateway/src/record.rs
@@ -1,6 +1,6 @@
 //! The log's line of a request: one when it is over, with what decided its way.
 
-use fulmarpath_policy::{Millis, Seen};
+use fulmarpath_policy::{Millis, Revision, Seen};
 use serde::{Deserialize, Serialize};
 
 /// What the payload of such a line begins with; JSON follows.
@@ -45,6 +45,9 @@
     pub kind: String,
     /// The configuration that decided.
     pub version: u64,
+    /// The state of the store by which upstreams were known as it ended.
+    #[serde(default)]
+    pub upstreams: Revision,
     /// How it ended.
     pub outcome: String,
     /// The status that the caller got; 0 where it had left.
@@ -75,6 +78,11 @@
 
     /// Why the request ended as it did, in one sentence.
     pub fn cause(&self) -> String {
+        let (end, upstreams) = (self.end(), self.upstreams);
+        format!("{end}; upstreams were known by revision {upstreams}")
+    }
+
+    fn end(&self) -> String {
         let last = self.dispatches.last();
         let at = last.map_or("no upstream", |one| one.instance.as_str());
         match self.outcome.as_str() {
--- a/crates/gateway/src/store_era.rs
+++ b/crates/gateway/src/store_era.rs
@@ -13,6 +13,9 @@
 /// counter has all of them.
 const SILENCE_MS: Millis = 1_000;
 
+/// What the payload begins with of the line that tells of a return from a copy; both eras follow.
+pub const RETURN_PREFIX: &str = "store: it came back from a copy: ";
+
 /// The latest era that this host has heard of.
 #[derive(Debug, Default)]
 pub(crate) struct StoreEra {
@@ -51,9 +54,7 @@
         self.metrics.store_era.set(era as i64);
         match before {
             0 => info!("store: era {era}, told by {source}"),
-            _ => warn!(
-                "store: it came back from a copy: era {era} follows {before}, told by {source}"
-            ),
+            _ => warn!("{RETURN_PREFIX}era {era} follows {before}, told by {source}"),
         }
     }
 
--- a/src/explain.rs
+++ b/src/explain.rs
@@ -2,9 +2,13 @@
 
 use std::fmt;
 
-use fulmarpath_gateway::RequestRecord;
+use fulmarpath_gateway::{RETURN_PREFIX, RequestRecord};
 use serde::Deserialize;
 
+/// What hosts believe may be of before a return of the store from a copy for so long; their clocks differ
+/// by seconds.
+const NEAR_MS: u64 = 60_000;
+
 /// A line of a gateway's log.
 #[derive(Debug, Clone, Deserialize)]
 struct LogLine {
@@ -74,18 +78,30 @@
     let has_ended = |outcome: &str| records.iter().any(|record| record.outcome == outcome);
     let is_evacuated = has_ended("evacuated");
     let is_held_back = has_ended("held_back");
-    let speaks = |payload: &str| {
+    let ends = all.iter().filter(|(_, line)| {
+        let record = RequestRecord::read(&line.payload);
+        record.is_some_and(|record| record.request == id)
+    });
+    let ends_ms: Vec<u64> = ends.map(|(_, line)| line.timestamp).collect();
+    let is_near = |at_ms: u64| {
+        ends_ms
+            .iter()
+            .any(|end_ms| end_ms.abs_diff(at_ms) < NEAR_MS)
+    };
+    let speaks = |line: &LogLine| {
+        let payload = &line.payload;
         // What ended upstreams was this content in other requests as well.
         let on_content = payload.starts_with("circuits:") || payload.starts_with("crashes:");
         payload.contains(id)
             || run.is_some_and(|run| payload.contains(run))
             || (is_evacuated && payload.starts_with("evacuations:"))
             || (is_held_back && payload.starts_with("backpressure:"))
+            || (payload.starts_with(RETURN_PREFIX) && is_near(line.timestamp))
             || (on_content && content.is_some_and(|content| payload.contains(content)))
     };
     let mut traces: Vec<Trace> = all
         .iter()
-        .filter(|(_, line)| speaks(&line.payload))
+        .filter(|(_, line)| speaks(line))
         .map(|(source, line)| Trace {
             at_ms: line.timestamp,
             source: (*source).clone(),
--- a/tests/explain.rs
+++ b/tests/explain.rs
@@ -1,7 +1,8 @@
 //! From a request's id and hosts' logs to its cause.
 
 use fulmarpath::explain;
-use fulmarpath::gateway::{Dispatch, REQUEST_PREFIX, RequestRecord};
+use fulmarpath::gateway::{Dispatch, REQUEST_PREFIX, RETURN_PREFIX, RequestRecord};
+use fulmarpath_policy::Revision;
 use rstest::rstest;
 
 fn record(outcome: &str, status: u16, instances: &[&str]) -> RequestRecord {
@@ -17,6 +18,7 @@
         route: "drafts".to_owned(),
         kind: "streaming".to_owned(),
         version: 7,
+        upstreams: Revision::new(2, 45),
         outcome: outcome.to_owned(),
         status,
         took_ms: 90,
@@ -156,6 +158,28 @@
     assert!(explanation.causes[0].contains(case.names));
 }
 
+struct Return {
+    at_ms: u64,
+    is_shown: bool,
+}
+
+/// Guards against a request that hosts sent by what the store had lost, and that `explain` can't tell from
+/// any other.
+#[rstest]
+#[case::just_before(Return { at_ms: 95_000, is_shown: true })]
+#[case::while_it_ran(Return { at_ms: 100_500, is_shown: true })]
+#[case::long_before(Return { at_ms: 20_000, is_shown: false })]
+fn shows_that_the_store_came_back_from_a_copy(#[case] case: Return) {
+    let told = format!("{RETURN_PREFIX}era 2 follows 1, told by a watcher");
+    let told = line(case.at_ms, &told);
+    let answered = request_line(101_000, &record("answered", 200, &["i-1"]));
+    let text = [told, answered].join("\n");
+    let explanation = explain("9c41", &[("host-a".to_owned(), text)]).expect("it is found");
+    let shown = explanation.to_string();
+    assert_eq!(shown.contains("era 2 follows 1"), case.is_shown, "{shown}");
+    assert!(shown.contains("by revision 45 of era 2"), "{shown}");
+}
+
 /// An id that nobody wrote of is said not to be found, with how much was looked at.
 #[test]
 fn an_unknown_id_is_not_found() {
