Tell what is kept against a store that came back, and count the first era right

From a read of the change as on-call engineers would: the line of a return told both eras and who told, not what it changed. Now a line says how many upstreams are kept that the store lacks and how many are left alone that had gone, and one says it of evacuations.

A store whose first era is 0 would have had its first return told as a first era, without both numbers; the first one that is heard is told from none now. A list that nobody knows for certain tells no era. A host's own entry and the circuits go by the era in which they were written and read, so that a host's start doesn't write or read them twice.

--- a/crates/gateway/src/evacuations.rs
+++ b/crates/gateway/src/evacuations.rs
@@ -88,7 +88,7 @@
 
     /// Takes a peer's state.
     pub(crate) fn hear_evacuations(&self, told: EvacuationState, source: &str) {
-        self.hear_era(told.revision.era, source);
+        self.hear_era(told.revision, source);
         self.change_evacuations(source, |evacuations, now_ms| evacuations.hear(now_ms, told));
     }
 
@@ -112,7 +112,13 @@
         let roster = self.roster.lock();
         let state = {
             let mut evacuations = self.evacuations.lock();
-            if !change(&mut evacuations, now_ms) {
+            let kept_before = evacuations.unconfirmed_count();
+            let is_new = change(&mut evacuations, now_ms);
+            let kept = evacuations.unconfirmed_count();
+            if kept > kept_before {
+                info!("evacuations: {kept} are kept that the store lacks, by {source}");
+            }
+            if !is_new {
                 return false;
             }
             evacuations.state(now_ms)
--- a/crates/gateway/src/fleet.rs
+++ b/crates/gateway/src/fleet.rs
@@ -6,7 +6,7 @@
 use std::collections::HashSet;
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::time::Duration;
 
 use fulmarpath_cluster::Members;
@@ -53,8 +53,9 @@
     presence: Mutex<Presence>,
     /// What is being fetched from a peer now.
     fetching: Mutex<HashSet<Holding>>,
-    /// The store's era in which this start of the host has written its entry.
-    entry_era: Mutex<Option<u64>>,
+    /// This start of the host has ever written its entry.
+    has_written_entry: AtomicBool,
+    has_entry: AtomicBool,
     /// When another host last answered or asked.
     heard_ms: AtomicU64,
 }
@@ -81,23 +82,31 @@
             drift: Mutex::new(Drift::new(now_ms)),
             presence: Mutex::default(),
             fetching: Mutex::default(),
-            entry_era: Mutex::default(),
+            has_written_entry: AtomicBool::new(false),
+            has_entry: AtomicBool::new(false),
             heard_ms: AtomicU64::new(0),
         }
     }
 
     /// Whether this start of the host has ever written its entry into the store.
     pub(crate) fn has_written_entry(&self) -> bool {
-        self.entry_era.lock().is_some()
+        self.has_written_entry.load(Ordering::Relaxed)
     }
 
-    /// Whether it has written the entry in an era of the store: a copy may lack one of before.
-    pub(crate) fn has_entry(&self, era: u64) -> bool {
-        *self.entry_era.lock() == Some(era)
+    /// Whether the store has that entry.
+    pub(crate) fn has_entry(&self) -> bool {
+        self.has_entry.load(Ordering::Relaxed)
     }
 
-    pub(crate) fn note_entry(&self, era: u64) {
-        *self.entry_era.lock() = Some(era);
+    /// The entry is written.
+    pub(crate) fn note_entry(&self) {
+        self.has_written_entry.store(true, Ordering::Relaxed);
+        self.has_entry.store(true, Ordering::Relaxed);
+    }
+
+    /// The store has come back from a copy, which may lack the entry.
+    pub(crate) fn forget_entry(&self) {
+        self.has_entry.store(false, Ordering::Relaxed);
     }
 
     /// Whether what this host believes of the others is likely true: it has spoken to one just now, or
--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -10,7 +10,7 @@
 use tokio::time::sleep;
 
 use crate::configuration::Configuration;
-use crate::directory::{DirectoryChange, Registration};
+use crate::directory::{Directory, DirectoryChange, Registration};
 use crate::follower::{Follower, Heard, outcome};
 use crate::gateway::Gateway;
 use crate::metadata::{Change, Freshness};
@@ -223,7 +223,7 @@
 
     /// Takes what a peer knows of the upstreams and this host doesn't.
     pub(crate) fn take_upstreams(&self, change: DirectoryChange) {
-        self.hear_era(change.revision.era, "a peer");
+        self.hear_era(change.revision, "a peer");
         let now_ms = self.clock.now_ms();
         let is_whole = change.is_whole();
         let mut roster = self.roster.lock();
@@ -234,12 +234,14 @@
             info!("upstreams: revision {revision} is a peer's, {how}, after {before}");
             self.adopt_directory(&roster.directory());
         }
+        tell_of_return(before, &roster);
     }
 
     fn roster_step(&self, step: impl FnOnce(&mut Roster, Millis) -> bool) {
         let now_ms = self.clock.now_ms();
         let mut roster = self.roster.lock();
         roster.heard(now_ms);
+        let before = roster.revision();
         if step(&mut roster, now_ms) {
             let directory = roster.directory();
             info!(
@@ -249,7 +251,21 @@
             );
             self.adopt_directory(&directory);
         }
+        tell_of_return(before, &roster);
+    }
+}
+
+/// Tells the log what is kept against a store that has come back from a copy since a revision.
+pub(crate) fn tell_of_return(before: Revision, roster: &Roster) {
+    let revision = roster.revision();
+    if !revision.is_return_since(before, Directory::PROVISIONAL) {
+        return;
     }
+    let unconfirmed = roster.unconfirmed();
+    info!(
+        "upstreams: revision {revision} follows {before}: {} are kept that it lacks, {} left alone that had gone",
+        unconfirmed.missing, unconfirmed.returned
+    );
 }
 
 /// The configurations that an answer of the store names, in order. One that is gone leaves the one in
--- a/crates/gateway/src/join.rs
+++ b/crates/gateway/src/join.rs
@@ -238,8 +238,7 @@
     }
 
     async fn check_entries(self: &Arc<Self>, absences: &mut Absences) {
-        let era = self.store_era.latest();
-        if !self.fleet.has_entry(era) && !self.write_entry().await {
+        if !self.fleet.has_entry() && !self.write_entry().await {
             return;
         }
         let Some(mut others) = self.named_hosts(Freshness::MayBeOld).await else {
@@ -281,12 +280,17 @@
     }
 
     async fn write_entry(&self) -> bool {
-        // Where a later era is heard of meanwhile, the entry may be lost.
         let era = self.store_era.latest();
         let written = self.metadata.registry.register(&self.settings.host).await;
         self.metrics.store_call("own_entry", outcome(&written));
         match written {
-            Ok(()) => self.fleet.note_entry(era),
+            Ok(()) => {
+                self.fleet.note_entry();
+                // Written just before the store came back from a copy, it is lost.
+                if era.is_some() && self.store_era.latest() != era {
+                    self.fleet.forget_entry();
+                }
+            }
             Err(error) => warn!("fleet: could not write this host's entry: {error}"),
         }
         self.fleet.has_written_entry()
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -42,6 +42,7 @@
 mod record;
 mod recovery;
 mod relay;
+mod returns;
 mod roster;
 mod runs;
 mod serve;
--- a/crates/gateway/src/roster.rs
+++ b/crates/gateway/src/roster.rs
@@ -17,6 +17,7 @@
 use crate::departures::Departures;
 use crate::directory::{Departure, Directory, DirectoryChange, RegisteredState, Registration};
 use crate::metadata::{Change, Changes, Snapshot, Unusable};
+use crate::returns::Returns;
 
 /// Upstreams that live are registered again within about two seconds of the store's return.
 const RETURN_MS: Millis = 2_200;
@@ -24,8 +25,6 @@
 const OUTAGE_MS: Millis = 1_500;
 /// How long an entry outlives its upstream's silence where the settings don't say.
 const LAPSE_MS: Millis = 3_600;
-/// For the store's removal of an entry to be heard.
-const LAPSE_MARGIN_MS: Millis = 400;
 
 #[derive(Debug, Clone)]
 struct Entry {
@@ -35,12 +34,13 @@
     changed_at: Revision,
 }
 
-/// An upstream that had gone and is there again with a copy of the store.
-#[derive(Debug, Clone)]
-struct Returned {
-    registration: Registration,
-    /// What is there still by then is alive.
-    until_ms: Millis,
+/// What is believed of upstreams against the store, for a while after it came back.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) struct Unconfirmed {
+    /// Kept, though the store lacks them.
+    pub(crate) missing: usize,
+    /// Left alone, though the store has them again.
+    pub(crate) returned: usize,
 }
 
 /// The registered upstreams as this host believes them.
@@ -56,12 +56,9 @@
     stating_births: HashSet<String>,
     /// Upstreams that went.
     departures: Departures,
-    /// Upstreams that had gone and may be there again.
-    returned: HashMap<String, Returned>,
+    returns: Returns,
     /// What changed up to this revision can't be told one by one.
     listed: Revision,
-    /// How long an entry outlives its upstream's silence.
-    lapse_ms: Millis,
 }
 
 impl Default for Roster {
@@ -81,9 +78,8 @@
             grace_until_ms: 0,
             stating_births: HashSet::new(),
             departures: Departures::default(),
-            returned: HashMap::new(),
+            returns: Returns::new(lapse_ms),
             listed: Revision::default(),
-            lapse_ms,
         }
     }
 
@@ -149,6 +145,14 @@
         changed
     }
 
+    /// What is believed against the store.
+    pub(crate) fn unconfirmed(&self) -> Unconfirmed {
+        Unconfirmed {
+            missing: self.lapsed().len(),
+            returned: self.returns.len(),
+        }
+    }
+
     /// Takes a whole list; true where it changed anything.
     pub fn replace(&mut self, now_ms: Millis, snapshot: Snapshot<Registration>) -> bool {
         if snapshot.revision < self.revision {
@@ -173,7 +177,7 @@
             .filter(|name| !listed.contains_key(*name))
             .cloned()
             .collect();
-        self.returned.retain(|name, _| listed.contains_key(name));
+        self.returns.retain(|name| listed.contains_key(name));
         let mut changed = false;
         for name in missing {
             changed |= self.remove(now_ms, &name);
@@ -193,14 +197,7 @@
         if !self.departures.has_gone_before(&registration, era) {
             return self.put(now_ms, registration);
         }
-        let name = registration.instance.clone();
-        let held = self.returned.get(&name).map(|held| held.until_ms);
-        let until_ms = held.unwrap_or(now_ms + self.lapse_ms + LAPSE_MARGIN_MS);
-        let returned = Returned {
-            registration,
-            until_ms,
-        };
-        self.returned.insert(name, returned);
+        self.returns.list(now_ms, registration);
         false
     }
 
@@ -278,7 +275,7 @@
 
     /// Drops an entry that had gone by a revision; true where there was one.
     fn drop_entry(&mut self, now_ms: Millis, name: &str, gone_at: Revision) -> bool {
-        self.returned.remove(name);
+        self.returns.remove(name);
         let Some(entry) = self.entries.remove(name) else {
             return false;
         };
@@ -325,10 +322,8 @@
     }
 
     fn take_returned(&mut self, now_ms: Millis) -> bool {
-        let due = self.returned.values().filter(|one| one.until_ms <= now_ms);
-        let due: Vec<Registration> = due.map(|one| one.registration.clone()).collect();
         let mut changed = false;
-        for registration in due {
+        for registration in self.returns.due(now_ms) {
             let name = registration.instance.clone();
             changed |= self.put(now_ms, registration);
             if let Some(entry) = self.entries.get_mut(&name) {
@@ -404,7 +399,7 @@
             None => {}
         }
         self.departures.remove(&name);
-        self.returned.remove(&name);
+        self.returns.remove(&name);
         let held = self.entries.get_mut(&name);
         if let Some(held) = &held
             && held.registration.is_same_start(&registration)
@@ -437,7 +432,7 @@
     }
 
     fn remove(&mut self, now_ms: Millis, name: &str) -> bool {
-        self.returned.remove(name);
+        self.returns.remove(name);
         let Some(entry) = self.entries.get_mut(name) else {
             return false;
         };
--- a/crates/gateway/src/spread.rs
+++ b/crates/gateway/src/spread.rs
@@ -24,6 +24,7 @@
 
 use crate::directory::DirectoryChange;
 use crate::encoding::{EncodingError, decode, encode};
+use crate::follow::tell_of_return;
 use crate::gateway::Gateway;
 
 /// A host that can't read the store says so again with each failed call; silence ends it.
@@ -264,11 +265,13 @@
 
     fn take_change(&self, value: &[u8]) -> Result<(), EncodingError> {
         let change: DirectoryChange = decode(Holding::Upstreams, value)?;
-        self.hear_era(change.revision.era, "a watcher");
+        self.hear_era(change.revision, "a watcher");
         let mut roster = self.roster.lock();
+        let before = roster.revision();
         if roster.apply_by_peer(self.clock.now_ms(), change) {
             self.adopt_directory(&roster.directory());
         }
+        tell_of_return(before, &roster);
         Ok(())
     }
 }
--- a/crates/gateway/src/store_era.rs
+++ b/crates/gateway/src/store_era.rs
@@ -1,12 +1,12 @@
 //! Which era of the store this host has heard of.
 
 use std::fmt::Display;
-use std::sync::atomic::{AtomicU64, Ordering};
 
 use fulmarpath_policy::{Millis, Revision};
 use parking_lot::Mutex;
 use spdlog::{info, warn};
 
+use crate::directory::Directory;
 use crate::gateway::Gateway;
 
 /// Between two lines of the log about answers that are dropped: calls may come many a second, and the
@@ -19,20 +19,28 @@
 /// The latest era that this host has heard of.
 #[derive(Debug, Default)]
 pub(crate) struct StoreEra {
-    latest: AtomicU64,
+    latest: Mutex<Option<u64>>,
     told_ms: Mutex<Option<Millis>>,
 }
 
 impl StoreEra {
-    /// The latest; 0 where none was heard.
-    pub(crate) fn latest(&self) -> u64 {
-        self.latest.load(Ordering::Relaxed)
+    /// The latest; `None` where none was heard.
+    pub(crate) fn latest(&self) -> Option<u64> {
+        *self.latest.lock()
     }
 
-    /// Hears an era; the one that was the latest before, where this one is later.
-    fn hear(&self, era: u64) -> Option<u64> {
-        let before = self.latest.fetch_max(era, Ordering::Relaxed);
-        (before < era).then_some(before)
+    /// Hears an era.
+    fn hear(&self, era: u64) -> EraNews {
+        let mut latest = self.latest.lock();
+        let before = latest.replace(era);
+        match before {
+            None => EraNews::First,
+            Some(before) if before < era => EraNews::Return { before },
+            Some(before) => {
+                *latest = Some(before);
+                EraNews::Nothing
+            }
+        }
     }
 
     fn may_tell(&self, now_ms: Millis) -> bool {
@@ -45,17 +53,36 @@
     }
 }
 
+/// What is new about an era that was heard.
+enum EraNews {
+    /// It is the first.
+    First,
+    /// The store has come back from a copy.
+    Return {
+        /// The latest before.
+        before: u64,
+    },
+    /// It is known, or over.
+    Nothing,
+}
+
 impl Gateway {
-    /// Hears which era the store is in, from itself or from a peer.
-    pub(crate) fn hear_era(&self, era: u64, source: impl Display) {
-        let Some(before) = self.store_era.hear(era) else {
+    /// Hears of a state of the store, from itself or from a peer. One that nobody knows for certain tells
+    /// no era.
+    pub(crate) fn hear_era(&self, revision: Revision, source: impl Display) {
+        if revision <= Directory::PROVISIONAL {
             return;
-        };
-        self.metrics.store_era.set(era as i64);
-        match before {
-            0 => info!("store: era {era}, told by {source}"),
-            _ => warn!("{RETURN_PREFIX}era {era} follows {before}, told by {source}"),
         }
+        let era = revision.era;
+        match self.store_era.hear(era) {
+            EraNews::First => info!("store: era {era}, told by {source}"),
+            EraNews::Return { before } => {
+                warn!("{RETURN_PREFIX}era {era} follows {before}, told by {source}");
+                self.fleet.forget_entry();
+            }
+            EraNews::Nothing => return,
+        }
+        self.metrics.store_era.set(era as i64);
     }
 
     /// Counts an answer of the store that tells of a state before the one that is known.
--- a/crates/gateway/src/stored_circuits.rs
+++ b/crates/gateway/src/stored_circuits.rs
@@ -80,15 +80,15 @@
     /// Reads the open circuits once after this host's start and once in each era of the store after
     /// that, and tells its area.
     pub(crate) async fn read_circuits(self: &Arc<Self>) {
-        let era = self.store_era.latest();
-        if *self.circuits_era.lock() == Some(era) {
+        let read_in = *self.circuits_era.lock();
+        if read_in.is_some() && read_in >= self.store_era.latest() {
             return;
         }
         let listed = self.metadata.circuits.list(Freshness::Newest).await;
         self.metrics.store_call("circuits", outcome(&listed));
         match listed {
             Ok(all) => {
-                *self.circuits_era.lock() = Some(era);
+                *self.circuits_era.lock() = Some(all.revision.era);
                 self.skip_of_list("the circuits", &all);
                 let stored = all.items.iter();
                 let stored = stored.map(|one| (one.content, one.openings)).collect();
--- a/crates/policy/src/evacuations.rs
+++ b/crates/policy/src/evacuations.rs
@@ -100,6 +100,11 @@
         self.evacuated.len()
     }
 
+    /// Evacuated ones that the store lacks since it came back from a copy.
+    pub fn unconfirmed_count(&self) -> usize {
+        self.unconfirmed.len()
+    }
+
     /// When a data centre was taken back.
     pub fn ended_ms(&self, data_centre: &str) -> Option<Millis> {
         self.ended_ms.get(data_centre).copied()
@@ -187,6 +192,9 @@
     /// Ends what the operator has not written again in time; true where there was any.
     pub fn expire(&mut self, now_ms: Millis) -> bool {
         let before = self.unconfirmed.len();
+        if before == 0 {
+            return false;
+        }
         let mut data_centres = self.names();
         self.unconfirmed.retain(|name, until_ms| {
             let is_kept = now_ms < *until_ms;
