Don't tell a newcomer of its own start before, lest it ask itself what all hold

What a soak saw once, kept as a case: a host that was killed and started while the store had only its copy sent one request to an upstream that had written that it leaves, in words that the copy lacked and its peers knew.

Cause, from its log: a host asks a few members for what all hold, by a sample that the first one it meets draws. Nobody had noticed yet that its start before was gone, so that was in the sample, at the host's own address: it asked itself, took itself for told, and read the store after 14 ms, eleven before a peer's news came. So it goes without any copy too: a host that starts again then serves by a list that may be old. Ruled out: peers that had taken the copy's word (all had the upstream as leaving).

Members at the newcomer's address aren't drawn any more. The test failed before and passes now, with the nine others of members.rs and the six of joining.rs.

--- a/crates/cluster/src/members.rs
+++ b/crates/cluster/src/members.rs
@@ -245,14 +245,16 @@
         }
     }
 
-    /// Members that answer, a few drawn at random, those of a data centre first; this host among those
-    /// that may be drawn.
-    pub fn sample(&self, data_centre: &str, draw: u64, count: usize) -> Vec<Rumour> {
+    /// Members that answer, a few drawn at random, for a newcomer to ask: those of its data centre first;
+    /// this host among those that may be drawn. Whoever had its address before is gone, though nobody
+    /// may have noticed yet: it would ask itself.
+    pub fn sample(&self, newcomer: &MemberNote, draw: u64, count: usize) -> Vec<Rumour> {
         let alive = self.known.iter();
         let mut alive: Vec<((bool, u64), &Known)> = alive
             .filter(|(_, known)| known.rumour.state == MemberState::Alive)
+            .filter(|(_, known)| known.rumour.member.address != newcomer.address)
             .map(|(key, known)| {
-                let is_far = known.rumour.member.data_centre != data_centre;
+                let is_far = known.rumour.member.data_centre != newcomer.data_centre;
                 ((is_far, rank(draw, key.0)), known)
             })
             .collect();
--- a/crates/cluster/tests/members.rs
+++ b/crates/cluster/tests/members.rs
@@ -237,6 +237,13 @@
     }
 }
 
+fn note_at(name: &str, port: u16) -> MemberNote {
+    MemberNote {
+        address: ([127, 0, 0, 1], port).into(),
+        ..note(name)
+    }
+}
+
 /// A newcomer is told of members of its own data centre first, and of others where those are few.
 #[test]
 fn a_sample_is_near_first() {
@@ -245,10 +252,28 @@
         members.learn(0, rumour(name, MemberState::Alive, 1));
     }
     members.suspect(0, HostKey::of("zrh-b/2"));
+    let newcomer = note_at("zrh-b/new", 9);
     for draw in 0..20 {
-        let sample = members.sample("zrh-b", draw, 3);
+        let sample = members.sample(&newcomer, draw, 3);
         assert_eq!(sample[0].member.name, "zrh-b/1");
         assert_eq!(sample.len(), 3);
         assert!(sample.iter().all(|one| one.state == MemberState::Alive));
     }
 }
+
+/// Guards against a host that starts again and asks itself, by the name it had before, for what all hold.
+#[test]
+fn a_newcomer_is_not_told_of_its_own_start_before() {
+    let mut members = Members::new(note_at("zrh-a/me", 1), 1);
+    let before = Rumour {
+        member: note_at("zrh-a/before", 9),
+        ..rumour("zrh-a/before", MemberState::Alive, 1)
+    };
+    members.learn(0, before);
+    let newcomer = note_at("zrh-a/again", 9);
+    for draw in 0..20 {
+        let sample = members.sample(&newcomer, draw, 3);
+        let names: Vec<&str> = sample.iter().map(|one| one.member.name.as_str()).collect();
+        assert_eq!(names, ["zrh-a/me"]);
+    }
+}
--- a/crates/gateway/src/join.rs
+++ b/crates/gateway/src/join.rs
@@ -139,13 +139,12 @@
     /// Answers a newcomer, and has all others hear of it.
     pub(crate) fn welcome(self: &Arc<Self>, newcomer: Rumour) -> Vec<Rumour> {
         let now_ms = self.clock.now_ms();
-        let data_centre = newcomer.member.data_centre.clone();
         let (is_news, sample) = {
             let mut members = self.fleet.members.lock();
             let is_news = members.learn(now_ms, newcomer.clone());
             (
                 is_news,
-                members.sample(&data_centre, rand::random(), SAMPLE),
+                members.sample(&newcomer.member, rand::random(), SAMPLE),
             )
         };
         if is_news {
