Space lines of the log in one place, and name the trial's model neutrally

How earlier work reads: the limit on lines about dropped answers was written a second time, beside that on unusable entries; both are Spacing now. The trial deployment named a service of one of the users.

--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -26,11 +26,11 @@
 use crate::metrics::{Metrics, Readings};
 use crate::roster::Roster;
 use crate::runs::Runs;
+use crate::spacing::Spacing;
 use crate::spread::Spread;
 use crate::standing::Allowances;
 use crate::starts::StartsHome;
 use crate::store_era::StoreEra;
-use crate::unusable::Skipped;
 
 /// What a gateway must know of itself.
 #[derive(Debug, Clone)]
@@ -75,7 +75,7 @@
     pub(crate) looks: Looks,
     pub(crate) spread: Spread,
     pub(crate) circuit_breakers: CircuitBreakers,
-    pub(crate) skipped: Skipped,
+    pub(crate) skipped: Spacing,
     pub(crate) store_era: StoreEra,
     pub(crate) control: Arc<dyn EngineControl>,
     in_force: ArcSwapOption<InForce>,
@@ -110,7 +110,7 @@
             looks: Looks::default(),
             spread: Spread::default(),
             circuit_breakers: CircuitBreakers::default(),
-            skipped: Skipped::default(),
+            skipped: Spacing::default(),
             store_era: StoreEra::default(),
             control,
             dialect,
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -47,6 +47,7 @@
 mod runs;
 mod serve;
 mod source;
+mod spacing;
 mod spread;
 mod standing;
 mod start;
--- a/crates/gateway/src/store_era.rs
+++ b/crates/gateway/src/store_era.rs
@@ -8,6 +8,7 @@
 
 use crate::directory::Directory;
 use crate::gateway::Gateway;
+use crate::spacing::Spacing;
 
 /// Between two lines of the log about answers that are dropped: calls may come many a second, and the
 /// counter has all of them.
@@ -20,7 +21,7 @@
 #[derive(Debug, Default)]
 pub(crate) struct StoreEra {
     latest: Mutex<Option<u64>>,
-    told_ms: Mutex<Option<Millis>>,
+    dropped: Spacing,
 }
 
 impl StoreEra {
@@ -42,15 +43,6 @@
             }
         }
     }
-
-    fn may_tell(&self, now_ms: Millis) -> bool {
-        let mut told_ms = self.told_ms.lock();
-        let may = told_ms.is_none_or(|told_ms| now_ms.saturating_sub(told_ms) >= SILENCE_MS);
-        if may {
-            *told_ms = Some(now_ms);
-        }
-        may
-    }
 }
 
 /// What is new about an era that was heard.
@@ -88,7 +80,8 @@
     /// Counts an answer of the store that tells of a state before the one that is known.
     pub(crate) fn drop_answer(&self, what: &'static str, heard: Revision, held: Revision) {
         self.metrics.drop_answer(what);
-        if self.store_era.may_tell(self.clock.now_ms()) {
+        let now_ms = self.clock.now_ms();
+        if self.store_era.dropped.may_tell(now_ms, SILENCE_MS) {
             warn!(
                 "store: an answer on {what} is dropped: revision {heard}, after {held} was heard"
             );
--- a/crates/gateway/src/unusable.rs
+++ b/crates/gateway/src/unusable.rs
@@ -1,7 +1,6 @@
 //! Tells of entries in the store that can't be used, without letting their number decide how much.
 
 use fulmarpath_policy::Millis;
-use parking_lot::Mutex;
 use spdlog::warn;
 
 use crate::gateway::Gateway;
@@ -11,23 +10,6 @@
 /// several a second, and the counter has all of them.
 const SILENCE_MS: Millis = 5_000;
 
-/// When the log was last told.
-#[derive(Debug, Default)]
-pub(crate) struct Skipped {
-    told_ms: Mutex<Option<Millis>>,
-}
-
-impl Skipped {
-    fn may_tell(&self, now_ms: Millis) -> bool {
-        let mut told_ms = self.told_ms.lock();
-        let may = told_ms.is_none_or(|told_ms| now_ms.saturating_sub(told_ms) >= SILENCE_MS);
-        if may {
-            *told_ms = Some(now_ms);
-        }
-        may
-    }
-}
-
 impl Gateway {
     /// Counts what can't be used of a list.
     pub(crate) fn skip_of_list<T>(&self, what: &'static str, list: &Snapshot<T>) {
@@ -52,7 +34,7 @@
         }
         let Some(first) = first else { return };
         self.metrics.skip_entries(what, count);
-        if self.skipped.may_tell(self.clock.now_ms()) {
+        if self.skipped.may_tell(self.clock.now_ms(), SILENCE_MS) {
             let name = first.name.as_deref().unwrap_or("without a name");
             let reason = &first.reason;
             warn!("store: {count} entries of {what} can't be used, as {name}: {reason}");
--- a/src/dev.rs
+++ b/src/dev.rs
@@ -26,6 +26,8 @@
 /// The operators' key of a [`Deployment`].
 pub const OPERATOR_KEY: &str = "dev-operator";
 
+/// The model of the trial's engines.
+const MODEL: &str = "drafts";
 const DATA_CENTRES: [&str; 3] = ["zrh-a", "zrh-b", "zrh-c"];
 const READY_BOUND: Duration = Duration::from_millis(15_000);
 const READY_CHECK: Duration = Duration::from_millis(20);
@@ -120,7 +122,7 @@
         for number in 0..size.engines {
             let engine = StandinEngine::start(listener().await?, size.engine)?;
             let name = format!("engine-{number}");
-            let listed = entry(&name, Role::Engine, number, "gutachter-lm", engine.address);
+            let listed = entry(&name, Role::Engine, number, MODEL, engine.address);
             host_list.put(listed);
             engines.push(engine);
         }
@@ -283,7 +285,7 @@
     let generation = |name: &str, output_limit_tokens| Service {
         name: name.to_owned(),
         kind: ServiceKind::Generation {
-            model: "gutachter-lm".to_owned(),
+            model: MODEL.to_owned(),
             output_limit_tokens,
             prompt_limit_tokens: 16_000,
         },
@@ -314,7 +316,7 @@
             },
         ],
         models: vec![Model {
-            name: "gutachter-lm".to_owned(),
+            name: MODEL.to_owned(),
             version: "1".to_owned(),
             memory_tokens: 30_000,
             prompt_ms_per_token: 0.08,
