--- a/crates/bench/src/soak/fault.rs
+++ b/crates/bench/src/soak/fault.rs
@@ -285,7 +285,7 @@
 }
 
 /// The store comes back from a copy, and a plain upstream leaves shortly before or after; what it gets once
-/// that has to be known is counted. Another start of it takes its place.
+/// that has to be known is counted, and who goes by another era then. Another start of it takes its place.
 async fn return_from_copy(stage: &mut Stage, plain: usize, with: Return) -> Result<(), SoakError> {
     let upstream = stage.plains[plain].clone();
     stage.store.keep_copy();
@@ -320,6 +320,7 @@
     }
     sleep(LEAVING_BOUND).await;
     stage.sent_to_leaving += upstream.received().len() - before;
+    stage.another_era += stage.hosts_in_another_era().await;
     let left = stage.restart_plain(plain).await;
     stage.left_plains.push(left);
     Ok(())
--- a/crates/bench/src/soak/judge.rs
+++ b/crates/bench/src/soak/judge.rs
@@ -19,7 +19,7 @@
     pub(crate) may_be_cut: bool,
 }
 
-/// Counts of one seed; those up to `sent_to_resting` are violations, and ended upstreams over their bound.
+/// Counts of one seed; those up to `another_era` are violations, and ended upstreams over their bound.
 #[derive(Debug, Clone, Default, Serialize)]
 pub(crate) struct Verdict {
     pub(crate) seed: u64,
@@ -43,6 +43,8 @@
     pub(crate) sent_to_leaving: u32,
     /// Requests beyond what upstreams may get that have asked for rest.
     pub(crate) sent_to_resting: u32,
+    /// Hosts that went by another era than the store was in.
+    pub(crate) another_era: u32,
     /// Upstreams that one caller's request has ended.
     pub(crate) ended_upstreams: u32,
     pub(crate) requests: u32,
@@ -69,6 +71,7 @@
             + self.over_limit
             + self.sent_to_leaving
             + self.sent_to_resting
+            + self.another_era
             + self.ended_upstreams.saturating_sub(MOST_ENDED)
     }
 
--- a/crates/bench/src/soak/mod.rs
+++ b/crates/bench/src/soak/mod.rs
@@ -141,6 +141,7 @@
     verdict.over_cold_rate = stage.over_cold_rate as u32;
     verdict.over_limit = stage.over_limit as u32;
     verdict.sent_to_leaving = stage.sent_to_leaving as u32;
+    verdict.another_era = stage.another_era as u32;
     verdict.sent_to_resting = stage.sent_to_resting as u32;
     verdict.ended_upstreams = stage.ended_plains.len() as u32;
     let begun = begun(engines.chain(plains));
--- a/crates/bench/src/soak/stage.rs
+++ b/crates/bench/src/soak/stage.rs
@@ -5,6 +5,7 @@
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 
+use fulmarpath_http::get;
 use fulmarpath_platform_standin::{
     EngineRules, StandInEngine, StandInPlain, StandInStore, configuration, entry, settings_file,
 };
@@ -17,6 +18,8 @@
 use super::proxy::Proxy;
 
 pub(crate) const FIRST_KEY: &str = "key-1";
+/// A host's page of metrics comes within this time.
+const METRICS_BOUND: std::time::Duration = std::time::Duration::from_secs(2);
 
 /// A host's process and what it was started with.
 pub(crate) struct HostProcess {
@@ -33,6 +36,18 @@
         SocketAddr::new(self.ip, 8740)
     }
 
+    /// The era of the store that it shows on its page of metrics.
+    async fn era(&self) -> Option<u64> {
+        let metrics = SocketAddr::new(self.ip, 7215);
+        let page = get(metrics, "/metrics", METRICS_BOUND).await.ok()?;
+        let page = page.bytes(METRICS_BOUND).await.ok()?;
+        let page = String::from_utf8_lossy(&page);
+        let mut values = page
+            .lines()
+            .filter_map(|line| line.strip_prefix("fulmarpath_gateway_store_era "));
+        values.next()?.parse().ok()
+    }
+
     fn peers(&self) -> SocketAddr {
         SocketAddr::new(self.ip, 8748)
     }
@@ -116,6 +131,8 @@
     pub(crate) sent_to_evacuated: usize,
     /// Requests beyond what cold upstreams may get in a second.
     pub(crate) over_cold_rate: usize,
+    /// Hosts that went by another era than the store was in.
+    pub(crate) another_era: usize,
     /// Requests that upstreams got after their answers had told all hosts that they leave.
     pub(crate) sent_to_leaving: usize,
     /// Requests beyond what upstreams may get that have asked for rest.
@@ -191,6 +208,7 @@
             sent_to_evacuated: 0,
             over_cold_rate: 0,
             over_limit: 0,
+            another_era: 0,
             sent_to_leaving: 0,
             sent_to_resting: 0,
             folder,
@@ -391,6 +409,14 @@
         self.register_engine(place, true);
     }
 
+    /// Hosts that go by another era than the store is in.
+    pub(crate) async fn hosts_in_another_era(&self) -> usize {
+        let eras = self.hosts.iter().map(HostProcess::era);
+        let eras = futures::future::join_all(eras).await;
+        let era = Some(self.store.era());
+        eras.into_iter().filter(|other| *other != era).count()
+    }
+
     /// How often hosts have written, each once, that a plain upstream says it leaves.
     pub(crate) fn told_of_leaving(&self, place: usize) -> usize {
         let line = format!("backpressure: {} says that it leaves", plain_name(place));
