Say in one match which eras an answer may be of

How the change reads: an unwrapped default stood where the pair of what was asked and what is known decides.

--- a/crates/gateway/src/follower.rs
+++ b/crates/gateway/src/follower.rs
@@ -101,15 +101,12 @@
     ) -> Result<Heard<T>, StoreError> {
         let revision = heard.revision();
         gateway.hear_era(revision, format_args!("the store with {}", self.what));
-        let latest = gateway.store_era.latest();
-        match since {
-            None if latest.is_some_and(|latest| revision.era < latest) => {
-                Err(StoreError::EraOver {
-                    heard: revision,
-                    latest: latest.unwrap_or_default(),
-                })
-            }
-            Some(held) if revision.era != held.era => Err(StoreError::OtherEra {
+        match (since, gateway.store_era.latest()) {
+            (None, Some(latest)) if revision.era < latest => Err(StoreError::EraOver {
+                heard: revision,
+                latest,
+            }),
+            (Some(held), _) if revision.era != held.era => Err(StoreError::OtherEra {
                 held,
                 heard: revision,
             }),
