--- a/crates/gateway/src/join.rs
+++ b/crates/gateway/src/join.rs
@@ -189,7 +189,7 @@
     }
 
     /// Tells all hosts of all that are known, where two parts of the fleet have just met by one host each.
-    /// Left to pings, the last host of a part heard of the other one after ten seconds.
+    /// By pings alone some would place for seconds more as if the other part weren't there.
     fn announce_all_known(self: &Arc<Self>) {
         let known = self.fleet.members.lock().beliefs();
         self.announce_members(&known);
