Tell peers that an evacuation was written again

Found by reading the change: after a return each host keeps an evacuation that the copy lacks for 30 s. A watcher that heard it being written again kept it for good, but nothing had changed by it, so its state kept the revision that peers had already: they would have ended it after 30 s and sent to an emptied data centre.

An entry that is there again is a change now, whether a watch or a list tells it, and pings bring it within seconds. The same was looked for in the list of upstreams: there an entry that is written again has the new revision.

--- a/crates/policy/src/evacuations.rs
+++ b/crates/policy/src/evacuations.rs
@@ -127,16 +127,16 @@
         }
         let is_first = self.seen <= EvacuationState::PROVISIONAL;
         let is_return = revision.is_return_since(self.seen, EvacuationState::PROVISIONAL);
-        self.unconfirmed
-            .retain(|name, _| !data_centres.contains(name));
+        let is_confirmed = self.confirm(&data_centres);
         if is_return {
             self.keep_missing(now_ms, &data_centres);
         }
         self.seen = revision;
         let is_new = self.set(now_ms, data_centres);
         // A first list without entries is news as well: a peer that was cut off may hold older ones. So is
-        // the first of an era, which no peer can compare with what it holds.
-        if is_new || is_first || is_return {
+        // the first of an era, which no peer can compare with what it holds, and an entry that was written
+        // again, which peers would end in a while.
+        if is_new || is_first || is_return || is_confirmed {
             self.changed = revision;
         }
         is_new
@@ -154,16 +154,17 @@
         }
         self.seen = revision;
         let mut data_centres = self.names();
+        let mut is_confirmed = false;
         for change in changes {
             let (EvacuationChange::Begins(name) | EvacuationChange::Ends(name)) = &change;
-            self.unconfirmed.remove(name);
+            is_confirmed |= self.unconfirmed.remove(name).is_some();
             match change {
                 EvacuationChange::Begins(name) => data_centres.insert(name),
                 EvacuationChange::Ends(name) => data_centres.remove(&name),
             };
         }
         let is_new = self.set(now_ms, data_centres);
-        if is_new {
+        if is_new || is_confirmed {
             self.changed = revision;
         }
         is_new
@@ -176,8 +177,7 @@
         }
         let provisional = EvacuationState::PROVISIONAL;
         let is_return = told.revision.is_return_since(self.seen, provisional);
-        self.unconfirmed
-            .retain(|name, _| !told.data_centres.contains(name));
+        self.confirm(&told.data_centres);
         if is_return {
             self.keep_missing(now_ms, &told.data_centres);
         }
@@ -206,6 +206,14 @@
         self.unconfirmed.len() < before && self.set(now_ms, data_centres)
     }
 
+    /// Keeps for good what is there again; true where there was any.
+    fn confirm(&mut self, data_centres: &BTreeSet<String>) -> bool {
+        let before = self.unconfirmed.len();
+        self.unconfirmed
+            .retain(|name, _| !data_centres.contains(name));
+        self.unconfirmed.len() < before
+    }
+
     /// Keeps for a while what the operator may still want and the store lacks.
     fn keep_missing(&mut self, now_ms: Millis, data_centres: &BTreeSet<String>) {
         let missing = self.evacuated.keys();
--- a/crates/policy/tests/evacuations.rs
+++ b/crates/policy/tests/evacuations.rs
@@ -221,3 +221,23 @@
     assert!(second.expire(20_500));
     assert_eq!(second.count(), 0);
 }
+
+/// Guards against a peer that ends an evacuation which the operator has written again.
+#[rstest]
+#[case::by_a_change(false)]
+#[case::by_a_list(true)]
+fn a_peer_hears_that_one_was_written_again(#[case] is_listed: bool) {
+    let mut watcher = Evacuations::default();
+    watcher.replace(0, Revision::new(1, 50), names(&["a"]));
+    watcher.replace(1_000, Revision::new(2, 40), names(&[]));
+    let mut peer = Evacuations::default();
+    peer.hear(1_000, watcher.state(1_000));
+    match is_listed {
+        true => watcher.replace(2_000, Revision::new(2, 41), names(&["a"])),
+        false => watcher.apply(2_000, Revision::new(2, 41), [begins("a")]),
+    };
+    assert!(peer.is_behind(watcher.revision()));
+    peer.hear(3_000, watcher.state(3_000));
+    assert!(!peer.expire(60_000));
+    assert!(peer.covers("a"));
+}
