--- a/crates/policy/src/cell/engine.rs
+++ b/crates/policy/src/cell/engine.rs
@@ -59,8 +59,9 @@
 #[derive(Debug, Clone)]
 pub(super) struct Engine {
     pub(super) entry: CellEngine,
-    /// When all prompts sent to it will have been prefilled.
-    pub(super) prefilled_at_ms: f32,
+    /// When all prompts sent to it will have been prefilled. A time since the start of the process,
+    /// which an `f32` rounds to whole seconds after some months.
+    pub(super) prefilled_at_ms: f64,
     /// The latest time until which an incoming transfer blocks others.
     receiving_until_ms: Millis,
     /// No transfer is sent here before this time, because the engine had no room for one.
@@ -204,13 +205,13 @@
 
     /// Adds a prompt whose prefill takes `prefill_ms`.
     pub(super) fn add_prefill(&mut self, now_ms: Millis, prefill_ms: f32) {
-        let from_ms = self.prefilled_at_ms.max(now_ms as f32);
-        self.prefilled_at_ms = from_ms + prefill_ms;
+        let from_ms = self.prefilled_at_ms.max(now_ms as f64);
+        self.prefilled_at_ms = from_ms + f64::from(prefill_ms);
     }
 
     /// How long a new prompt waits for the prefills queued before it.
     pub(super) fn prefill_wait_ms(&self, now_ms: Millis) -> f32 {
-        (self.prefilled_at_ms - now_ms as f32).max(0.0)
+        (self.prefilled_at_ms - now_ms as f64).max(0.0) as f32
     }
 
     /// Time to transfer this many tokens to another engine.
