Report unknown checks in engine_checks

An operator who wrote engine_checks: [fence] got a model whose engines were taken for not checking fencing numbers, without a word. Each check but fencing is now a diagnostic with its position.

unknown_engine_checks_are_reported failed before: the declarations were accepted.

--- a/crates/settings/src/directory.rs
+++ b/crates/settings/src/directory.rs
@@ -7,6 +7,9 @@
 use crate::diagnostic::{DiagnosticKind, SettingsDiagnostics};
 use crate::reader::{Fields, Position, Reader};
 
+/// The check in `engine_checks` by which engines refuse orders with a stale fencing number.
+const FENCING_CHECK: &str = "fencing";
+
 /// Reads `organisations.yaml`, `services.yaml`, `models.yaml` and `presets.yaml` of a directory.
 ///
 /// # Errors
@@ -85,18 +88,35 @@
     let version = reader.string(fields, "version");
     let memory_tokens = reader.integer(fields, "memory_tokens", 256..=100_000_000, None);
     let prompt = reader.number(fields, "prompt_ms_per_token", 0.0..=100.0, Some(0.1));
-    let fencing = reader.strings(fields, "engine_checks");
+    let checks_fencing = read_engine_checks(reader, fields);
     let (name, position) = name?;
     let model = Model {
         name: name.clone(),
         version: version?.0,
         memory_tokens: memory_tokens? as u32,
         prompt_ms_per_token: prompt? as f32,
-        checks_fencing: fencing.iter().any(|(check, _)| check == "fencing"),
+        checks_fencing,
     };
     Some((name, position, model))
 }
 
+/// Reads which checks a model's engines make; returns whether they check fencing numbers.
+fn read_engine_checks(reader: &mut Reader, fields: &mut Fields) -> bool {
+    let mut checks_fencing = false;
+    for (check, position) in reader.strings(fields, "engine_checks") {
+        if check == FENCING_CHECK {
+            checks_fencing = true;
+            continue;
+        }
+        let kind = DiagnosticKind::Range {
+            field: "engine_checks".into(),
+            value: check,
+        };
+        reader.report(position, kind, format!("use `{FENCING_CHECK}`"));
+    }
+    checks_fencing
+}
+
 fn read_service(
     reader: &mut Reader,
     fields: &mut Fields,
