Pause after a connection could not be accepted

A host without free descriptors used up its processor time: accept failed at once, again and again, and nothing was logged. The loop now logs the error and waits 50 ms.

--- a/crates/http/src/lib.rs
+++ b/crates/http/src/lib.rs
@@ -12,6 +12,6 @@
 pub use error::HttpError;
 pub use lines::Lines;
 pub use server::{
-    Body, BodyInterrupted, ConnectionLimits, FixedLimits, Reply, empty, full, full_body, json,
-    serve, serve_with_limits, stream, stream_body,
+    Body, BodyInterrupted, ConnectionLimits, FixedLimits, Reply, empty, full, full_body,
+    hold_until_sent, json, serve, serve_with_limits, stream, stream_body,
 };
--- a/crates/http/src/server.rs
+++ b/crates/http/src/server.rs
@@ -15,6 +15,7 @@
 use hyper::{Request, Response, StatusCode};
 use hyper_util::rt::{TokioIo, TokioTimer};
 use serde::Serialize;
+use spdlog::warn;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
 use tokio_util::task::TaskTracker;
@@ -34,6 +35,9 @@
 const HYPER_IDLE_TIMEOUT: Duration = Duration::from_secs(30);
 /// The smallest buffer size that hyper accepts.
 const MIN_BUFFER_BYTES: usize = 8_192;
+/// Pause after a connection could not be accepted. A process without free descriptors would
+/// otherwise retry without end and use up its processor time.
+const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
 /// How long a newly accepted connection may take to send its first request during a shutdown.
 const FIRST_REQUEST_GRACE: Duration = Duration::from_millis(200);
 
@@ -106,8 +110,12 @@
             accepted = listener.accept() => accepted,
             _ = stop.wait_for(|stopped| *stopped) => break,
         };
-        if let Ok((socket, _)) = accepted {
-            spawn_connection(socket);
+        match accepted {
+            Ok((socket, _)) => spawn_connection(socket),
+            Err(error) => {
+                warn!("http: could not accept a connection: {error}");
+                tokio::time::sleep(ACCEPT_RETRY_DELAY).await;
+            }
         }
     }
     close_and_drain_backlog(listener)
@@ -209,6 +217,17 @@
     Full::new(bytes.into()).map_err(infallible).boxed_unsync()
 }
 
+/// Keeps `guard` until the body of a reply has been sent or its connection has ended.
+pub fn hold_until_sent<G: Send + 'static>(reply: Reply, guard: G) -> Reply {
+    reply.map(|body| {
+        let held = body.map_frame(move |frame| {
+            let _guard = &guard;
+            frame
+        });
+        held.boxed_unsync()
+    })
+}
+
 fn infallible(error: Infallible) -> BodyInterrupted {
     match error {}
 }
