Count a stream towards stream_limit until it is sent

A host with a stream_limit of 1 accepted a second stream while the first was being sent: the count ended with the handler, when the response begins. The reply's body now holds the guard, so the count ends when the body was sent or its connection is gone. Resumed readers of a generation are not counted, as before.

open_streams_count_towards_the_limit failed before.

--- a/crates/entry/src/routes.rs
+++ b/crates/entry/src/routes.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 
 use bytes::Bytes;
-use fulmarpath_http::{Reply, empty, full, json};
+use fulmarpath_http::{Reply, empty, full, hold_until_sent, json};
 use fulmarpath_policy::OrganisationKey;
 use fulmarpath_settings::{Organisation, ServiceKind, key_hash};
 use http_body_util::{BodyExt, Limited};
@@ -133,7 +133,7 @@
         let generation = reattach(entry, key, name, options.from, model)?;
         return Ok(respond(generation, options, clock).await);
     }
-    let _open_request = entry.open_request()?;
+    let open_request = entry.open_request()?;
     let trace = RequestTrace::start(&parts.headers, &caller_request.service);
     let validated = validate(entry, configuration, organisation, caller_request, trace)?;
     let generation = match header(&parts.headers, "idempotency-key") {
@@ -145,7 +145,8 @@
         Some(key) => submit_keyed(entry, validated, key).await?,
         None => submit(entry, validated).await?,
     };
-    Ok(respond(generation, options, clock).await)
+    let reply = respond(generation, options, clock).await;
+    Ok(hold_until_sent(reply, open_request))
 }
 
 /// Cancels a generation by its name.
