Keep the homes of resources until the members change

Each host looked up the home of each of 160 cells five times a second, and ranked all members each time: cells x hosts for each host, whatever happens.

A member that joins is now compared with the known home of each resource, one that leaves discards only the homes it held, and a lookup ranks no host. The digest of the members is kept in the same way. Lookups through homes_of, for several homes or other resources, are as before.

--- a/crates/cluster/src/members.rs
+++ b/crates/cluster/src/members.rs
@@ -5,7 +5,7 @@
 
 use std::collections::HashMap;
 
-use fulmarpath_policy::{HostKey, Millis, rank};
+use fulmarpath_policy::{HomeIndex, HostKey, Millis, rank};
 use fulmarpath_wire::{MemberInfo, MemberState, Rumour};
 
 /// How long a suspect may refute the suspicion before it counts as dead.
@@ -20,6 +20,9 @@
 const LOCAL_PING_MIN_MEMBERS: usize = 12;
 /// One ping in this many may then go to any data centre.
 const GLOBAL_PING_PERIOD: u32 = 3;
+/// Number of members of a data centre whose pings to other data centres add up to one at a time. Beyond
+/// [`GLOBAL_PING_PERIOD`] times as many, the pings between data centres no longer grow with the fleet.
+const GLOBAL_PING_MEMBERS: u32 = 12;
 
 #[derive(Debug)]
 struct MemberRecord {
@@ -30,6 +33,14 @@
     sends_left: u32,
 }
 
+impl MemberRecord {
+    /// Whether the member may be a home. Suspects still count; otherwise homes would move at each
+    /// missed ping.
+    fn is_eligible(&self) -> bool {
+        matches!(self.rumour.state, MemberState::Alive | MemberState::Suspect)
+    }
+}
+
 /// The membership table of one host, which includes the host itself.
 #[derive(Debug)]
 pub struct Members {
@@ -40,6 +51,11 @@
     /// Members of all data centres that remain to be pinged in the current global round.
     global_round: Vec<HostKey>,
     pings: u32,
+    home_index: HomeIndex,
+    /// Sum of a hash of each member that is eligible as a home.
+    digest: u64,
+    /// Grows with each change of the members that are eligible as homes.
+    homes_version: u64,
 }
 
 impl Members {
@@ -68,6 +84,9 @@
             local_round: Vec::new(),
             global_round: Vec::new(),
             pings: 0,
+            home_index: HomeIndex::default(),
+            digest: hash(key),
+            homes_version: 0,
         }
     }
 
@@ -162,11 +181,13 @@
     /// Marks this host as leaving; it is no home from then on.
     pub fn leave(&mut self) {
         let sends = self.send_count();
+        let was_eligible = self.is_eligible(self.own_key);
         if let Some(record) = self.records.get_mut(&self.own_key) {
             record.rumour.state = MemberState::Leaving;
             record.rumour.incarnation += 1;
             record.sends_left = sends;
         }
+        self.apply_eligibility(self.own_key, was_eligible);
     }
 
     /// Marks suspects that did not refute in time as dead, and removes members dead for 60 s.
@@ -210,7 +231,6 @@
     /// `draw`. In a large data centre most pings stay local.
     pub fn next_target(&mut self, draw: u64) -> Option<MemberInfo> {
         self.pings = self.pings.wrapping_add(1);
-        let is_global = self.pings.is_multiple_of(GLOBAL_PING_PERIOD);
         let data_centre = self.records[&self.own_key]
             .rumour
             .member
@@ -218,6 +238,8 @@
             .clone();
         let is_local = |record: &MemberRecord| record.rumour.member.data_centre == data_centre;
         let local_members = self.others().filter(|(_, record)| is_local(record)).count();
+        let period = GLOBAL_PING_PERIOD.max(local_members as u32 / GLOBAL_PING_MEMBERS);
+        let is_global = self.pings.is_multiple_of(period);
         if local_members < LOCAL_PING_MIN_MEMBERS || is_global {
             let mut round = std::mem::take(&mut self.global_round);
             let target = self.take_target(&mut round, draw, |_| true);
@@ -230,6 +252,14 @@
         target
     }
 
+    /// Whether this host's data centre has enough other members to provide the state of the fleet.
+    pub fn has_local_peers(&self) -> bool {
+        let data_centre = &self.records[&self.own_key].rumour.member.data_centre;
+        let is_local = |record: &MemberRecord| record.rumour.member.data_centre == *data_centre;
+        let local = self.others().filter(|(_, record)| is_local(record));
+        local.take(LOCAL_PING_MIN_MEMBERS).count() == LOCAL_PING_MIN_MEMBERS
+    }
+
     fn take_target(
         &self,
         round: &mut Vec<HostKey>,
@@ -278,8 +308,12 @@
     /// A digest of the members eligible as homes, equal on hosts that agree on them. Suspects are
     /// included; otherwise each missed ping would make the digests differ.
     pub fn digest(&self) -> u64 {
-        let keys = self.homes().map(|(key, _)| rank(key.0, 0));
-        keys.fold(0, u64::wrapping_add)
+        self.digest
+    }
+
+    /// A number that differs after each change of the members that are eligible as homes.
+    pub fn homes_version(&self) -> u64 {
+        self.homes_version
     }
 
     /// Members through which to ping `target` indirectly.
@@ -295,20 +329,22 @@
             .collect()
     }
 
-    /// Members eligible as homes. Suspects still count; otherwise homes would move at each missed
-    /// ping.
+    /// Members eligible as homes.
     pub fn homes(&self) -> impl Iterator<Item = (HostKey, &MemberInfo)> {
         self.records
             .iter()
-            .filter(|(_, record)| {
-                matches!(
-                    record.rumour.state,
-                    MemberState::Alive | MemberState::Suspect
-                )
-            })
+            .filter(|(_, record)| record.is_eligible())
             .map(|(key, record)| (*key, &record.rumour.member))
     }
 
+    /// The home of a resource by rendezvous hashing, kept until the members change.
+    pub fn home_of(&mut self, resource: u64) -> Option<HostKey> {
+        let records = self.records.iter();
+        let eligible = records.filter(|(_, record)| record.is_eligible());
+        let hosts = eligible.map(|(key, _)| *key);
+        self.home_index.home_of(resource, hosts)
+    }
+
     /// The homes of a resource by rendezvous hashing, best first.
     pub fn homes_of(&self, resource: u64, count: usize) -> Vec<(HostKey, MemberInfo)> {
         rank_homes(resource, self.homes(), count)
@@ -375,6 +411,7 @@
     }
 
     fn insert(&mut self, now_ms: Millis, key: HostKey, rumour: Rumour, sends_left: u32) {
+        let was_eligible = self.is_eligible(key);
         self.records.insert(
             key,
             MemberRecord {
@@ -383,6 +420,29 @@
                 sends_left,
             },
         );
+        self.apply_eligibility(key, was_eligible);
+    }
+
+    fn is_eligible(&self, key: HostKey) -> bool {
+        self.records
+            .get(&key)
+            .is_some_and(MemberRecord::is_eligible)
+    }
+
+    /// Updates what is derived from the eligible members after a change of one of them.
+    fn apply_eligibility(&mut self, key: HostKey, was_eligible: bool) {
+        match (was_eligible, self.is_eligible(key)) {
+            (false, true) => {
+                self.home_index.add(key);
+                self.digest = self.digest.wrapping_add(hash(key));
+            }
+            (true, false) => {
+                self.home_index.remove(key);
+                self.digest = self.digest.wrapping_sub(hash(key));
+            }
+            _ => return,
+        }
+        self.homes_version += 1;
     }
 
     fn send_count(&self) -> u32 {
@@ -390,6 +450,10 @@
     }
 }
 
+fn hash(key: HostKey) -> u64 {
+    rank(key.0, 0)
+}
+
 fn rank_homes<'a>(
     resource: u64,
     members: impl Iterator<Item = (HostKey, &'a MemberInfo)>,
--- a/crates/cluster/tests/members.rs
+++ b/crates/cluster/tests/members.rs
@@ -3,6 +3,7 @@
 use fulmarpath_cluster::Members;
 use fulmarpath_policy::HostKey;
 use fulmarpath_wire::{MemberInfo, MemberState, Rumour};
+use rstest::rstest;
 
 fn info(name: &str) -> MemberInfo {
     MemberInfo {
@@ -286,3 +287,35 @@
         assert_eq!(names, ["zrh-a/me"]);
     }
 }
+
+struct DataCentreSize {
+    hosts: usize,
+}
+
+/// Guards against traffic between data centres that grows with the fleet. The pings of all hosts of a
+/// large data centre to other ones add up to the same number, whatever its size.
+#[rstest]
+#[case::forty(DataCentreSize { hosts: 40 })]
+#[case::two_hundred(DataCentreSize { hosts: 200 })]
+#[case::four_hundred(DataCentreSize { hosts: 400 })]
+fn pings_between_data_centres_do_not_grow_with_the_fleet(#[case] size: DataCentreSize) {
+    const PINGS: u64 = 1_200;
+    let mut members = Members::new(info("zrh-a/me"), 1);
+    for number in 1..size.hosts {
+        let name = format!("zrh-a/{number}");
+        members.apply_unrelayed(0, rumour(&name, MemberState::Alive, 1));
+    }
+    for number in 0..4 * size.hosts {
+        let name = format!("zrh-b/{number}");
+        members.apply_unrelayed(0, rumour(&name, MemberState::Alive, 1));
+    }
+    let targets = (0..PINGS).filter_map(|draw| members.next_target(draw));
+    let sent_remote = targets
+        .filter(|target| target.data_centre == "zrh-b")
+        .count();
+    let of_all_hosts = sent_remote as f64 / PINGS as f64 * size.hosts as f64;
+    assert!(
+        (8.0..=16.0).contains(&of_all_hosts),
+        "{of_all_hosts} at a time"
+    );
+}
