Read engines ahead of callers that read slowly

Engines cut off a response that stays unread for some seconds. A relay was driven by its caller's connection, so an engine was read only as far as its caller read: the buffers of the operating system and one of 16 kB lay between. A caller that paused lost its answer, and a generation on a leaving engine could not be migrated.

When a caller leaves, its relay is dropped as before.

--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -31,6 +31,7 @@
 use crate::runs::Runs;
 use crate::start_limits::StartLimiter;
 use crate::store_era::StoreEra;
+use crate::stream_buffer::StreamBuffers;
 
 /// Settings of a gateway.
 #[derive(Debug, Clone)]
@@ -71,6 +72,7 @@
     pub(crate) fleet: Fleet,
     pub(crate) cells: Cells,
     pub(crate) runs: Runs,
+    pub(crate) stream_buffers: StreamBuffers,
     pub(crate) cell_duties: CellDuties,
     pub(crate) probe_times: ProbeTimes,
     pub(crate) dissemination: Dissemination,
@@ -106,6 +108,7 @@
             clock,
             cells: Cells::default(),
             runs: Runs::default(),
+            stream_buffers: StreamBuffers::default(),
             cell_duties: CellDuties::default(),
             probe_times: ProbeTimes::default(),
             dissemination: Dissemination::default(),
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -54,6 +54,7 @@
 mod store_sync;
 mod stored_circuits;
 mod stream;
+mod stream_buffer;
 mod tracker;
 mod unusable_entries;
 mod upstream_table;
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -5,7 +5,6 @@
 
 use bytes::Bytes;
 use fulmarpath_http::{Reply, full_body, stream_body};
-use futures::stream::unfold;
 use hyper::Response;
 
 use crate::forward::into_reply;
@@ -15,6 +14,7 @@
 use crate::key::run_key;
 use crate::relay::{Relay, RunGuard};
 use crate::start::{Attempts, StartedGeneration};
+use crate::stream_buffer::BufferWriter;
 use crate::tracker::RequestTracker;
 
 impl Gateway {
@@ -41,12 +41,8 @@
         *reply.headers_mut() = started.response.http.headers().clone();
         hop::strip(reply.headers_mut());
         let relay = Relay::new(inbound, tracker, run_guard, attempts, started);
-        let chunks = unfold(Some(relay), |relay| async {
-            let mut relay = relay?;
-            let chunk = relay.next().await?;
-            let next_state = chunk.is_ok().then_some(relay);
-            Some((chunk, next_state))
-        });
+        let (writer, chunks) = self.stream_buffers.open();
+        tokio::spawn(relay_into(relay, writer));
         *reply.body_mut() = stream_body(chunks);
         reply
     }
@@ -71,6 +67,21 @@
     }
 }
 
+/// Relays a generation into its caller's buffer until it ends or the caller leaves.
+async fn relay_into(mut relay: Relay, writer: BufferWriter) {
+    loop {
+        let chunk = tokio::select! {
+            () = writer.caller_gone() => return,
+            chunk = relay.next() => chunk,
+        };
+        let Some(chunk) = chunk else { return };
+        let is_last = chunk.is_err();
+        if writer.send(chunk).await.is_err() || is_last {
+            return;
+        }
+    }
+}
+
 impl RunGuard {
     fn new(gateway: Arc<Gateway>, inbound: &InboundRequest, id: &str) -> Self {
         let data_centre = &gateway.settings.host.data_centre;
