--- a/crates/gateway/src/backpressure.rs
+++ b/crates/gateway/src/backpressure.rs
@@ -118,8 +118,7 @@
     /// does so at present, or if none takes work at all.
     pub(crate) fn available_at_ms(&self, now_ms: Millis, service: &str) -> Option<Millis> {
         let table = self.table.lock();
-        let keys = table.by_service.get(service)?;
-        let instances = keys.iter().map(|key| &table.arena[*key]);
+        let instances = table.of_service(service).map(|key| &table.arena[*key]);
         let accepting = instances.filter(|instance| table.takes_work(instance));
         let first_ms = accepting
             .map(|instance| table.available_at_ms(instance.upstream))
--- a/crates/gateway/src/cell_layout.rs
+++ b/crates/gateway/src/cell_layout.rs
@@ -30,16 +30,19 @@
         by_cell.insert(cell_key(service, None), Vec::new());
     }
     for registration in registered {
-        let partition =
-            partitioning.partition_of_engine(&registration.data_centre, name_key(registration));
-        by_cell
-            .entry(cell_key(service, partition))
-            .or_default()
-            .push(registration);
+        let cell = cell_of(partitioning, registration);
+        by_cell.entry(cell).or_default().push(registration);
     }
     by_cell
 }
 
+/// The cell of a registered engine.
+pub(crate) fn cell_of(partitioning: &CellPartitioning, registration: &Registration) -> CellKey {
+    let draw = name_key(registration);
+    let partition = partitioning.partition_of_engine(&registration.data_centre, draw);
+    cell_key(&registration.service, partition)
+}
+
 /// The cell for a generation that a host in `data_centre` starts.
 pub(crate) fn cell_for(
     partitioning: &CellPartitioning,
--- a/crates/gateway/src/cells.rs
+++ b/crates/gateway/src/cells.rs
@@ -1,7 +1,7 @@
 //! The cells' tables on this host. They cover all generations of a cell if this host is its home,
 //! otherwise only the generations that this host relays.
 
-use std::collections::HashMap;
+use std::collections::{BTreeMap, HashMap};
 
 use fulmarpath_policy::{
     Cell, CellEngine, CellPartitioning, EngineCapacity, HostKey, Migration, MigrationOutcome,
@@ -14,7 +14,7 @@
 use crate::cell_layout::{self, CellsByEngine};
 use crate::configuration::{ActiveConfiguration, EngineTraits};
 use crate::control::EngineStatus;
-use crate::directory::{Directory, RegisteredState, Registration};
+use crate::directory::{Directory, RegisteredState, Registration, RegistrationChange};
 use crate::key::{data_centre_key, name_key, upstream_key};
 
 struct Table {
@@ -22,21 +22,35 @@
     cell: Cell,
 }
 
-/// How a service is partitioned into cells after an update.
-struct PartitioningChange {
+impl Table {
+    fn new(service: &str) -> Self {
+        Self {
+            service: service.to_owned(),
+            cell: Cell::default(),
+        }
+    }
+}
+
+/// How the engines of one service are divided into cells.
+#[derive(Default)]
+struct Layout {
     partitioning: CellPartitioning,
-    /// Whether engines belong to other cells than before.
-    has_changed: bool,
+    /// Number of registered engines in each data centre.
+    counts: BTreeMap<String, usize>,
 }
 
+/// Engines belong to other cells than before, so changes can't be applied one by one.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) struct LayoutChanged;
+
 /// The cells' tables.
 ///
-/// Lock order: tables, partitionings, by engine.
+/// Lock order: tables, layouts, by engine.
 #[derive(Default)]
 pub(crate) struct Cells {
     tables: Mutex<HashMap<CellKey, Table>>,
-    /// The partitioning of each service into cells.
-    partitionings: Mutex<HashMap<String, CellPartitioning>>,
+    /// The layout of each service.
+    layouts: Mutex<HashMap<String, Layout>>,
     by_engine: Mutex<CellsByEngine>,
 }
 
@@ -60,23 +74,24 @@
         let mut by_engine = CellsByEngine::new();
         let mut has_new_layout = false;
         let mut tables = self.tables.lock();
+        let mut layouts = self.layouts.lock();
         for service in &active.configuration.services {
             let Some(traits) = &service.engine else {
                 continue;
             };
             let registered = by_service.remove(service.name.as_str()).unwrap_or_default();
-            let partitioning_change = self.update_partitioning(&service.name, &registered);
-            let by_cell = cell_layout::group_by_cell(
-                &partitioning_change.partitioning,
-                &service.name,
-                &registered,
-            );
-            if partitioning_change.has_changed {
+            let layout = layouts.entry(service.name.clone()).or_default();
+            layout.counts = cell_layout::count_by_data_centre(&registered);
+            let partitioning = layout.partitioning.updated(&layout.counts);
+            if !partitioning.has_same_cells(&layout.partitioning) {
                 has_new_layout = true;
                 // The tables are discarded, since engines that moved to another cell would be taken
                 // for leaving engines; homes learn of the generations from the next statements.
                 tables.retain(|_, table| table.service != service.name);
             }
+            layout.partitioning = partitioning;
+            let by_cell =
+                cell_layout::group_by_cell(&layout.partitioning, &service.name, &registered);
             // In a cell without registered engines, all earlier engines count as leaving.
             for (key, table) in tables.iter_mut() {
                 if table.service == service.name && !by_cell.contains_key(key) {
@@ -90,10 +105,9 @@
                 });
                 let engines: Vec<CellEngine> = engines.collect();
                 by_engine.extend(engines.iter().map(|engine| (engine.key, cell)));
-                let table = tables.entry(cell).or_insert_with(|| Table {
-                    service: service.name.clone(),
-                    cell: Cell::default(),
-                });
+                let table = tables
+                    .entry(cell)
+                    .or_insert_with(|| Table::new(&service.name));
                 table.cell.set_engines(now_ms, &engines);
             }
         }
@@ -102,19 +116,54 @@
         has_new_layout
     }
 
-    fn update_partitioning(
+    /// Applies changes of registered engines, each to its own cell.
+    ///
+    /// # Errors
+    /// [`LayoutChanged`] if they change the partitioning; nothing is applied then.
+    pub(crate) fn apply_changes(
         &self,
-        service: &str,
-        registered: &[&Registration],
-    ) -> PartitioningChange {
-        let mut partitionings = self.partitionings.lock();
-        let before = partitionings.get(service).cloned().unwrap_or_default();
-        let partitioning = before.updated(&cell_layout::count_by_data_centre(registered));
-        partitionings.insert(service.to_owned(), partitioning.clone());
-        PartitioningChange {
-            has_changed: !partitioning.has_same_cells(&before),
-            partitioning,
+        now_ms: Millis,
+        active: &ActiveConfiguration,
+        changes: &[RegistrationChange],
+        availability_of: impl Fn(UpstreamKey) -> Availability,
+    ) -> Result<(), LayoutChanged> {
+        let mut tables = self.tables.lock();
+        let mut layouts = self.layouts.lock();
+        update_counts(active, changes, &mut layouts)?;
+        let mut by_engine = self.by_engine.lock();
+        for change in changes {
+            let cell_before = change.before.as_ref().and_then(|before| {
+                let known = by_engine.remove(&upstream_key(before))?;
+                Some((known, upstream_key(before)))
+            });
+            let after = change.after.as_ref().and_then(|after| {
+                let service = active.service(&after.service)?;
+                let layout = layouts.get(&service.name)?;
+                let cell = cell_layout::cell_of(&layout.partitioning, after);
+                Some((cell, after, service.engine.as_ref()?))
+            });
+            // A restarted engine replaces its previous process within its cell.
+            let is_replaced =
+                after.as_ref().map(|(cell, ..)| *cell) == cell_before.map(|(cell, _)| cell);
+            if let Some((cell, key)) = cell_before.filter(|_| !is_replaced)
+                && let Some(table) = tables.get_mut(&cell)
+            {
+                table.cell.unregister(now_ms, key);
+                if table.cell.is_idle() {
+                    tables.remove(&cell);
+                }
+            }
+            if let Some((cell, registration, traits)) = after {
+                let availability = availability_of(upstream_key(registration));
+                let table = tables
+                    .entry(cell)
+                    .or_insert_with(|| Table::new(&registration.service));
+                let entry = engine(registration, traits, availability);
+                table.cell.register(now_ms, entry);
+                by_engine.insert(entry.key, cell);
+            }
         }
+        Ok(())
     }
 
     /// The cell to which an engine belongs.
@@ -122,28 +171,40 @@
         self.by_engine.lock().get(&engine).copied()
     }
 
-    pub(crate) fn keys(&self) -> Vec<CellKey> {
-        self.tables.lock().keys().copied().collect()
+    pub(crate) fn count(&self) -> usize {
+        self.tables.lock().len()
+    }
+
+    /// Whether a cell fulfils a condition.
+    pub(crate) fn any(&self, condition: impl Fn(CellKey) -> bool) -> bool {
+        self.tables.lock().keys().any(|cell| condition(*cell))
     }
 
     /// The cell for a generation that a host in `data_centre` starts.
     pub(crate) fn cell_for(&self, service: &str, data_centre: &str, run: RunKey) -> CellKey {
-        let partitionings = self.partitionings.lock();
-        let partitioning = partitionings.get(service).cloned().unwrap_or_default();
-        cell_layout::cell_for(&partitioning, service, data_centre, run)
+        let layouts = self.layouts.lock();
+        let unpartitioned = CellPartitioning::default();
+        let layout = layouts.get(service);
+        let partitioning = layout.map_or(&unpartitioned, |layout| &layout.partitioning);
+        cell_layout::cell_for(partitioning, service, data_centre, run)
     }
 
+    /// Places a generation, as the home of its cell or in place of one.
     pub(crate) fn place(
         &self,
         now_ms: Millis,
         cell: CellKey,
         request: &PlacementRequest,
+        is_home: bool,
     ) -> Placement {
         let mut tables = self.tables.lock();
-        let table = tables.get_mut(&cell);
-        table.map_or(Placement::NoEngine, |table| {
-            table.cell.place(now_ms, request)
-        })
+        let Some(table) = tables.get_mut(&cell) else {
+            return Placement::NoEngine;
+        };
+        match is_home {
+            true => table.cell.place(now_ms, request),
+            false => table.cell.place_without_home(now_ms, request),
+        }
     }
 
     pub(crate) fn end(&self, now_ms: Millis, cell: CellKey, run: RunKey, end: RunEnd) {
@@ -161,9 +222,11 @@
     }
 
     pub(crate) fn retain_hosts(&self, is_present: impl Fn(HostKey) -> bool) {
-        for table in self.tables.lock().values_mut() {
+        let mut tables = self.tables.lock();
+        for table in tables.values_mut() {
             table.cell.retain_hosts(&is_present);
         }
+        tables.retain(|_, table| !table.cell.is_idle());
     }
 
     /// Leaving engines that still have generations.
@@ -216,12 +279,20 @@
         }
     }
 
-    /// All engines, and whether each was unreachable at its last probe.
-    pub(crate) fn engines(&self) -> Vec<(CellKey, UpstreamKey, bool)> {
+    /// Engines to probe in the cells of which this host is the home: the unreachable ones, and those
+    /// in use if registrations can't show which are leaving.
+    pub(crate) fn engines_to_probe(
+        &self,
+        is_uncertain: bool,
+        is_home: impl Fn(CellKey) -> bool,
+    ) -> Vec<(CellKey, UpstreamKey)> {
         let tables = self.tables.lock();
-        let all = tables.iter().flat_map(|(cell, table)| {
-            let engines = table.cell.engines();
-            engines.map(|(engine, is_unreachable)| (*cell, engine, is_unreachable))
+        let own = tables.iter().filter(|(cell, _)| is_home(**cell));
+        let all = own.flat_map(|(cell, table)| {
+            let in_use = is_uncertain.then(|| table.cell.engines_in_use());
+            let in_use = in_use.into_iter().flatten();
+            let engines = table.cell.unreachable_engines().chain(in_use);
+            engines.map(|engine| (*cell, engine))
         });
         all.collect()
     }
@@ -249,6 +320,54 @@
     }
 }
 
+/// Updates the number of engines in each data centre.
+fn update_counts(
+    active: &ActiveConfiguration,
+    changes: &[RegistrationChange],
+    layouts: &mut HashMap<String, Layout>,
+) -> Result<(), LayoutChanged> {
+    let mut counts: HashMap<&str, BTreeMap<String, usize>> = HashMap::new();
+    let registered_before = changes.iter().filter_map(|change| change.before.as_ref());
+    let registered_now = changes.iter().filter_map(|change| change.after.as_ref());
+    let all = registered_now
+        .map(|registration| (registration, true))
+        .chain(registered_before.map(|registration| (registration, false)));
+    for (registration, is_added) in all {
+        let service = registration.service.as_str();
+        if active
+            .service(service)
+            .is_none_or(|service| service.engine.is_none())
+        {
+            continue;
+        }
+        let layout = layouts.get(service).ok_or(LayoutChanged)?;
+        let counts = counts
+            .entry(service)
+            .or_insert_with(|| layout.counts.clone());
+        let count = counts.entry(registration.data_centre.clone()).or_default();
+        *count = match is_added {
+            true => *count + 1,
+            false => count.saturating_sub(1),
+        };
+    }
+    let mut updated = Vec::new();
+    for (service, mut counts) in counts {
+        counts.retain(|_, count| *count > 0);
+        let layout = layouts.get(service).ok_or(LayoutChanged)?;
+        let partitioning = layout.partitioning.updated(&counts);
+        if !partitioning.has_same_cells(&layout.partitioning) {
+            return Err(LayoutChanged);
+        }
+        let layout = Layout {
+            partitioning,
+            counts,
+        };
+        updated.push((service.to_owned(), layout));
+    }
+    layouts.extend(updated);
+    Ok(())
+}
+
 fn engine(
     registration: &Registration,
     traits: &EngineTraits,
--- a/crates/gateway/src/directory.rs
+++ b/crates/gateway/src/directory.rs
@@ -66,6 +66,16 @@
     pub at: Revision,
 }
 
+/// The report of an upstream's departure to the home of its cell, ahead of the change that reaches
+/// all hosts.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct DepartureNotice {
+    /// The upstream and the revision at which it is leaving or has left.
+    pub departure: Departure,
+    /// Whether its registration has ended; otherwise it is draining.
+    pub is_gone: bool,
+}
+
 /// A host of this system, as it registered itself.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct HostRegistration {
@@ -77,6 +87,32 @@
     pub address: SocketAddr,
 }
 
+impl RegistrationChange {
+    /// The notice of this change to the home of the upstream's cell; `None` if the upstream is not
+    /// leaving.
+    pub fn departure_notice(&self, at: Revision) -> Option<DepartureNotice> {
+        let is_draining =
+            |registration: &&Registration| registration.state == RegisteredState::Draining;
+        let leaving = match &self.after {
+            None => self.before.as_ref(),
+            Some(after) => Some(after).filter(is_draining),
+        };
+        Some(DepartureNotice {
+            departure: leaving?.departure(at),
+            is_gone: self.after.is_none(),
+        })
+    }
+}
+
+/// The change of one upstream's registration.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct RegistrationChange {
+    /// Its registration before; `None` if it was not registered.
+    pub before: Option<Registration>,
+    /// Its registration now; `None` if it has left.
+    pub after: Option<Registration>,
+}
+
 /// All upstreams at one revision of the store.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Directory {
@@ -104,6 +140,21 @@
     pub lapsed: Vec<String>,
 }
 
+/// A part of the complete list of upstreams, in the order of their names.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct DirectoryPart {
+    /// The revision of the whole list at the time of this part.
+    pub revision: Revision,
+    /// The registrations of this part.
+    pub put: Vec<Registration>,
+    /// Recent departures, in the first part only.
+    pub gone: Vec<Departure>,
+    /// Instances with expired entries that are still kept, in the first part only.
+    pub lapsed: Vec<String>,
+    /// Whether no part follows.
+    pub is_last: bool,
+}
+
 impl Directory {
     /// The revision of a list that may be stale, from which a host starts. A host at this revision
     /// may pass its list on to peers, and accepts any other list.
--- a/crates/gateway/src/dissemination.rs
+++ b/crates/gateway/src/dissemination.rs
@@ -1,8 +1,9 @@
 //! Disseminates replicated state from a few watchers to all hosts.
 //!
-//! One host in each area (a data centre, or several small ones) watches the store, and so does the
-//! home of each cell, which must learn of a leaving engine at once. A watcher sends its updates to
-//! its area along a tree, so no host sends more than a few copies whatever the size of the fleet.
+//! One host in each area (a data centre, or several small ones) watches the store. A watcher sends its
+//! updates to its area along a tree, so no host sends more than a few copies whatever the size of the
+//! fleet. The home of a cell must learn of a leaving engine at once: it watches as well while there
+//! are few cells, otherwise a watcher of its area notifies it directly.
 //! Hosts that miss an update because of a dead host in the tree detect it by the versions in the
 //! next pings. A watch on every host would cost one waiting call per host, and another one for each
 //! change.
@@ -18,13 +19,13 @@
     HostKey, Millis, Recipient, Revision, WatchArea, WatchCandidate, broadcast_branches,
     split_branch,
 };
-use fulmarpath_wire::{Announcement, GatewayPeerClient, ReplicatedState, Rumour};
+use fulmarpath_wire::{Announcement, CellKey, GatewayPeerClient, ReplicatedState, Rumour};
 use parking_lot::Mutex;
 use serde::Serialize;
-use spdlog::warn;
+use spdlog::{info, warn};
 use tokio::time::sleep;
 
-use crate::directory::DirectoryChange;
+use crate::directory::{DepartureNotice, DirectoryChange};
 use crate::encoding::{EncodingError, decode, encode};
 use crate::gateway::Gateway;
 use crate::store_sync::log_store_restored;
@@ -37,6 +38,23 @@
 /// Changes of the upstreams within this time are announced together. The delay is short against the
 /// two seconds for which a leaving upstream may still receive requests.
 const ANNOUNCE_DELAY: Duration = Duration::from_millis(100);
+/// Maximum number of cells at which their homes watch the store themselves. Each watcher costs a call
+/// for each change, so their number must not grow with the cells.
+const MAX_WATCHED_CELLS: usize = 8;
+/// Maximum number of registrations in an announced change. A complete list of a large fleet would
+/// pass the link of each host several times along the tree and hold up all other updates; hosts fetch it
+/// in parts instead, once a ping shows them a later revision.
+const MAX_ANNOUNCED: usize = 1_024;
+
+/// The hosts on which it depends whether this host watches, by the present members.
+#[derive(Debug, Default)]
+struct WatchDuty {
+    /// The version of the members from which it was derived.
+    members_version: Option<u64>,
+    area: WatchArea,
+    /// The first hosts of the area that rank higher than this one.
+    higher_ranked: Vec<HostKey>,
+}
 
 /// What this host has announced, and what other hosts have announced about their store access.
 #[derive(Debug, Default)]
@@ -46,14 +64,33 @@
     /// Hosts of this area without store access, and until when that holds.
     unreadable: Mutex<HashMap<HostKey, Millis>>,
     unreadable_announced_ms: Mutex<Millis>,
+    duty: Mutex<WatchDuty>,
     /// Whether an announcement of the upstreams is scheduled.
     is_announcing: AtomicBool,
 }
 
+impl Dissemination {
+    /// Whether a host of this area has announced lately that it can't read the store.
+    pub(crate) fn is_store_unreadable(&self, now_ms: Millis) -> bool {
+        let unreadable = self.unreadable.lock();
+        unreadable.values().any(|until_ms| now_ms < *until_ms)
+    }
+}
+
 impl Gateway {
     /// Whether this host watches the upstreams.
     pub(crate) fn watches_upstreams(&self) -> bool {
-        self.is_watcher() || (self.may_watch() && self.is_home_of_any_cell())
+        self.is_watcher() || (self.may_watch() && self.watches_as_home())
+    }
+
+    /// Whether this host watches the upstreams as the home of a cell, which must not miss a moment.
+    pub(crate) fn watches_as_home(&self) -> bool {
+        self.homes_watch() && self.is_home_of_any_cell()
+    }
+
+    /// Whether homes of cells watch the store themselves.
+    fn homes_watch(&self) -> bool {
+        self.cells.count() <= MAX_WATCHED_CELLS
     }
 
     /// Whether this host knows enough of the others to determine the watchers.
@@ -63,34 +100,39 @@
     }
 
     /// Whether this host watches for its area.
-    pub(crate) fn is_watcher(&self) -> bool {
+    pub fn is_watcher(&self) -> bool {
         if !self.may_watch() {
             return false;
         }
         let now_ms = self.clock.now_ms();
-        let unreadable = self.dissemination.unreadable.lock().clone();
-        let members = self.fleet.members.lock();
-        let own_key = members.own_key();
-        let area = self.area(&members);
-        let in_area = members
-            .homes()
-            .filter(|(key, member)| *key != own_key && area.contains(&member.data_centre));
-        let others = in_area.map(|(key, _)| WatchCandidate {
-            rank: key.0,
-            store_unreadable: unreadable
-                .get(&key)
-                .is_some_and(|until_ms| now_ms < *until_ms),
-        });
-        area.is_watcher(own_key.0, others)
+        let own_key = self.host_key();
+        self.with_watch_duty(|duty| {
+            let unreadable = self.dissemination.unreadable.lock();
+            let others = duty.higher_ranked.iter().map(|key| WatchCandidate {
+                rank: key.0,
+                store_unreadable: unreadable
+                    .get(key)
+                    .is_some_and(|until_ms| now_ms < *until_ms),
+            });
+            duty.area.is_watcher(own_key.0, others)
+        })
     }
 
     /// The data centres with which this host exchanges updates.
-    fn area(&self, members: &Members) -> WatchArea {
-        let mut hosts: BTreeMap<String, usize> = BTreeMap::new();
-        for (_, member) in members.homes() {
-            *hosts.entry(member.data_centre.clone()).or_default() += 1;
+    fn area(&self) -> WatchArea {
+        self.with_watch_duty(|duty| duty.area.clone())
+    }
+
+    /// Reads the watch duty, which is derived anew only after a change of the members.
+    fn with_watch_duty<T>(&self, read: impl FnOnce(&WatchDuty) -> T) -> T {
+        let members = self.fleet.members.lock();
+        let mut duty = self.dissemination.duty.lock();
+        let version = members.homes_version();
+        if duty.members_version != Some(version) {
+            *duty = watch_duty(&self.settings.host.data_centre, &members);
         }
-        WatchArea::of(&self.settings.host.data_centre, &hosts)
+        drop(members);
+        read(&duty)
     }
 
     /// Announces to this area that this host can't read the store.
@@ -170,9 +212,50 @@
             }
             roster.change_since(before)
         };
+        if change.put.len() > MAX_ANNOUNCED {
+            let (count, revision) = (change.put.len(), change.revision);
+            info!("spread: {count} upstreams at revision {revision} are left to be fetched");
+            return;
+        }
         self.announce(ReplicatedState::Upstreams, &change, self.area_branches());
     }
 
+    /// Notifies the homes in this area of the engines that are leaving, which they would otherwise
+    /// learn only after the announcement has passed the tree.
+    pub(crate) fn notify_homes(self: &Arc<Self>, departures: Vec<(CellKey, DepartureNotice)>) {
+        if departures.is_empty() || self.homes_watch() || !self.is_watcher() {
+            return;
+        }
+        let area = self.area();
+        let own_key = self.host_key();
+        let mut by_home: HashMap<SocketAddr, Vec<DepartureNotice>> = HashMap::new();
+        for (cell, notice) in departures {
+            let home = self.home_of(cell);
+            let home =
+                home.filter(|(key, member)| *key != own_key && area.contains(&member.data_centre));
+            if let Some((_, member)) = home {
+                by_home.entry(member.address).or_default().push(notice);
+            }
+        }
+        for (home, notices) in by_home {
+            self.announce(ReplicatedState::Departures, &notices, vec![vec![home]]);
+        }
+    }
+
+    fn handle_departures(&self, value: &[u8]) -> Result<(), EncodingError> {
+        let notices: Vec<DepartureNotice> = decode(ReplicatedState::Departures, value)?;
+        let now_ms = self.clock.now_ms();
+        let mut roster = self.roster.lock();
+        let mut changed = false;
+        for notice in &notices {
+            changed |= roster.observe_departure(now_ms, notice);
+        }
+        if changed {
+            self.apply_roster_changes(&mut roster);
+        }
+        Ok(())
+    }
+
     /// Sends an update to an audience along its branches.
     pub(crate) fn announce<T: Serialize>(
         self: &Arc<Self>,
@@ -188,7 +271,7 @@
 
     /// The other hosts of this area, in branches.
     pub(crate) fn area_branches(&self) -> Vec<Vec<SocketAddr>> {
-        let area = self.area(&self.fleet.members.lock());
+        let area = self.area();
         self.audience(|data_centre| area.contains(data_centre))
     }
 
@@ -271,6 +354,7 @@
             ReplicatedState::Members => self.handle_members(&value),
             ReplicatedState::Circuits => self.handle_circuits(&value),
             ReplicatedState::Evacuations => self.handle_evacuations(&value),
+            ReplicatedState::Departures => self.handle_departures(&value),
         };
         if let Err(error) = applied {
             warn!("spread: could not decode an update of {kind:?}: {error}");
@@ -296,9 +380,34 @@
         let mut roster = self.roster.lock();
         let before = roster.revision();
         if roster.apply_peer_change(self.clock.now_ms(), change) {
-            self.apply_directory(&roster.directory());
+            self.apply_roster_changes(&mut roster);
         }
         log_store_restored(before, &roster);
         Ok(())
     }
 }
+
+fn watch_duty(data_centre: &str, members: &Members) -> WatchDuty {
+    let mut hosts: BTreeMap<String, usize> = BTreeMap::new();
+    for (_, member) in members.homes() {
+        match hosts.get_mut(&member.data_centre) {
+            Some(count) => *count += 1,
+            None => {
+                hosts.insert(member.data_centre.clone(), 1);
+            }
+        }
+    }
+    let area = WatchArea::of(data_centre, &hosts);
+    let own_key = members.own_key();
+    let in_area = members
+        .homes()
+        .filter(|(key, member)| key.0 > own_key.0 && area.contains(&member.data_centre));
+    let mut higher_ranked: Vec<HostKey> = in_area.map(|(key, _)| key).collect();
+    higher_ranked.sort_unstable_by_key(|key| std::cmp::Reverse(key.0));
+    higher_ranked.truncate(WatchArea::MAX_CANDIDATES);
+    WatchDuty {
+        members_version: Some(members.homes_version()),
+        area,
+        higher_ranked,
+    }
+}
--- a/crates/gateway/src/encoding.rs
+++ b/crates/gateway/src/encoding.rs
@@ -27,7 +27,8 @@
         | ReplicatedState::Configuration
         | ReplicatedState::Members
         | ReplicatedState::Circuits
-        | ReplicatedState::Evacuations => true,
+        | ReplicatedState::Evacuations
+        | ReplicatedState::Departures => true,
         ReplicatedState::StoreUnreadable => false,
     }
 }
--- a/crates/gateway/src/evacuations.rs
+++ b/crates/gateway/src/evacuations.rs
@@ -113,7 +113,7 @@
         change: impl FnOnce(&mut Evacuations, Millis) -> bool,
     ) -> bool {
         let now_ms = self.clock.now_ms();
-        let roster = self.roster.lock();
+        let mut roster = self.roster.lock();
         let state = {
             let mut evacuations = self.evacuations.lock();
             let kept_before = evacuations.unconfirmed_count();
@@ -136,7 +136,7 @@
                 names.join(", ")
             ),
         }
-        self.apply_directory(&roster.directory());
+        self.apply_directory(&mut roster);
         true
     }
 
--- a/crates/gateway/src/fleet.rs
+++ b/crates/gateway/src/fleet.rs
@@ -15,7 +15,7 @@
 use fulmarpath_policy::{Drift, HostKey, Join, Lag, Millis, Revision};
 use fulmarpath_wire::{
     GatewayPeerClient, MemberInfo, MemberState, MembersDigest, Peers, Ping, Pong, ReplicatedState,
-    Rumour, Versions,
+    Rumour, Traffic, Versions,
 };
 use parking_lot::Mutex;
 use rand::Rng;
@@ -25,7 +25,7 @@
 use tarpc::context::Context;
 
 use crate::configuration::Configuration;
-use crate::directory::{Directory, DirectoryChange, HostRegistration};
+use crate::directory::{Directory, DirectoryChange, DirectoryPart, HostRegistration};
 use crate::encoding::decode;
 use crate::gateway::Gateway;
 use crate::join::JoiningHosts;
@@ -47,11 +47,15 @@
 pub(crate) struct Fleet {
     pub(crate) members: Mutex<Members>,
     pub(crate) peers: Peers<GatewayPeerClient>,
+    /// Bytes exchanged with the other hosts.
+    pub(crate) traffic: Arc<Traffic>,
     /// This host's progress in joining the fleet.
     pub(crate) join: Mutex<Join>,
     pub(crate) joining: JoiningHosts,
     /// How far this host's list of upstreams is behind that of its peers.
-    lag: Mutex<Lag>,
+    lag: Mutex<Lag<Revision>>,
+    /// How far this host's configuration is behind that of peers in other data centres.
+    remote_lag: Mutex<Lag<u64>>,
     drift: Mutex<Drift>,
     presence: Mutex<PresenceLog>,
     /// State that is being fetched from a peer.
@@ -76,12 +80,17 @@
             data_centre: host.data_centre.clone(),
             address: host.address,
         };
+        let traffic = Arc::new(Traffic::default());
+        let counted = traffic.clone();
+        let connect = move |socket| crate::peer::client(socket, counted.clone());
         Self {
             members: Mutex::new(Members::new(member, 1)),
-            peers: Peers::new(crate::peer::client),
-            join: Mutex::new(Join::new(now_ms, has_seeds)),
+            peers: Peers::new(connect),
+            traffic,
+            join: Mutex::new(Join::new(now_ms, has_seeds, rand::random())),
             joining: JoiningHosts::default(),
             lag: Mutex::default(),
+            remote_lag: Mutex::default(),
             drift: Mutex::new(Drift::new(now_ms)),
             presence: Mutex::default(),
             fetching: Mutex::default(),
@@ -139,15 +148,19 @@
 
     /// Returns the log line on joined and departed hosts when one is due.
     fn presence_line(&self, now_ms: Millis) -> Option<String> {
+        let mut presence = self.presence.lock();
         let present = {
             let members = self.members.lock();
+            if !presence.is_due(members.homes_version()) {
+                return None;
+            }
             let own_key = members.own_key();
             let others = members.homes().filter(|(key, _)| *key != own_key);
             others
                 .map(|(key, member)| (key, member.name.clone()))
                 .collect()
         };
-        self.presence.lock().update(now_ms, present)
+        presence.update(now_ms, present)
     }
 }
 
@@ -166,7 +179,7 @@
     pub(crate) async fn ping_address(self: &Arc<Self>, address: SocketAddr) {
         let (ping, digest) = self.fleet.ping_message(self.versions());
         if let Some((pong, theirs)) = self.send_ping(address, ping, digest).await {
-            self.handle_pong(address, pong, theirs).await;
+            self.handle_pong(pong, theirs).await;
         }
     }
 
@@ -197,7 +210,7 @@
                     // Another incarnation uses the address: the previous one has ended.
                     self.mark_dead(&target);
                 }
-                self.handle_pong(target.address, pong, theirs).await;
+                self.handle_pong(pong, theirs).await;
             }
             None => {
                 warn!("fleet: {} does not answer", target.name);
@@ -232,9 +245,10 @@
         self.fleet.peers.call(address, call).await.ok()
     }
 
-    async fn handle_pong(self: &Arc<Self>, address: SocketAddr, pong: Pong, theirs: MembersDigest) {
+    async fn handle_pong(self: &Arc<Self>, pong: Pong, theirs: MembersDigest) {
         self.record_contact(&pong.from, pong.rumours);
-        self.fetch_newer(address, pong.versions, theirs).await;
+        let peer = &pong.from.member;
+        self.fetch_newer(peer, pong.versions, theirs).await;
     }
 
     fn record_contact(&self, from: &Rumour, rumours: Vec<Rumour>) {
@@ -262,11 +276,10 @@
         ping: Ping,
         theirs: MembersDigest,
     ) -> (Pong, MembersDigest) {
-        let address = ping.from.member.address;
         self.record_contact(&ping.from, ping.rumours);
-        let versions = ping.versions;
+        let (peer, versions) = (ping.from.member, ping.versions);
         let gateway = self.clone();
-        tokio::spawn(async move { gateway.fetch_newer(address, versions, theirs).await });
+        tokio::spawn(async move { gateway.fetch_newer(&peer, versions, theirs).await });
         let (own, digest) = self.fleet.ping_message(self.versions());
         let pong = Pong {
             from: own.from,
@@ -277,33 +290,56 @@
     }
 
     /// Fetches state that a peer holds in a later version.
-    async fn fetch_newer(&self, peer: SocketAddr, theirs: Versions, members: MembersDigest) {
+    async fn fetch_newer(&self, peer: &MemberInfo, theirs: Versions, members: MembersDigest) {
+        let address = peer.address;
         // Evacuations come before the configuration, with which a host begins to serve.
         if self.evacuations.lock().is_behind(theirs.evacuations) {
-            self.fetch_evacuations(peer).await;
+            self.fetch_evacuations(address).await;
         }
-        if theirs.root > self.configuration_version()
-            && let Some(configuration) = self.fetch_configuration(peer).await
+        if self.should_fetch_configuration(peer, theirs.root)
+            && let Some(configuration) = self.fetch_configuration(address).await
         {
             self.apply_configuration(configuration, "a peer");
         }
-        if self.is_behind(theirs.upstreams)
-            && let Some(change) = self.fetch_upstreams(peer).await
+        if self.should_fetch_upstreams(peer, theirs.upstreams)
+            && let Some(change) = self.fetch_upstreams(address).await
         {
             self.apply_peer_upstreams(change);
         }
-        if self.has_diverged(members) {
-            self.exchange_members(peer).await;
+        if self.should_exchange_members(peer, members) {
+            self.exchange_members(address).await;
         }
         if theirs.circuits != self.versions().circuits {
-            exchange_circuits(self, peer).await;
+            exchange_circuits(self, address).await;
         }
     }
 
-    fn has_diverged(&self, theirs: MembersDigest) -> bool {
+    /// Whether a peer is in another data centre although this one has enough hosts to provide the
+    /// state of the fleet. Traffic between data centres is paid for.
+    fn is_needlessly_remote(&self, peer: &MemberInfo) -> bool {
+        let is_remote = peer.data_centre != self.settings.host.data_centre;
+        is_remote && self.fleet.members.lock().has_local_peers()
+    }
+
+    fn should_fetch_configuration(&self, peer: &MemberInfo, theirs: u64) -> bool {
+        let own = self.configuration_version();
+        if theirs <= own || !self.is_needlessly_remote(peer) {
+            return theirs > own;
+        }
+        let now_ms = self.clock.now_ms();
+        let mut lag = self.fleet.remote_lag.lock();
+        lag.should_fetch(now_ms, own, theirs, 0, FETCH_DELAY_MS)
+    }
+
+    fn should_exchange_members(&self, peer: &MemberInfo, theirs: MembersDigest) -> bool {
         let own = self.fleet.members.lock().digest();
+        let now_ms = self.clock.now_ms();
+        let is_starting = self.fleet.drift.lock().is_starting(now_ms);
+        if own != theirs.0 && is_starting && self.is_needlessly_remote(peer) {
+            return false;
+        }
         let mut drift = self.fleet.drift.lock();
-        drift.should_exchange(self.clock.now_ms(), own == theirs.0)
+        drift.should_exchange(now_ms, own == theirs.0)
     }
 
     /// Exchanges the complete member lists with a peer; returns whether it answered.
@@ -332,13 +368,22 @@
     }
 
     /// Whether this host lacks changes of the upstreams that a peer has.
-    fn is_behind(&self, theirs: Revision) -> bool {
+    fn should_fetch_upstreams(&self, peer: &MemberInfo, theirs: Revision) -> bool {
         let now_ms = self.clock.now_ms();
         let own = self.roster.lock().revision();
+        if own <= Directory::PROVISIONAL && theirs > own && self.awaits_local_list(now_ms, peer) {
+            return false;
+        }
         let mut lag = self.fleet.lag.lock();
         lag.should_fetch(now_ms, own, theirs, Directory::PROVISIONAL, FETCH_DELAY_MS)
     }
 
+    /// Whether this host has just started and is likely to get the list of upstreams from a host of
+    /// its own data centre soon.
+    fn awaits_local_list(&self, now_ms: Millis, peer: &MemberInfo) -> bool {
+        self.fleet.drift.lock().is_starting(now_ms) && self.is_needlessly_remote(peer)
+    }
+
     async fn fetch_configuration(&self, peer: SocketAddr) -> Option<Configuration> {
         let kind = ReplicatedState::Configuration;
         let call =
@@ -355,12 +400,49 @@
         }
     }
 
+    /// Fetches the changes of the upstreams since this host's revision, or the complete list in parts
+    /// if the peer can't list the changes.
     async fn fetch_upstreams(&self, peer: SocketAddr) -> Option<DirectoryChange> {
+        let kind = ReplicatedState::Upstreams;
+        let _fetching = self.begin_fetching(kind)?;
         let since = self.roster.lock().revision();
         let call = |client: GatewayPeerClient, context| async move {
             client.upstreams_since(context, since).await
         };
-        self.fetch(peer, ReplicatedState::Upstreams, call).await
+        let value = self.fleet.peers.call(peer, call).await.ok()?;
+        match value.is_empty() {
+            true => self.fetch_parts(peer).await,
+            false => decode_from(kind, peer, &value),
+        }
+    }
+
+    /// Fetches the complete list of upstreams in parts, and uses each part at once.
+    ///
+    /// In a fleet that starts, many hosts fetch the list from few over slow links. Each part has its
+    /// own timeout, so a transfer is given up only when it makes no progress.
+    async fn fetch_parts(&self, peer: SocketAddr) -> Option<DirectoryChange> {
+        let kind = ReplicatedState::Upstreams;
+        let mut list = DirectoryChange::default();
+        loop {
+            let after = list.put.last().map(|last| last.instance.clone());
+            let is_first = after.is_none();
+            let call = |client: GatewayPeerClient, context| async move {
+                client.upstreams_part(context, after).await
+            };
+            let value = self.fleet.peers.call(peer, call).await.ok()?;
+            let part: DirectoryPart = decode_from(kind, peer, &value)?;
+            if is_first {
+                // Changes during the transfer are fetched from this revision on.
+                list.revision = part.revision;
+                list.gone = part.gone;
+                list.lapsed = part.lapsed;
+            }
+            self.add_provisional_upstreams(&part.put);
+            list.put.extend(part.put);
+            if part.is_last {
+                return Some(list);
+            }
+        }
     }
 
     /// Fetches state from a peer, unless it is being fetched from another one: pings of several
@@ -375,17 +457,41 @@
         T: DeserializeOwned,
         F: Future<Output = Result<Vec<u8>, RpcError>>,
     {
-        if !self.fleet.fetching.lock().insert(kind) {
-            return None;
-        }
+        let _fetching = self.begin_fetching(kind)?;
         let value = self.fleet.peers.call(peer, call).await;
-        self.fleet.fetching.lock().remove(&kind);
-        match decode(kind, &value.ok()?) {
-            Ok(held) => Some(held),
-            Err(error) => {
-                warn!("fleet: could not decode {kind:?} from {peer}: {error}");
-                None
-            }
+        decode_from(kind, peer, &value.ok()?)
+    }
+
+    /// Marks state as being fetched until the guard is dropped; `None` if it is already.
+    fn begin_fetching(&self, kind: ReplicatedState) -> Option<FetchGuard<'_>> {
+        let fetching = &self.fleet.fetching;
+        let is_new = fetching.lock().insert(kind);
+        is_new.then_some(FetchGuard { fetching, kind })
+    }
+}
+
+/// Ends the fetching of a kind of state when it is dropped.
+struct FetchGuard<'a> {
+    fetching: &'a Mutex<HashSet<ReplicatedState>>,
+    kind: ReplicatedState,
+}
+
+impl Drop for FetchGuard<'_> {
+    fn drop(&mut self) {
+        self.fetching.lock().remove(&self.kind);
+    }
+}
+
+fn decode_from<T: DeserializeOwned>(
+    kind: ReplicatedState,
+    peer: SocketAddr,
+    value: &[u8],
+) -> Option<T> {
+    match decode(kind, value) {
+        Ok(state) => Some(state),
+        Err(error) => {
+            warn!("fleet: could not decode {kind:?} from {peer}: {error}");
+            None
         }
     }
 }
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -14,10 +14,10 @@
 use spdlog::info;
 
 use crate::availability::ColdLimits;
-use crate::cells::Cells;
+use crate::cells::{Cells, LayoutChanged};
 use crate::configuration::{ActiveConfiguration, Configuration};
 use crate::control::EngineControl;
-use crate::directory::{Directory, HostRegistration};
+use crate::directory::{HostRegistration, RegistrationChange};
 use crate::dissemination::Dissemination;
 use crate::fleet::Fleet;
 use crate::head::Dialect;
@@ -25,7 +25,7 @@
 use crate::instances::Instances;
 use crate::log_throttle::LogThrottle;
 use crate::metadata::Metadata;
-use crate::metrics::{Metrics, Readings};
+use crate::metrics::{Metrics, PeerBytes, Readings};
 use crate::probe::ProbeTimes;
 use crate::roster::Roster;
 use crate::runs::Runs;
@@ -55,6 +55,17 @@
     pub grace_ms: Millis,
 }
 
+/// What the control work of a host has cost since its start.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct ControlCounts {
+    /// Calls to the store; a list of several pages counts once.
+    pub store_calls: u64,
+    /// Messages from other hosts.
+    pub peer_messages: u64,
+    /// Bytes exchanged with other hosts, in both directions.
+    pub peer_bytes: u64,
+}
+
 /// One host's gateway.
 ///
 /// Lock order: roster, evacuations, instances, cells, runs, crashes, circuits, members, retries,
@@ -154,6 +165,9 @@
             Some(held) if held.configuration.version >= version => Some(held.clone()),
             _ => Some(newer.clone()),
         });
+        let has_same_services = held
+            .as_ref()
+            .is_some_and(|held| held.configuration.services == newer.configuration.services);
         let held = held.map_or(0, |held| held.configuration.version);
         if held >= version {
             return false;
@@ -162,26 +176,70 @@
         let now_ms = self.clock.now_ms();
         self.applied_ms.store(now_ms, Ordering::Relaxed);
         info!("configuration: version {version} from {source} replaces {held}");
-        let directory = self.roster.lock().directory();
-        self.apply_directory(&directory);
+        if !has_same_services {
+            self.apply_directory(&mut self.roster.lock());
+        }
         true
     }
 
-    /// Applies the roster's directory to the instances and cells.
-    pub(crate) fn apply_directory(&self, directory: &Directory) {
+    /// Applies all registrations of the roster to the instances and cells.
+    pub(crate) fn apply_directory(&self, roster: &mut Roster) {
         let now_ms = self.clock.now_ms();
+        // All registrations include the changed ones.
+        roster.take_changes();
+        let directory = roster.directory();
         let active_configuration = self.active_configuration();
         let cold_limits = ColdLimits::of(self.settings.cold_bound, active_configuration.as_deref());
         {
             let evacuations = self.evacuations.lock();
             self.instances
-                .apply_directory(now_ms, directory, &evacuations, &cold_limits);
+                .apply_directory(now_ms, &directory, &evacuations, &cold_limits);
         }
         let availability_of = |engine| self.instances.availability(engine);
         let has_new_layout = active_configuration.is_some_and(|active_configuration| {
             self.cells
-                .apply_directory(now_ms, &active_configuration, directory, availability_of)
+                .apply_directory(now_ms, &active_configuration, &directory, availability_of)
         });
+        self.restate_if_needed(has_new_layout);
+    }
+
+    /// Applies the roster's changes since the last call to the instances and cells. The work is in
+    /// proportion to the changes, as each change of any upstream reaches every host.
+    pub(crate) fn apply_roster_changes(&self, roster: &mut Roster) {
+        let changes = roster.take_changes();
+        self.apply_registration_changes(roster, changes);
+    }
+
+    pub(crate) fn apply_registration_changes(
+        &self,
+        roster: &mut Roster,
+        mut changes: Vec<RegistrationChange>,
+    ) {
+        let now_ms = self.clock.now_ms();
+        let active_configuration = self.active_configuration();
+        let cold_limits = ColdLimits::of(self.settings.cold_bound, active_configuration.as_deref());
+        {
+            let evacuations = self.evacuations.lock();
+            let found_cold =
+                self.instances
+                    .apply_changes(now_ms, &changes, &evacuations, &cold_limits);
+            changes.extend(found_cold);
+        }
+        let Some(active_configuration) = active_configuration else {
+            return;
+        };
+        let availability_of = |engine| self.instances.availability(engine);
+        let applied =
+            self.cells
+                .apply_changes(now_ms, &active_configuration, &changes, availability_of);
+        match applied {
+            Ok(()) => self.restate_if_needed(false),
+            Err(LayoutChanged) => self.apply_directory(roster),
+        }
+    }
+
+    /// Triggers a statement of the running generations where homes need one.
+    fn restate_if_needed(&self, has_new_layout: bool) {
         if has_new_layout || !self.cells.leaving().is_empty() {
             self.cell_duties.restate_now.notify_one();
         }
@@ -194,7 +252,7 @@
 
     /// Upstreams that this host knows.
     pub fn upstream_count(&self) -> usize {
-        self.roster.lock().directory().registrations.len()
+        self.roster.lock().len()
     }
 
     /// Hosts that this host considers present, itself included.
@@ -222,6 +280,16 @@
         self.metrics.retries.get()
     }
 
+    /// What this host's control work has cost since its start.
+    pub fn control_counts(&self) -> ControlCounts {
+        let traffic = &self.fleet.traffic;
+        ControlCounts {
+            store_calls: self.metrics.all_store_calls.get(),
+            peer_messages: self.metrics.all_peer_messages.get(),
+            peer_bytes: traffic.sent_bytes() + traffic.received_bytes(),
+        }
+    }
+
     /// Whether this host is stopping.
     pub(crate) fn is_draining(&self) -> bool {
         self.stops_at_ms().is_some()
@@ -284,6 +352,10 @@
             upstreams_age_ms: age(upstreams_updated_ms),
             upstreams: upstreams as i64,
             hosts: hosts as i64,
+            peer_bytes: PeerBytes {
+                sent: self.fleet.traffic.sent_bytes(),
+                received: self.fleet.traffic.received_bytes(),
+            },
             quarantined: self.open_circuit_count() as i64,
             evacuated: self.evacuated_count() as i64,
             cold: self.cold_count() as i64,
--- a/crates/gateway/src/homes.rs
+++ b/crates/gateway/src/homes.rs
@@ -37,7 +37,10 @@
 
 impl Gateway {
     pub(crate) fn home_of(&self, cell: CellKey) -> Option<(HostKey, MemberInfo)> {
-        self.fleet.members.lock().homes_of(cell.0, 1).pop()
+        let mut members = self.fleet.members.lock();
+        let key = members.home_of(cell.0)?;
+        let member = members.find(key)?.member.clone();
+        Some((key, member))
     }
 
     pub(crate) fn host_key(&self) -> HostKey {
@@ -45,13 +48,14 @@
     }
 
     /// Whether this host is the home of any cell.
-    pub(crate) fn is_home_of_any_cell(&self) -> bool {
-        self.cells.keys().into_iter().any(|cell| self.is_home(cell))
+    pub fn is_home_of_any_cell(&self) -> bool {
+        self.cells.any(|cell| self.is_home(cell))
     }
 
     pub(crate) fn is_home(&self, cell: CellKey) -> bool {
-        let home = self.home_of(cell);
-        home.is_none_or(|(key, _)| key == self.host_key())
+        let mut members = self.fleet.members.lock();
+        let home = members.home_of(cell.0);
+        home.is_none_or(|key| key == members.own_key())
     }
 
     /// Asks the cell's home where to start a generation. If the home does not answer, this host
@@ -107,7 +111,7 @@
         if !self.fleet.has_recent_contact(now_ms) {
             request.excluded.extend(self.instances.cold(now_ms));
         }
-        self.cells.place(now_ms, cell, &request)
+        self.cells.place(now_ms, cell, &request, self.is_home(cell))
     }
 
     /// Reports the end of a generation to the cell's home.
--- a/crates/gateway/src/instance.rs
+++ b/crates/gateway/src/instance.rs
@@ -2,11 +2,11 @@
 
 use std::net::SocketAddr;
 
-use fulmarpath_policy::{Cold, InFlightId, Millis, UpstreamKey, UpstreamStats};
+use fulmarpath_policy::{Cold, Evacuations, InFlightId, Millis, UpstreamKey, UpstreamStats};
 use slotmap::new_key_type;
 use tokio_util::sync::CancellationToken;
 
-use crate::availability::ColdLimit;
+use crate::availability::{ColdLimit, ColdLimits};
 use crate::directory::{RegisteredState, Registration};
 use crate::key::upstream_key;
 
@@ -56,6 +56,17 @@
         self.cold_until_ms = self.cold_until_ms.max(until_ms);
     }
 
+    /// Applies the evacuations and the cold limit of its service.
+    pub(crate) fn apply_limits(&mut self, evacuations: &Evacuations, cold_limits: &ColdLimits) {
+        let data_centre = &self.registration.data_centre;
+        self.cold_limit = cold_limits.get(&self.registration.service);
+        self.is_evacuated = evacuations.is_evacuated(data_centre);
+        // When an evacuation ends, the upstreams of the data centre are cold.
+        if let Some(ended_ms) = evacuations.ended_ms(data_centre) {
+            self.mark_cold(ended_ms);
+        }
+    }
+
     pub(crate) fn is_same_incarnation(&self, registration: &Registration) -> bool {
         self.registration.started_at_ms == registration.started_at_ms
     }
--- a/crates/gateway/src/instances.rs
+++ b/crates/gateway/src/instances.rs
@@ -1,6 +1,6 @@
 //! The upstreams that this host may send to, and their state as known here.
 
-use std::collections::HashMap;
+use std::collections::HashSet;
 
 use fulmarpath_policy::{
     Choice, Cold, Evacuations, Millis, ReportedLoad, UpstreamKey, Verdict, choose,
@@ -8,9 +8,8 @@
 use parking_lot::Mutex;
 
 use crate::availability::{Availability, ColdLimits};
-use crate::directory::{Directory, Registration};
+use crate::directory::{Directory, Registration, RegistrationChange};
 use crate::instance::{ChosenUpstream, Destination, Instance, InstanceKey};
-use crate::key::upstream_key;
 use crate::upstream_table::UpstreamTable;
 
 /// The outcome of selecting an upstream for a request.
@@ -60,31 +59,42 @@
         cold_limits: &ColdLimits,
     ) {
         let mut table = self.table.lock();
-        let mut by_name = HashMap::new();
-        let mut by_upstream = HashMap::new();
-        let mut by_service: HashMap<String, Vec<InstanceKey>> = HashMap::new();
+        let registered = directory.registrations.iter();
+        let names: HashSet<&str> = registered.map(|entry| entry.instance.as_str()).collect();
+        let known = table.arena.values().map(|instance| &instance.registration);
+        let gone = known.filter(|known| !names.contains(known.instance.as_str()));
+        let gone: Vec<Registration> = gone.cloned().collect();
+        for registration in &gone {
+            table.remove(Some(registration));
+        }
         for registration in &directory.registrations {
-            let key = table.apply_registration(now_ms, registration);
-            let instance = &mut table.arena[key];
-            instance.cold_limit = cold_limits.get(&registration.service);
-            instance.is_evacuated = evacuations.is_evacuated(&registration.data_centre);
-            // When an evacuation ends, the upstreams of the data centre are cold.
-            if let Some(ended_ms) = evacuations.ended_ms(&registration.data_centre) {
-                instance.mark_cold(ended_ms);
-            }
-            by_upstream.insert(upstream_key(registration), key);
-            by_name.insert(registration.instance.clone(), key);
-            let keys = by_service.entry(registration.service.clone()).or_default();
-            keys.push(key);
+            let key = table.update(now_ms, registration);
+            table.arena[key].apply_limits(evacuations, cold_limits);
         }
-        let removed = std::mem::take(&mut table.by_name);
-        for key in removed.into_values() {
-            table.arena.remove(key);
+        table.expire_backpressure(now_ms);
+    }
+
+    /// Applies changes of registrations. Returns further ones: upstreams that this host found cold,
+    /// as changes without a difference.
+    pub(crate) fn apply_changes(
+        &self,
+        now_ms: Millis,
+        changes: &[RegistrationChange],
+        evacuations: &Evacuations,
+        cold_limits: &ColdLimits,
+    ) -> Vec<RegistrationChange> {
+        let mut table = self.table.lock();
+        for change in changes {
+            match &change.after {
+                Some(registration) => {
+                    let key = table.update(now_ms, registration);
+                    table.arena[key].apply_limits(evacuations, cold_limits);
+                }
+                None => table.remove(change.before.as_ref()),
+            }
         }
-        table.by_name = by_name;
-        table.by_upstream = by_upstream;
-        table.by_service = by_service;
         table.expire_backpressure(now_ms);
+        table.take_found_cold()
     }
 
     /// Selects an upstream of a service, and counts the request there unless a start must be
@@ -100,8 +110,9 @@
         draw: f32,
     ) -> Selection {
         let mut table = self.table.lock();
-        let keys = table.by_service.get(service).map_or(&[][..], Vec::as_slice);
-        let keys = keys.iter().filter(|key| !excluded.contains(key));
+        let keys = table
+            .of_service(service)
+            .filter(|key| !excluded.contains(key));
         let accepting = keys.filter(|key| table.takes_work(&table.arena[**key]));
         let available_at_ms = |key: &InstanceKey| table.available_at_ms(table.arena[*key].upstream);
         let first_available_ms = accepting.clone().map(available_at_ms).min();
@@ -143,8 +154,7 @@
     /// Whether a service has upstreams and all of them are in evacuated data centres.
     pub(crate) fn is_evacuated(&self, service: &str) -> bool {
         let table = self.table.lock();
-        let keys = table.by_service.get(service).map_or(&[][..], Vec::as_slice);
-        let mut instances = keys.iter().map(|key| &table.arena[*key]);
+        let mut instances = table.of_service(service).map(|key| &table.arena[*key]);
         instances.len() > 0 && instances.all(|instance| instance.is_evacuated)
     }
 
@@ -264,17 +274,20 @@
         latency_ms: Millis,
         load: Option<ReportedLoad>,
     ) {
-        self.with(key, |instance| {
-            instance.stats.record_latency(latency_ms);
-            // An upstream that was unreachable is cold when it returns, and its entry may not say
-            // so yet.
-            if std::mem::take(&mut instance.is_unreachable) {
-                instance.mark_cold(now_ms);
-            }
-            if let Some(load) = load {
-                instance.stats.record_load(now_ms, load);
-            }
-        });
+        let mut table = self.table.lock();
+        let Some(instance) = table.arena.get_mut(key) else {
+            return;
+        };
+        instance.stats.record_latency(latency_ms);
+        if let Some(load) = load {
+            instance.stats.record_load(now_ms, load);
+        }
+        // An upstream that was unreachable is cold when it returns, and its entry may not say so
+        // yet.
+        if std::mem::take(&mut instance.is_unreachable) {
+            instance.mark_cold(now_ms);
+            table.found_cold.insert(key);
+        }
     }
 
     /// Records that no connection could be made.
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -65,9 +65,10 @@
 };
 pub use control::{CompletedCopy, CopyError, EngineControl, EngineStatus, ProbeResult};
 pub use directory::{
-    Departure, Directory, DirectoryChange, HostRegistration, RegisteredState, Registration,
+    Departure, DepartureNotice, Directory, DirectoryChange, DirectoryPart, HostRegistration,
+    RegisteredState, Registration, RegistrationChange,
 };
-pub use gateway::{Gateway, GatewaySettings};
+pub use gateway::{ControlCounts, Gateway, GatewaySettings};
 pub use head::{
     Continuation, Dialect, GenerationHead, HeadError, Outbound, PromptPart, RequestHead,
     ResponseHead,
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -72,6 +72,28 @@
     pub(crate) service: String,
 }
 
+/// The direction of bytes between hosts.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct DirectionLabels {
+    direction: &'static str,
+}
+
+/// Bytes exchanged with other hosts.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub(crate) struct PeerBytes {
+    pub(crate) sent: u64,
+    pub(crate) received: u64,
+}
+
+impl PeerBytes {
+    fn set(self, gauges: &Family<DirectionLabels, Gauge>) {
+        for (direction, bytes) in [("sent", self.sent), ("received", self.received)] {
+            let labels = DirectionLabels { direction };
+            gauges.get_or_create(&labels).set(bytes as i64);
+        }
+    }
+}
+
 /// Values sampled when the metrics are scraped.
 #[derive(Debug, Clone, Default, PartialEq)]
 pub(crate) struct Readings {
@@ -79,6 +101,7 @@
     pub(crate) upstreams_age_ms: i64,
     pub(crate) upstreams: i64,
     pub(crate) hosts: i64,
+    pub(crate) peer_bytes: PeerBytes,
     pub(crate) quarantined: i64,
     pub(crate) evacuated: i64,
     pub(crate) cold: i64,
@@ -105,6 +128,11 @@
     pub(crate) limit_waits: Counter,
     crashes: Family<CrashLabels, Counter>,
     peer_messages: Family<MessageLabels, Counter>,
+    peer_bytes: Family<DirectionLabels, Gauge>,
+    /// Sum of `peer_messages` over all kinds.
+    pub(crate) all_peer_messages: Counter,
+    /// Sum of `store_calls` over all purposes and outcomes.
+    pub(crate) all_store_calls: Counter,
     pub(crate) store_calls: Family<StoreLabels, Counter>,
     skipped_entries: Family<EntryLabels, Counter>,
     dropped_answers: Family<EntryLabels, Counter>,
@@ -173,6 +201,9 @@
         let peer_messages = Family::default();
         let help = "Messages from other hosts, by kind";
         registry.register("peer_messages", help, peer_messages.clone());
+        let peer_bytes = Family::default();
+        let help = "Bytes exchanged with other hosts since the start";
+        registry.register("peer_bytes", help, peer_bytes.clone());
         let configuration_age_ms = Gauge::default();
         let help = "Time since the active configuration was received";
         registry.register("configuration_age_ms", help, configuration_age_ms.clone());
@@ -218,6 +249,9 @@
             crashes,
             store_calls,
             peer_messages,
+            peer_bytes,
+            all_peer_messages: Counter::default(),
+            all_store_calls: Counter::default(),
             skipped_entries,
             dropped_answers,
             configuration_age_ms,
@@ -262,12 +296,14 @@
     pub(crate) fn store_call(&self, what: &'static str, outcome: &'static str) {
         let labels = StoreLabels { what, outcome };
         self.store_calls.get_or_create(&labels).inc();
+        self.all_store_calls.inc();
     }
 
     /// Counts a message from another host.
     pub(crate) fn peer_message(&self, kind: &'static str) {
         let labels = MessageLabels { kind };
         self.peer_messages.get_or_create(&labels).inc();
+        self.all_peer_messages.inc();
     }
 
     /// Counts unusable entries of a kind.
@@ -288,6 +324,7 @@
         self.upstreams_age_ms.set(readings.upstreams_age_ms);
         self.upstreams.set(readings.upstreams);
         self.hosts.set(readings.hosts);
+        readings.peer_bytes.set(&self.peer_bytes);
         self.quarantined.set(readings.quarantined);
         self.evacuated.set(readings.evacuated);
         self.cold.set(readings.cold);
--- a/crates/gateway/src/peer.rs
+++ b/crates/gateway/src/peer.rs
@@ -1,6 +1,7 @@
 //! The server side of the protocol between gateways.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use fulmarpath_cluster::poison;
 use fulmarpath_policy::{
@@ -8,8 +9,8 @@
     Verdict,
 };
 use fulmarpath_wire::{
-    Announcement, CellKey, GatewayPeer, GatewayPeerClient, MembersDigest, MigrationAnswer, Ping,
-    Pong, RelayedRuns, ReplicatedState, Rumour, StartAnswer, StartRequest, framed,
+    Announcement, CellKey, Counted, GatewayPeer, GatewayPeerClient, MembersDigest, MigrationAnswer,
+    Ping, Pong, RelayedRuns, ReplicatedState, Rumour, StartAnswer, StartRequest, Traffic, framed,
 };
 use futures::StreamExt;
 use tarpc::client::Config;
@@ -21,8 +22,15 @@
 use crate::encoding::{EncodingError, encode};
 use crate::gateway::Gateway;
 
+/// Maximum number of registrations in one answer: about 50 kB, which pass a slow link within 20 ms.
+const MAX_LISTED: usize = 1_024;
+
+/// Pause after a connection could not be accepted, as without free descriptors.
+const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
+
 /// Creates a client for the gateway at the other end of a connection.
-pub(crate) fn client(socket: TcpStream) -> GatewayPeerClient {
+pub(crate) fn client(socket: TcpStream, traffic: Arc<Traffic>) -> GatewayPeerClient {
+    let socket = Counted::new(socket, traffic);
     let transport = tarpc::serde_transport::new(framed(socket), Bincode::default());
     GatewayPeerClient::new(Config::default(), transport).spawn()
 }
@@ -31,10 +39,16 @@
     /// Serves peers until the process ends.
     pub(crate) async fn serve_peers(self: Arc<Self>, listener: TcpListener) {
         loop {
-            let Ok((socket, _)) = listener.accept().await else {
-                continue;
+            let socket = match listener.accept().await {
+                Ok((socket, _)) => socket,
+                Err(error) => {
+                    spdlog::warn!("fleet: could not accept a connection: {error}");
+                    tokio::time::sleep(ACCEPT_RETRY_DELAY).await;
+                    continue;
+                }
             };
             let _ = socket.set_nodelay(true);
+            let socket = Counted::new(socket, self.fleet.traffic.clone());
             let transport = tarpc::serde_transport::new(framed(socket), Bincode::default());
             let server = Server {
                 gateway: self.clone(),
@@ -96,18 +110,35 @@
             ReplicatedState::Upstreams
             | ReplicatedState::StoreUnreadable
             | ReplicatedState::Members
-            | ReplicatedState::Circuits => Ok(Vec::new()),
+            | ReplicatedState::Circuits
+            | ReplicatedState::Departures => Ok(Vec::new()),
         };
         bytes_or_empty(kind, held)
     }
 
     async fn upstreams_since(self, _: Context, revision: Revision) -> Vec<u8> {
         self.count("upstreams_since");
-        let change = self.gateway.roster.lock().change_since(revision);
+        let change = {
+            let roster = self.gateway.roster.lock();
+            if roster.len() > MAX_LISTED && !roster.lists_changes_since(revision) {
+                return Vec::new();
+            }
+            roster.change_since(revision)
+        };
         let kind = ReplicatedState::Upstreams;
         bytes_or_empty(kind, encode(kind, &change))
     }
 
+    async fn upstreams_part(self, _: Context, after: Option<String>) -> Vec<u8> {
+        self.count("upstreams_part");
+        let part = {
+            let roster = self.gateway.roster.lock();
+            roster.part_after(after.as_deref(), MAX_LISTED)
+        };
+        let kind = ReplicatedState::Upstreams;
+        bytes_or_empty(kind, encode(kind, &part))
+    }
+
     async fn announce(self, _: Context, announcement: Announcement) {
         self.count("announce");
         self.gateway.handle_announcement(announcement);
--- a/crates/gateway/src/presence_log.rs
+++ b/crates/gateway/src/presence_log.rs
@@ -22,6 +22,7 @@
 pub struct PresenceLog {
     logged: PresentHosts,
     burst: Option<Burst>,
+    members_version: Option<u64>,
 }
 
 /// Changes that have not been logged yet.
@@ -33,6 +34,13 @@
 }
 
 impl PresenceLog {
+    /// Whether the present hosts may have changed since the last call, or changes have yet to be
+    /// logged. The list of all hosts is only gathered then.
+    pub(crate) fn is_due(&mut self, members_version: u64) -> bool {
+        let is_changed = self.members_version.replace(members_version) != Some(members_version);
+        is_changed || self.burst.is_some()
+    }
+
     /// Takes the hosts that are present at `now_ms`; returns the log line when one is due.
     pub fn update(&mut self, now_ms: Millis, present: PresentHosts) -> Option<String> {
         match &mut self.burst {
--- a/crates/gateway/src/probe.rs
+++ b/crates/gateway/src/probe.rs
@@ -40,9 +40,19 @@
 impl ProbeTimes {
     /// Whether an engine is due for a probe; records the probe.
     fn begin(&self, now_ms: Millis, engine: UpstreamKey) -> bool {
+        let mut at_ms = self.at_ms.lock();
+        let last_ms = at_ms.get(&engine);
+        if last_ms.is_some_and(|last_ms| now_ms.saturating_sub(*last_ms) < MIN_PROBE_INTERVAL_MS) {
+            return false;
+        }
+        at_ms.insert(engine, now_ms);
+        true
+    }
+
+    /// Forgets probes that no longer delay the next one.
+    fn expire(&self, now_ms: Millis) {
         let mut at_ms = self.at_ms.lock();
         at_ms.retain(|_, at_ms| now_ms.saturating_sub(*at_ms) < MIN_PROBE_INTERVAL_MS);
-        at_ms.insert(engine, now_ms).is_none()
     }
 }
 
@@ -123,7 +133,7 @@
         if reported_ms > known_ms {
             let mut roster = self.roster.lock();
             if roster.observe_restart(&known.instance, reported_ms) {
-                self.apply_directory(&roster.directory());
+                self.apply_roster_changes(&mut roster);
             }
         }
         reported_ms == known_ms
@@ -134,15 +144,22 @@
     pub(crate) async fn probe_uncertain_engines(self: Arc<Self>) {
         loop {
             sleep(PROBE_ROUND_PERIOD).await;
-            let is_uncertain = self.roster.lock().is_uncertain(self.clock.now_ms());
-            for (cell, engine, is_unreachable) in self.cells.engines() {
-                if (is_uncertain || is_unreachable) && self.is_home(cell) {
-                    tokio::spawn(self.clone().probe_engine(cell, engine));
-                }
+            self.probe_times.expire(self.clock.now_ms());
+            let is_uncertain = self.is_registry_uncertain();
+            let is_home = |cell| self.is_home(cell);
+            for (cell, engine) in self.cells.engines_to_probe(is_uncertain, is_home) {
+                tokio::spawn(self.clone().probe_engine(cell, engine));
             }
         }
     }
 
+    /// Whether registrations can't show which engines are leaving, as far as this host or the
+    /// watchers of its area know.
+    fn is_registry_uncertain(&self) -> bool {
+        let now_ms = self.clock.now_ms();
+        self.roster.lock().is_uncertain(now_ms) || self.dissemination.is_store_unreadable(now_ms)
+    }
+
     /// Probes a leaving engine for the time that it has left.
     ///
     /// Notice periods differ by a third. If the shortest were assumed, the last third of a longer
--- a/crates/gateway/src/roster.rs
+++ b/crates/gateway/src/roster.rs
@@ -13,12 +13,16 @@
 //! again only because of the backup gets no work until it writes its entry again, or until its
 //! entry has outlived the time after which the store removes a silent upstream.
 
-use std::collections::{HashMap, HashSet};
+use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet};
+use std::ops::Bound;
 
 use fulmarpath_policy::{Millis, Revision};
 
 use crate::departures::Departures;
-use crate::directory::{Departure, Directory, DirectoryChange, RegisteredState, Registration};
+use crate::directory::{
+    Departure, DepartureNotice, Directory, DirectoryChange, DirectoryPart, RegisteredState,
+    Registration, RegistrationChange,
+};
 use crate::metadata::{Change, Changes, Snapshot, UnusableEntry};
 use crate::restored_entries::RestoredEntries;
 
@@ -32,7 +36,6 @@
 #[derive(Debug, Clone)]
 struct Entry {
     registration: Registration,
-    is_missing: bool,
     /// The revision at which the entry reached its present state.
     changed_at: Revision,
 }
@@ -51,7 +54,9 @@
 #[derive(Debug)]
 pub struct Roster {
     revision: Revision,
-    entries: HashMap<String, Entry>,
+    entries: BTreeMap<String, Entry>,
+    /// Names of entries that the store lacks and that are kept for a while.
+    missing: BTreeSet<String>,
     /// Time of the last update from the store or a peer.
     last_update_ms: Millis,
     unavailable_since_ms: Option<Millis>,
@@ -63,6 +68,8 @@
     restored: RestoredEntries,
     /// Changes up to this revision cannot be listed one by one.
     listed_at: Revision,
+    /// Registrations before their changes since the last call of [`Self::take_changes`].
+    changed: HashMap<String, Option<Registration>>,
 }
 
 impl Default for Roster {
@@ -77,7 +84,8 @@
     pub fn new(registration_ttl_ms: Millis) -> Self {
         Self {
             revision: Revision::default(),
-            entries: HashMap::new(),
+            entries: BTreeMap::new(),
+            missing: BTreeSet::new(),
             last_update_ms: 0,
             unavailable_since_ms: None,
             grace_until_ms: 0,
@@ -85,6 +93,7 @@
             departures: Departures::default(),
             restored: RestoredEntries::new(registration_ttl_ms),
             listed_at: Revision::default(),
+            changed: HashMap::new(),
         }
     }
 
@@ -155,7 +164,7 @@
     /// Counts the upstreams for which this host's view differs from the store.
     pub(crate) fn unconfirmed(&self) -> Unconfirmed {
         Unconfirmed {
-            missing: self.missing_names().len(),
+            missing: self.missing.len(),
             restored: self.restored.len(),
         }
     }
@@ -255,11 +264,65 @@
         }
     }
 
+    /// Adds a part of a peer's list while this host has no complete list; returns whether it changed
+    /// anything.
+    pub fn add_provisional(&mut self, now_ms: Millis, part: &[Registration]) -> bool {
+        if self.revision > Directory::PROVISIONAL || part.is_empty() {
+            return false;
+        }
+        self.revision = Directory::PROVISIONAL;
+        self.last_update_ms = now_ms;
+        let mut changed = false;
+        for registration in part {
+            changed |= self.put(now_ms, registration.clone());
+        }
+        changed
+    }
+
+    /// The part of the complete list that follows an instance, with at most `max_len` registrations.
+    pub fn part_after(&self, after: Option<&str>, max_len: usize) -> DirectoryPart {
+        let from = after.map_or(Bound::Unbounded, Bound::Excluded);
+        let rest = self.entries.range::<str, _>((from, Bound::Unbounded));
+        let put: Vec<Registration> = rest
+            .take(max_len)
+            .map(|(_, entry)| entry.registration.clone())
+            .collect();
+        let is_last = put.len() < max_len;
+        match after {
+            Some(_) => DirectoryPart {
+                revision: self.revision,
+                put,
+                is_last,
+                ..DirectoryPart::default()
+            },
+            None => DirectoryPart {
+                revision: self.revision,
+                put,
+                gone: self.departures.since(Revision::default()),
+                lapsed: self.missing_names(),
+                is_last,
+            },
+        }
+    }
+
+    /// Whether this host has had a complete list in the era of its revision.
+    pub(crate) fn has_list_of_era(&self) -> bool {
+        self.revision > Directory::PROVISIONAL && self.listed_at.era == self.revision.era
+    }
+
+    /// Whether the changes since a revision can be listed one by one.
+    pub fn lists_changes_since(&self, revision: Revision) -> bool {
+        revision > Revision::default() && revision >= self.incremental_from()
+    }
+
+    fn incremental_from(&self) -> Revision {
+        self.listed_at.max(self.departures.truncated_at())
+    }
+
     /// Returns all changes since a revision, for a peer at that revision; a complete list if the
     /// changes cannot be listed one by one.
     pub fn change_since(&self, revision: Revision) -> DirectoryChange {
-        let incremental_from = self.listed_at.max(self.departures.truncated_at());
-        let from_revision = match revision < incremental_from {
+        let from_revision = match revision < self.incremental_from() {
             true => Revision::default(),
             false => revision,
         };
@@ -277,10 +340,7 @@
     }
 
     fn missing_names(&self) -> Vec<String> {
-        let missing = self.entries.values().filter(|entry| entry.is_missing);
-        missing
-            .map(|entry| entry.registration.instance.clone())
-            .collect()
+        self.missing.iter().cloned().collect()
     }
 
     /// Removes an entry whose upstream had left at a revision; returns whether there was one.
@@ -291,13 +351,36 @@
         };
         let departure = entry.registration.departure(gone_at);
         self.departures.add(now_ms, departure);
+        self.missing.remove(name);
+        self.record_change(name, Some(entry.registration));
         true
     }
 
+    fn record_change(&mut self, name: &str, before: Option<Registration>) {
+        if !self.changed.contains_key(name) {
+            self.changed.insert(name.to_owned(), before);
+        }
+    }
+
+    /// Takes the changes of registrations since the last call.
+    pub fn take_changes(&mut self) -> Vec<RegistrationChange> {
+        let changed = std::mem::take(&mut self.changed);
+        let changes = changed.into_iter().map(|(name, before)| {
+            let after = self.entries.get(&name);
+            RegistrationChange {
+                before,
+                after: after.map(|entry| entry.registration.clone()),
+            }
+        });
+        changes
+            .filter(|change| change.before != change.after)
+            .collect()
+    }
+
     fn mark_missing(&mut self, now_ms: Millis, names: &[String]) {
         for name in names {
-            if let Some(entry) = self.entries.get_mut(name) {
-                entry.is_missing = true;
+            if self.entries.contains_key(name) {
+                self.missing.insert(name.clone());
                 self.grace_until_ms = self.grace_until_ms.max(now_ms + REREGISTRATION_GRACE_MS);
             }
         }
@@ -381,9 +464,36 @@
         {
             return false;
         }
+        let before = entry.registration.clone();
         entry.registration.started_at_ms = Some(started_at_ms);
         entry.registration.state = RegisteredState::Ready;
         entry.changed_at = self.revision.next();
+        self.record_change(instance, Some(before));
+        true
+    }
+
+    /// Records a departure that a watcher reports ahead of its announcement; returns whether it was
+    /// unknown.
+    pub fn observe_departure(&mut self, now_ms: Millis, notice: &DepartureNotice) -> bool {
+        let departure = &notice.departure;
+        let Some(entry) = self.entries.get_mut(&departure.instance) else {
+            return false;
+        };
+        if entry.registration.started_at_ms != departure.started_at_ms {
+            return false;
+        }
+        // The change itself follows with a later revision.
+        let at = self.revision.next();
+        if notice.is_gone {
+            return self.drop_entry(now_ms, &departure.instance, at);
+        }
+        if entry.registration.state == RegisteredState::Draining {
+            return false;
+        }
+        let before = entry.registration.clone();
+        entry.registration.state = RegisteredState::Draining;
+        entry.changed_at = at;
+        self.record_change(&departure.instance, Some(before));
         true
     }
 
@@ -427,20 +537,21 @@
         {
             registration.state = RegisteredState::Draining;
         }
+        let was_missing = self.missing.remove(&name);
         if let Some(held) = held
             && held.registration == registration
         {
-            if std::mem::take(&mut held.is_missing) {
+            if was_missing {
                 held.changed_at = self.revision;
             }
             return false;
         }
         let entry = Entry {
             registration,
-            is_missing: false,
             changed_at: self.revision,
         };
-        self.entries.insert(name, entry);
+        let before = self.entries.insert(name.clone(), entry);
+        self.record_change(&name, before.map(|before| before.registration));
         true
     }
 
@@ -453,12 +564,12 @@
 
     fn remove(&mut self, now_ms: Millis, name: &str) -> bool {
         self.restored.remove(name);
-        let Some(entry) = self.entries.get_mut(name) else {
+        let Some(entry) = self.entries.get(name) else {
             return false;
         };
         let in_grace = now_ms < self.grace_until_ms;
         if in_grace && entry.registration.state == RegisteredState::Ready {
-            entry.is_missing = true;
+            self.missing.insert(name.to_owned());
             return false;
         }
         self.drop_entry(now_ms, name, self.revision)
--- a/crates/gateway/src/store_sync.rs
+++ b/crates/gateway/src/store_sync.rs
@@ -5,14 +5,18 @@
 use std::time::Duration;
 
 use fulmarpath_policy::{Millis, Revision};
+use fulmarpath_wire::CellKey;
 use rand::Rng;
 use spdlog::{info, warn};
 use tokio::time::sleep;
 
 use crate::collection_reader::{CollectionReader, StoreUpdate, outcome};
 use crate::configuration::Configuration;
-use crate::directory::{Directory, DirectoryChange, Registration};
+use crate::directory::{
+    DepartureNotice, Directory, DirectoryChange, Registration, RegistrationChange,
+};
 use crate::gateway::Gateway;
+use crate::key::upstream_key;
 use crate::metadata::{Change, Freshness};
 use crate::roster::Roster;
 
@@ -42,9 +46,8 @@
 
 impl InitialReads {
     /// Whether to read now; false until the random interval has passed.
-    fn is_due(&mut self, gateway: &Gateway) -> bool {
-        let now_ms = gateway.clock.now_ms();
-        if now_ms < self.next_ms || !gateway.may_read() {
+    fn is_due(&mut self, now_ms: Millis) -> bool {
+        if now_ms < self.next_ms {
             return false;
         }
         self.next_ms = now_ms + rand::rng().random_range(READ_INTERVAL_MS);
@@ -63,7 +66,8 @@
         loop {
             if !self.is_watcher() {
                 revision = None;
-                if self.configuration_version() == 0 && initial_reads.is_due(&self) {
+                let needs_read = self.configuration_version() == 0 && self.may_read();
+                if needs_read && initial_reads.is_due(self.clock.now_ms()) {
                     self.read_configuration().await;
                 }
                 sleep(self.watch_check_period()).await;
@@ -103,10 +107,13 @@
         let mut reader = CollectionReader::new("the upstreams", "upstreams");
         let mut initial_reads = InitialReads::default();
         let mut is_listed = false;
+        let mut has_watched = false;
         loop {
             if !self.watches_upstreams() {
                 is_listed = false;
-                if !self.knows_upstreams() && initial_reads.is_due(&self) {
+                has_watched = false;
+                let needs_read = !self.knows_upstreams() && self.may_read_upstreams();
+                if needs_read && initial_reads.is_due(self.clock.now_ms()) {
                     self.read_registrations().await;
                 }
                 sleep(self.watch_check_period()).await;
@@ -116,13 +123,16 @@
             if !is_listed {
                 self.reset_announced_revision();
             }
+            // A list that peers have provided needs no list from the store, which costs a call for
+            // each of its pages.
+            is_listed |= !std::mem::replace(&mut has_watched, true) && self.has_complete_list();
             let since = is_listed.then_some(held);
             match reader.read(&self, source, since, wait).await {
                 Ok(update) => {
                     is_listed = true;
                     self.apply_registrations(update);
                     self.schedule_directory_announcement();
-                    if !self.is_home_of_any_cell() {
+                    if !self.watches_as_home() {
                         sleep(self.fraction_of_change_bound(WATCH_PAUSE_FRACTION)).await;
                     }
                 }
@@ -139,8 +149,16 @@
         }
     }
 
+    /// Whether this host's list was complete in the store's present era. Changes across eras lack
+    /// the upstreams that only the restored store lists again.
+    fn has_complete_list(&self) -> bool {
+        let latest = self.store_era.latest();
+        let roster = self.roster.lock();
+        roster.has_list_of_era() && latest.is_none_or(|latest| latest == roster.revision().era)
+    }
+
     /// Applies the store's update of the upstreams, or drops it if peers have sent a later one.
-    fn apply_registrations(&self, update: StoreUpdate<Registration>) {
+    fn apply_registrations(self: &Arc<Self>, update: StoreUpdate<Registration>) {
         let held = self.roster.lock().revision();
         if update.revision() < held {
             self.report_stale_answer("the upstreams", update.revision(), held);
@@ -166,6 +184,13 @@
         self.fleet.join.lock().may_read_store(now_ms)
     }
 
+    /// The same for the upstreams, whose list is long in a large fleet.
+    fn may_read_upstreams(&self) -> bool {
+        let hosts = self.fleet.host_count();
+        let now_ms = self.clock.now_ms();
+        self.fleet.join.lock().may_read_upstreams(now_ms, hosts)
+    }
+
     /// Time until a host that does not watch checks again whether it should.
     pub(crate) fn watch_check_period(&self) -> Duration {
         match self.may_read() {
@@ -227,7 +252,7 @@
             self.expire_evacuations();
             let mut roster = self.roster.lock();
             if roster.expire(self.clock.now_ms()) {
-                self.apply_directory(&roster.directory());
+                self.apply_roster_changes(&mut roster);
             }
         }
     }
@@ -247,27 +272,49 @@
                 "incremental"
             };
             info!("upstreams: revision {revision} from a peer, {extent}, replaces {before}");
-            self.apply_directory(&roster.directory());
+            self.apply_roster_changes(&mut roster);
         }
         log_store_restored(before, &roster);
     }
 
-    fn update_roster(&self, apply: impl FnOnce(&mut Roster, Millis) -> bool) {
+    /// Uses a part of a peer's list before the rest has arrived.
+    pub(crate) fn add_provisional_upstreams(&self, part: &[Registration]) {
+        let now_ms = self.clock.now_ms();
+        let mut roster = self.roster.lock();
+        if roster.add_provisional(now_ms, part) {
+            self.apply_roster_changes(&mut roster);
+        }
+    }
+
+    fn update_roster(self: &Arc<Self>, apply: impl FnOnce(&mut Roster, Millis) -> bool) {
         let now_ms = self.clock.now_ms();
         let mut roster = self.roster.lock();
         roster.mark_store_available(now_ms);
         let before = roster.revision();
         if apply(&mut roster, now_ms) {
-            let directory = roster.directory();
-            info!(
-                "upstreams: {} known at revision {}",
-                directory.registrations.len(),
-                directory.revision
-            );
-            self.apply_directory(&directory);
+            let (count, revision) = (roster.len(), roster.revision());
+            info!("upstreams: {count} known at revision {revision}");
+            let changes = roster.take_changes();
+            let departures = self.departures(revision, &changes);
+            self.apply_registration_changes(&mut roster, changes);
+            self.notify_homes(departures);
         }
         log_store_restored(before, &roster);
     }
+
+    /// The engines among changed registrations that are leaving, with their cells.
+    fn departures(
+        &self,
+        at: Revision,
+        changes: &[RegistrationChange],
+    ) -> Vec<(CellKey, DepartureNotice)> {
+        let leaving = changes.iter().filter_map(|change| {
+            let known = change.before.as_ref()?;
+            let cell = self.cells.cell_of_engine(upstream_key(known))?;
+            Some((cell, change.departure_notice(at)?))
+        });
+        leaving.collect()
+    }
 }
 
 /// Logs the differences to a store that was restored from a backup since a revision.
--- a/crates/gateway/src/upstream_table.rs
+++ b/crates/gateway/src/upstream_table.rs
@@ -1,17 +1,20 @@
 //! The upstreams known to one host, and the backpressure of each.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 
 use fulmarpath_policy::{Backpressure, Millis, UpstreamKey};
+use indexmap::IndexSet;
 use slotmap::SlotMap;
 use spdlog::info;
 
-use crate::directory::Registration;
+use crate::directory::{Registration, RegistrationChange};
 use crate::instance::{ChosenUpstream, Instance, InstanceKey};
 
 /// How long the backpressure of an unregistered upstream is kept. Entries that expired during a
 /// store outage are back within seconds of its end, and an outage lasts for minutes.
 const BACKPRESSURE_TTL_MS: Millis = 600_000;
+/// Minimum time between two checks for expired backpressure.
+const BACKPRESSURE_EXPIRY_PERIOD_MS: Millis = 60_000;
 
 /// The known upstreams, indexed by each of their identifiers.
 #[derive(Debug, Default)]
@@ -19,10 +22,14 @@
     pub(crate) arena: SlotMap<InstanceKey, Instance>,
     pub(crate) by_name: HashMap<String, InstanceKey>,
     pub(crate) by_upstream: HashMap<UpstreamKey, InstanceKey>,
-    pub(crate) by_service: HashMap<String, Vec<InstanceKey>>,
+    by_service: HashMap<String, IndexSet<InstanceKey>>,
+    /// Upstreams that this host found cold and that the cells do not know as cold yet.
+    pub(crate) found_cold: HashSet<InstanceKey>,
     /// Backpressure by upstream. It outlives the upstreams' entries, which expire during a store
     /// outage and come back.
     pub(crate) backpressure: HashMap<UpstreamKey, Backpressure>,
+    /// When backpressure is next checked for expiry.
+    backpressure_expiry_ms: Millis,
 }
 
 impl UpstreamTable {
@@ -30,28 +37,81 @@
     ///
     /// Requests to the previous incarnation would otherwise wait on connections that may never end:
     /// an upstream that restarts behind a network partition resets none of them.
-    pub(crate) fn apply_registration(
-        &mut self,
-        now_ms: Millis,
-        registration: &Registration,
-    ) -> InstanceKey {
-        let known = self.by_name.remove(&registration.instance);
-        if let Some(key) = known {
+    pub(crate) fn update(&mut self, now_ms: Millis, registration: &Registration) -> InstanceKey {
+        if let Some(key) = self.by_name.get(&registration.instance).copied() {
             let instance = &mut self.arena[key];
-            if instance.is_same_incarnation(registration) {
+            let is_same_service = instance.registration.service == registration.service;
+            if instance.is_same_incarnation(registration) && is_same_service {
                 if instance.registration != *registration {
                     instance.registration = registration.clone();
                     instance.apply_stated_cold(now_ms);
                 }
                 return key;
             }
-            info!("upstreams: {} has started again", registration.instance);
-            instance.lost.cancel();
-            self.arena.remove(key);
+            if !instance.is_same_incarnation(registration) {
+                info!("upstreams: {} has started again", registration.instance);
+                instance.lost.cancel();
+            }
+            let previous = instance.registration.clone();
+            self.remove(Some(&previous));
         }
+        self.insert(now_ms, registration)
+    }
+
+    fn insert(&mut self, now_ms: Millis, registration: &Registration) -> InstanceKey {
         let mut instance = Instance::new(registration.clone());
         instance.apply_stated_cold(now_ms);
-        self.arena.insert(instance)
+        let upstream = instance.upstream;
+        let key = self.arena.insert(instance);
+        self.by_name.insert(registration.instance.clone(), key);
+        self.by_upstream.insert(upstream, key);
+        let keys = self.by_service.entry(registration.service.clone());
+        keys.or_default().insert(key);
+        key
+    }
+
+    /// Removes an upstream whose registration has ended.
+    pub(crate) fn remove(&mut self, registration: Option<&Registration>) {
+        let key = registration.and_then(|known| self.by_name.remove(&known.instance));
+        let Some(key) = key else {
+            return;
+        };
+        let Some(instance) = self.arena.remove(key) else {
+            return;
+        };
+        self.by_upstream.remove(&instance.upstream);
+        self.found_cold.remove(&key);
+        let service = &instance.registration.service;
+        if let Some(keys) = self.by_service.get_mut(service) {
+            keys.swap_remove(&key);
+            if keys.is_empty() {
+                self.by_service.remove(service);
+            }
+        }
+    }
+
+    /// The upstreams of a service.
+    pub(crate) fn of_service(
+        &self,
+        service: &str,
+    ) -> impl ExactSizeIterator<Item = &InstanceKey> + Clone {
+        let keys = self.by_service.get(service);
+        keys.map(IndexSet::iter).unwrap_or_default()
+    }
+
+    /// Takes the upstreams that this host found cold, as changes without a difference.
+    pub(crate) fn take_found_cold(&mut self) -> Vec<RegistrationChange> {
+        let found = std::mem::take(&mut self.found_cold);
+        let registrations = found.into_iter().filter_map(|key| {
+            let instance = self.arena.get(key)?;
+            Some(instance.registration.clone())
+        });
+        registrations
+            .map(|registration| RegistrationChange {
+                before: Some(registration.clone()),
+                after: Some(registration),
+            })
+            .collect()
     }
 
     /// When an upstream accepts requests from this host again, according to its signals.
@@ -79,6 +139,10 @@
 
     /// Removes the backpressure of upstreams that have been gone for long.
     pub(crate) fn expire_backpressure(&mut self, now_ms: Millis) {
+        if now_ms < self.backpressure_expiry_ms {
+            return;
+        }
+        self.backpressure_expiry_ms = now_ms + BACKPRESSURE_EXPIRY_PERIOD_MS;
         let known = &self.by_upstream;
         self.backpressure.retain(|upstream, backpressure| {
             let age_ms = now_ms.saturating_sub(backpressure.updated_ms());
--- a/crates/gateway/tests/roster.rs
+++ b/crates/gateway/tests/roster.rs
@@ -3,7 +3,8 @@
 use std::net::SocketAddr;
 
 use fulmarpath_gateway::{
-    Change, Changes, Directory, RegisteredState, Registration, Roster, Snapshot, UnusableEntry,
+    Change, Changes, Departure, DepartureNotice, Directory, DirectoryChange, RegisteredState,
+    Registration, RegistrationChange, Roster, Snapshot, UnusableEntry,
 };
 use fulmarpath_policy::Revision;
 use rstest::rstest;
@@ -456,3 +457,179 @@
     assert_eq!(roster.revision(), at(50));
     assert_eq!(names(&roster), ["i-1", "i-2"]);
 }
+
+fn numbered(count: usize) -> Snapshot<Registration> {
+    let names: Vec<String> = (0..count).map(|number| format!("i-{number:06}")).collect();
+    let names: Vec<&str> = names.iter().map(String::as_str).collect();
+    snapshot(5, &names)
+}
+
+struct FleetSize {
+    upstreams: usize,
+}
+
+/// Guards against hosts that apply the whole list for each change of one upstream: in a large fleet all
+/// of a small host's processor time would go into it. What is applied is in proportion to the
+/// changes, whatever the number of upstreams.
+#[rstest]
+#[case::hundred(FleetSize { upstreams: 100 })]
+#[case::ten_thousand(FleetSize { upstreams: 10_000 })]
+fn changes_to_apply_do_not_grow_with_the_fleet(#[case] size: FleetSize) {
+    let mut roster = Roster::default();
+    roster.replace(0, numbered(size.upstreams));
+    assert_eq!(roster.take_changes().len(), size.upstreams);
+    let draining = registration("i-000007", RegisteredState::Draining);
+    let changes = vec![
+        Change::Put(draining.clone()),
+        Change::Put(registration("i-000008", RegisteredState::Ready)),
+        Change::Removed("i-000009".to_owned()),
+    ];
+    let revision = at(6);
+    roster.apply(10, Changes { revision, changes });
+    let mut changes = roster.take_changes();
+    changes.sort_by_key(|change| change.after.is_none());
+    let before = |name| Some(registration(name, RegisteredState::Ready));
+    assert_eq!(
+        changes,
+        [
+            RegistrationChange {
+                before: before("i-000007"),
+                after: Some(draining),
+            },
+            RegistrationChange {
+                before: before("i-000009"),
+                after: None,
+            },
+        ]
+    );
+    assert!(roster.take_changes().is_empty());
+}
+
+/// Guards against changes that are applied although they cancel each other out before a host applies
+/// them, and against lost ones: the first state before and the last one count.
+#[test]
+fn changes_since_the_last_application_are_merged() {
+    let mut roster = Roster::default();
+    roster.replace(0, snapshot(5, &["a", "b"]));
+    roster.take_changes();
+    roster.apply(1, gone(6, "a"));
+    roster.apply(2, put(7, "a"));
+    roster.apply(3, put(8, "c"));
+    roster.apply(4, gone(9, "c"));
+    roster.apply(5, gone(10, "b"));
+    let changes = roster.take_changes();
+    assert_eq!(changes.len(), 1);
+    let before = changes[0].before.as_ref();
+    assert_eq!(before.map(|before| before.instance.as_str()), Some("b"));
+    assert_eq!(changes[0].after, None);
+}
+
+struct NoticeCase {
+    is_gone: bool,
+    started_at_ms: Option<u64>,
+    /// Whether it was unknown and changes the view.
+    expected: bool,
+}
+
+/// Guards against a home that starts generations on a leaving engine until the change has passed the
+/// tree of announcements, and against a notice of an earlier process that stops its successor. The
+/// change itself, which comes later, finds nothing left to change.
+#[rstest]
+#[case::draining(NoticeCase { is_gone: false, started_at_ms: Some(4), expected: true })]
+#[case::gone(NoticeCase { is_gone: true, started_at_ms: Some(4), expected: true })]
+#[case::earlier_process(NoticeCase { is_gone: false, started_at_ms: Some(3), expected: false })]
+#[case::earlier_process_gone(NoticeCase { is_gone: true, started_at_ms: Some(3), expected: false })]
+fn departure_notice_precedes_the_change(#[case] case: NoticeCase) {
+    let ready = Registration {
+        started_at_ms: Some(4),
+        ..registration("a", RegisteredState::Ready)
+    };
+    let mut roster = Roster::default();
+    let snapshot = Snapshot {
+        revision: at(5),
+        items: vec![
+            ready.clone(),
+            Registration {
+                instance: "b".into(),
+                ..ready.clone()
+            },
+        ],
+        unusable: Vec::new(),
+    };
+    roster.replace(0, snapshot);
+    roster.take_changes();
+    let notice = DepartureNotice {
+        departure: Departure {
+            instance: "a".into(),
+            started_at_ms: case.started_at_ms,
+            at: at(6),
+        },
+        is_gone: case.is_gone,
+    };
+    assert_eq!(roster.observe_departure(10, &notice), case.expected);
+    assert!(!roster.observe_departure(11, &notice));
+    assert_eq!(roster.take_changes().len(), usize::from(case.expected));
+    let draining = Registration {
+        state: RegisteredState::Draining,
+        ..ready.clone()
+    };
+    let change = DirectoryChange {
+        from_revision: at(5),
+        revision: at(6),
+        put: if case.is_gone {
+            Vec::new()
+        } else {
+            vec![draining]
+        },
+        gone: match case.is_gone {
+            true => vec![notice.departure],
+            false => Vec::new(),
+        },
+        lapsed: Vec::new(),
+    };
+    roster.apply_peer_change(12, change);
+    assert_eq!(roster.take_changes().is_empty(), case.expected);
+}
+
+struct PartsCase {
+    upstreams: usize,
+    parts: usize,
+}
+
+/// Guards against a list that exceeds what one message to a host with a slow link may hold: it is read
+/// in parts of a bounded size, which together hold every upstream once.
+#[rstest]
+#[case::none(PartsCase { upstreams: 0, parts: 1 })]
+#[case::short(PartsCase { upstreams: 99, parts: 1 })]
+#[case::exactly_one(PartsCase { upstreams: 100, parts: 2 })]
+#[case::long(PartsCase { upstreams: 1_050, parts: 11 })]
+fn list_is_read_in_parts(#[case] case: PartsCase) {
+    let mut source = Roster::default();
+    source.replace(0, numbered(case.upstreams));
+    let mut receiver = Roster::default();
+    let mut after: Option<String> = None;
+    let mut parts = 0;
+    loop {
+        let part = source.part_after(after.as_deref(), 100);
+        assert!(part.put.len() <= 100);
+        parts += 1;
+        receiver.add_provisional(1, &part.put);
+        after = part.put.last().map(|last| last.instance.clone());
+        if part.is_last {
+            break;
+        }
+    }
+    assert_eq!(parts, case.parts);
+    assert_eq!(names(&receiver), names(&source));
+    assert!(receiver.revision() <= Directory::PROVISIONAL);
+}
+
+/// Guards against parts of a list that change a list which this host already holds completely.
+#[test]
+fn part_is_ignored_once_the_list_is_complete() {
+    let mut roster = Roster::default();
+    roster.replace(0, snapshot(5, &["a"]));
+    let part = [registration("b", RegisteredState::Ready)];
+    assert!(!roster.add_provisional(1, &part));
+    assert_eq!(names(&roster), ["a"]);
+}
--- a/crates/policy/src/cell/migration.rs
+++ b/crates/policy/src/cell/migration.rs
@@ -6,7 +6,7 @@
 //! the long one. When several copies share a link, stopped generations wait behind the long copies
 //! of others, and callers see pauses of up to a second.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use super::Cell;
 use super::engine::Engine;
@@ -63,11 +63,9 @@
 impl Cell {
     /// Leaving engines that still have generations.
     pub fn leaving_engines(&self) -> Vec<UpstreamKey> {
-        let engines = self.engines.values().filter(|engine| engine.is_leaving());
-        engines
-            .map(|engine| engine.entry.key)
-            .filter(|key| self.runs_on(*key).next().is_some())
-            .collect()
+        let used: BTreeSet<UpstreamKey> = self.runs.values().map(Run::engine).collect();
+        let is_leaving = |key: &UpstreamKey| self.engines.get(key).is_some_and(Engine::is_leaving);
+        used.into_iter().filter(is_leaving).collect()
     }
 
     /// Selects the next migration off a leaving engine, and counts it at the destination.
--- a/crates/policy/src/cell/mod.rs
+++ b/crates/policy/src/cell/mod.rs
@@ -35,6 +35,9 @@
 /// Maximum share of a cell's engines that may be closed as unreachable. If more are unreachable,
 /// this host is probably partitioned.
 const MAX_UNREACHABLE_SHARE: f32 = 0.5;
+/// Minimum number of idle engines among those that are probed. Engines of equal cost are used in the
+/// order of their keys, so the first idle ones are next.
+const MIN_IDLE_PROBES: usize = 16;
 
 /// The engines of one cell and the generations on them.
 ///
@@ -42,6 +45,8 @@
 #[derive(Debug, Default)]
 pub struct Cell {
     engines: BTreeMap<UpstreamKey, Engine>,
+    /// Engines whose registration has ended and that still have generations.
+    departed: BTreeSet<UpstreamKey>,
     runs: BTreeMap<RunKey, Run>,
     waiting: WaitingList,
     answer_lengths: AnswerLengths,
@@ -49,28 +54,49 @@
 }
 
 impl Cell {
-    /// Updates the registered engines. An engine that is missing but still has generations counts
-    /// as leaving: some engines end their registration without notice and keep serving for a while.
+    /// Updates all registered engines; those not listed have left.
     pub fn set_engines(&mut self, now_ms: Millis, registered: &[CellEngine]) {
         for entry in registered {
-            self.remove_previous_process(entry);
-            let known = self.engines.entry(entry.key);
-            known
-                .and_modify(|engine| engine.update(now_ms, *entry))
-                .or_insert_with(|| Engine::new(now_ms, *entry));
+            self.register(now_ms, *entry);
         }
         let registered_keys: BTreeSet<UpstreamKey> =
             registered.iter().map(|entry| entry.key).collect();
-        for (key, engine) in &mut self.engines {
-            if !registered_keys.contains(key) {
-                engine.mark_leaving(now_ms);
-            }
+        let keys = self.engines.keys().copied();
+        let gone: Vec<UpstreamKey> = keys.filter(|key| !registered_keys.contains(key)).collect();
+        for key in gone {
+            self.unregister(now_ms, key);
+        }
+    }
+
+    /// Updates one registered engine.
+    pub fn register(&mut self, now_ms: Millis, entry: CellEngine) {
+        self.remove_previous_process(&entry);
+        self.departed.remove(&entry.key);
+        let known = self.engines.entry(entry.key);
+        known
+            .and_modify(|engine| engine.update(now_ms, entry))
+            .or_insert_with(|| Engine::new(now_ms, entry));
+    }
+
+    /// Applies that an engine's registration has ended. An engine that still has generations counts
+    /// as leaving: some engines end their registration without notice and keep serving for a while.
+    pub fn unregister(&mut self, now_ms: Millis, engine: UpstreamKey) {
+        if let Some(known) = self.engines.get_mut(&engine) {
+            known.mark_leaving(now_ms);
+            self.departed.insert(engine);
+            self.remove_departed();
         }
-        let runs = &self.runs;
-        self.engines.retain(|key, engine| {
-            registered_keys.contains(key)
-                || !engine.is_leaving()
-                || runs.values().any(|run| run.is_on(*key))
+    }
+
+    /// Removes departed engines whose generations have all ended.
+    fn remove_departed(&mut self) {
+        let (engines, runs) = (&mut self.engines, &self.runs);
+        self.departed.retain(|engine| {
+            let is_used = runs.values().any(|run| run.is_on(*engine));
+            if !is_used {
+                engines.remove(engine);
+            }
+            is_used
         });
     }
 
@@ -91,16 +117,32 @@
         };
         let lost = previous.entry.key;
         self.engines.remove(&lost);
+        self.departed.remove(&lost);
         self.runs.retain(|_, run| !run.is_on(lost));
         for run in self.runs.values_mut() {
             run.forget_copies(lost);
         }
     }
 
-    /// All engines, and whether each is currently marked as unreachable.
-    pub fn engines(&self) -> impl Iterator<Item = (UpstreamKey, bool)> {
+    /// Engines that are currently marked as unreachable.
+    pub fn unreachable_engines(&self) -> impl Iterator<Item = UpstreamKey> {
         let engines = self.engines.values();
-        engines.map(|engine| (engine.entry.key, engine.is_unreachable))
+        let unreachable = engines.filter(|engine| engine.is_unreachable);
+        unreachable.map(|engine| engine.entry.key)
+    }
+
+    /// Engines to probe while registrations cannot show which of them are leaving: those with
+    /// generations, and the idle ones that the next generations start on.
+    ///
+    /// Probes are paid for. In a cell of mostly idle engines, probing all of them would cost in proportion to
+    /// the engines instead of the work.
+    pub fn engines_in_use(&self) -> impl Iterator<Item = UpstreamKey> {
+        let busy: BTreeSet<UpstreamKey> = self.runs.values().flat_map(Run::holders).collect();
+        let idle_count = MIN_IDLE_PROBES.max(busy.len());
+        let known = self.engines.keys().copied();
+        let (busy, idle): (Vec<_>, Vec<_>) = known.partition(|key| busy.contains(key));
+        let next = idle.into_iter().filter(|key| self.engines[key].is_open());
+        busy.into_iter().chain(next.take(idle_count))
     }
 
     /// Sets how long a leaving engine will be available; true if that was not known before.
@@ -196,6 +238,7 @@
     /// Removes the generations of hosts that are gone, whose connections to callers are lost.
     pub fn retain_hosts(&mut self, is_present: impl Fn(HostKey) -> bool) {
         self.runs.retain(|_, run| is_present(run.host()));
+        self.remove_departed();
     }
 
     /// Whether the cell has neither engines nor generations.
--- a/crates/policy/src/cell/placement.rs
+++ b/crates/policy/src/cell/placement.rs
@@ -11,6 +11,7 @@
 use super::shares::Shares;
 use super::waiting::QueueOrder;
 use crate::key::{HostKey, Millis, OrganisationKey, UpstreamKey};
+use crate::rendezvous::rank;
 
 /// Cost of each running generation: it delays every token of the others in its batch.
 const RUNNING_COST_MS: f32 = 9.0;
@@ -179,8 +180,28 @@
 }
 
 impl Cell {
-    /// Places a generation and counts it, or queues it.
+    /// Places a generation as the cell's home and counts it, or queues it. Of engines with equal cost the
+    /// first one by key is used.
     pub fn place(&mut self, now_ms: Millis, request: &PlacementRequest) -> Placement {
+        self.place_by(now_ms, request, |engine| engine.0)
+    }
+
+    /// Places a generation on a host that is not the cell's home.
+    ///
+    /// Its table lacks the generations of other hosts, so most engines look idle. If all such hosts
+    /// used the first one, their generations would meet there. Engines of equal cost are drawn by the
+    /// generation instead.
+    pub fn place_without_home(&mut self, now_ms: Millis, request: &PlacementRequest) -> Placement {
+        let run = request.run;
+        self.place_by(now_ms, request, |engine| rank(run.0, engine.0))
+    }
+
+    fn place_by(
+        &mut self,
+        now_ms: Millis,
+        request: &PlacementRequest,
+        order: impl Fn(UpstreamKey) -> u64,
+    ) -> Placement {
         self.waiting.expire(now_ms);
         let demand = request.demand(&self.answer_lengths);
         // If nothing is waiting, there is no order to decide.
@@ -216,8 +237,8 @@
             Some((cost, engine))
         });
         let best = costs.min_by(|a, b| {
-            let by_key = a.1.entry.key.cmp(&b.1.entry.key);
-            a.0.total_cmp(&b.0).then(by_key)
+            let by_order = order(a.1.entry.key).cmp(&order(b.1.entry.key));
+            a.0.total_cmp(&b.0).then(by_order)
         });
         let Some((_, engine)) = best else {
             match request.is_final_attempt {
--- a/crates/policy/src/drift.rs
+++ b/crates/policy/src/drift.rs
@@ -35,6 +35,11 @@
         }
     }
 
+    /// Whether this host has just started and has yet to receive most of the members.
+    pub fn is_starting(&self, now_ms: Millis) -> bool {
+        now_ms.saturating_sub(self.started_ms) < STARTUP_MS
+    }
+
     /// Records whether a peer has the same member list. Returns whether to exchange with it.
     pub fn should_exchange(&mut self, now_ms: Millis, is_same: bool) -> bool {
         if is_same {
@@ -42,8 +47,7 @@
             return false;
         }
         let since_ms = *self.differs_since_ms.get_or_insert(now_ms);
-        let is_starting = now_ms.saturating_sub(self.started_ms) < STARTUP_MS;
-        let (wait_ms, interval_ms) = match is_starting {
+        let (wait_ms, interval_ms) = match self.is_starting(now_ms) {
             true => (0, STARTUP_EXCHANGE_INTERVAL_MS),
             false => (RUMOUR_SPREAD_MS, EXCHANGE_INTERVAL_MS),
         };
--- a/crates/policy/src/join.rs
+++ b/crates/policy/src/join.rs
@@ -25,6 +25,16 @@
 /// configuration changes must be detected within seconds.
 const SOLE_HOST_DELAY_MS: Millis = 1_500;
 
+/// Number of hosts up to which all may read the upstreams from the store at once. In a larger fleet
+/// the watchers read them and peers pass them on, as a list of many pages for each host would cost more than
+/// all other calls together.
+const MAX_CONCURRENT_READERS: usize = 100;
+/// How long a host waits for the watchers' list before its own read, for each host above
+/// [`MAX_CONCURRENT_READERS`].
+const READ_DELAY_MS: f32 = 2.0;
+/// Interval between the reads of all waiting hosts, if no peer provides the list.
+const READ_INTERVAL_MS: f32 = 20.0;
+
 /// Progress of a host since its start.
 #[derive(Debug, Clone, Copy)]
 pub struct Join {
@@ -33,18 +43,21 @@
     contact_ms: Option<Millis>,
     has_queried_peers: bool,
     is_only_host: bool,
+    /// This host's place in the order of reads, from 0 to 1.
+    draw: f32,
 }
 
 impl Join {
     /// Creates the state of a host that starts now. Without seeds there is no peer to ask until the
-    /// store lists some.
-    pub fn new(now_ms: Millis, has_seeds: bool) -> Self {
+    /// store lists some. `draw` is a random number from 0 to 1, different on each host.
+    pub fn new(now_ms: Millis, has_seeds: bool, draw: f32) -> Self {
         Self {
             started_ms: now_ms,
             has_seeds,
             contact_ms: None,
             has_queried_peers: !has_seeds,
             is_only_host: false,
+            draw,
         }
     }
 
@@ -79,6 +92,17 @@
         }
     }
 
+    /// Whether the host may read the upstreams from the store, given the number of known hosts.
+    pub fn may_read_upstreams(&self, now_ms: Millis, hosts: usize) -> bool {
+        if !self.may_read_store(now_ms) {
+            return false;
+        }
+        let waiting = hosts.saturating_sub(MAX_CONCURRENT_READERS) as f32;
+        let delay_ms = waiting * (READ_DELAY_MS + self.draw * READ_INTERVAL_MS);
+        let since_ms = self.contact_ms.unwrap_or(self.started_ms);
+        now_ms.saturating_sub(since_ms) as f32 >= delay_ms
+    }
+
     /// Whether this host knows enough members to determine which hosts watch the store.
     pub fn may_watch_store(&self, now_ms: Millis) -> bool {
         match self.contact_ms {
--- a/crates/policy/src/lag.rs
+++ b/crates/policy/src/lag.rs
@@ -6,31 +6,36 @@
 //! callers. Only a host that is still behind a peer's earlier revision has missed an update.
 
 use crate::key::Millis;
-use crate::revision::Revision;
 
 /// A peer's revision that this host lacks, and since when.
 #[derive(Debug, Clone, Copy)]
-struct Ahead {
-    revision: Revision,
+struct Ahead<R> {
+    revision: R,
     since_ms: Millis,
 }
 
 /// Tracks how long this host has been behind its peers.
-#[derive(Debug, Clone, Copy, Default)]
-pub struct Lag {
-    ahead: Option<Ahead>,
+#[derive(Debug, Clone, Copy)]
+pub struct Lag<R> {
+    ahead: Option<Ahead<R>>,
+}
+
+impl<R> Default for Lag<R> {
+    fn default() -> Self {
+        Self { ahead: None }
+    }
 }
 
-impl Lag {
+impl<R: Copy + PartialOrd> Lag<R> {
     /// Records a peer's revision and returns whether to fetch its complete list, at most once per
     /// `bound_ms`. Up to the revision `provisional` this host has no reliable state and fetches at
     /// once.
     pub fn should_fetch(
         &mut self,
         now_ms: Millis,
-        own: Revision,
-        theirs: Revision,
-        provisional: Revision,
+        own: R,
+        theirs: R,
+        provisional: R,
         bound_ms: Millis,
     ) -> bool {
         if self.ahead.is_some_and(|ahead| ahead.revision <= own) {
--- a/crates/policy/src/watchers.rs
+++ b/crates/policy/src/watchers.rs
@@ -35,6 +35,10 @@
 }
 
 impl WatchArea {
+    /// Number of higher-ranked hosts of its area that a host has to consider: with more of them it
+    /// never watches, whatever their store access.
+    pub const MAX_CANDIDATES: usize = MAX_STORE_UNREADABLE + SUBSTITUTES;
+
     /// The area of a data centre, given the number of live hosts in each.
     ///
     /// Hosts may briefly disagree on which hosts are live and therefore on the areas. A host's rank
--- a/crates/policy/tests/cell/engines.rs
+++ b/crates/policy/tests/cell/engines.rs
@@ -1,6 +1,13 @@
 //! Registration, reachability and restarts of a cell's engines.
 
-use fulmarpath_policy::{CellEngine, Placement, RunEnd, RunKey, RunStatement, UpstreamKey};
+use std::collections::BTreeMap;
+
+use fulmarpath_policy::{
+    Cell, CellEngine, HostKey, Placement, RunEnd, RunKey, RunStatement, UpstreamKey,
+};
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use rstest::rstest;
 
 use crate::fixtures::{HOST, LOCAL, cell, engine, engine_of, request, statement};
 
@@ -107,3 +114,83 @@
         "{next:?}"
     );
 }
+
+/// Guards against cells that differ between hosts because one applied changes one by one and the other
+/// a whole list: after any changes both place and migrate alike.
+#[test]
+fn changes_one_by_one_equal_the_whole_list() {
+    let mut rng = ChaCha8Rng::seed_from_u64(7);
+    let mut registered: BTreeMap<u64, CellEngine> = BTreeMap::new();
+    let (mut by_list, mut by_change) = (Cell::default(), Cell::default());
+    for step in 0..400_u64 {
+        let key = rng.random_range(1..=12);
+        let entry = engine(key, LOCAL, rng.random_bool(0.3));
+        if rng.random_bool(0.3) {
+            registered.remove(&key);
+            by_change.unregister(step, UpstreamKey(key));
+        } else {
+            registered.insert(key, entry);
+            by_change.register(step, entry);
+        }
+        let list: Vec<CellEngine> = registered.values().copied().collect();
+        by_list.set_engines(step, &list);
+        let placed = by_list.place(step, &request(step, 500, 64, 64));
+        assert_eq!(placed, by_change.place(step, &request(step, 500, 64, 64)));
+        let ended = RunKey(rng.random_range(0..=step));
+        by_list.end(step, ended, RunEnd::default());
+        by_change.end(step, ended, RunEnd::default());
+        assert_eq!(by_list.leaving_engines(), by_change.leaving_engines());
+    }
+    for cell in [&mut by_list, &mut by_change] {
+        cell.retain_hosts(|host| host != HOST);
+        cell.set_engines(1_000, &[]);
+        assert!(cell.is_idle());
+    }
+}
+
+/// Guards against departed engines that are kept for good when no other engine of the cell changes: they
+/// go with the host that relayed their last generations.
+#[test]
+fn departed_engine_goes_with_its_last_generation() {
+    let mut cell = cell(&[engine(1, LOCAL, false)]);
+    cell.restate(0, HOST, &[statement(1, 1, 100, 900)]);
+    cell.unregister(10, UpstreamKey(1));
+    assert!(cell.is_leaving(UpstreamKey(1)));
+    cell.retain_hosts(|host: HostKey| host != HOST);
+    assert!(cell.is_idle());
+}
+
+struct ProbedCell {
+    engines: u64,
+    generations: u64,
+    probed: usize,
+}
+
+/// Guards against probes of all engines in each round of a store outage: in a fleet of mostly idle
+/// engines they cost more than what they save. Engines with generations are probed, and of the idle
+/// ones those that the next generations start on.
+#[rstest]
+#[case::idle_cell(ProbedCell { engines: 64, generations: 0, probed: 16 })]
+#[case::few_generations(ProbedCell { engines: 64, generations: 4, probed: 20 })]
+#[case::many_generations(ProbedCell { engines: 64, generations: 40, probed: 64 })]
+#[case::small_cell(ProbedCell { engines: 14, generations: 1, probed: 14 })]
+fn probes_follow_the_work(#[case] case: ProbedCell) {
+    let engines: Vec<CellEngine> = (1..=case.engines)
+        .map(|key| engine(key, LOCAL, false))
+        .collect();
+    let mut cell = cell(&engines);
+    let busy = case.engines - case.generations + 1..=case.engines;
+    let held: Vec<RunStatement> = busy
+        .clone()
+        .map(|key| statement(key, key, 100, 900))
+        .collect();
+    cell.restate(0, HOST, &held);
+    let probed: Vec<UpstreamKey> = cell.engines_in_use().collect();
+    assert_eq!(probed.len(), case.probed);
+    assert!(
+        busy.into_iter()
+            .all(|key| probed.contains(&UpstreamKey(key)))
+    );
+    let next = engine_of(cell.place(10, &request(1_000, 3_000, 900, 800)));
+    assert!(next.is_some_and(|key| probed.contains(&UpstreamKey(key))));
+}
--- a/crates/policy/tests/cell/placement.rs
+++ b/crates/policy/tests/cell/placement.rs
@@ -1,5 +1,7 @@
 //! Selection of the engine on which a generation starts.
 
+use std::collections::BTreeMap;
+
 use fulmarpath_policy::{CellEngine, Placement, PlacementRequest, RunStatement, UpstreamKey};
 use rstest::rstest;
 
@@ -113,3 +115,21 @@
     assert_eq!(backup.is_some(), expected);
     assert_ne!(backup, Some(engine));
 }
+
+/// Guards against generations that meet on one engine when no home answers, as while all hosts start:
+/// each host places by its own table, in which all engines look idle.
+#[test]
+fn hosts_without_a_home_use_different_engines() {
+    let engines: Vec<CellEngine> = (1..=64).map(|key| engine(key, LOCAL, false)).collect();
+    let mut placed: BTreeMap<UpstreamKey, u32> = BTreeMap::new();
+    for run in 0..64 {
+        let mut own_table = cell(&engines);
+        let request = request(run, 3_000, 900, 800);
+        let Placement::On { engine, .. } = own_table.place_without_home(0, &request) else {
+            panic!("generation {run} is not placed");
+        };
+        *placed.entry(engine).or_default() += 1;
+    }
+    let most = placed.values().max().copied().unwrap_or_default();
+    assert!(most <= 6, "{most} of 64 generations on one of 64 engines");
+}
--- a/crates/policy/tests/join.rs
+++ b/crates/policy/tests/join.rs
@@ -23,7 +23,7 @@
 
 /// The first ms at which `holds` is true.
 fn since(case: &Case, holds: impl Fn(&Join, u64) -> bool) -> Option<u64> {
-    let mut join = Join::new(0, case.has_seeds);
+    let mut join = Join::new(0, case.has_seeds, 0.0);
     for now_ms in 0..5_000 {
         for (at_ms, event) in case.events {
             match event {
@@ -93,3 +93,37 @@
         "discovers"
     );
 }
+
+struct FleetStart {
+    hosts: usize,
+    /// Hosts that may read the upstreams from the store within the first second, and within two.
+    readers: [usize; 2],
+}
+
+/// Guards against a fleet that starts at once and reads the list of upstreams from the store on every
+/// host: a list of many pages for each of a thousand hosts costs more than all other calls together. A
+/// small fleet reads at once; in a large one the watchers come first and the others read one after the
+/// other, at a rate that does not grow with the fleet.
+#[rstest]
+#[case::small(FleetStart { hosts: 100, readers: [100, 100] })]
+#[case::thousand(FleetStart { hosts: 1_000, readers: [0, 12] })]
+#[case::twice_the_size(FleetStart { hosts: 2_000, readers: [0, 0] })]
+fn large_fleet_reads_the_upstreams_one_host_after_the_other(#[case] start: FleetStart) {
+    let readers_at = |now_ms: u64| {
+        let hosts = (0..start.hosts).map(|host| host as f32 / start.hosts as f32);
+        let reads = |draw: &f32| {
+            let mut join = Join::new(0, true, *draw);
+            join.record_peer(0);
+            join.finish_peer_queries();
+            join.may_read_upstreams(now_ms, start.hosts)
+        };
+        hosts.filter(reads).count()
+    };
+    assert_eq!([readers_at(1_000), readers_at(2_000)], start.readers);
+    let within_a_second = readers_at(8_000) - readers_at(7_000);
+    assert!(
+        within_a_second <= 60,
+        "{within_a_second} hosts read within a second"
+    );
+    assert!(readers_at(60_000) == start.hosts);
+}
--- a/crates/policy/tests/watchers.rs
+++ b/crates/policy/tests/watchers.rs
@@ -3,6 +3,8 @@
 use std::collections::BTreeMap;
 
 use fulmarpath_policy::{WatchArea, WatchCandidate};
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
 use rstest::rstest;
 
 /// Ranks of the watchers in an area of ten hosts with ranks 1 to 10.
@@ -81,3 +83,29 @@
     assert_eq!(seen, hosts.len());
     assert!(!WatchArea::of("elsewhere", &hosts).contains("a"));
 }
+
+/// Guards against a decision that depends on hosts beyond the first few candidates. Each host keeps only
+/// these, since going through the whole area several times per second would cost in proportion to
+/// the fleet.
+#[test]
+fn first_candidates_decide() {
+    let mut rng = ChaCha8Rng::seed_from_u64(11);
+    for _ in 0..2_000 {
+        let count = rng.random_range(0..12);
+        let unreadable = rng.random_range(0.0..1.0);
+        let mut candidates: Vec<WatchCandidate> = (0..count)
+            .map(|number| WatchCandidate {
+                rank: 100 + number,
+                store_unreadable: rng.random_bool(unreadable),
+            })
+            .collect();
+        candidates.sort_by_key(|candidate| std::cmp::Reverse(candidate.rank));
+        let area = one_of(rng.random_range(1..=2));
+        let first = candidates.iter().take(WatchArea::MAX_CANDIDATES).copied();
+        assert_eq!(
+            area.is_watcher(1, first),
+            area.is_watcher(1, candidates.clone()),
+            "{candidates:?}"
+        );
+    }
+}
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -8,6 +8,7 @@
 mod message;
 mod peers;
 mod service;
+mod traffic;
 
 pub use gateway::{
     AdvertisedLimit, Announcement, CellKey, GatewayPeer, GatewayPeerClient, MembersDigest,
@@ -20,3 +21,4 @@
 };
 pub use peers::{NoAnswer, Peers, framed};
 pub use service::{Peer, PeerClient};
+pub use traffic::{Counted, Traffic};
--- a/crates/wire/src/peers.rs
+++ b/crates/wire/src/peers.rs
@@ -8,6 +8,7 @@
 use tarpc::client::RpcError;
 use tarpc::context::Context;
 use tarpc::tokio_util::codec::{Framed, LengthDelimitedCodec};
+use tokio::io::{AsyncRead, AsyncWrite};
 use tokio::net::TcpStream;
 use tokio::time::timeout;
 
@@ -33,19 +34,21 @@
     used_at: Instant,
 }
 
+/// Makes a client from a new socket.
+type Connect<C> = Box<dyn Fn(TcpStream) -> C + Send + Sync>;
+
 /// A pool of connections to peers, opened on demand.
-#[derive(Debug)]
 pub struct Peers<C> {
     connections: Mutex<HashMap<SocketAddr, Connection<C>>>,
-    connect: fn(TcpStream) -> C,
+    connect: Connect<C>,
 }
 
 impl<C: Clone> Peers<C> {
     /// Creates an empty pool; `connect` makes a client from a new socket.
-    pub fn new(connect: fn(TcpStream) -> C) -> Self {
+    pub fn new(connect: impl Fn(TcpStream) -> C + Send + Sync + 'static) -> Self {
         Self {
             connections: Mutex::default(),
-            connect,
+            connect: Box::new(connect),
         }
     }
 
@@ -123,7 +126,7 @@
 const FRAME_LIMIT_BYTES: usize = 4 * 1024 * 1024;
 
 /// Splits a connection into length-delimited messages; both ends use it.
-pub fn framed(socket: TcpStream) -> Framed<TcpStream, LengthDelimitedCodec> {
+pub fn framed<S: AsyncRead + AsyncWrite>(socket: S) -> Framed<S, LengthDelimitedCodec> {
     LengthDelimitedCodec::builder()
         .max_frame_length(FRAME_LIMIT_BYTES)
         .new_framed(socket)
