Add fulmarpath-bench fleet: control work of many real gateways

Real gateways, each on a thread of its own so that its processor time can be told from the others', before the stand-in store: calls to the store, messages, bytes, processor time, memory, time until all hosts know a change and until all serve, by role, as a table or JSON lines; three sizes with the power of growth; an error for sizes that need over half of the machine's memory.

--- a/crates/bench/src/cmd/mod.rs
+++ b/crates/bench/src/cmd/mod.rs
@@ -3,6 +3,7 @@
 mod cell;
 mod decide;
 mod faults;
+mod fleet;
 mod policy;
 mod relay;
 mod slopes;
@@ -21,6 +22,7 @@
     Slopes(#[bpaf(external(slopes::slopes))] slopes::Slopes),
     Spread(#[bpaf(external(spread::spread))] spread::Spread),
     Faults(#[bpaf(external(faults::faults))] faults::Faults),
+    Fleet(#[bpaf(external(fleet::fleet))] fleet::Fleet),
     Policy(#[bpaf(external(policy::policy))] policy::Policy),
     Soak(#[bpaf(external(soak::soak))] soak::Soak),
 }
@@ -35,6 +37,7 @@
             Self::Slopes(one) => one.run(),
             Self::Spread(one) => one.run(),
             Self::Faults(one) => one.run(),
+            Self::Fleet(one) => one.run(),
             Self::Policy(one) => one.run(),
             Self::Soak(one) => one.run(),
         }
--- a/crates/bench/src/main.rs
+++ b/crates/bench/src/main.rs
@@ -2,6 +2,7 @@
 
 mod cmd;
 mod faults;
+mod fleet;
 mod reclaim;
 mod sim;
 mod slopes;
