List before watching on a host that has seen the store restored

An upstream that had left and is listed again only by the restored store stayed unknown to a host that became a watcher just after the restore: it watched on from the list of a peer, which leaves such upstreams out until they are seen alive, and at the same revision as its peers it never got them. The shortcut by the era of the latest list was the cause and is replaced: a host that has seen a restore lists first, as all did before.

--- a/crates/bench/src/fleet/deployment.rs
+++ b/crates/bench/src/fleet/deployment.rs
@@ -85,7 +85,8 @@
         self.upstreams += 1;
     }
 
-    /// Replaces one upstream by another: the old one drains, and the one that drained before it goes.
+    /// Replaces one upstream by another: the old one drains, and the one that drained before it
+    /// goes.
     pub(crate) fn replace_upstream(&mut self, number: usize) {
         self.add_upstream();
         self.put_upstream(number, true);
--- a/crates/bench/src/fleet/row.rs
+++ b/crates/bench/src/fleet/row.rs
@@ -39,7 +39,8 @@
     pub(crate) upstreams: usize,
     /// Calls to the store, counted there, until all hosts served after the start.
     pub(crate) start_calls: u64,
-    /// Calls to the store in the measurement, sum over the hosts; a list of several pages counts once.
+    /// Calls to the store in the measurement, sum over the hosts; a list of several pages counts
+    /// once.
     pub(crate) store_calls: u64,
     /// Messages from other hosts, of the busiest host.
     pub(crate) messages_per_s: f64,
--- a/crates/cluster/src/members.rs
+++ b/crates/cluster/src/members.rs
@@ -20,8 +20,9 @@
 const LOCAL_PING_MIN_MEMBERS: usize = 12;
 /// One ping in this many may then go to any data centre.
 const GLOBAL_PING_PERIOD: u32 = 3;
-/// Number of members of a data centre whose pings to other data centres add up to one at a time. Beyond
-/// [`GLOBAL_PING_PERIOD`] times as many, the pings between data centres no longer grow with the fleet.
+/// Number of members of a data centre whose pings to other data centres add up to one at a time.
+/// Beyond [`GLOBAL_PING_PERIOD`] times as many, the pings between data centres no longer grow with
+/// the fleet.
 const GLOBAL_PING_MEMBERS: u32 = 12;
 
 #[derive(Debug)]
--- a/crates/cluster/tests/members.rs
+++ b/crates/cluster/tests/members.rs
@@ -292,8 +292,8 @@
     hosts: usize,
 }
 
-/// Guards against traffic between data centres that grows with the fleet. The pings of all hosts of a
-/// large data centre to other ones add up to the same number, whatever its size.
+/// Guards against traffic between data centres that grows with the fleet. The pings of all hosts of
+/// a large data centre to other ones add up to the same number, whatever its size.
 #[rstest]
 #[case::forty(DataCentreSize { hosts: 40 })]
 #[case::two_hundred(DataCentreSize { hosts: 200 })]
--- a/crates/gateway/src/cells.rs
+++ b/crates/gateway/src/cells.rs
@@ -279,8 +279,8 @@
         }
     }
 
-    /// Engines to probe in the cells of which this host is the home: the unreachable ones, and those
-    /// in use if registrations can't show which are leaving.
+    /// Engines to probe in the cells of which this host is the home: the unreachable ones, and
+    /// those in use if registrations can't show which are leaving.
     pub(crate) fn engines_to_probe(
         &self,
         is_uncertain: bool,
--- a/crates/gateway/src/dissemination.rs
+++ b/crates/gateway/src/dissemination.rs
@@ -1,12 +1,11 @@
 //! Disseminates replicated state from a few watchers to all hosts.
 //!
-//! One host in each area (a data centre, or several small ones) watches the store. A watcher sends its
-//! updates to its area along a tree, so no host sends more than a few copies whatever the size of the
-//! fleet. The home of a cell must learn of a leaving engine at once: it watches as well while there
-//! are few cells, otherwise a watcher of its area notifies it directly.
-//! Hosts that miss an update because of a dead host in the tree detect it by the versions in the
-//! next pings. A watch on every host would cost one waiting call per host, and another one for each
-//! change.
+//! One host in each area (a data centre, or several small ones) watches the store. A watcher sends
+//! its updates to its area along a tree, so no host sends more than a few copies whatever the size
+//! of the fleet. The home of a cell must learn of a leaving engine at once: it watches as well
+//! while there are few cells, otherwise a watcher of its area notifies it directly. Hosts that miss
+//! an update because of a dead host in the tree detect it by the versions in the next pings. A
+//! watch on every host would cost one waiting call per host, and another one for each change.
 
 use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
@@ -38,12 +37,12 @@
 /// Changes of the upstreams within this time are announced together. The delay is short against the
 /// two seconds for which a leaving upstream may still receive requests.
 const ANNOUNCE_DELAY: Duration = Duration::from_millis(100);
-/// Maximum number of cells at which their homes watch the store themselves. Each watcher costs a call
-/// for each change, so their number must not grow with the cells.
+/// Maximum number of cells at which their homes watch the store themselves. Each watcher costs a
+/// call for each change, so their number must not grow with the cells.
 const MAX_WATCHED_CELLS: usize = 8;
 /// Maximum number of registrations in an announced change. A complete list of a large fleet would
-/// pass the link of each host several times along the tree and hold up all other updates; hosts fetch it
-/// in parts instead, once a ping shows them a later revision.
+/// pass the link of each host several times along the tree and hold up all other updates; hosts
+/// fetch it in parts instead, once a ping shows them a later revision.
 const MAX_ANNOUNCED: usize = 1_024;
 
 /// The hosts on which it depends whether this host watches, by the present members.
--- a/crates/gateway/src/fleet.rs
+++ b/crates/gateway/src/fleet.rs
@@ -400,8 +400,8 @@
         }
     }
 
-    /// Fetches the changes of the upstreams since this host's revision, or the complete list in parts
-    /// if the peer can't list the changes.
+    /// Fetches the changes of the upstreams since this host's revision, or the complete list in
+    /// parts if the peer can't list the changes.
     async fn fetch_upstreams(&self, peer: SocketAddr) -> Option<DirectoryChange> {
         let kind = ReplicatedState::Upstreams;
         let _fetching = self.begin_fetching(kind)?;
@@ -418,8 +418,8 @@
 
     /// Fetches the complete list of upstreams in parts, and uses each part at once.
     ///
-    /// In a fleet that starts, many hosts fetch the list from few over slow links. Each part has its
-    /// own timeout, so a transfer is given up only when it makes no progress.
+    /// In a fleet that starts, many hosts fetch the list from few over slow links. Each part has
+    /// its own timeout, so a transfer is given up only when it makes no progress.
     async fn fetch_parts(&self, peer: SocketAddr) -> Option<DirectoryChange> {
         let kind = ReplicatedState::Upstreams;
         let mut list = DirectoryChange::default();
--- a/crates/gateway/src/roster.rs
+++ b/crates/gateway/src/roster.rs
@@ -68,6 +68,8 @@
     restored: RestoredEntries,
     /// Changes up to this revision cannot be listed one by one.
     listed_at: Revision,
+    /// Whether the store was restored from a backup since this host's first list.
+    has_seen_restore: bool,
     /// Registrations before their changes since the last call of [`Self::take_changes`].
     changed: HashMap<String, Option<Registration>>,
 }
@@ -93,6 +95,7 @@
             departures: Departures::default(),
             restored: RestoredEntries::new(registration_ttl_ms),
             listed_at: Revision::default(),
+            has_seen_restore: false,
             changed: HashMap::new(),
         }
     }
@@ -176,6 +179,7 @@
         }
         let received = snapshot.revision;
         if received.is_restore_since(self.revision, Directory::PROVISIONAL) {
+            self.has_seen_restore = true;
             // Upstreams that the backup lacks have yet to register again.
             self.grace_until_ms = self.grace_until_ms.max(now_ms + REREGISTRATION_GRACE_MS);
         }
@@ -231,6 +235,9 @@
         if change.from_revision > self.revision || change.revision <= self.revision {
             return false;
         }
+        self.has_seen_restore |= change
+            .revision
+            .is_restore_since(self.revision, Directory::PROVISIONAL);
         let mut changed = false;
         if change.is_complete() {
             changed = self.replace(
@@ -264,8 +271,8 @@
         }
     }
 
-    /// Adds a part of a peer's list while this host has no complete list; returns whether it changed
-    /// anything.
+    /// Adds a part of a peer's list while this host has no complete list; returns whether it
+    /// changed anything.
     pub fn add_provisional(&mut self, now_ms: Millis, part: &[Registration]) -> bool {
         if self.revision > Directory::PROVISIONAL || part.is_empty() {
             return false;
@@ -279,7 +286,8 @@
         changed
     }
 
-    /// The part of the complete list that follows an instance, with at most `max_len` registrations.
+    /// The part of the complete list that follows an instance, with at most `max_len`
+    /// registrations.
     pub fn part_after(&self, after: Option<&str>, max_len: usize) -> DirectoryPart {
         let from = after.map_or(Bound::Unbounded, Bound::Excluded);
         let rest = self.entries.range::<str, _>((from, Bound::Unbounded));
@@ -305,9 +313,10 @@
         }
     }
 
-    /// Whether this host has had a complete list in the era of its revision.
-    pub(crate) fn has_list_of_era(&self) -> bool {
-        self.revision > Directory::PROVISIONAL && self.listed_at.era == self.revision.era
+    /// Whether this host has a complete list and has seen no restore of the store. Lists and changes
+    /// of peers lack the upstreams that only the restored store lists again.
+    pub(crate) fn is_complete(&self) -> bool {
+        self.revision > Directory::PROVISIONAL && !self.has_seen_restore
     }
 
     /// Whether the changes since a revision can be listed one by one.
--- a/crates/gateway/src/store_sync.rs
+++ b/crates/gateway/src/store_sync.rs
@@ -149,12 +149,11 @@
         }
     }
 
-    /// Whether this host's list was complete in the store's present era. Changes across eras lack
-    /// the upstreams that only the restored store lists again.
+    /// Whether this host's list is complete and of the store's present era.
     fn has_complete_list(&self) -> bool {
         let latest = self.store_era.latest();
         let roster = self.roster.lock();
-        roster.has_list_of_era() && latest.is_none_or(|latest| latest == roster.revision().era)
+        roster.is_complete() && latest.is_none_or(|latest| latest == roster.revision().era)
     }
 
     /// Applies the store's update of the upstreams, or drops it if peers have sent a later one.
--- a/crates/gateway/src/stream_buffer.rs
+++ b/crates/gateway/src/stream_buffer.rs
@@ -1,9 +1,9 @@
 //! Buffers streams for callers that read slowly.
 //!
 //! An engine cuts off a response that stays unread for some seconds, and a relay that waits for its
-//! caller migrates nothing off a leaving engine. A relay therefore reads on ahead of its caller, within a
-//! bound for each stream and one for all streams of the host. Once the host's bound is reached, each
-//! stream goes on at the pace of its own caller.
+//! caller migrates nothing off a leaving engine. A relay therefore reads on ahead of its caller,
+//! within a bound for each stream and one for all streams of the host. Once the host's bound is
+//! reached, each stream goes on at the pace of its own caller.
 
 use std::sync::Arc;
 
@@ -100,7 +100,8 @@
             let own = self.own.clone().acquire_many_owned(len).await;
             return Ok((own.map_err(|_| CallerGone)?, Some(host)));
         }
-        // The whole own bound is free only once the caller's connection has taken all chunks before.
+        // The whole own bound is free only once the caller's connection has taken all chunks
+        // before.
         let whole = self.own.clone();
         let own = whole.acquire_many_owned(MAX_STREAM_BYTES as u32).await;
         Ok((own.map_err(|_| CallerGone)?, None))
--- a/crates/gateway/tests/roster.rs
+++ b/crates/gateway/tests/roster.rs
@@ -468,8 +468,8 @@
     upstreams: usize,
 }
 
-/// Guards against hosts that apply the whole list for each change of one upstream: in a large fleet all
-/// of a small host's processor time would go into it. What is applied is in proportion to the
+/// Guards against hosts that apply the whole list for each change of one upstream: in a large fleet
+/// all of a small host's processor time would go into it. What is applied is in proportion to the
 /// changes, whatever the number of upstreams.
 #[rstest]
 #[case::hundred(FleetSize { upstreams: 100 })]
@@ -505,8 +505,8 @@
     assert!(roster.take_changes().is_empty());
 }
 
-/// Guards against changes that are applied although they cancel each other out before a host applies
-/// them, and against lost ones: the first state before and the last one count.
+/// Guards against changes that are applied although they cancel each other out before a host
+/// applies them, and against lost ones: the first state before and the last one count.
 #[test]
 fn changes_since_the_last_application_are_merged() {
     let mut roster = Roster::default();
@@ -531,9 +531,9 @@
     expected: bool,
 }
 
-/// Guards against a home that starts generations on a leaving engine until the change has passed the
-/// tree of announcements, and against a notice of an earlier process that stops its successor. The
-/// change itself, which comes later, finds nothing left to change.
+/// Guards against a home that starts generations on a leaving engine until the change has passed
+/// the tree of announcements, and against a notice of an earlier process that stops its successor.
+/// The change itself, which comes later, finds nothing left to change.
 #[rstest]
 #[case::draining(NoticeCase { is_gone: false, started_at_ms: Some(4), expected: true })]
 #[case::gone(NoticeCase { is_gone: true, started_at_ms: Some(4), expected: true })]
@@ -596,8 +596,8 @@
     parts: usize,
 }
 
-/// Guards against a list that exceeds what one message to a host with a slow link may hold: it is read
-/// in parts of a bounded size, which together hold every upstream once.
+/// Guards against a list that exceeds what one message to a host with a slow link may hold: it is
+/// read in parts of a bounded size, which together hold every upstream once.
 #[rstest]
 #[case::none(PartsCase { upstreams: 0, parts: 1 })]
 #[case::short(PartsCase { upstreams: 99, parts: 1 })]
--- a/crates/policy/src/cell/mod.rs
+++ b/crates/policy/src/cell/mod.rs
@@ -35,8 +35,8 @@
 /// Maximum share of a cell's engines that may be closed as unreachable. If more are unreachable,
 /// this host is probably partitioned.
 const MAX_UNREACHABLE_SHARE: f32 = 0.5;
-/// Minimum number of idle engines among those that are probed. Engines of equal cost are used in the
-/// order of their keys, so the first idle ones are next.
+/// Minimum number of idle engines among those that are probed. Engines of equal cost are used in
+/// the order of their keys, so the first idle ones are next.
 const MIN_IDLE_PROBES: usize = 16;
 
 /// The engines of one cell and the generations on them.
@@ -134,8 +134,8 @@
     /// Engines to probe while registrations cannot show which of them are leaving: those with
     /// generations, and the idle ones that the next generations start on.
     ///
-    /// Probes are paid for. In a cell of mostly idle engines, probing all of them would cost in proportion to
-    /// the engines instead of the work.
+    /// Probes are paid for. In a cell of mostly idle engines, probing all of them would cost in
+    /// proportion to the engines instead of the work.
     pub fn engines_in_use(&self) -> impl Iterator<Item = UpstreamKey> {
         let busy: BTreeSet<UpstreamKey> = self.runs.values().flat_map(Run::holders).collect();
         let idle_count = MIN_IDLE_PROBES.max(busy.len());
@@ -153,7 +153,8 @@
 
     /// Marks an engine as unreachable; true if it stops getting work because of that.
     ///
-    /// At most half of the engines are closed, because this host may be the one that is partitioned.
+    /// At most half of the engines are closed, because this host may be the one that is
+    /// partitioned.
     pub fn mark_unreachable(&mut self, engine: UpstreamKey) -> bool {
         let unreachable = self
             .engines
--- a/crates/policy/src/cell/placement.rs
+++ b/crates/policy/src/cell/placement.rs
@@ -180,8 +180,8 @@
 }
 
 impl Cell {
-    /// Places a generation as the cell's home and counts it, or queues it. Of engines with equal cost the
-    /// first one by key is used.
+    /// Places a generation as the cell's home and counts it, or queues it. Of engines with equal
+    /// cost the first one by key is used.
     pub fn place(&mut self, now_ms: Millis, request: &PlacementRequest) -> Placement {
         self.place_by(now_ms, request, |engine| engine.0)
     }
@@ -189,8 +189,8 @@
     /// Places a generation on a host that is not the cell's home.
     ///
     /// Its table lacks the generations of other hosts, so most engines look idle. If all such hosts
-    /// used the first one, their generations would meet there. Engines of equal cost are drawn by the
-    /// generation instead.
+    /// used the first one, their generations would meet there. Engines of equal cost are drawn by
+    /// the generation instead.
     pub fn place_without_home(&mut self, now_ms: Millis, request: &PlacementRequest) -> Placement {
         let run = request.run;
         self.place_by(now_ms, request, |engine| rank(run.0, engine.0))
--- a/crates/policy/src/circuit/recent_successes.rs
+++ b/crates/policy/src/circuit/recent_successes.rs
@@ -4,8 +4,8 @@
 
 use crate::key::{ContentKey, Millis};
 
-/// How long a success counts at most: longer than a caller keeps retrying. The sets are rotated when
-/// they are used, so it may count for only half as long.
+/// How long a success counts at most: longer than a caller keeps retrying. The sets are rotated
+/// when they are used, so it may count for only half as long.
 const SUCCESS_EXPIRY_MS: Millis = 60_000;
 /// Maximum number of contents in each of the two sets: about 64 kB per host. A content that
 /// is requested so rarely that it is rotated out is not on many upstreams at once either.
@@ -34,8 +34,8 @@
         self.recent.contains(&content) || self.previous.contains(&content)
     }
 
-    /// Drops the older set when it has expired or the newer one is full, and both when the newer one
-    /// has expired as well.
+    /// Drops the older set when it has expired or the newer one is full, and both when the newer
+    /// one has expired as well.
     fn rotate(&mut self, now_ms: Millis) {
         let age_ms = now_ms.saturating_sub(self.rotated_ms);
         if age_ms >= SUCCESS_EXPIRY_MS {
--- a/crates/policy/src/home_index.rs
+++ b/crates/policy/src/home_index.rs
@@ -1,7 +1,7 @@
 //! Homes of resources by rendezvous hashing, kept while hosts come and go.
 //!
-//! Ranking all hosts for each lookup costs in proportion to the fleet, and each host looks up
-//! the homes of all cells several times per second. Here only the first lookup of a resource ranks all
+//! Ranking all hosts for each lookup costs in proportion to the fleet, and each host looks up the
+//! homes of all cells several times per second. Here only the first lookup of a resource ranks all
 //! hosts. A host that joins is compared with each known home, and a host that leaves discards only
 //! the homes that it held.
 
@@ -10,7 +10,8 @@
 use crate::key::HostKey;
 use crate::rendezvous::{highest, rank};
 
-/// Maximum number of resources whose home is kept. A service of 20,000 engines has at most 640 cells.
+/// Maximum number of resources whose home is kept. A service of 20,000 engines has at most 640
+/// cells.
 const MAX_RESOURCES: usize = 4_096;
 
 #[derive(Debug, Clone, Copy)]
--- a/crates/policy/src/join.rs
+++ b/crates/policy/src/join.rs
@@ -26,8 +26,8 @@
 const SOLE_HOST_DELAY_MS: Millis = 1_500;
 
 /// Number of hosts up to which all may read the upstreams from the store at once. In a larger fleet
-/// the watchers read them and peers pass them on, as a list of many pages for each host would cost more than
-/// all other calls together.
+/// the watchers read them and peers pass them on, as a list of many pages for each host would cost
+/// more than all other calls together.
 const MAX_CONCURRENT_READERS: usize = 100;
 /// How long a host waits for the watchers' list before its own read, for each host above
 /// [`MAX_CONCURRENT_READERS`].
--- a/crates/policy/tests/cell/engines.rs
+++ b/crates/policy/tests/cell/engines.rs
@@ -115,8 +115,8 @@
     );
 }
 
-/// Guards against cells that differ between hosts because one applied changes one by one and the other
-/// a whole list: after any changes both place and migrate alike.
+/// Guards against cells that differ between hosts because one applied changes one by one and the
+/// other a whole list: after any changes both place and migrate alike.
 #[test]
 fn changes_one_by_one_equal_the_whole_list() {
     let mut rng = ChaCha8Rng::seed_from_u64(7);
@@ -148,8 +148,8 @@
     }
 }
 
-/// Guards against departed engines that are kept for good when no other engine of the cell changes: they
-/// go with the host that relayed their last generations.
+/// Guards against departed engines that are kept for good when no other engine of the cell changes:
+/// they go with the host that relayed their last generations.
 #[test]
 fn departed_engine_goes_with_its_last_generation() {
     let mut cell = cell(&[engine(1, LOCAL, false)]);
--- a/crates/policy/tests/cell/placement.rs
+++ b/crates/policy/tests/cell/placement.rs
@@ -116,8 +116,8 @@
     assert_ne!(backup, Some(engine));
 }
 
-/// Guards against generations that meet on one engine when no home answers, as while all hosts start:
-/// each host places by its own table, in which all engines look idle.
+/// Guards against generations that meet on one engine when no home answers, as while all hosts
+/// start: each host places by its own table, in which all engines look idle.
 #[test]
 fn hosts_without_a_home_use_different_engines() {
     let engines: Vec<CellEngine> = (1..=64).map(|key| engine(key, LOCAL, false)).collect();
--- a/crates/policy/tests/home_index.rs
+++ b/crates/policy/tests/home_index.rs
@@ -36,8 +36,8 @@
 }
 
 /// Guards against lookups that rank the whole fleet each time: with hundreds of cells, all of a
-/// small host's processor time would go into finding homes. Lookups without a change of the members visit
-/// no host, whatever the size of the fleet.
+/// small host's processor time would go into finding homes. Lookups without a change of the members
+/// visit no host, whatever the size of the fleet.
 #[rstest]
 #[case::hundred_hosts(FleetSize { hosts: 100 })]
 #[case::thousand_hosts(FleetSize { hosts: 1_000 })]
--- a/crates/policy/tests/join.rs
+++ b/crates/policy/tests/join.rs
@@ -100,10 +100,10 @@
     readers: [usize; 2],
 }
 
-/// Guards against a fleet that starts at once and reads the list of upstreams from the store on every
-/// host: a list of many pages for each of a thousand hosts costs more than all other calls together. A
-/// small fleet reads at once; in a large one the watchers come first and the others read one after the
-/// other, at a rate that does not grow with the fleet.
+/// Guards against a fleet that starts at once and reads the list of upstreams from the store on
+/// every host: a list of many pages for each of a thousand hosts costs more than all other calls
+/// together. A small fleet reads at once; in a large one the watchers come first and the others
+/// read one after the other, at a rate that does not grow with the fleet.
 #[rstest]
 #[case::small(FleetStart { hosts: 100, readers: [100, 100] })]
 #[case::thousand(FleetStart { hosts: 1_000, readers: [0, 12] })]
--- a/crates/policy/tests/watchers.rs
+++ b/crates/policy/tests/watchers.rs
@@ -84,9 +84,9 @@
     assert!(!WatchArea::of("elsewhere", &hosts).contains("a"));
 }
 
-/// Guards against a decision that depends on hosts beyond the first few candidates. Each host keeps only
-/// these, since going through the whole area several times per second would cost in proportion to
-/// the fleet.
+/// Guards against a decision that depends on hosts beyond the first few candidates. Each host keeps
+/// only these, since going through the whole area several times per second would cost in proportion
+/// to the fleet.
 #[test]
 fn first_candidates_decide() {
     let mut rng = ChaCha8Rng::seed_from_u64(11);
--- a/crates/wire/src/gateway.rs
+++ b/crates/wire/src/gateway.rs
@@ -120,8 +120,8 @@
     async fn join(joining: Rumour) -> Vec<Rumour>;
     /// Exchanges the member table of the sender for that of the receiver.
     async fn exchange_members(members: Vec<Rumour>) -> Vec<Rumour>;
-    /// Returns the changes of the upstreams since a revision, encoded as in an announcement; empty if
-    /// only a complete list would do and that is too long for one message.
+    /// Returns the changes of the upstreams since a revision, encoded as in an announcement; empty
+    /// if only a complete list would do and that is too long for one message.
     async fn upstreams_since(revision: Revision) -> Vec<u8>;
     /// Returns the receiver's copy of a kind of state in its encoding; empty where it has none.
     async fn holding(state: ReplicatedState) -> Vec<u8>;
@@ -150,7 +150,7 @@
     async fn report_success(content: ContentKey);
     /// Exchanges all circuits that the sender knows for all that the receiver knows.
     async fn exchange_circuits(circuits: Vec<Circuit>) -> Vec<Circuit>;
-    /// Returns the part of the complete list of upstreams that follows an instance, encoded as in an
-    /// announcement.
+    /// Returns the part of the complete list of upstreams that follows an instance, encoded as in
+    /// an announcement.
     async fn upstreams_part(after: Option<String>) -> Vec<u8>;
 }
--- a/crates/wire/src/traffic.rs
+++ b/crates/wire/src/traffic.rs
@@ -8,7 +8,8 @@
 
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 
-/// Bytes that one host has exchanged with its peers, without the headers of the network's protocols.
+/// Bytes that one host has exchanged with its peers, without the headers of the network's
+/// protocols.
 #[derive(Debug, Default)]
 pub struct Traffic {
     sent_bytes: AtomicU64,
