Log which upstreams a host keeps without an entry, drops and takes up again

Now each update that decides this writes at most a line for each kind of decision, which names four upstreams and counts the rest, and fulmarpath_gateway_missing_upstreams counts those that are kept. What is decided stays as it was. Tests: roster.rs, decisions_on_missing_upstreams_are_reported, drop_and_return_of_a_missing_upstream_are_reported.

--- a/crates/gateway/src/departures.rs
+++ b/crates/gateway/src/departures.rs
@@ -49,9 +49,11 @@
         }
     }
 
-    /// Removes the departure of an upstream that is present again.
-    pub(crate) fn remove(&mut self, instance: &str) {
-        self.stored.remove(instance);
+    /// Removes the departure of an upstream that is present again; returns whether this incarnation
+    /// had left.
+    pub(crate) fn remove(&mut self, registration: &Registration) -> bool {
+        let removed = self.stored.remove(&registration.instance);
+        removed.is_some_and(|stored| stored.departure.started_at_ms == registration.started_at_ms)
     }
 
     /// Whether this incarnation of an upstream had left before an era.
--- a/crates/gateway/src/dissemination.rs
+++ b/crates/gateway/src/dissemination.rs
@@ -27,7 +27,7 @@
 use crate::directory::{DepartureNotice, DirectoryChange};
 use crate::encoding::{EncodingError, decode, encode};
 use crate::gateway::Gateway;
-use crate::store_sync::log_store_restored;
+use crate::store_sync::{log_decisions, log_store_restored};
 
 /// A host without store access repeats its announcement with each failed call; without a repeat
 /// within this time it counts as having access again.
@@ -381,6 +381,7 @@
         if roster.apply_peer_change(self.clock.now_ms(), change) {
             self.apply_roster_changes(&mut roster);
         }
+        log_decisions(&mut roster, "a watcher");
         log_store_restored(before, &roster);
         Ok(())
     }
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -338,9 +338,10 @@
         let now_ms = self.clock.now_ms();
         let age = |since_ms: Millis| now_ms.saturating_sub(since_ms) as i64;
         let hosts = self.fleet.host_count();
-        let (upstreams_updated_ms, upstreams) = {
+        let (upstreams_updated_ms, upstreams, missing) = {
             let roster = self.roster.lock();
-            (roster.last_update_ms(), roster.len())
+            let missing = roster.unconfirmed().missing;
+            (roster.last_update_ms(), roster.len(), missing)
         };
         let mut retries = self.retries.lock();
         let left = retries.iter_mut().map(|(service, window)| {
@@ -351,6 +352,7 @@
             configuration_age_ms: age(self.applied_ms.load(Ordering::Relaxed)),
             upstreams_age_ms: age(upstreams_updated_ms),
             upstreams: upstreams as i64,
+            missing: missing as i64,
             hosts: hosts as i64,
             peer_bytes: PeerBytes {
                 sent: self.fleet.traffic.sent_bytes(),
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -38,6 +38,7 @@
 mod migration;
 mod peer;
 mod poison;
+mod presence_decisions;
 mod presence_log;
 mod probe;
 mod problem;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -100,6 +100,8 @@
     pub(crate) configuration_age_ms: i64,
     pub(crate) upstreams_age_ms: i64,
     pub(crate) upstreams: i64,
+    /// Upstreams among them that the store does not list.
+    pub(crate) missing: i64,
     pub(crate) hosts: i64,
     pub(crate) peer_bytes: PeerBytes,
     pub(crate) quarantined: i64,
@@ -139,6 +141,7 @@
     configuration_age_ms: Gauge,
     upstreams_age_ms: Gauge,
     upstreams: Gauge,
+    missing: Gauge,
     hosts: Gauge,
     quarantined: Gauge,
     evacuated: Gauge,
@@ -212,6 +215,9 @@
         registry.register("upstreams_age_ms", help, upstreams_age_ms.clone());
         let upstreams = Gauge::default();
         registry.register("upstreams", "Known upstreams", upstreams.clone());
+        let missing = Gauge::default();
+        let help = "Upstreams that are kept although the store has no entry of them";
+        registry.register("missing_upstreams", help, missing.clone());
         let hosts = Gauge::default();
         registry.register("hosts", "Hosts considered alive", hosts.clone());
         let quarantined = Gauge::default();
@@ -257,6 +263,7 @@
             configuration_age_ms,
             upstreams_age_ms,
             upstreams,
+            missing,
             hosts,
             quarantined,
             evacuated,
@@ -323,6 +330,7 @@
         self.configuration_age_ms.set(readings.configuration_age_ms);
         self.upstreams_age_ms.set(readings.upstreams_age_ms);
         self.upstreams.set(readings.upstreams);
+        self.missing.set(readings.missing);
         self.hosts.set(readings.hosts);
         readings.peer_bytes.set(&self.peer_bytes);
         self.quarantined.set(readings.quarantined);
--- a/crates/gateway/src/roster.rs
+++ b/crates/gateway/src/roster.rs
@@ -24,6 +24,7 @@
     Registration, RegistrationChange,
 };
 use crate::metadata::{Change, Changes, Snapshot, UnusableEntry};
+use crate::presence_decisions::{PresenceDecision, PresenceDecisions};
 use crate::restored_entries::RestoredEntries;
 
 /// Live upstreams register again within about two seconds of the end of a store outage.
@@ -72,6 +73,7 @@
     has_seen_restore: bool,
     /// Registrations before their changes since the last call of [`Self::take_changes`].
     changed: HashMap<String, Option<Registration>>,
+    decisions: PresenceDecisions,
 }
 
 impl Default for Roster {
@@ -97,9 +99,16 @@
             listed_at: Revision::default(),
             has_seen_restore: false,
             changed: HashMap::new(),
+            decisions: PresenceDecisions::default(),
         }
     }
 
+    /// Takes the decisions since the last call about upstreams that the store does not list, as
+    /// texts for the log.
+    pub fn take_decisions(&mut self) -> Vec<String> {
+        self.decisions.take()
+    }
+
     /// The revision up to which changes are known.
     pub fn revision(&self) -> Revision {
         self.revision
@@ -389,7 +398,7 @@
     fn mark_missing(&mut self, now_ms: Millis, names: &[String]) {
         for name in names {
             if self.entries.contains_key(name) {
-                self.missing.insert(name.clone());
+                self.keep_missing(name);
                 self.grace_until_ms = self.grace_until_ms.max(now_ms + REREGISTRATION_GRACE_MS);
             }
         }
@@ -444,6 +453,7 @@
         for name in &missing {
             // Decided by this host, not by the store: peers receive it with the next revision.
             self.drop_entry(now_ms, name, self.revision.next());
+            self.decisions.record(PresenceDecision::Dropped, name);
         }
         !missing.is_empty()
     }
@@ -537,7 +547,9 @@
             }
             None => {}
         }
-        self.departures.remove(&name);
+        if self.departures.remove(&registration) {
+            self.decisions.record(PresenceDecision::PresentAgain, &name);
+        }
         self.restored.remove(&name);
         let held = self.entries.get_mut(&name);
         if let Some(held) = &held
@@ -578,9 +590,15 @@
         };
         let in_grace = now_ms < self.grace_until_ms;
         if in_grace && entry.registration.state == RegisteredState::Ready {
-            self.missing.insert(name.to_owned());
+            self.keep_missing(name);
             return false;
         }
         self.drop_entry(now_ms, name, self.revision)
     }
+
+    fn keep_missing(&mut self, name: &str) {
+        if self.missing.insert(name.to_owned()) {
+            self.decisions.record(PresenceDecision::Kept, name);
+        }
+    }
 }
--- a/crates/gateway/src/store_sync.rs
+++ b/crates/gateway/src/store_sync.rs
@@ -251,6 +251,7 @@
             self.expire_evacuations();
             let mut roster = self.roster.lock();
             if roster.expire(self.clock.now_ms()) {
+                log_decisions(&mut roster, "expiry");
                 self.apply_roster_changes(&mut roster);
             }
         }
@@ -273,6 +274,7 @@
             info!("upstreams: revision {revision} from a peer, {extent}, replaces {before}");
             self.apply_roster_changes(&mut roster);
         }
+        log_decisions(&mut roster, "a peer");
         log_store_restored(before, &roster);
     }
 
@@ -298,6 +300,7 @@
             self.apply_registration_changes(&mut roster, changes);
             self.notify_homes(departures);
         }
+        log_decisions(&mut roster, "the store");
         log_store_restored(before, &roster);
     }
 
@@ -316,6 +319,14 @@
     }
 }
 
+/// Logs what was decided about upstreams that the store does not list.
+pub(crate) fn log_decisions(roster: &mut Roster, source: &str) {
+    let revision = roster.revision();
+    for decision in roster.take_decisions() {
+        info!("upstreams: at revision {revision}, by {source}, {decision}");
+    }
+}
+
 /// Logs the differences to a store that was restored from a backup since a revision.
 pub(crate) fn log_store_restored(before: Revision, roster: &Roster) {
     let revision = roster.revision();
--- a/crates/gateway/tests/roster.rs
+++ b/crates/gateway/tests/roster.rs
@@ -633,3 +633,52 @@
     assert!(!roster.add_provisional(1, &part));
     assert_eq!(names(&roster), ["a"]);
 }
+
+struct DecisionCase {
+    /// Upstreams whose entries expire in an outage.
+    expired: usize,
+    expected: &'static [&'static str],
+}
+
+/// Guards against decisions about upstreams without an entry that leave no trace in the log, and
+/// against log lines that grow with the number of upstreams.
+#[rstest]
+#[case::none(DecisionCase { expired: 0, expected: &[] })]
+#[case::few(DecisionCase {
+    expired: 2,
+    expected: &["2 kept without an entry: i-000000, i-000001"],
+})]
+#[case::many(DecisionCase {
+    expired: 1_000,
+    expected: &["1000 kept without an entry: i-000000, i-000001, i-000002, i-000003 and 996 more"],
+})]
+fn decisions_on_missing_upstreams_are_reported(#[case] case: DecisionCase) {
+    let mut roster = Roster::default();
+    roster.replace(500, numbered(1_000));
+    roster.mark_store_unavailable(1_000);
+    roster.mark_store_available(6_000);
+    let mut listed = numbered(1_000);
+    listed.items.drain(..case.expired);
+    listed.revision = at(9);
+    roster.replace(6_000, listed);
+    assert_eq!(roster.take_decisions(), case.expected);
+    assert!(roster.take_decisions().is_empty());
+}
+
+/// Guards against an upstream whose drop after the grace period, or whose return after that, leaves
+/// no trace in the log.
+#[test]
+fn drop_and_return_of_a_missing_upstream_are_reported() {
+    let mut roster = Roster::default();
+    roster.replace(500, snapshot(5, &["i-1", "i-2"]));
+    roster.mark_store_unavailable(1_000);
+    roster.mark_store_available(6_000);
+    roster.replace(6_000, snapshot(9, &["i-1"]));
+    roster.take_decisions();
+    roster.expire(9_000);
+    let dropped = "1 dropped, as not registered again in time: i-2";
+    assert_eq!(roster.take_decisions(), [dropped]);
+    roster.apply(9_500, put(10, "i-2"));
+    let returned = "1 present again after having left: i-2";
+    assert_eq!(roster.take_decisions(), [returned]);
+}
