Tell peers how much longer an upstream without an entry is kept

What callers saw: requests to an upstream 2,082 ms after its departure was acknowledged, by the removal of its entry three seconds after the store's return (bound 2,000 ms).

Cause: after an outage a host keeps upstreams whose entries are gone for 2,200 ms, since live ones register again. A message of a peer that names missing upstreams began that time anew at each host that got it, also for what was removed later, so the grace period lasted until 2,200 ms after the last message, some two seconds too long; then a watcher took a departure for an expiry, told the others so, and they began their own 2,200 ms. Its message and that of a watcher that had judged rightly had the same revision, and the first one counted. A host that had not called the store since its last failure took its next call for the store's return, however late.

Ruled out: a watch that came back without the removal (the watchers log that they keep the upstream), and a late message that listed it again (no line says that it is present again).

Change: each missing upstream has a time until which it is kept. Peers are told what is left of it, and the earliest time counts; it grows only where a host sees another outage itself. A removal counts as an expiry by the host's own view of the store's return alone, which peers' later updates date. A departure told by any peer counts over an expiry, whatever the revision, unless the store has had the entry since. Peers are told of each missing upstream once, not with each change. Why it holds: no message can extend what it reports; a host's own view is late by the pause between two calls and one timeout at most, 2.4 s, so that a removal 3 s after the return is kept for 1.6 s at most.

--- a/crates/gateway/src/directory.rs
+++ b/crates/gateway/src/directory.rs
@@ -66,6 +66,17 @@
     pub at: Revision,
 }
 
+/// An upstream whose entry has expired with an outage of the store.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ExpiredEntry {
+    /// Its name.
+    pub instance: String,
+    /// How much longer it is kept unless it registers again.
+    pub left_ms: Millis,
+    /// The latest revision at which the store is known to have had the entry.
+    pub confirmed_at: Revision,
+}
+
 /// The report of an upstream's departure to the home of its cell, ahead of the change that reaches
 /// all hosts.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -120,8 +131,6 @@
     pub revision: Revision,
     /// The registrations, in no particular order.
     pub registrations: Vec<Registration>,
-    /// Instances among them whose entries expired during a store outage and which may return.
-    pub lapsed: Vec<String>,
 }
 
 /// The changes between two states of the directory; a complete list if it begins at the default
@@ -136,8 +145,8 @@
     pub put: Vec<Registration>,
     /// Departed upstreams; in a complete list, the recent departures.
     pub gone: Vec<Departure>,
-    /// Instances with expired entries that are still kept.
-    pub lapsed: Vec<String>,
+    /// Upstreams with expired entries that are still kept.
+    pub expired: Vec<ExpiredEntry>,
 }
 
 /// A part of the complete list of upstreams, in the order of their names.
@@ -149,8 +158,8 @@
     pub put: Vec<Registration>,
     /// Recent departures, in the first part only.
     pub gone: Vec<Departure>,
-    /// Instances with expired entries that are still kept, in the first part only.
-    pub lapsed: Vec<String>,
+    /// Upstreams with expired entries that are still kept, in the first part only.
+    pub expired: Vec<ExpiredEntry>,
     /// Whether no part follows.
     pub is_last: bool,
 }
--- a/crates/gateway/src/dissemination.rs
+++ b/crates/gateway/src/dissemination.rs
@@ -209,7 +209,7 @@
             if roster.revision() <= before {
                 return;
             }
-            roster.change_since(before)
+            roster.change_since(self.clock.now_ms(), before)
         };
         if change.put.len() > MAX_ANNOUNCED {
             let (count, revision) = (change.put.len(), change.revision);
--- a/crates/gateway/src/fleet.rs
+++ b/crates/gateway/src/fleet.rs
@@ -423,6 +423,7 @@
     async fn fetch_parts(&self, peer: SocketAddr) -> Option<DirectoryChange> {
         let kind = ReplicatedState::Upstreams;
         let mut list = DirectoryChange::default();
+        let started_ms = self.clock.now_ms();
         loop {
             let after = list.put.last().map(|last| last.instance.clone());
             let is_first = after.is_none();
@@ -435,11 +436,15 @@
                 // Changes during the transfer are fetched from this revision on.
                 list.revision = part.revision;
                 list.gone = part.gone;
-                list.lapsed = part.lapsed;
+                list.expired = part.expired;
             }
             self.add_provisional_upstreams(&part.put);
             list.put.extend(part.put);
             if part.is_last {
+                let elapsed_ms = self.clock.now_ms().saturating_sub(started_ms);
+                for entry in &mut list.expired {
+                    entry.left_ms = entry.left_ms.saturating_sub(elapsed_ms);
+                }
                 return Some(list);
             }
         }
--- a/crates/gateway/src/peer.rs
+++ b/crates/gateway/src/peer.rs
@@ -118,12 +118,13 @@
 
     async fn upstreams_since(self, _: Context, revision: Revision) -> Vec<u8> {
         self.count("upstreams_since");
+        let now_ms = self.gateway.clock.now_ms();
         let change = {
             let roster = self.gateway.roster.lock();
             if roster.len() > MAX_LISTED && !roster.lists_changes_since(revision) {
                 return Vec::new();
             }
-            roster.change_since(revision)
+            roster.change_since(now_ms, revision)
         };
         let kind = ReplicatedState::Upstreams;
         bytes_or_empty(kind, encode(kind, &change))
@@ -131,9 +132,10 @@
 
     async fn upstreams_part(self, _: Context, after: Option<String>) -> Vec<u8> {
         self.count("upstreams_part");
+        let now_ms = self.gateway.clock.now_ms();
         let part = {
             let roster = self.gateway.roster.lock();
-            roster.part_after(after.as_deref(), MAX_LISTED)
+            roster.part_after(now_ms, after.as_deref(), MAX_LISTED)
         };
         let kind = ReplicatedState::Upstreams;
         bytes_or_empty(kind, encode(kind, &part))
--- a/crates/gateway/src/roster.rs
+++ b/crates/gateway/src/roster.rs
@@ -5,32 +5,31 @@
 //! unavailable. When the store is available again, all registrations are missing, until the live
 //! upstreams have registered again after about two seconds. Without a grace period every upstream
 //! would be dropped for that time and every request refused. Entries that expired during the outage
-//! are therefore kept for [`REREGISTRATION_GRACE_MS`] after its end; those that are still missing
-//! then are removed. An upstream that announced that it is draining gets no grace period.
+//! are therefore kept for a grace period after its end; those that are still missing then are
+//! removed. An upstream that announced that it is draining gets no grace period. An entry that is
+//! removed after the grace period is a departure, as is one of which any peer says so.
 //!
 //! A store restored from a backup has lost its latest changes. Upstreams that registered after the
 //! backup get the same grace period to register again. An upstream that had left and is listed
 //! again only because of the backup gets no work until it writes its entry again, or until its
 //! entry has outlived the time after which the store removes a silent upstream.
 
-use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet};
+use std::collections::{BTreeMap, HashMap, HashSet};
 use std::ops::Bound;
 
 use fulmarpath_policy::{Millis, Revision};
 
 use crate::departures::Departures;
 use crate::directory::{
-    Departure, DepartureNotice, Directory, DirectoryChange, DirectoryPart, RegisteredState,
-    Registration, RegistrationChange,
+    Departure, DepartureNotice, Directory, DirectoryChange, DirectoryPart, ExpiredEntry,
+    RegisteredState, Registration, RegistrationChange,
 };
 use crate::metadata::{Change, Changes, Snapshot, UnusableEntry};
+use crate::missing_entries::MissingEntries;
 use crate::presence_decisions::{PresenceDecision, PresenceDecisions};
 use crate::restored_entries::RestoredEntries;
+use crate::store_outage::StoreOutage;
 
-/// Live upstreams register again within about two seconds of the end of a store outage.
-const REREGISTRATION_GRACE_MS: Millis = 2_200;
-/// No registration expires in a shorter outage: entries outlive three heartbeats.
-const MIN_OUTAGE_MS: Millis = 1_500;
 /// How long an entry outlives its upstream's last heartbeat if the settings do not say.
 const DEFAULT_REGISTRATION_TTL_MS: Millis = 3_600;
 
@@ -39,6 +38,8 @@
     registration: Registration,
     /// The revision at which the entry reached its present state.
     changed_at: Revision,
+    /// The latest revision at which the store is known to have had it.
+    confirmed_at: Revision,
 }
 
 /// Upstreams for which this host's view differs from the store, for a while after an outage or a
@@ -56,12 +57,10 @@
 pub struct Roster {
     revision: Revision,
     entries: BTreeMap<String, Entry>,
-    /// Names of entries that the store lacks and that are kept for a while.
-    missing: BTreeSet<String>,
+    missing: MissingEntries,
     /// Time of the last update from the store or a peer.
     last_update_ms: Millis,
-    unavailable_since_ms: Option<Millis>,
-    grace_until_ms: Millis,
+    outage: StoreOutage,
     /// Services whose upstreams state their start time.
     services_with_start_time: HashSet<String>,
     /// Upstreams that have left.
@@ -89,10 +88,9 @@
         Self {
             revision: Revision::default(),
             entries: BTreeMap::new(),
-            missing: BTreeSet::new(),
+            missing: MissingEntries::default(),
             last_update_ms: 0,
-            unavailable_since_ms: None,
-            grace_until_ms: 0,
+            outage: StoreOutage::default(),
             services_with_start_time: HashSet::new(),
             departures: Departures::default(),
             restored: RestoredEntries::new(registration_ttl_ms),
@@ -131,24 +129,24 @@
 
     /// Records a failed call to the store.
     pub fn mark_store_unavailable(&mut self, now_ms: Millis) {
-        self.unavailable_since_ms.get_or_insert(now_ms);
+        self.outage.record_failure(now_ms);
     }
 
     /// Whether registrations cannot show which upstreams are leaving: the store is unavailable, or
     /// was until a moment ago and upstreams have yet to register again. An upstream that leaves in
     /// that time may never announce it.
     pub fn is_uncertain(&self, now_ms: Millis) -> bool {
-        self.unavailable_since_ms.is_some() || now_ms < self.grace_until_ms
+        let is_in_grace = self.outage.grace_until_ms(now_ms).is_some();
+        self.outage.is_ongoing() || is_in_grace || !self.missing.is_empty()
     }
 
     /// Records a successful call to the store.
     pub fn mark_store_available(&mut self, now_ms: Millis) {
         self.last_update_ms = now_ms;
-        let Some(unavailable_since_ms) = self.unavailable_since_ms.take() else {
-            return;
-        };
-        if now_ms.saturating_sub(unavailable_since_ms) >= MIN_OUTAGE_MS {
-            self.grace_until_ms = now_ms + REREGISTRATION_GRACE_MS;
+        if self.outage.record_answer(now_ms)
+            && let Some(until_ms) = self.outage.grace_until_ms(now_ms)
+        {
+            self.missing.extend_all(until_ms);
         }
     }
 
@@ -190,7 +188,7 @@
         if received.is_restore_since(self.revision, Directory::PROVISIONAL) {
             self.has_seen_restore = true;
             // Upstreams that the backup lacks have yet to register again.
-            self.grace_until_ms = self.grace_until_ms.max(now_ms + REREGISTRATION_GRACE_MS);
+            self.outage.begin_grace(now_ms);
         }
         self.revision = received;
         // An upstream that left and came back between two lists looks unchanged.
@@ -241,15 +239,19 @@
     /// exactly at its revision, it would from then on be updated by complete lists alone.
     pub fn apply_peer_change(&mut self, now_ms: Millis, change: DirectoryChange) -> bool {
         self.last_update_ms = now_ms;
-        if change.from_revision > self.revision || change.revision <= self.revision {
-            return false;
+        let mut changed = self.drop_departed(now_ms, &change.gone);
+        if change.revision <= self.revision {
+            return changed;
+        }
+        self.outage.record_peer_update(now_ms);
+        if change.from_revision > self.revision {
+            return changed;
         }
         self.has_seen_restore |= change
             .revision
             .is_restore_since(self.revision, Directory::PROVISIONAL);
-        let mut changed = false;
         if change.is_complete() {
-            changed = self.replace(
+            changed |= self.replace(
                 now_ms,
                 Snapshot {
                     revision: change.revision,
@@ -257,6 +259,7 @@
                     unusable: Vec::new(),
                 },
             );
+            changed |= self.drop_departed(now_ms, &change.gone);
             self.merge_departures(now_ms, change.gone);
         } else {
             self.revision = change.revision;
@@ -267,10 +270,31 @@
                 changed |= self.drop_entry(now_ms, &departure.instance, self.revision);
             }
         }
-        self.mark_missing(now_ms, &change.lapsed);
+        self.keep_expired(now_ms, &change.expired);
+        changed
+    }
+
+    /// Drops the missing upstreams that have left by a peer's word, whatever the peer's revision.
+    /// Two hosts may judge one removed entry differently, and their updates have the same revision.
+    fn drop_departed(&mut self, now_ms: Millis, departures: &[Departure]) -> bool {
+        let mut changed = false;
+        for departure in departures {
+            if self.is_departure_of_missing(departure) {
+                changed |= self.drop_entry(now_ms, &departure.instance, departure.at);
+            }
+        }
         changed
     }
 
+    fn is_departure_of_missing(&self, departure: &Departure) -> bool {
+        let entry = self.entries.get(&departure.instance);
+        entry.is_some_and(|entry| {
+            self.missing.contains(&departure.instance)
+                && entry.registration.started_at_ms == departure.started_at_ms
+                && entry.confirmed_at < departure.at
+        })
+    }
+
     /// Merges a peer's departures, as a restored store may list these upstreams again.
     fn merge_departures(&mut self, now_ms: Millis, departures: Vec<Departure>) {
         for departure in departures {
@@ -297,7 +321,7 @@
 
     /// The part of the complete list that follows an instance, with at most `max_len`
     /// registrations.
-    pub fn part_after(&self, after: Option<&str>, max_len: usize) -> DirectoryPart {
+    pub fn part_after(&self, now_ms: Millis, after: Option<&str>, max_len: usize) -> DirectoryPart {
         let from = after.map_or(Bound::Unbounded, Bound::Excluded);
         let rest = self.entries.range::<str, _>((from, Bound::Unbounded));
         let put: Vec<Registration> = rest
@@ -316,7 +340,7 @@
                 revision: self.revision,
                 put,
                 gone: self.departures.since(Revision::default()),
-                lapsed: self.missing_names(),
+                expired: self.expired_since(now_ms, Revision::default()),
                 is_last,
             },
         }
@@ -339,7 +363,7 @@
 
     /// Returns all changes since a revision, for a peer at that revision; a complete list if the
     /// changes cannot be listed one by one.
-    pub fn change_since(&self, revision: Revision) -> DirectoryChange {
+    pub fn change_since(&self, now_ms: Millis, revision: Revision) -> DirectoryChange {
         let from_revision = match revision < self.incremental_from() {
             true => Revision::default(),
             false => revision,
@@ -353,14 +377,10 @@
             revision: self.revision,
             put: put.map(|entry| entry.registration.clone()).collect(),
             gone: self.departures.since(from_revision),
-            lapsed: self.missing_names(),
+            expired: self.expired_since(now_ms, from_revision),
         }
     }
 
-    fn missing_names(&self) -> Vec<String> {
-        self.missing.iter().cloned().collect()
-    }
-
     /// Removes an entry whose upstream had left at a revision; returns whether there was one.
     fn drop_entry(&mut self, now_ms: Millis, name: &str, gone_at: Revision) -> bool {
         self.restored.remove(name);
@@ -395,12 +415,27 @@
             .collect()
     }
 
-    fn mark_missing(&mut self, now_ms: Millis, names: &[String]) {
-        for name in names {
-            if self.entries.contains_key(name) {
-                self.keep_missing(name);
-                self.grace_until_ms = self.grace_until_ms.max(now_ms + REREGISTRATION_GRACE_MS);
-            }
+    fn expired_since(&self, now_ms: Millis, revision: Revision) -> Vec<ExpiredEntry> {
+        let missing = self.missing.since(now_ms, revision);
+        let expired = missing.filter_map(|(instance, left_ms)| {
+            let entry = self.entries.get(instance)?;
+            Some(ExpiredEntry {
+                instance: instance.to_owned(),
+                left_ms,
+                confirmed_at: entry.confirmed_at,
+            })
+        });
+        expired.collect()
+    }
+
+    /// Keeps upstreams whose entries have expired by a peer's word.
+    fn keep_expired(&mut self, now_ms: Millis, expired: &[ExpiredEntry]) {
+        for expired in expired {
+            let Some(entry) = self.entries.get_mut(&expired.instance) else {
+                continue;
+            };
+            entry.confirmed_at = expired.confirmed_at;
+            self.keep_missing(&expired.instance, now_ms + expired.left_ms);
         }
     }
 
@@ -446,16 +481,16 @@
     }
 
     fn drop_missing(&mut self, now_ms: Millis) -> bool {
-        if now_ms < self.grace_until_ms || self.unavailable_since_ms.is_some() {
+        if self.outage.is_ongoing() {
             return false;
         }
-        let missing = self.missing_names();
-        for name in &missing {
+        let overdue = self.missing.overdue(now_ms);
+        for name in &overdue {
             // Decided by this host, not by the store: peers receive it with the next revision.
             self.drop_entry(now_ms, name, self.revision.next());
             self.decisions.record(PresenceDecision::Dropped, name);
         }
-        !missing.is_empty()
+        !overdue.is_empty()
     }
 
     /// This host's view of all upstreams.
@@ -464,7 +499,6 @@
         Directory {
             revision: self.revision,
             registrations: entries.map(|entry| entry.registration.clone()).collect(),
-            lapsed: self.missing_names(),
         }
     }
 
@@ -562,6 +596,7 @@
         if let Some(held) = held
             && held.registration == registration
         {
+            held.confirmed_at = self.revision;
             if was_missing {
                 held.changed_at = self.revision;
             }
@@ -570,6 +605,7 @@
         let entry = Entry {
             registration,
             changed_at: self.revision,
+            confirmed_at: self.revision,
         };
         let before = self.entries.insert(name.clone(), entry);
         self.record_change(&name, before.map(|before| before.registration));
@@ -588,16 +624,19 @@
         let Some(entry) = self.entries.get(name) else {
             return false;
         };
-        let in_grace = now_ms < self.grace_until_ms;
-        if in_grace && entry.registration.state == RegisteredState::Ready {
-            self.keep_missing(name);
+        if self.missing.contains(name) {
+            return false;
+        }
+        let is_ready = entry.registration.state == RegisteredState::Ready;
+        if let Some(until_ms) = self.outage.grace_until_ms(now_ms).filter(|_| is_ready) {
+            self.keep_missing(name, until_ms);
             return false;
         }
         self.drop_entry(now_ms, name, self.revision)
     }
 
-    fn keep_missing(&mut self, name: &str) {
-        if self.missing.insert(name.to_owned()) {
+    fn keep_missing(&mut self, name: &str, until_ms: Millis) {
+        if self.missing.keep(name, until_ms, self.revision) {
             self.decisions.record(PresenceDecision::Kept, name);
         }
     }
--- a/crates/gateway/tests/missing_upstreams.rs
+++ b/crates/gateway/tests/missing_upstreams.rs
@@ -67,8 +67,8 @@
     );
 }
 
-fn change_since(roster: &Roster, _now_ms: u64, revision: u64) -> DirectoryChange {
-    roster.change_since(at(revision))
+fn change_since(roster: &Roster, now_ms: u64, revision: u64) -> DirectoryChange {
+    roster.change_since(now_ms, at(revision))
 }
 
 /// Sends a host all that a peer has learnt since a revision.
@@ -251,3 +251,19 @@
     (case.events)(&mut peer, &mut host);
     assert_eq!(present(&mut host, case.at_ms), case.present);
 }
+
+/// Guards against messages that grow with the number of upstreams after an outage: a peer is told
+/// of each missing upstream once, and of all of them with a complete list.
+#[rstest]
+#[case::before_the_expiry(20, 1)]
+#[case::after_the_expiry(21, 0)]
+#[case::complete_list(9, 1)]
+fn missing_upstreams_are_told_once(#[case] since: u64, #[case] told: usize) {
+    let (mut host, _) = two_hosts();
+    host.mark_store_unavailable(1_000);
+    list(&mut host, RETURN_MS, 20, &["a", "b"]);
+    remove(&mut host, RETURN_MS + 100, 21, "b");
+    register(&mut host, RETURN_MS + 200, 22, "c");
+    let change = change_since(&host, RETURN_MS + 300, since);
+    assert_eq!(change.expired.len(), told);
+}
--- a/crates/gateway/tests/replicated_encoding.rs
+++ b/crates/gateway/tests/replicated_encoding.rs
@@ -46,7 +46,7 @@
     ];
     let revision = Revision::new(1, 9);
     roster.apply(1, Changes { revision, changes });
-    let change = roster.change_since(Revision::new(1, 5));
+    let change = roster.change_since(0, Revision::new(1, 5));
     let mut put: Vec<&str> = change
         .put
         .iter()
@@ -69,7 +69,7 @@
 /// third of its JSON.
 #[test]
 fn binary_change_is_compact_and_lossless() {
-    let change = roster(9, 0..40).change_since(Revision::new(1, 5));
+    let change = roster(9, 0..40).change_since(0, Revision::new(1, 5));
     assert_eq!(change.put.len(), 40);
     let bytes = bincode::DefaultOptions::new()
         .serialize(&change)
--- a/crates/gateway/tests/roster.rs
+++ b/crates/gateway/tests/roster.rs
@@ -153,9 +153,9 @@
     watcher.replace(0, snapshot(5, &["i-1", "i-2"]));
     other.replace(0, snapshot(5, &["i-1", "i-2"]));
     watcher.apply(1, gone(6, "i-1"));
-    let first = watcher.change_since(at(5));
+    let first = watcher.change_since(0, at(5));
     watcher.apply(2, put(8, "i-3"));
-    let second = watcher.change_since(at(6));
+    let second = watcher.change_since(0, at(6));
     assert!(
         !other.apply_peer_change(3, second.clone()),
         "the change begins after the known revision"
@@ -165,9 +165,9 @@
     assert!(other.apply_peer_change(5, second));
     assert_eq!(names(&other), ["i-2", "i-3"]);
     let mut late = Roster::default();
-    assert!(late.apply_peer_change(6, watcher.change_since(late.revision())));
+    assert!(late.apply_peer_change(6, watcher.change_since(0, late.revision())));
     assert_eq!(names(&late), ["i-2", "i-3"]);
-    assert!(!late.apply_peer_change(7, Roster::default().change_since(Revision::default())));
+    assert!(!late.apply_peer_change(7, Roster::default().change_since(0, Revision::default())));
     assert_eq!(names(&late), ["i-2", "i-3"]);
 }
 
@@ -183,14 +183,14 @@
     remote.replace(0, snapshot(10, &["i-1", "i-2", "i-3"]));
     let mut host = Roster::default();
     remote.apply(1, gone(13, "i-1"));
-    host.apply_peer_change(1, remote.change_since(Revision::default()));
+    host.apply_peer_change(1, remote.change_since(0, Revision::default()));
     assert_eq!((host.revision(), names(&host).len()), (at(13), 2));
     local.apply(2, gone(13, "i-1"));
     local.apply(2, put(15, "i-4"));
-    assert!(host.apply_peer_change(2, local.change_since(at(10))));
+    assert!(host.apply_peer_change(2, local.change_since(0, at(10))));
     assert_eq!(names(&host), ["i-2", "i-3", "i-4"]);
     local.apply(3, gone(18, "i-2"));
-    assert!(host.apply_peer_change(3, local.change_since(at(15))));
+    assert!(host.apply_peer_change(3, local.change_since(0, at(15))));
     assert_eq!(names(&host), names(&local));
 }
 
@@ -280,7 +280,7 @@
         let mut peer = Roster::default();
         peer.replace(0, snapshot(10, &["i-1", "i-2"]));
         (case.update_peer)(&mut peer);
-        let mut change = peer.change_since(at(case.since));
+        let mut change = peer.change_since(0, at(case.since));
         change
             .put
             .sort_by(|left, right| left.instance.cmp(&right.instance));
@@ -317,10 +317,10 @@
     for (index, name) in all.iter().take(2_900).enumerate() {
         peer.apply(1, gone(11 + index as u64, name));
     }
-    let behind = peer.change_since(at(10));
+    let behind = peer.change_since(0, at(10));
     assert!(behind.is_complete());
     assert_eq!(behind.put.len(), 100);
-    let up_to_date = peer.change_since(at(peer.revision().number - 3));
+    let up_to_date = peer.change_since(0, at(peer.revision().number - 3));
     assert!(!up_to_date.is_complete());
     assert_eq!(up_to_date.gone.len(), 3);
 }
@@ -447,7 +447,7 @@
     let complete_change = |revision, instances| {
         let mut watcher = Roster::default();
         watcher.replace(0, snapshot(revision, instances));
-        watcher.change_since(Directory::PROVISIONAL)
+        watcher.change_since(0, Directory::PROVISIONAL)
     };
     let mut roster = Roster::default();
     roster.load_provisional(0, snapshot(40, &["i-1", "i-old"]));
@@ -585,7 +585,7 @@
             true => vec![notice.departure],
             false => Vec::new(),
         },
-        lapsed: Vec::new(),
+        expired: Vec::new(),
     };
     roster.apply_peer_change(12, change);
     assert_eq!(roster.take_changes().is_empty(), case.expected);
@@ -610,7 +610,7 @@
     let mut after: Option<String> = None;
     let mut parts = 0;
     loop {
-        let part = source.part_after(after.as_deref(), 100);
+        let part = source.part_after(1, after.as_deref(), 100);
         assert!(part.put.len() <= 100);
         parts += 1;
         receiver.add_provisional(1, &part.put);
--- a/crates/gateway/tests/store_restores.rs
+++ b/crates/gateway/tests/store_restores.rs
@@ -196,7 +196,7 @@
         apply_event(&mut peer, 0, &event);
     }
     let mut joining = Roster::default();
-    joining.apply_peer_change(0, peer.change_since(Revision::default()));
+    joining.apply_peer_change(0, peer.change_since(0, Revision::default()));
     apply_event(&mut joining, 0, &Listed(2, 42, &["a", "b"]));
     assert_eq!(ready(&joining), ["a"]);
 }
@@ -208,16 +208,16 @@
     let mut watcher = Roster::default();
     apply_event(&mut watcher, 0, &Listed(1, 50, &["a", "b"]));
     let mut behind = Roster::default();
-    behind.apply_peer_change(0, watcher.change_since(Revision::default()));
+    behind.apply_peer_change(0, watcher.change_since(0, Revision::default()));
     let mut outdated = Roster::default();
-    outdated.apply_peer_change(0, watcher.change_since(Revision::default()));
+    outdated.apply_peer_change(0, watcher.change_since(0, Revision::default()));
     apply_event(&mut outdated, 0, &Written(1, 51, "c"));
     apply_event(&mut watcher, 0, &Listed(2, 40, &["a", "d"]));
-    let change = watcher.change_since(behind.revision());
+    let change = watcher.change_since(0, behind.revision());
     assert!(change.is_complete());
     assert!(behind.apply_peer_change(0, change));
     assert_eq!(behind.revision(), Revision::new(2, 40));
-    assert!(!behind.apply_peer_change(0, outdated.change_since(Revision::default())));
+    assert!(!behind.apply_peer_change(0, outdated.change_since(0, Revision::default())));
     assert_eq!(
         ready(&behind),
         ["a", "b", "d"],
