--- a/crates/bench/src/cmd/soak.rs
+++ b/crates/bench/src/cmd/soak.rs
@@ -44,6 +44,9 @@
     /// As --backpressure, and add restores of the store from a backup
     #[bpaf(long)]
     copies: bool,
+    /// As --copies, with outages of the store in which entries expire in place of most restores
+    #[bpaf(long)]
+    expiry: bool,
     /// Add a caller that repeats a request which crashes each plain upstream that starts it
     #[bpaf(long)]
     ending: bool,
@@ -69,6 +72,7 @@
 
     fn fault_set(&self) -> FaultSet {
         let flags = [
+            (self.expiry, FaultSet::WithExpiry),
             (self.copies, FaultSet::WithRestores),
             (self.backpressure, FaultSet::WithBackpressure),
             (self.latest_kinds, FaultSet::WithEvacuations),
--- a/crates/bench/src/soak/deployment.rs
+++ b/crates/bench/src/soak/deployment.rs
@@ -348,6 +348,32 @@
         }
     }
 
+    /// Number of upstreams of both kinds.
+    pub(crate) fn upstream_count(&self) -> usize {
+        self.plains.len() + self.engines.len()
+    }
+
+    /// Writes the directory entry of an upstream, of either kind.
+    pub(crate) fn register_upstream(&self, index: usize) {
+        match index.checked_sub(self.plains.len()) {
+            None => self.register_plain(index),
+            Some(engine) => self.put_engine(engine, false),
+        }
+    }
+
+    /// Removes the directory entry of a plain upstream.
+    pub(crate) fn remove_plain_entry(&self, index: usize) {
+        self.store.remove("servers", &plain_name(index));
+    }
+
+    /// Removes the directory entries of all upstreams.
+    pub(crate) fn remove_entries(&self) {
+        (0..self.plains.len()).for_each(|index| self.remove_plain_entry(index));
+        for engine in &self.engines {
+            self.store.remove("servers", &engine.instance);
+        }
+    }
+
     /// Makes plain upstreams crash when they start a request with this text.
     pub(crate) fn crash_plains_on(&mut self, text: &'static str) {
         self.crash_on = Some(text);
--- a/crates/bench/src/soak/fault.rs
+++ b/crates/bench/src/soak/fault.rs
@@ -10,13 +10,14 @@
 use super::SoakError;
 use super::deployment::{COLD_MS, DATA_CENTRES, Deployment};
 use super::proxy::LinkMode;
+use super::store_fault::{EntryExpiry, StoreRestore, expire_entries, restore_store};
 
 /// Time within which an evacuation is complete, as in the hosts' settings.
 const EVACUATION_BOUND: Duration = Duration::from_millis(4_000);
 /// Time within which a change of a directory entry reaches all hosts.
-const PROPAGATION_BOUND: Duration = Duration::from_millis(600);
+pub(crate) const PROPAGATION_BOUND: Duration = Duration::from_millis(600);
 /// Time after which a leaving upstream receives no requests, as in the hosts' settings.
-const LEAVING_BOUND: Duration = Duration::from_millis(2_000);
+pub(crate) const LEAVING_BOUND: Duration = Duration::from_millis(2_000);
 /// Requests per second to a cold plain upstream that the settings and its service allow.
 const MAX_COLD_PER_SECOND: usize = 17;
 
@@ -35,8 +36,8 @@
 /// Time within which nearly every host has had a response of each plain upstream.
 const NOTIFICATION_BOUND: Duration = Duration::from_millis(1_500);
 
-/// Share of store restores among the faults drawn from the full set.
-const RESTORE_SHARE: f64 = 0.35;
+/// Share of the fault that a set adds among those drawn from the sets with restores and expiry.
+const ADDED_SHARE: f64 = 0.35;
 
 /// One fault, with its own duration. Verdicts and tests contain the names.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
@@ -76,6 +77,8 @@
     PlainAsksForRest,
     /// The store is restored from a backup.
     StoreReturnsFromCopy,
+    /// All entries of upstreams expire in an outage of the store, and one upstream leaves soon after.
+    EntriesExpire,
 }
 
 /// The set of faults that a seed draws from. Each set extends the previous one, so that a seed
@@ -90,8 +93,10 @@
     WithEvacuations,
     /// Adds upstreams that signal limits, leaving or backoff.
     WithBackpressure,
-    /// All faults; `RESTORE_SHARE` of the draws are a store restored from a backup.
+    /// Adds a store restored from a backup, as [`ADDED_SHARE`] of the draws.
     WithRestores,
+    /// Adds entries that expire, as [`ADDED_SHARE`] of the draws.
+    WithExpiry,
 }
 
 impl FaultSet {
@@ -101,13 +106,23 @@
             Self::WithRestarts => 19,
             Self::WithEvacuations => 21,
             Self::WithBackpressure => 24,
-            Self::WithRestores => Fault::ALL.len(),
+            Self::WithRestores => 25,
+            Self::WithExpiry => Fault::ALL.len(),
+        }
+    }
+
+    /// The fault that makes up [`ADDED_SHARE`] of the draws.
+    fn frequent(self) -> Option<Fault> {
+        match self {
+            Self::WithRestores => Some(Fault::StoreReturnsFromCopy),
+            Self::WithExpiry => Some(Fault::EntriesExpire),
+            _ => None,
         }
     }
 }
 
 impl Fault {
-    const ALL: [Self; 25] = [
+    const ALL: [Self; 26] = [
         Self::HostKilled,
         Self::HostPaused,
         Self::HostStopped,
@@ -133,11 +148,14 @@
         Self::PlainSaysItLeaves,
         Self::PlainAsksForRest,
         Self::StoreReturnsFromCopy,
+        Self::EntriesExpire,
     ];
 
     pub(crate) fn draw(rng: &mut ChaCha8Rng, fault_set: FaultSet) -> Self {
-        if fault_set == FaultSet::WithRestores && rng.random_bool(RESTORE_SHARE) {
-            return Self::StoreReturnsFromCopy;
+        if let Some(frequent) = fault_set.frequent()
+            && rng.random_bool(ADDED_SHARE)
+        {
+            return frequent;
         }
         Self::ALL[rng.random_range(0..fault_set.count())]
     }
@@ -162,6 +180,7 @@
                 | Self::PlainNamesLimit
                 | Self::PlainSaysItLeaves
                 | Self::PlainAsksForRest
+                | Self::EntriesExpire
         )
     }
 
@@ -265,93 +284,16 @@
                 let restore = StoreRestore::draw(rng, host);
                 restore_store(deployment, plain, restore).await?;
             }
+            Self::EntriesExpire => {
+                let plain = rng.random_range(0..deployment.plains.len());
+                expire_entries(deployment, plain, EntryExpiry::draw(rng)).await;
+            }
         }
         Ok(())
     }
 }
 
-/// How a store is restored from a backup.
-#[derive(Debug, Clone, Copy)]
-struct StoreRestore {
-    /// Writes after the backup, which the restore loses.
-    lost_writes: usize,
-    /// Whether an upstream's leaving entry is among the lost writes; otherwise it is written after
-    /// the restore.
-    leaves_before_restore: bool,
-    /// How long the store does not respond before the restore.
-    outage: Duration,
-    /// Time from the restore until upstreams and the operator rewrite their entries.
-    rewrite_delay: Duration,
-    /// Unrelated writes after the restore, which may be more than were lost.
-    unrelated_writes: usize,
-    /// Number of consecutive restores.
-    restores: usize,
-    /// A host that is killed at the first restore and starts while the store has only the backup.
-    restarted_host: Option<usize>,
-}
-
-impl StoreRestore {
-    fn draw(rng: &mut ChaCha8Rng, host: usize) -> Self {
-        Self {
-            lost_writes: rng.random_range(0..30),
-            leaves_before_restore: rng.random_bool(0.5),
-            outage: Duration::from_millis(rng.random_range(0..2_500)),
-            rewrite_delay: Duration::from_millis(rng.random_range(0..1_500)),
-            unrelated_writes: rng.random_range(0..40),
-            restores: rng.random_range(1..=2),
-            restarted_host: rng.random_bool(0.3).then_some(host),
-        }
-    }
-}
-
-/// Restores the store from a backup while a plain upstream leaves shortly before or after. Counts
-/// the requests that it receives once all hosts must know, and the hosts in another era. A new
-/// instance then replaces it.
-async fn restore_store(
-    deployment: &mut Deployment,
-    plain: usize,
-    restore: StoreRestore,
-) -> Result<(), SoakError> {
-    let upstream = deployment.plains[plain].clone();
-    deployment.store.save_backup();
-    if restore.leaves_before_restore {
-        deployment.mark_plain_draining(plain);
-    }
-    deployment.write_unrelated(restore.lost_writes);
-    sleep(LEAVING_BOUND).await;
-    let mut received_before = upstream.received().len();
-    if restore.outage > PROPAGATION_BOUND {
-        deployment.store.set_mode(StoreMode::Silent);
-        sleep(restore.outage).await;
-    }
-    deployment.store.restore_backup();
-    deployment.store.set_mode(StoreMode::Up);
-    if let Some(host) = restore.restarted_host {
-        restart_host(deployment, host, "KILL").await?;
-    }
-    for _ in 1..restore.restores {
-        deployment.write_unrelated(restore.unrelated_writes);
-        sleep(PROPAGATION_BOUND).await;
-        deployment.store.restore_backup();
-    }
-    deployment.write_unrelated(restore.unrelated_writes);
-    sleep(restore.rewrite_delay).await;
-    deployment.rewrite_entries(plain);
-    deployment.mark_plain_draining(plain);
-    deployment.write_unrelated(restore.unrelated_writes);
-    if !restore.leaves_before_restore {
-        sleep(LEAVING_BOUND).await;
-        received_before = upstream.received().len();
-    }
-    sleep(LEAVING_BOUND).await;
-    deployment.sent_to_leaving += upstream.received().len() - received_before;
-    deployment.another_era += deployment.hosts_in_another_era().await;
-    let retired = deployment.restart_plain(plain).await;
-    deployment.retired_plains.push(retired);
-    Ok(())
-}
-
-async fn restart_host(
+pub(crate) async fn restart_host(
     deployment: &mut Deployment,
     index: usize,
     signal: &str,
--- a/crates/bench/src/soak/mod.rs
+++ b/crates/bench/src/soak/mod.rs
@@ -6,6 +6,7 @@
 mod deployment;
 mod fault;
 mod proxy;
+mod store_fault;
 mod verdict;
 
 use std::net::SocketAddr;
