Tell how long the store has not answered, so that the last host to call it knows

What callers saw: after an outage of the store in which entries expired, every host refused every request until upstreams had registered again, up to two seconds.

Cause: a host keeps upstreams without an entry only after an outage of 1.5 s, counted from its own first failed call. Hosts call the store in place of those that fail, so the last one to begin may be the first to get an answer. It took the outage for a short one, dropped all upstreams as departed, and told the others so.

Change: the announcement of a host that can't read the store says for how long, and the earliest time counts, unless the store has answered the host or a peer since. Why it holds: whoever begins to call does so because of such an announcement.

--- a/crates/gateway/src/dissemination.rs
+++ b/crates/gateway/src/dissemination.rs
@@ -20,7 +20,7 @@
 };
 use fulmarpath_wire::{Announcement, CellKey, GatewayPeerClient, ReplicatedState, Rumour};
 use parking_lot::Mutex;
-use serde::Serialize;
+use serde::{Deserialize, Serialize};
 use spdlog::{info, warn};
 use tokio::time::sleep;
 
@@ -45,6 +45,14 @@
 /// fetch it in parts instead, once a ping shows them a later revision.
 const MAX_ANNOUNCED: usize = 1_024;
 
+/// The announcement of a host that can't read the store.
+#[derive(Debug, Clone, Copy, Serialize, Deserialize)]
+struct StoreUnreadable {
+    host: HostKey,
+    /// How long its calls have failed.
+    failing_ms: Millis,
+}
+
 /// The hosts on which it depends whether this host watches, by the present members.
 #[derive(Debug, Default)]
 struct WatchDuty {
@@ -144,17 +152,21 @@
             }
             *announced_ms = now_ms;
         }
-        self.announce(
-            ReplicatedState::StoreUnreadable,
-            &self.host_key(),
-            self.area_branches(),
-        );
+        let unreadable = StoreUnreadable {
+            host: self.host_key(),
+            failing_ms: self.roster.lock().store_failing_ms(now_ms),
+        };
+        let area = self.area_branches();
+        self.announce(ReplicatedState::StoreUnreadable, &unreadable, area);
     }
 
     fn handle_store_unreadable(&self, value: &[u8]) -> Result<(), EncodingError> {
-        let host: HostKey = decode(ReplicatedState::StoreUnreadable, value)?;
-        let until_ms = self.clock.now_ms() + STORE_UNREADABLE_TTL_MS;
+        let StoreUnreadable { host, failing_ms } = decode(ReplicatedState::StoreUnreadable, value)?;
+        let now_ms = self.clock.now_ms();
+        let until_ms = now_ms + STORE_UNREADABLE_TTL_MS;
         self.dissemination.unreadable.lock().insert(host, until_ms);
+        let mut roster = self.roster.lock();
+        roster.mark_store_unavailable_to_peer(now_ms, failing_ms);
         Ok(())
     }
 
--- a/crates/gateway/src/roster.rs
+++ b/crates/gateway/src/roster.rs
@@ -132,6 +132,17 @@
         self.outage.record_failure(now_ms);
     }
 
+    /// Records that calls of a peer to the store have failed for a time.
+    pub fn mark_store_unavailable_to_peer(&mut self, now_ms: Millis, failing_ms: Millis) {
+        let since_ms = now_ms.saturating_sub(failing_ms);
+        self.outage.record_peer_failure(since_ms);
+    }
+
+    /// How long this host's calls to the store have failed; 0 if the last one succeeded.
+    pub(crate) fn store_failing_ms(&self, now_ms: Millis) -> Millis {
+        self.outage.failing_ms(now_ms)
+    }
+
     /// Whether registrations cannot show which upstreams are leaving: the store is unavailable, or
     /// was until a moment ago and upstreams have yet to register again. An upstream that leaves in
     /// that time may never announce it.
--- a/crates/gateway/src/store_outage.rs
+++ b/crates/gateway/src/store_outage.rs
@@ -16,6 +16,10 @@
     /// When a peer's update showed, after this host's last failed call, that the store answers
     /// others.
     answered_peer_ms: Option<Millis>,
+    /// Since when calls of peers have failed, by their word. Cleared when the store answers.
+    peers_failing_since_ms: Option<Millis>,
+    /// When the store last answered this host, or a peer as far as this host knows.
+    answered_ms: Millis,
     grace_until_ms: Millis,
 }
 
@@ -27,8 +31,19 @@
         self.answered_peer_ms = None;
     }
 
+    /// Records that calls of a peer have failed since a time.
+    ///
+    /// Hosts call the store in place of those that fail. The last one to begin may be the first one
+    /// to get an answer, and knows by its own calls only the end of the outage.
+    pub(crate) fn record_peer_failure(&mut self, since_ms: Millis) {
+        let known_ms = self.peers_failing_since_ms.unwrap_or(since_ms);
+        self.peers_failing_since_ms = Some(known_ms.min(since_ms));
+    }
+
     /// Records a peer's update with a later state than this host's.
     pub(crate) fn record_peer_update(&mut self, now_ms: Millis) {
+        self.answered_ms = now_ms;
+        self.peers_failing_since_ms = None;
         if self.failing_since_ms.is_some() {
             self.answered_peer_ms.get_or_insert(now_ms);
         }
@@ -39,11 +54,15 @@
     /// A host that does not watch makes no calls, so the store may have returned long before its
     /// next one. Peers' updates show when.
     pub(crate) fn record_answer(&mut self, now_ms: Millis) -> bool {
-        let answered_peer_ms = self.answered_peer_ms.take();
-        let Some(failing_since_ms) = self.failing_since_ms.take() else {
+        let answered_ms = std::mem::replace(&mut self.answered_ms, now_ms);
+        let returned_ms = self.answered_peer_ms.take().unwrap_or(now_ms);
+        let told_ms = self.peers_failing_since_ms.take();
+        // The store has answered since it refused the peer.
+        let told_ms = told_ms.map(|told_ms| told_ms.max(answered_ms));
+        let failing_since_ms = self.failing_since_ms.take().into_iter().chain(told_ms);
+        let Some(failing_since_ms) = failing_since_ms.min() else {
             return false;
         };
-        let returned_ms = answered_peer_ms.unwrap_or(now_ms);
         if returned_ms.saturating_sub(failing_since_ms) < MIN_OUTAGE_MS {
             return false;
         }
@@ -58,6 +77,12 @@
             .max(returned_ms + REREGISTRATION_GRACE_MS);
     }
 
+    /// How long this host's calls have failed; 0 if the last one succeeded.
+    pub(crate) fn failing_ms(&self, now_ms: Millis) -> Millis {
+        let since_ms = self.failing_since_ms;
+        since_ms.map_or(0, |since_ms| now_ms.saturating_sub(since_ms))
+    }
+
     /// Whether the store answers neither this host nor its peers, as far as this host knows.
     pub(crate) fn is_ongoing(&self) -> bool {
         self.failing_since_ms.is_some() && self.answered_peer_ms.is_none()
--- a/crates/gateway/tests/missing_upstreams.rs
+++ b/crates/gateway/tests/missing_upstreams.rs
@@ -182,6 +182,16 @@
     at_ms: 8_400,
     present: &["a"],
 })]
+#[case::peer_refused_by_a_store_that_this_host_reads(MissingCase {
+    events: |_, host| {
+        list(host, 5_900, 20, &["a", "b"]);
+        host.mark_store_unavailable_to_peer(RETURN_MS, 5_000);
+        watch(host, 6_500, 21, Change::Put(registration("a")));
+        remove(host, 6_600, 22, "b");
+    },
+    at_ms: 6_700,
+    present: &["a"],
+})]
 fn departure_after_an_outage_is_no_expiry(#[case] case: MissingCase) {
     let (mut peer, mut host) = two_hosts();
     (case.events)(&mut peer, &mut host);
@@ -235,6 +245,24 @@
     at_ms: 11_100,
     present: &["a", "b"],
 })]
+#[case::called_in_place_of_a_peer_that_failed(MissingCase {
+    events: |_, host| {
+        host.mark_store_unavailable_to_peer(5_000, 4_000);
+        host.mark_store_unavailable(5_500);
+        list(host, RETURN_MS, 20, &[]);
+    },
+    at_ms: 8_100,
+    present: &["a", "b"],
+})]
+#[case::first_call_in_place_of_a_peer_succeeds(MissingCase {
+    events: |_, host| {
+        host.mark_store_unavailable_to_peer(1_000, 0);
+        host.mark_store_unavailable_to_peer(5_800, 4_800);
+        list(host, RETURN_MS, 20, &[]);
+    },
+    at_ms: 8_100,
+    present: &["a", "b"],
+})]
 #[case::departure_told_before_it_registered_again(MissingCase {
     events: |peer, host| {
         remove(peer, 900, 11, "b");
