Leave a long list of upstreams to the watchers at a start

Change: a host decides 200 ms after its first contact, when it knows the size of the fleet roughly, and gives up a list after its first page where the fleet is large. In a large fleet it waits until no part of the list has arrived for 3 s; then a 64th of the hosts reads, twice as many each 2 s, whatever the number of hosts. Lists are read page by page through the adapter, which no longer joins them. The test of the wait that grew with the fleet is replaced by one of the same load with the same sizes, which allows fewer readers at once and no wait that grows.

--- a/crates/gateway/src/collection_reader.rs
+++ b/crates/gateway/src/collection_reader.rs
@@ -64,7 +64,7 @@
     }
 
     /// Reads the changes since a revision, or the complete list without one.
-    pub(crate) async fn read<T>(
+    pub(crate) async fn read<T: Send + 'static>(
         &mut self,
         gateway: &Gateway,
         source: &dyn Collection<T>,
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -77,8 +77,8 @@
     ResponseHead,
 };
 pub use metadata::{
-    Change, Changes, CircuitRegistry, Collection, Freshness, HostRegistry, Metadata, Snapshot,
-    StoreError, StoredCircuit, UnusableEntry,
+    Change, Changes, CircuitRegistry, Collection, Freshness, HostRegistry, ListPage, Metadata,
+    Snapshot, StoreError, StoredCircuit, UnusableEntry,
 };
 pub use presence_log::{PresenceLog, PresentHosts};
 pub use problem::Problem;
--- a/crates/gateway/src/metadata.rs
+++ b/crates/gateway/src/metadata.rs
@@ -105,15 +105,108 @@
     MayBeStale,
 }
 
+/// A page of a list of objects, in the order of their names.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct ListPage<T> {
+    /// The store's revision at the time of this page.
+    pub revision: Revision,
+    /// The objects.
+    pub items: Vec<T>,
+    /// Entries that can't be used.
+    pub unusable: Vec<UnusableEntry>,
+    /// The last name on the page, if more pages follow.
+    pub more_after: Option<String>,
+}
+
 /// Objects of one kind.
 #[async_trait]
 pub trait Collection<T>: Send + Sync {
-    /// Lists all objects.
-    async fn list(&self, freshness: Freshness) -> Result<Snapshot<T>, StoreError>;
+    /// Returns the page of the list that follows a name.
+    async fn list_page(
+        &self,
+        after: Option<&str>,
+        freshness: Freshness,
+    ) -> Result<ListPage<T>, StoreError>;
     /// Waits up to `bound` for changes since `revision`.
     async fn watch(&self, revision: Revision, bound: Duration) -> Result<Changes<T>, StoreError>;
 }
 
+impl<'a, T: Send + 'static> dyn Collection<T> + 'a {
+    /// Lists all objects.
+    ///
+    /// # Errors
+    /// [`StoreError`], also if the store was restored from a backup between two pages.
+    pub async fn list(&self, freshness: Freshness) -> Result<Snapshot<T>, StoreError> {
+        let mut list = PartialList::default();
+        while !list.is_complete {
+            list.read_page(self, freshness).await?;
+        }
+        Ok(list.into_snapshot())
+    }
+}
+
+/// A list that is being read page by page.
+#[derive(Debug)]
+pub(crate) struct PartialList<T> {
+    /// The revision of the first page, which is the oldest. A watch from it returns everything that
+    /// changes after it.
+    pub(crate) revision: Option<Revision>,
+    /// The last name read so far.
+    pub(crate) read_up_to: Option<String>,
+    pub(crate) is_complete: bool,
+    items: Vec<T>,
+    unusable: Vec<UnusableEntry>,
+}
+
+impl<T> Default for PartialList<T> {
+    fn default() -> Self {
+        Self {
+            revision: None,
+            read_up_to: None,
+            is_complete: false,
+            items: Vec::new(),
+            unusable: Vec::new(),
+        }
+    }
+}
+
+impl<T> PartialList<T> {
+    /// Reads the next page, and returns its items.
+    ///
+    /// # Errors
+    /// [`StoreError`], also if the store was restored from a backup since the first page.
+    pub(crate) async fn read_page(
+        &mut self,
+        source: &dyn Collection<T>,
+        freshness: Freshness,
+    ) -> Result<&[T], StoreError> {
+        let page = source
+            .list_page(self.read_up_to.as_deref(), freshness)
+            .await?;
+        let known = *self.revision.get_or_insert(page.revision);
+        if page.revision.era != known.era {
+            return Err(StoreError::EraChanged {
+                known,
+                received: page.revision,
+            });
+        }
+        let first = self.items.len();
+        self.items.extend(page.items);
+        self.unusable.extend(page.unusable);
+        self.is_complete = page.more_after.is_none();
+        self.read_up_to = page.more_after;
+        Ok(&self.items[first..])
+    }
+
+    pub(crate) fn into_snapshot(self) -> Snapshot<T> {
+        Snapshot {
+            revision: self.revision.unwrap_or_default(),
+            items: self.items,
+            unusable: self.unusable,
+        }
+    }
+}
+
 /// The registry of this system's own hosts.
 #[async_trait]
 pub trait HostRegistry: Send + Sync {
--- a/crates/gateway/src/store_sync.rs
+++ b/crates/gateway/src/store_sync.rs
@@ -17,7 +17,7 @@
 };
 use crate::gateway::Gateway;
 use crate::key::upstream_key;
-use crate::metadata::{Change, Freshness};
+use crate::metadata::{Change, Freshness, PartialList};
 use crate::roster::Roster;
 
 /// How long one watch waits, as a fraction of the time within which a change must be in force. A
@@ -224,24 +224,29 @@
         }
     }
 
-    /// Reads the upstreams once if no peer has provided them.
+    /// Reads the upstreams once if no peer has provided them. A list that turns out to be long is
+    /// left to the watchers of a large fleet after its first page.
     async fn read_registrations(self: &Arc<Self>) {
-        let listed = self
-            .metadata
-            .registrations
-            .list(Freshness::MayBeStale)
-            .await;
-        self.metrics.store_call("upstreams", outcome(&listed));
-        match listed {
-            Ok(list) => {
-                self.report_unusable_in_list("the upstreams", &list);
-                self.update_roster(|roster, now_ms| roster.load_provisional(now_ms, list));
+        let source = &*self.metadata.registrations;
+        let mut list = PartialList::default();
+        while !list.is_complete {
+            let read = list.read_page(source, Freshness::MayBeStale).await;
+            self.metrics.store_call("upstreams", outcome(&read));
+            match read {
+                Ok(page) => self.add_provisional_upstreams(page),
+                Err(error) => {
+                    self.metrics.store_failures.inc();
+                    warn!("store: no upstream known, and the upstreams can't be read: {error}");
+                    return;
+                }
             }
-            Err(error) => {
-                self.metrics.store_failures.inc();
-                warn!("store: no upstream known, and the upstreams can't be read: {error}");
+            if !list.is_complete && !self.may_read_upstreams() {
+                return;
             }
         }
+        let list = list.into_snapshot();
+        self.report_unusable_in_list("the upstreams", &list);
+        self.update_roster(|roster, now_ms| roster.load_provisional(now_ms, list));
     }
 
     /// Expires state that is kept until the store confirms it after an outage or a restore.
@@ -281,6 +286,7 @@
     /// Uses a part of a peer's list before the rest has arrived.
     pub(crate) fn add_provisional_upstreams(&self, part: &[Registration]) {
         let now_ms = self.clock.now_ms();
+        self.fleet.join.lock().record_list_progress(now_ms);
         let mut roster = self.roster.lock();
         if roster.add_provisional(now_ms, part) {
             self.apply_roster_changes(&mut roster);
--- a/crates/policy/src/join.rs
+++ b/crates/policy/src/join.rs
@@ -25,15 +25,20 @@
 /// configuration changes must be detected within seconds.
 const SOLE_HOST_DELAY_MS: Millis = 1_500;
 
-/// Number of hosts up to which all may read the upstreams from the store at once. In a larger fleet
-/// the watchers read them and peers pass them on, as a list of many pages for each host would cost
-/// more than all other calls together.
+/// Time after the first contact in which a host learns roughly how many others there are, before it
+/// decides whether to read the upstreams from the store.
+const FLEET_SIZE_WAIT_MS: Millis = 200;
+/// Number of known hosts up to which all may read the upstreams from the store at once. If a thousand
+/// read the list at once, all their calls time out. In a larger fleet the watchers read it and pass
+/// it on.
 const MAX_CONCURRENT_READERS: usize = 100;
-/// How long a host waits for the watchers' list before its own read, for each host above
-/// [`MAX_CONCURRENT_READERS`].
-const READ_DELAY_MS: f32 = 2.0;
-/// Interval between the reads of all waiting hosts, if no peer provides the list.
-const READ_INTERVAL_MS: f32 = 20.0;
+/// How long a host of a larger fleet waits for the list after its last progress.
+const STALLED_AFTER_MS: Millis = 3_000;
+/// Share of the hosts that read the list from the store as soon as it has stalled. The share doubles
+/// in each [`READERS_DOUBLE_MS`], until peers pass on what one of them has read.
+const FIRST_READERS_SHARE: f32 = 1.0 / 64.0;
+/// Time in which one host reads a long list and passes it on.
+const READERS_DOUBLE_MS: f32 = 2_000.0;
 
 /// Progress of a host since its start.
 #[derive(Debug, Clone, Copy)]
@@ -45,6 +50,8 @@
     is_only_host: bool,
     /// This host's place in the order of reads, from 0 to 1.
     draw: f32,
+    /// When a part of the list of upstreams arrived last.
+    list_progress_ms: Millis,
 }
 
 impl Join {
@@ -58,6 +65,7 @@
             has_queried_peers: !has_seeds,
             is_only_host: false,
             draw,
+            list_progress_ms: now_ms,
         }
     }
 
@@ -76,6 +84,11 @@
         self.is_only_host = true;
     }
 
+    /// Records that a part of the list of upstreams has arrived.
+    pub fn record_list_progress(&mut self, now_ms: Millis) {
+        self.list_progress_ms = now_ms;
+    }
+
     /// Whether another host has answered.
     pub fn has_met_peer(&self) -> bool {
         self.contact_ms.is_some()
@@ -97,10 +110,17 @@
         if !self.may_read_store(now_ms) {
             return false;
         }
-        let waiting = hosts.saturating_sub(MAX_CONCURRENT_READERS) as f32;
-        let delay_ms = waiting * (READ_DELAY_MS + self.draw * READ_INTERVAL_MS);
-        let since_ms = self.contact_ms.unwrap_or(self.started_ms);
-        now_ms.saturating_sub(since_ms) as f32 >= delay_ms
+        let Some(contact_ms) = self.contact_ms else {
+            return true;
+        };
+        if hosts <= MAX_CONCURRENT_READERS {
+            return now_ms.saturating_sub(contact_ms) >= FLEET_SIZE_WAIT_MS;
+        }
+        let progress_ms = self.list_progress_ms.max(contact_ms);
+        let stalled_ms = now_ms.saturating_sub(progress_ms + STALLED_AFTER_MS);
+        let is_stalled = now_ms >= progress_ms + STALLED_AFTER_MS;
+        let doublings = stalled_ms as f32 / READERS_DOUBLE_MS;
+        is_stalled && self.draw < FIRST_READERS_SHARE * doublings.exp2()
     }
 
     /// Whether this host knows enough members to determine which hosts watch the store.
--- a/crates/policy/tests/join.rs
+++ b/crates/policy/tests/join.rs
@@ -95,35 +95,57 @@
 }
 
 struct FleetStart {
+    /// Hosts of the fleet; a host knows all of them.
     hosts: usize,
-    /// Hosts that may read the upstreams from the store within the first second, and within two.
-    readers: [usize; 2],
+    /// When parts of the list arrive.
+    progress_ms: &'static [u64],
+    /// Hosts that may read the upstreams from the store at 250, 2,500, 3,000, 5,000 and 20,000 ms.
+    readers: [usize; 5],
 }
 
 /// Guards against a fleet that starts at once and reads the list of upstreams from the store on
-/// every host: a list of many pages for each of a thousand hosts costs more than all other calls
-/// together. A small fleet reads at once; in a large one the watchers come first and the others
-/// read one after the other, at a rate that does not grow with the fleet.
+/// every host: the store is overloaded, all the calls time out, and no host serves. A small fleet
+/// reads as soon as its hosts know each other. In a large one the watchers read, and the others wait
+/// while parts of the list arrive, for a time that does not depend on the size of the fleet. If none
+/// arrive, few read first, so that the others can get what they have read.
 #[rstest]
-#[case::small(FleetStart { hosts: 100, readers: [100, 100] })]
-#[case::thousand(FleetStart { hosts: 1_000, readers: [0, 12] })]
-#[case::twice_the_size(FleetStart { hosts: 2_000, readers: [0, 0] })]
-fn large_fleet_reads_the_upstreams_one_host_after_the_other(#[case] start: FleetStart) {
+#[case::small(FleetStart { hosts: 100, progress_ms: &[], readers: [100; 5] })]
+#[case::thousand(FleetStart { hosts: 1_024, progress_ms: &[], readers: [0, 0, 16, 32, 1_024] })]
+#[case::twice_the_size(FleetStart { hosts: 2_048, progress_ms: &[], readers: [0, 0, 32, 64, 2_048] })]
+#[case::parts_arrive(FleetStart {
+    hosts: 1_024, progress_ms: &[600, 1_800, 2_900], readers: [0, 0, 0, 0, 1_024],
+})]
+#[case::parts_stop(FleetStart {
+    hosts: 1_024, progress_ms: &[600, 1_000], readers: [0, 0, 0, 23, 1_024],
+})]
+fn a_large_fleet_waits_for_the_watchers_list(#[case] start: FleetStart) {
     let readers_at = |now_ms: u64| {
         let hosts = (0..start.hosts).map(|host| host as f32 / start.hosts as f32);
         let reads = |draw: &f32| {
             let mut join = Join::new(0, true, *draw);
             join.record_peer(0);
             join.finish_peer_queries();
+            for at_ms in start.progress_ms.iter().filter(|at_ms| **at_ms <= now_ms) {
+                join.record_list_progress(*at_ms);
+            }
             join.may_read_upstreams(now_ms, start.hosts)
         };
         hosts.filter(reads).count()
     };
-    assert_eq!([readers_at(1_000), readers_at(2_000)], start.readers);
-    let within_a_second = readers_at(8_000) - readers_at(7_000);
-    assert!(
-        within_a_second <= 60,
-        "{within_a_second} hosts read within a second"
+    assert_eq!(
+        [250, 2_500, 3_000, 5_000, 20_000].map(readers_at),
+        start.readers
     );
-    assert!(readers_at(60_000) == start.hosts);
+}
+
+/// Guards against a host that takes a large fleet for a small one because it has yet to learn of the
+/// others, and reads the list from the store together with hundreds of others.
+#[test]
+fn a_starting_host_learns_the_size_of_the_fleet_first() {
+    let mut join = Join::new(0, true, 0.5);
+    join.record_peer(10);
+    join.finish_peer_queries();
+    assert!(!join.may_read_upstreams(100, 8));
+    assert!(join.may_read_upstreams(210, 8));
+    assert!(!join.may_read_upstreams(210, 900));
 }
