Offer no part of a list of upstreams to peers

Cause, read in the code and shown by a test: a host that holds the beginning of a list says that it has one, of the lowest revision. Peers without any fetch that beginning, and while they do, the guard against two fetches at once keeps them from a host that has all.

Change: the revision of a host that holds parts stays that of a host without a list. Its callers are served from the parts as before.

part_of_a_list_is_not_offered_to_peers fails on the code before.

--- a/crates/gateway/src/fleet.rs
+++ b/crates/gateway/src/fleet.rs
@@ -438,6 +438,10 @@
                 list.gone = part.gone;
                 list.expired = part.expired;
             }
+            self.fleet
+                .join
+                .lock()
+                .record_list_progress(self.clock.now_ms());
             self.add_provisional_upstreams(&part.put);
             list.put.extend(part.put);
             if part.is_last {
--- a/crates/gateway/src/roster.rs
+++ b/crates/gateway/src/roster.rs
@@ -168,7 +168,7 @@
     /// with it, and a host that considered itself up to date would never receive what it lacks.
     /// Peers and a watch provide the complete list.
     pub fn load_provisional(&mut self, now_ms: Millis, snapshot: Snapshot<Registration>) -> bool {
-        if self.revision > Revision::default() || !self.entries.is_empty() {
+        if self.revision > Revision::default() {
             return false;
         }
         self.last_update_ms = now_ms;
@@ -315,13 +315,15 @@
         }
     }
 
-    /// Adds a part of a peer's list while this host has no complete list; returns whether it
-    /// changed anything.
+    /// Adds a part of a list while this host has no complete one; returns whether it changed
+    /// anything.
+    ///
+    /// The revision stays that of a host without a list: peers would take a part for the whole, and
+    /// fetch it instead of a complete list.
     pub fn add_provisional(&mut self, now_ms: Millis, part: &[Registration]) -> bool {
         if self.revision > Directory::PROVISIONAL || part.is_empty() {
             return false;
         }
-        self.revision = Directory::PROVISIONAL;
         self.last_update_ms = now_ms;
         let mut changed = false;
         for registration in part {
--- a/crates/gateway/src/store_sync.rs
+++ b/crates/gateway/src/store_sync.rs
@@ -286,7 +286,6 @@
     /// Uses a part of a peer's list before the rest has arrived.
     pub(crate) fn add_provisional_upstreams(&self, part: &[Registration]) {
         let now_ms = self.clock.now_ms();
-        self.fleet.join.lock().record_list_progress(now_ms);
         let mut roster = self.roster.lock();
         if roster.add_provisional(now_ms, part) {
             self.apply_roster_changes(&mut roster);
--- a/crates/gateway/tests/roster.rs
+++ b/crates/gateway/tests/roster.rs
@@ -682,3 +682,18 @@
     let returned = "1 present again after having left: i-2";
     assert_eq!(roster.take_decisions(), [returned]);
 }
+
+/// Guards against a host that holds only the beginning of a list and offers it to its peers: they
+/// fetch it in place of a complete list, and each passes on its own beginning.
+#[test]
+fn part_of_a_list_is_not_offered_to_peers() {
+    let mut source = Roster::default();
+    source.replace(0, numbered(250));
+    let mut host = Roster::default();
+    let part = source.part_after(0, None, 100);
+    assert!(host.add_provisional(1, &part.put));
+    assert_eq!(names(&host).len(), 100);
+    assert_eq!(host.revision(), Revision::default());
+    assert!(host.apply_peer_change(2, source.change_since(2, host.revision())));
+    assert_eq!((names(&host).len(), host.revision()), (250, at(5)));
+}
--- a/crates/policy/src/join.rs
+++ b/crates/policy/src/join.rs
@@ -50,7 +50,7 @@
     is_only_host: bool,
     /// This host's place in the order of reads, from 0 to 1.
     draw: f32,
-    /// When a part of the list of upstreams arrived last.
+    /// When a part of the list of upstreams arrived last from a peer.
     list_progress_ms: Millis,
 }
 
@@ -84,7 +84,7 @@
         self.is_only_host = true;
     }
 
-    /// Records that a part of the list of upstreams has arrived.
+    /// Records that a part of the list of upstreams has arrived from a peer.
     pub fn record_list_progress(&mut self, now_ms: Millis) {
         self.list_progress_ms = now_ms;
     }
@@ -113,10 +113,10 @@
         let Some(contact_ms) = self.contact_ms else {
             return true;
         };
+        let progress_ms = self.list_progress_ms.max(contact_ms);
         if hosts <= MAX_CONCURRENT_READERS {
-            return now_ms.saturating_sub(contact_ms) >= FLEET_SIZE_WAIT_MS;
+            return now_ms.saturating_sub(progress_ms) >= FLEET_SIZE_WAIT_MS;
         }
-        let progress_ms = self.list_progress_ms.max(contact_ms);
         let stalled_ms = now_ms.saturating_sub(progress_ms + STALLED_AFTER_MS);
         let is_stalled = now_ms >= progress_ms + STALLED_AFTER_MS;
         let doublings = stalled_ms as f32 / READERS_DOUBLE_MS;
