--- a/crates/gateway/src/collection_reader.rs
+++ b/crates/gateway/src/collection_reader.rs
@@ -10,9 +10,7 @@
 use tokio::time::sleep;
 
 use crate::gateway::Gateway;
-use crate::metadata::{
-    Changes, Collection, Freshness, PartialList, ReadPage, Snapshot, StoreError,
-};
+use crate::metadata::{Changes, Collection, Freshness, ReadPage, Snapshot, StoreError};
 
 /// Between two attempts while the store is unavailable; randomised, so that not all hosts call at
 /// once.
@@ -87,7 +85,10 @@
         on_page: impl FnMut(ReadPage<'_, T>) + Send,
     ) -> Result<StoreUpdate<T>, StoreError> {
         let update = match since {
-            None => list(source, on_page).await.map(StoreUpdate::Snapshot),
+            None => source
+                .list_by_page(Freshness::Newest, on_page)
+                .await
+                .map(StoreUpdate::Snapshot),
             Some(held) => source.watch(held, wait).await.map(StoreUpdate::Changes),
         };
         let update = update.and_then(|update| self.check(gateway, since, update));
@@ -152,17 +153,6 @@
     }
 }
 
-async fn list<T: Send + 'static>(
-    source: &dyn Collection<T>,
-    mut on_page: impl FnMut(ReadPage<'_, T>) + Send,
-) -> Result<Snapshot<T>, StoreError> {
-    let mut list = PartialList::default();
-    while !list.is_complete {
-        on_page(list.read_page(source, Freshness::Newest).await?);
-    }
-    Ok(list.into_snapshot())
-}
-
 /// Waits before the next attempt, after this many without success.
 async fn pause(attempts: u32) {
     let range = match attempts <= SHORT_RETRIES {
--- a/crates/gateway/src/metadata.rs
+++ b/crates/gateway/src/metadata.rs
@@ -137,9 +137,18 @@
     /// # Errors
     /// [`StoreError`], also if the store was restored from a backup between two pages.
     pub async fn list(&self, freshness: Freshness) -> Result<Snapshot<T>, StoreError> {
+        self.list_by_page(freshness, |_| {}).await
+    }
+
+    /// The same, with each page handed over as it arrives.
+    pub(crate) async fn list_by_page(
+        &self,
+        freshness: Freshness,
+        mut on_page: impl FnMut(ReadPage<'_, T>) + Send,
+    ) -> Result<Snapshot<T>, StoreError> {
         let mut list = PartialList::default();
         while !list.is_complete {
-            list.read_page(self, freshness).await?;
+            on_page(list.read_page(self, freshness).await?);
         }
         Ok(list.into_snapshot())
     }
--- a/crates/gateway/src/store_sync.rs
+++ b/crates/gateway/src/store_sync.rs
@@ -240,7 +240,8 @@
             let read = list.read_page(source, Freshness::MayBeStale).await;
             self.metrics.store_call("upstreams", outcome(&read));
             match read {
-                Ok(page) => self.add_provisional_upstreams(page.items),
+                Ok(page) if page.up_to.is_some() => self.add_provisional_upstreams(page.items),
+                Ok(_) => {}
                 Err(error) => {
                     self.metrics.store_failures.inc();
                     warn!("store: no upstream known, and the upstreams can't be read: {error}");
--- a/crates/policy/src/join.rs
+++ b/crates/policy/src/join.rs
@@ -117,10 +117,11 @@
         if hosts <= MAX_CONCURRENT_READERS {
             return now_ms.saturating_sub(progress_ms) >= FLEET_SIZE_WAIT_MS;
         }
-        let stalled_ms = now_ms.saturating_sub(progress_ms + STALLED_AFTER_MS);
-        let is_stalled = now_ms >= progress_ms + STALLED_AFTER_MS;
+        let Some(stalled_ms) = now_ms.checked_sub(progress_ms + STALLED_AFTER_MS) else {
+            return false;
+        };
         let doublings = stalled_ms as f32 / READERS_DOUBLE_MS;
-        is_stalled && self.draw < FIRST_READERS_SHARE * doublings.exp2()
+        self.draw < FIRST_READERS_SHARE * doublings.exp2()
     }
 
     /// Whether this host knows enough members to determine which hosts watch the store.
