Log how an engine framed its stream and how it ended it

A dispatch in the line of a request has the framing of its answer and the end of its stream, and fulmarpath_gateway_stream_ends_total counts both. No decision changes.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -12,6 +12,7 @@
 use tokio::time::timeout;
 
 use crate::crashes::InterruptedRun;
+use crate::framing::Framing;
 use crate::gateway::Gateway;
 use crate::head::{Continuation, Outbound, ResponseHead};
 use crate::inbound::InboundRequest;
@@ -103,14 +104,19 @@
             instance: chosen.instance.clone(),
             at_ms: self.clock.now_ms().saturating_sub(tracker.arrived_ms),
             outcome: "sent".to_owned(),
+            framing: None,
+            stream_end: None,
         });
         let result = self.exchange(inbound, chosen, options, &tracker.id).await;
         match &result {
-            Ok(response) => tracker.end_dispatch(if response.http.status().is_success() {
-                ANSWERED
-            } else {
-                "failed"
-            }),
+            Ok(response) => {
+                tracker.set_framing(Framing::of(&response.http));
+                tracker.end_dispatch(if response.http.status().is_success() {
+                    ANSWERED
+                } else {
+                    "failed"
+                });
+            }
             Err(failure) => tracker.end_dispatch(failure.name()),
         }
         result
--- a/crates/gateway/src/events.rs
+++ b/crates/gateway/src/events.rs
@@ -20,6 +20,13 @@
         Some(self.buffer.split_to(end).freeze())
     }
 
+    /// Whether the last event is incomplete. Empty lines between events are not an event.
+    pub(crate) fn is_in_event(&self) -> bool {
+        let complete = end_of_last(&self.buffer).unwrap_or_default();
+        let rest = &self.buffer[complete..];
+        rest.iter().any(|byte| !matches!(byte, b'\r' | b'\n'))
+    }
+
     /// Takes what is left after the last complete event.
     pub(crate) fn take_remainder(&mut self) -> Option<Bytes> {
         let remainder = self.buffer.split().freeze();
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -23,6 +23,7 @@
 mod events;
 mod fleet;
 mod forward;
+mod framing;
 mod gateway;
 mod head;
 mod homes;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -40,6 +40,14 @@
     pub(crate) went_on: &'static str,
 }
 
+/// How an upstream ended a stream.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct StreamEndLabels {
+    /// How the stream was framed.
+    framing: String,
+    end: &'static str,
+}
+
 /// A call to the store.
 #[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
 pub(crate) struct StoreLabels {
@@ -126,6 +134,7 @@
     pub(crate) continuations: Family<ContinuationLabels, Counter>,
     pub(crate) running_copies: Counter,
     pub(crate) stalls: Counter,
+    stream_ends: Family<StreamEndLabels, Counter>,
     pub(crate) cold_waits: Counter,
     pub(crate) limit_waits: Counter,
     crashes: Family<CrashLabels, Counter>,
@@ -189,6 +198,9 @@
         let help =
             "Pauses over the route's target on one engine, caused by preemption or by its link";
         registry.register("stalls", help, stalls.clone());
+        let stream_ends = Family::default();
+        let help = "Streams that their engines ended, by framing and by how they ended";
+        registry.register("stream_ends", help, stream_ends.clone());
         let crashes = Family::default();
         let help = "Runs that ended because their upstream ended without notice";
         registry.register("crashed_runs", help, crashes.clone());
@@ -252,6 +264,7 @@
             continuations,
             running_copies,
             stalls,
+            stream_ends,
             crashes,
             store_calls,
             peer_messages,
@@ -293,6 +306,13 @@
         self.continuations.get_or_create(&labels).inc();
     }
 
+    /// Counts a stream that its engine ended.
+    pub(crate) fn stream_end(&self, framing: &str, end: &'static str) {
+        let framing = framing.to_owned();
+        let labels = StreamEndLabels { framing, end };
+        self.stream_ends.get_or_create(&labels).inc();
+    }
+
     /// Counts a run that ended because its upstream did.
     pub(crate) fn crash(&self, is_suspect: bool) {
         let suspect = if is_suspect { "yes" } else { "no" };
--- a/crates/gateway/src/record.rs
+++ b/crates/gateway/src/record.rs
@@ -28,6 +28,15 @@
     /// was not received in full or is not signed), `unsent`, `shed` (stated as not run), `unknown`
     /// or `overdue`.
     pub outcome: String,
+    /// How the body of the response is framed: `length`, `chunked` or `close` (it ends with its
+    /// connection). `None` if no response arrived.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub framing: Option<String>,
+    /// How the upstream ended a stream: `complete`, `in_event` (in the middle of an event) or
+    /// `interrupted` (the connection failed, or the framing is incomplete). `None` if the upstream
+    /// did not end it.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub stream_end: Option<String>,
 }
 
 /// The record of a request from its arrival to its end.
@@ -129,7 +138,8 @@
             "timeout" => format!("{at} did not answer before the deadline"),
             "broken" => format!("{at} broke off or sent an invalid response; it may have run"),
             "stream_broken" => format!(
-                "{at} was lost after {} events and no copy of its KV cache could be resumed",
+                "{at} {} after {} events and no copy of its KV cache could be resumed",
+                self.describe_stream_end(),
                 self.events
             ),
             "stream_gap" => format!(
@@ -141,6 +151,14 @@
         }
     }
 
+    fn describe_stream_end(&self) -> &'static str {
+        let last = self.dispatches.last();
+        match last.and_then(|dispatch| dispatch.stream_end.as_deref()) {
+            Some("in_event") => "ended its stream in the middle of an event",
+            _ => "was lost",
+        }
+    }
+
     fn describe_answered(&self) -> String {
         let moves = self.dispatches.len().saturating_sub(1);
         match self.first_event_ms {
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -173,12 +173,22 @@
                 return Some(self.advance(outcome));
             }
         };
-        match read {
-            StreamRead::Bytes => Some(NextStep::Read),
-            StreamRead::End => Some(self.handover.end_stream(StreamEnd::Complete)),
-            StreamRead::Broken => Some(self.handover.end_stream(StreamEnd::Broken)),
-            StreamRead::TimedOut => None,
-        }
+        let end = match read {
+            StreamRead::Bytes => return Some(NextStep::Read),
+            StreamRead::TimedOut => return None,
+            StreamRead::End => StreamEnd::Complete,
+            StreamRead::Broken => StreamEnd::Broken,
+        };
+        self.record_stream_end(end);
+        Some(self.handover.end_stream(end))
+    }
+
+    fn record_stream_end(&mut self, end: StreamEnd) {
+        self.tracker.end_stream(match end {
+            StreamEnd::Broken => "interrupted",
+            StreamEnd::Complete if self.events.is_in_event() => "in_event",
+            StreamEnd::Complete => "complete",
+        });
     }
 
     /// How long the engine may stay silent before the generation resumes from the running copy.
--- a/crates/gateway/src/tracker.rs
+++ b/crates/gateway/src/tracker.rs
@@ -6,6 +6,7 @@
 use spdlog::info;
 
 use crate::configuration::{Route, RouteKind};
+use crate::framing::Framing;
 use crate::gateway::Gateway;
 use crate::head::GenerationHead;
 use crate::instance::ChosenUpstream;
@@ -141,6 +142,23 @@
         }
     }
 
+    /// Sets the framing of the last dispatch's response.
+    pub(crate) fn set_framing(&mut self, framing: Framing) {
+        if let Some(last) = self.dispatches.last_mut() {
+            last.framing = Some(framing.name().to_owned());
+        }
+    }
+
+    /// Records how the upstream of the last dispatch ended its stream.
+    pub(crate) fn end_stream(&mut self, end: &'static str) {
+        let Some(last) = self.dispatches.last_mut() else {
+            return;
+        };
+        last.stream_end = Some(end.to_owned());
+        let framing = last.framing.as_deref().unwrap_or_default();
+        self.gateway.metrics.stream_end(framing, end);
+    }
+
     /// Ends the request with a response of the gateway itself.
     pub(crate) fn end_with_problem(&mut self, problem: Problem) {
         self.end(problem.name(), problem.status().as_u16());
--- a/tests/explain.rs
+++ b/tests/explain.rs
@@ -10,6 +10,8 @@
         instance: (*instance).to_owned(),
         at_ms: 3,
         outcome: "sent".to_owned(),
+        framing: Some("chunked".to_owned()),
+        stream_end: None,
     });
     RequestRecord {
         content: Some("00000000000000cc".to_owned()),
