Take a stream that ends in the middle of an event as broken off

An answer may come with neither a length nor chunks, and then its only end is that of its connection. A relay took each orderly close for the end of the answer, passed the part of an event that was left on to the caller, and ended its own chunked answer properly. The engine's reset was told as broken already, as were chunks and lengths that are not complete.

A stream that ends inside an event has been broken off, whatever its framing: no part of an event is passed on, the generation goes on from a running copy or anew where that is allowed, and otherwise the caller's connection is cut. Empty lines and comments after the last event are no part of one, and an answer that is not made of events ends as its framing says. The migration's own stop, which also closes a stream without its end, is waited for as before.

--- a/crates/gateway/src/engine_stream.rs
+++ b/crates/gateway/src/engine_stream.rs
@@ -6,7 +6,9 @@
 use fulmarpath_http::Connection;
 use fulmarpath_policy::Millis;
 use http_body_util::BodyExt;
+use hyper::HeaderMap;
 use hyper::body::{Bytes, Frame, Incoming};
+use hyper::header::CONTENT_TYPE;
 use tokio::time::timeout;
 
 use crate::attempt::UpstreamResponse;
@@ -15,10 +17,15 @@
 use crate::instance::Destination;
 use crate::tracker::InFlightRequest;
 
+const EVENT_STREAM: &str = "text/event-stream";
+
 /// The outcome of reading from an engine.
 pub(crate) enum StreamRead {
     Bytes,
     End,
+    /// The stream ended in the middle of an event: its engine broke it off. A stream that is framed
+    /// only by the end of its connection shows a break in no other way.
+    EndInEvent,
     Broken,
     TimedOut,
 }
@@ -30,6 +37,7 @@
     pub(crate) response_at_ms: Millis,
     /// When the first bytes of its body arrived.
     pub(crate) first_bytes_ms: Option<Millis>,
+    has_events: bool,
     body: Incoming,
     _connection: Connection,
 }
@@ -39,6 +47,7 @@
         Self {
             response_at_ms: now_ms,
             first_bytes_ms: None,
+            has_events: has_events(response.http.headers()),
             in_flight: response.in_flight,
             body: response.http.into_body(),
             _connection: response.connection,
@@ -70,6 +79,7 @@
                     .get_or_insert_with(|| gateway.clock.now_ms());
                 StreamRead::Bytes
             }
+            Ok(None) if self.has_events && events.is_in_event() => StreamRead::EndInEvent,
             Ok(None) => StreamRead::End,
             Ok(Some(Err(_))) => StreamRead::Broken,
             Err(_) => StreamRead::TimedOut,
@@ -77,6 +87,12 @@
     }
 }
 
+/// Whether a response is a series of events; engines may leave the type out.
+fn has_events(headers: &HeaderMap) -> bool {
+    let content_type = headers.get(CONTENT_TYPE);
+    content_type.is_none_or(|value| value.as_bytes().starts_with(EVENT_STREAM.as_bytes()))
+}
+
 fn push(events: &mut EventBuffer, frame: &Frame<Bytes>) {
     if let Some(data) = frame.data_ref() {
         events.push(data);
--- a/crates/gateway/src/events.rs
+++ b/crates/gateway/src/events.rs
@@ -20,11 +20,11 @@
         Some(self.buffer.split_to(end).freeze())
     }
 
-    /// Whether the last event is incomplete. Empty lines between events are not an event.
+    /// Whether the last event is incomplete. Empty lines and comments are not an event.
     pub(crate) fn is_in_event(&self) -> bool {
         let complete = end_of_last(&self.buffer).unwrap_or_default();
-        let rest = &self.buffer[complete..];
-        rest.iter().any(|byte| !matches!(byte, b'\r' | b'\n'))
+        let mut lines = self.buffer[complete..].split(|byte| *byte == b'\n');
+        lines.any(|line| !matches!(line, [] | [b'\r'] | [b':', ..]))
     }
 
     /// Takes what is left after the last complete event.
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -173,24 +173,17 @@
                 return Some(self.advance(outcome));
             }
         };
-        let end = match read {
+        let (end, name) = match read {
             StreamRead::Bytes => return Some(NextStep::Read),
             StreamRead::TimedOut => return None,
-            StreamRead::End => StreamEnd::Complete,
-            StreamRead::Broken => StreamEnd::Broken,
+            StreamRead::End => (StreamEnd::Complete, "complete"),
+            StreamRead::EndInEvent => (StreamEnd::Broken, "in_event"),
+            StreamRead::Broken => (StreamEnd::Broken, "interrupted"),
         };
-        self.record_stream_end(end);
+        self.tracker.end_stream(name);
         Some(self.handover.end_stream(end))
     }
 
-    fn record_stream_end(&mut self, end: StreamEnd) {
-        self.tracker.end_stream(match end {
-            StreamEnd::Broken => "interrupted",
-            StreamEnd::Complete if self.events.is_in_event() => "in_event",
-            StreamEnd::Complete => "complete",
-        });
-    }
-
     /// How long the engine may stay silent before the generation resumes from the running copy.
     fn silence_left(&self) -> Option<Duration> {
         let can_fail_over = self.backup.is_some() && self.handover.can_begin_migration();
@@ -226,6 +219,7 @@
         broken
     }
 
+    /// Passes on what follows the last event, such as an empty line, and then ends the response.
     fn finish(&mut self) -> Option<Result<Bytes, BodyInterrupted>> {
         if let Some(remainder) = self.events.take_remainder() {
             return Some(Ok(remainder));
--- a/crates/gateway/src/tracker.rs
+++ b/crates/gateway/src/tracker.rs
@@ -149,13 +149,14 @@
         }
     }
 
-    /// Records how the upstream of the last dispatch ended its stream.
+    /// Records how the upstream that answered last ended its stream. A later dispatch may have been
+    /// refused, if it was to replace a silent engine.
     pub(crate) fn end_stream(&mut self, end: &'static str) {
-        let Some(last) = self.dispatches.last_mut() else {
-            return;
-        };
-        last.stream_end = Some(end.to_owned());
-        let framing = last.framing.as_deref().unwrap_or_default();
+        let mut dispatches = self.dispatches.iter_mut().rev();
+        let answered = dispatches.find(|dispatch| dispatch.outcome == ANSWERED);
+        let Some(dispatch) = answered else { return };
+        dispatch.stream_end = Some(end.to_owned());
+        let framing = dispatch.framing.as_deref().unwrap_or_default();
         self.gateway.metrics.stream_end(framing, end);
     }
 
--- a/crates/policy/src/handover.rs
+++ b/crates/policy/src/handover.rs
@@ -23,7 +23,8 @@
 /// How an engine's stream ended.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum StreamEnd {
-    /// Properly terminated by its framing.
+    /// Ended as its framing requires. A stream that ends with its connection has ended after a
+    /// complete event.
     Complete,
     /// Broken off, or its engine is known to have ended.
     Broken,
