Ask an engine that closed an unframed stream whether it still runs

A process that ends closes its connections in order, so that a stream without length or chunks whose engine dies between two events looks like a complete answer (ORDER).

Before it ends an answer that nothing but its connection frames, a host waits until a dying process has closed its listener too, and asks the engine for its report. If the engine refuses the connection, or another process answers in its place, the generation goes on elsewhere or the caller's stream is cut. An engine that accepts but does not answer in time counts as alive.

--- a/crates/gateway/src/crashes.rs
+++ b/crates/gateway/src/crashes.rs
@@ -3,11 +3,12 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use fulmarpath_http::is_listening;
+use fulmarpath_http::{LISTENER_CLOSE_WAIT, is_listening};
 use fulmarpath_policy::{ContentKey, Millis, UpstreamKey, is_crash_suspect};
 use spdlog::info;
-use tokio::time::timeout;
+use tokio::time::{sleep, timeout};
 
+use crate::control::EngineStatus;
 use crate::gateway::Gateway;
 use crate::inbound::InboundRequest;
 use crate::instance::ChosenUpstream;
@@ -90,6 +91,19 @@
             .is_ok()
     }
 
+    /// Whether an engine has ended that has just closed a connection in order.
+    ///
+    /// A process that ends closes its connections as if their streams were complete. An engine that
+    /// does not answer in time counts as alive: the close came from it.
+    pub(crate) async fn has_engine_ended(self: &Arc<Self>, engine: &ChosenUpstream) -> bool {
+        sleep(LISTENER_CLOSE_WAIT).await;
+        if engine.lost.is_cancelled() {
+            return true;
+        }
+        let result = self.control.probe(engine.address).await;
+        result.status == EngineStatus::Gone || !self.is_current_incarnation(engine.upstream, result)
+    }
+
     fn log_crash(&self, run: &InterruptedRun) {
         let is_suspect = run.is_suspect();
         self.metrics.crash(is_suspect);
--- a/crates/gateway/src/engine_stream.rs
+++ b/crates/gateway/src/engine_stream.rs
@@ -13,6 +13,7 @@
 
 use crate::attempt::UpstreamResponse;
 use crate::events::EventBuffer;
+use crate::framing::Framing;
 use crate::gateway::Gateway;
 use crate::instance::Destination;
 use crate::tracker::InFlightRequest;
@@ -38,6 +39,7 @@
     /// When the first bytes of its body arrived.
     pub(crate) first_bytes_ms: Option<Millis>,
     has_events: bool,
+    framing: Framing,
     body: Incoming,
     _connection: Connection,
 }
@@ -48,6 +50,7 @@
             response_at_ms: now_ms,
             first_bytes_ms: None,
             has_events: has_events(response.http.headers()),
+            framing: Framing::of(&response.http),
             in_flight: response.in_flight,
             body: response.http.into_body(),
             _connection: response.connection,
@@ -63,6 +66,11 @@
         self.in_flight.chosen.destination()
     }
 
+    /// Whether its end is only that of its connection, which a process that ends closes as well.
+    pub(crate) fn ends_with_connection(&self) -> bool {
+        self.framing == Framing::Close
+    }
+
     /// Waits for more data of the stream.
     pub(crate) async fn read(
         &mut self,
--- a/crates/gateway/src/probe.rs
+++ b/crates/gateway/src/probe.rs
@@ -122,7 +122,7 @@
 
     /// Whether a probe result comes from the known incarnation of an engine. A result of a later
     /// one is recorded as a restart; a result of an earlier one arrived late.
-    fn is_current_incarnation(&self, engine: UpstreamKey, result: ProbeResult) -> bool {
+    pub(crate) fn is_current_incarnation(&self, engine: UpstreamKey, result: ProbeResult) -> bool {
         let known = self.instances.registration(engine);
         let Some((known, reported_ms)) = known.zip(result.started_at_ms) else {
             return true;
--- a/crates/gateway/src/record.rs
+++ b/crates/gateway/src/record.rs
@@ -32,9 +32,9 @@
     /// connection). `None` if no response arrived.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub framing: Option<String>,
-    /// How the upstream ended a stream: `complete`, `in_event` (in the middle of an event) or
-    /// `interrupted` (the connection failed, or the framing is incomplete). `None` if the upstream
-    /// did not end it.
+    /// How the upstream ended a stream: `complete`, `in_event` (in the middle of an event),
+    /// `engine_ended` (its process ended and closed the connection) or `interrupted` (the
+    /// connection failed, or the framing is incomplete). `None` if the upstream did not end it.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub stream_end: Option<String>,
 }
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -136,10 +136,7 @@
             };
             let continues = match next {
                 NextStep::Read | NextStep::AwaitMigration => true,
-                NextStep::Finish => {
-                    self.is_complete = true;
-                    true
-                }
+                NextStep::Finish => self.complete().await || self.recover().await,
                 NextStep::Resume => self.resume_after_stop().await || self.recover().await,
                 NextStep::Recover => self.recover().await,
             };
@@ -173,15 +170,27 @@
                 return Some(self.advance(outcome));
             }
         };
-        let (end, name) = match read {
+        let name = match read {
             StreamRead::Bytes => return Some(NextStep::Read),
             StreamRead::TimedOut => return None,
-            StreamRead::End => (StreamEnd::Complete, "complete"),
-            StreamRead::EndInEvent => (StreamEnd::Broken, "in_event"),
-            StreamRead::Broken => (StreamEnd::Broken, "interrupted"),
+            StreamRead::End => return Some(self.handover.end_stream(StreamEnd::Complete)),
+            StreamRead::EndInEvent => "in_event",
+            StreamRead::Broken => "interrupted",
         };
         self.tracker.end_stream(name);
-        Some(self.handover.end_stream(end))
+        Some(self.handover.end_stream(StreamEnd::Broken))
+    }
+
+    /// Takes the stream as complete, unless its engine has ended and nothing but the end of the
+    /// connection frames the stream.
+    async fn complete(&mut self) -> bool {
+        let engine = self.stream.in_flight.chosen.clone();
+        let is_lost =
+            self.stream.ends_with_connection() && self.gateway.has_engine_ended(&engine).await;
+        self.tracker
+            .end_stream(if is_lost { "engine_ended" } else { "complete" });
+        self.is_complete = !is_lost;
+        self.is_complete
     }
 
     /// How long the engine may stay silent before the generation resumes from the running copy.
