Reset a caller's connection without chunks when its stream was broken off

A caller that speaks HTTP/1.0 gets a stream that ends with its connection, and when the stream broke, the host closed that connection in order: to the caller the answer looked complete. A connection is now reset when it is dropped after an interrupted body, if its request was of a version without chunks. A reset discards what the caller has not read, so others keep the orderly close, which they can tell from the last chunk.

--- a/crates/http/src/lib.rs
+++ b/crates/http/src/lib.rs
@@ -5,6 +5,7 @@
 mod connection;
 mod error;
 mod lines;
+mod reset;
 mod server;
 
 pub use client::{Call, get, post_json, send};
--- a/crates/http/src/server.rs
+++ b/crates/http/src/server.rs
@@ -12,7 +12,7 @@
 use hyper::body::{Frame, Incoming};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
-use hyper::{Request, Response, StatusCode};
+use hyper::{Request, Response, StatusCode, Version};
 use hyper_util::rt::{TokioIo, TokioTimer};
 use serde::Serialize;
 use spdlog::warn;
@@ -20,6 +20,8 @@
 use tokio::sync::watch;
 use tokio_util::task::TaskTracker;
 
+use crate::reset::{ResetSignal, ResettableSocket};
+
 /// A body that ends before it is complete. The connection is closed without the terminating chunk,
 /// so that the peer can't take the part it received for the complete body.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, thiserror::Error)]
@@ -151,9 +153,23 @@
     H: Fn(Request<Incoming>) -> F,
     F: Future<Output = Reply>,
 {
+    let signal = ResetSignal::default();
+    let socket = ResettableSocket {
+        socket,
+        signal: signal.clone(),
+    };
     let service = service_fn(move |request| {
+        let has_chunks = request.version() > Version::HTTP_10;
         let reply = handler(request);
-        async move { Ok::<_, Infallible>(reply.await) }
+        let signal = signal.clone();
+        async move {
+            let reply = reply.await;
+            Ok::<_, Infallible>(if has_chunks {
+                reply
+            } else {
+                reset_if_interrupted(reply, signal)
+            })
+        }
     });
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
@@ -228,6 +244,18 @@
     })
 }
 
+/// Resets the connection if the body of a reply is interrupted. A caller that reads no chunks could
+/// otherwise take the end of the connection for the end of the body.
+fn reset_if_interrupted(reply: Reply, signal: ResetSignal) -> Reply {
+    reply.map(|body| {
+        let body = body.map_err(move |interrupted| {
+            signal.set();
+            interrupted
+        });
+        body.boxed_unsync()
+    })
+}
+
 fn infallible(error: Infallible) -> BodyInterrupted {
     match error {}
 }
