Take a closed unframed stream for complete only if its engine answers, and soak it

An engine may have a link before it that still accepts connections when its process has ended, and the connection is then closed without an answer; that counted as alive. The end of an unframed stream now stands only on the engine's own report, from the process that ran it. What speaks for the other reading, an engine that is only slow, can hardly come together with an orderly close: a machine that has lost its link or its power closes nothing.

--- a/crates/bench/src/cmd/soak.rs
+++ b/crates/bench/src/cmd/soak.rs
@@ -47,6 +47,10 @@
     /// As --copies, with outages of the store in which entries expire in place of most restores
     #[bpaf(long)]
     expiry: bool,
+    /// As --expiry, with engines that frame streams in each way, and engines that end in order in
+    /// place of most expiries
+    #[bpaf(long)]
+    framings: bool,
     /// Add a caller that repeats a request which crashes each plain upstream that starts it
     #[bpaf(long)]
     ending: bool,
@@ -72,6 +76,7 @@
 
     fn fault_set(&self) -> FaultSet {
         let flags = [
+            (self.framings, FaultSet::WithFramings),
             (self.expiry, FaultSet::WithExpiry),
             (self.copies, FaultSet::WithRestores),
             (self.backpressure, FaultSet::WithBackpressure),
--- a/crates/bench/src/soak/deployment.rs
+++ b/crates/bench/src/soak/deployment.rs
@@ -7,7 +7,8 @@
 
 use fulmarpath_http::get;
 use fulmarpath_platform_standin::{
-    EngineBehaviour, StandInEngine, StandInPlain, StandInStore, configuration, entry, settings_file,
+    EngineBehaviour, StandInEngine, StandInPlain, StandInStore, StreamFraming, configuration,
+    entry, settings_file,
 };
 
 use rand::Rng;
@@ -129,6 +130,9 @@
     pub(crate) engines: Vec<StandInEngine>,
     /// Engines that were replaced; their records of started requests are still checked.
     pub(crate) retired_engines: Vec<StandInEngine>,
+    /// The framings of the engines' streams, in turn.
+    framings: &'static [StreamFraming],
+    engines_added: usize,
     pub(crate) engine_links: Vec<Proxy>,
     /// Index of the data centre that each engine is registered in.
     engine_data_centres: HashMap<String, usize>,
@@ -188,8 +192,9 @@
 }
 
 /// Engines at a usual pace: a response takes 1.3 s.
-fn engine_behaviour() -> EngineBehaviour {
+fn engine_behaviour(framing: StreamFraming) -> EngineBehaviour {
     EngineBehaviour {
+        framing,
         events: 60,
         event_interval: std::time::Duration::from_millis(20),
         started_at_ms: Some(FIRST_START_MS),
@@ -199,7 +204,12 @@
 
 impl Deployment {
     /// Starts a deployment on the loopback addresses of its seed.
-    pub(crate) async fn start(seed: u64, hosts: usize, binary: PathBuf) -> Result<Self, SoakError> {
+    pub(crate) async fn start(
+        seed: u64,
+        hosts: usize,
+        framings: &'static [StreamFraming],
+        binary: PathBuf,
+    ) -> Result<Self, SoakError> {
         let folder = std::env::temp_dir().join(format!("fulmarpath-soak-{seed}"));
         let _ = std::fs::remove_dir_all(&folder);
         std::fs::create_dir_all(&folder).map_err(|source| SoakError::Process { source })?;
@@ -215,6 +225,8 @@
             engines: Vec::new(),
             retired_engines: Vec::new(),
             engine_links: Vec::new(),
+            framings,
+            engines_added: 0,
             engine_data_centres: HashMap::new(),
             plains: Vec::new(),
             crashed_plains: Vec::new(),
@@ -247,7 +259,9 @@
 
     /// Adds an engine behind its own proxy.
     pub(crate) async fn add_engine(&mut self, instance: &str) -> Result<(), SoakError> {
-        let engine = StandInEngine::start(instance, engine_behaviour()).await;
+        let framing = self.framings[self.engines_added % self.framings.len()];
+        self.engines_added += 1;
+        let engine = StandInEngine::start(instance, engine_behaviour(framing)).await;
         let started = Proxy::start(engine.address).await;
         let link = started.map_err(|source| SoakError::Process { source })?;
         self.engines.push(engine);
--- a/crates/bench/src/soak/fault.rs
+++ b/crates/bench/src/soak/fault.rs
@@ -2,7 +2,7 @@
 
 use std::time::{Duration, Instant};
 
-use fulmarpath_platform_standin::{PlainBehaviour, ResponseSignals, StoreMode};
+use fulmarpath_platform_standin::{PlainBehaviour, ResponseSignals, StoreMode, StreamFraming};
 use rand::Rng;
 use rand_chacha::ChaCha8Rng;
 use tokio::time::sleep;
@@ -79,6 +79,8 @@
     StoreReturnsFromCopy,
     /// All entries of upstreams expire in an outage of the store, and one upstream leaves soon after.
     EntriesExpire,
+    /// The process of an engine ends and closes its connections in order.
+    EngineEnds,
 }
 
 /// The set of faults that a seed draws from. Each set extends the previous one, so that a seed
@@ -97,6 +99,9 @@
     WithRestores,
     /// Adds entries that expire, as [`ADDED_SHARE`] of the draws.
     WithExpiry,
+    /// Adds engines that end in order, as [`ADDED_SHARE`] of the draws, and streams that engines
+    /// frame in each way.
+    WithFramings,
 }
 
 impl FaultSet {
@@ -107,7 +112,20 @@
             Self::WithEvacuations => 21,
             Self::WithBackpressure => 24,
             Self::WithRestores => 25,
-            Self::WithExpiry => Fault::ALL.len(),
+            Self::WithExpiry => 26,
+            Self::WithFramings => Fault::ALL.len(),
+        }
+    }
+
+    /// How engines frame their streams, in turn.
+    pub(crate) fn framings(self) -> &'static [StreamFraming] {
+        match self {
+            Self::WithFramings => &[
+                StreamFraming::Close,
+                StreamFraming::Chunked,
+                StreamFraming::Length,
+            ],
+            _ => &[StreamFraming::Chunked],
         }
     }
 
@@ -116,13 +134,14 @@
         match self {
             Self::WithRestores => Some(Fault::StoreReturnsFromCopy),
             Self::WithExpiry => Some(Fault::EntriesExpire),
+            Self::WithFramings => Some(Fault::EngineEnds),
             _ => None,
         }
     }
 }
 
 impl Fault {
-    const ALL: [Self; 26] = [
+    const ALL: [Self; 27] = [
         Self::HostKilled,
         Self::HostPaused,
         Self::HostStopped,
@@ -149,6 +168,7 @@
         Self::PlainAsksForRest,
         Self::StoreReturnsFromCopy,
         Self::EntriesExpire,
+        Self::EngineEnds,
     ];
 
     pub(crate) fn draw(rng: &mut ChaCha8Rng, fault_set: FaultSet) -> Self {
@@ -223,6 +243,11 @@
                 sleep(Duration::from_millis(1_500)).await;
                 replace_engine(deployment, engine).await?;
             }
+            Self::EngineEnds => {
+                deployment.engines[engine].exit();
+                sleep(Duration::from_millis(1_500)).await;
+                replace_engine(deployment, engine).await?;
+            }
             Self::EngineLinkReset => deployment.engine_links[engine].set(LinkMode::Reset),
             Self::EngineLinkSilent => {
                 deployment.engine_links[engine].set(LinkMode::BlackholeResponses)
--- a/crates/bench/src/soak/mod.rs
+++ b/crates/bench/src/soak/mod.rs
@@ -82,7 +82,13 @@
     let faults: Vec<Fault> = (0..settings.faults)
         .map(|_| Fault::draw(&mut rng, settings.fault_set))
         .collect();
-    let mut deployment = Deployment::start(settings.seed, settings.hosts, settings.binary).await?;
+    let mut deployment = Deployment::start(
+        settings.seed,
+        settings.hosts,
+        settings.fault_set.framings(),
+        settings.binary,
+    )
+    .await?;
     let shared = Arc::new(Shared {
         addresses: deployment
             .hosts
--- a/crates/bench/tests/soak.rs
+++ b/crates/bench/tests/soak.rs
@@ -110,6 +110,19 @@
     assert!(faults.contains("StoreReturnsFromCopy"), "{text}");
 }
 
+/// Guards against streams that were broken off and look complete: engines frame their streams in each
+/// way, and their processes end in order.
+#[test]
+fn streams_of_ended_engines_cause_no_violations() {
+    let args = ["--seed", "1798000004", "--seeds", "1", "--framings"];
+    let (passed, verdict, text) = soak(&args);
+    assert!(passed, "{text}");
+    assert!(
+        verdict["faults"].to_string().contains("EngineEnds"),
+        "{text}"
+    );
+}
+
 /// Guards against a request that crashes one upstream after the other. One caller repeats it under
 /// faults: at least three upstreams crash, the request is refused from then on, and other callers
 /// are still served.
--- a/crates/gateway/src/crashes.rs
+++ b/crates/gateway/src/crashes.rs
@@ -91,17 +91,17 @@
             .is_ok()
     }
 
-    /// Whether an engine has ended that has just closed a connection in order.
+    /// Whether an engine still runs that has just closed a connection in order.
     ///
-    /// A process that ends closes its connections as if their streams were complete. An engine that
-    /// does not answer in time counts as alive: the close came from it.
-    pub(crate) async fn has_engine_ended(self: &Arc<Self>, engine: &ChosenUpstream) -> bool {
+    /// A process that ends closes its connections as if their streams were complete.
+    pub(crate) async fn is_engine_running(self: &Arc<Self>, engine: &ChosenUpstream) -> bool {
         sleep(LISTENER_CLOSE_WAIT).await;
         if engine.lost.is_cancelled() {
-            return true;
+            return false;
         }
         let result = self.control.probe(engine.address).await;
-        result.status == EngineStatus::Gone || !self.is_current_incarnation(engine.upstream, result)
+        let answers = !matches!(result.status, EngineStatus::Gone | EngineStatus::Unknown);
+        answers && self.is_current_incarnation(engine.upstream, result)
     }
 
     fn log_crash(&self, run: &InterruptedRun) {
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -181,15 +181,16 @@
         Some(self.handover.end_stream(StreamEnd::Broken))
     }
 
-    /// Takes the stream as complete, unless its engine has ended and nothing but the end of the
-    /// connection frames the stream.
+    /// Takes the stream as complete. If nothing but the end of its connection frames it, its engine
+    /// has to run still.
     async fn complete(&mut self) -> bool {
         let engine = self.stream.in_flight.chosen.clone();
-        let is_lost =
-            self.stream.ends_with_connection() && self.gateway.has_engine_ended(&engine).await;
-        self.tracker
-            .end_stream(if is_lost { "engine_ended" } else { "complete" });
-        self.is_complete = !is_lost;
+        self.is_complete =
+            !self.stream.ends_with_connection() || self.gateway.is_engine_running(&engine).await;
+        self.tracker.end_stream(match self.is_complete {
+            true => "complete",
+            false => "engine_ended",
+        });
         self.is_complete
     }
 
