Open connections to upstreams through one trait object

A host opens each connection to an upstream itself, in four places. They go through one Dial now, as trait object at the border of the http package, so that a host can reach an upstream in another way, and a test can cut the links of one host. No decision changes.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -136,7 +136,9 @@
             .until_ms
             .saturating_sub(started_ms)
             .min(CONNECT_TIMEOUT_MS);
-        let opened = Connection::open(address, Duration::from_millis(connect_ms)).await;
+        let opened = self
+            .connect(address, Duration::from_millis(connect_ms))
+            .await;
         let Ok(mut connection) = opened else {
             self.instances.record_unreachable(self.clock.now_ms(), key);
             return Err(Failure::Unsent);
@@ -207,6 +209,15 @@
         })
     }
 
+    async fn connect(
+        &self,
+        address: SocketAddr,
+        time_limit: Duration,
+    ) -> Result<Connection, HttpError> {
+        let stream = self.dial.dial(address, time_limit).await?;
+        Connection::over(address, stream).await
+    }
+
     fn outbound(
         &self,
         inbound: &InboundRequest,
--- a/crates/gateway/src/control.rs
+++ b/crates/gateway/src/control.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 
 use async_trait::async_trait;
+use fulmarpath_http::Dial;
 use fulmarpath_policy::Millis;
 
 /// Why a copy could not be made.
@@ -63,12 +64,14 @@
     pub events: u64,
 }
 
-/// Calls to engines: probing an engine, and copying a generation's KV cache to another one.
+/// Calls to engines: probing an engine, and copying a generation's KV cache to another one. `dial`
+/// opens the connections.
 #[async_trait]
 pub trait EngineControl: Send + Sync {
     /// Copies the new part of a generation's KV cache while the generation continues.
     async fn copy(
         &self,
+        dial: &dyn Dial,
         source: SocketAddr,
         request_id: &str,
         to: SocketAddr,
@@ -76,13 +79,14 @@
     /// Stops a generation, then copies the rest of its KV cache.
     async fn stop_and_copy(
         &self,
+        dial: &dyn Dial,
         source: SocketAddr,
         request_id: &str,
         to: SocketAddr,
     ) -> Result<CompletedCopy, CopyError>;
     /// Discards an unused copy at the engine that holds it; returns whether that is known to have
     /// succeeded.
-    async fn discard_copy(&self, holder: SocketAddr, copy_id: &str) -> bool;
+    async fn discard_copy(&self, dial: &dyn Dial, holder: SocketAddr, copy_id: &str) -> bool;
     /// Probes an engine; the state may be a few hundred ms old.
-    async fn probe(&self, engine: SocketAddr) -> ProbeResult;
+    async fn probe(&self, dial: &dyn Dial, engine: SocketAddr) -> ProbeResult;
 }
--- a/crates/gateway/src/crashes.rs
+++ b/crates/gateway/src/crashes.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use fulmarpath_http::{LISTENER_CLOSE_WAIT, is_listening};
+use fulmarpath_http::{LISTENER_CLOSE_WAIT, is_listening_over};
 use fulmarpath_policy::{ContentKey, Millis, UpstreamKey, is_crash_suspect};
 use spdlog::info;
 use tokio::time::{sleep, timeout};
@@ -83,7 +83,7 @@
         if self.instances.is_cold(self.clock.now_ms(), chosen.key) {
             return false;
         }
-        if !is_listening(chosen.address).await {
+        if !is_listening_over(&*self.dial, chosen.address).await {
             return true;
         }
         timeout(RESTART_TIMEOUT, chosen.lost.cancelled())
@@ -99,7 +99,7 @@
         if engine.lost.is_cancelled() {
             return false;
         }
-        let result = self.control.probe(engine.address).await;
+        let result = self.control.probe(&*self.dial, engine.address).await;
         let answers = !matches!(result.status, EngineStatus::Gone | EngineStatus::Unknown);
         answers && self.is_current_incarnation(engine.upstream, result)
     }
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -8,7 +8,7 @@
 
 use arc_swap::ArcSwapOption;
 use fulmarpath_cluster::{CircuitBreakers, Clock};
-use fulmarpath_http::ConnectionLimits;
+use fulmarpath_http::{ConnectionLimits, Dial, TcpDial};
 use fulmarpath_policy::{ColdBound, Evacuations, Millis, RetryBound, RetryWindow};
 use parking_lot::Mutex;
 use spdlog::info;
@@ -91,6 +91,8 @@
     pub(crate) unusable_log: LogThrottle,
     pub(crate) store_era: StoreEra,
     pub(crate) control: Arc<dyn EngineControl>,
+    /// Opens connections to upstreams.
+    pub(crate) dial: Arc<dyn Dial>,
     active_configuration: ArcSwapOption<ActiveConfiguration>,
     retries: Mutex<HashMap<String, RetryWindow>>,
     retry_bound: Mutex<RetryBound>,
@@ -127,6 +129,7 @@
             unusable_log: LogThrottle::default(),
             store_era: StoreEra::default(),
             control,
+            dial: Arc::new(TcpDial),
             dialect,
             metadata,
             roster: Mutex::new(Roster::new(settings.registration_ttl_ms)),
@@ -143,6 +146,12 @@
         }
     }
 
+    /// Replaces how connections to upstreams are opened.
+    pub fn with_dial(mut self, dial: Arc<dyn Dial>) -> Self {
+        self.dial = dial;
+        self
+    }
+
     /// The active configuration.
     pub fn active_configuration(&self) -> Option<Arc<ActiveConfiguration>> {
         self.active_configuration.load_full()
--- a/crates/gateway/src/migration.rs
+++ b/crates/gateway/src/migration.rs
@@ -4,6 +4,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
+use fulmarpath_http::Dial;
 use fulmarpath_wire::MigrationAnswer;
 use futures::future::BoxFuture;
 use tokio::sync::oneshot;
@@ -34,6 +35,7 @@
 /// A migration in progress.
 pub(crate) struct Migration {
     control: Arc<dyn EngineControl>,
+    dial: Arc<dyn Dial>,
     source: SocketAddr,
     request_id: String,
     to: Destination,
@@ -46,16 +48,19 @@
 impl Migration {
     pub(crate) fn begin(
         control: Arc<dyn EngineControl>,
+        dial: Arc<dyn Dial>,
         source: SocketAddr,
         request_id: String,
         order: MigrationOrder,
     ) -> Self {
         let call = {
-            let (control, id, to) = (control.clone(), request_id.clone(), order.to.address);
-            Box::pin(async move { control.copy(source, &id, to).await })
+            let (control, dial) = (control.clone(), dial.clone());
+            let (id, to) = (request_id.clone(), order.to.address);
+            Box::pin(async move { control.copy(&*dial, source, &id, to).await })
         };
         Self {
             control,
+            dial,
             source,
             request_id,
             to: order.to,
@@ -101,6 +106,7 @@
     pub(crate) fn discard(self, answer: MigrationAnswer) {
         let Self {
             control,
+            dial,
             to,
             copy_id,
             call,
@@ -116,7 +122,7 @@
                 // A restarted engine holds none of the earlier copies; a copy with this id belongs
                 // to another generation.
                 _ if to.is_lost() => true,
-                Ok(copy_id) => control.discard_copy(to.address, &copy_id).await,
+                Ok(copy_id) => control.discard_copy(&*dial, to.address, &copy_id).await,
                 Err(CopyError::NoRoom { .. } | CopyError::Busy | CopyError::SourceUnreachable) => {
                     true
                 }
@@ -151,9 +157,10 @@
             Err(CopyError::Unknown) => return StepOutcome::Orphaned,
         };
         self.copy_id = Some(copied.copy_id);
-        let (control, source) = (self.control.clone(), self.source);
-        let (id, to) = (self.request_id.clone(), self.to.address);
-        self.call = Box::pin(async move { control.stop_and_copy(source, &id, to).await });
+        let (control, dial) = (self.control.clone(), self.dial.clone());
+        let (source, to) = (self.source, self.to.address);
+        let id = self.request_id.clone();
+        self.call = Box::pin(async move { control.stop_and_copy(&*dial, source, &id, to).await });
         StepOutcome::Copied
     }
 
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -296,10 +296,11 @@
 
     fn begin_migration(&mut self, order: MigrationOrder) {
         let control = self.gateway.control.clone();
+        let dial = self.gateway.dial.clone();
         let source = self.stream.address();
         let id = self.tracker.id.clone();
         self.handover.begin_migration();
-        self.migration = Some(Migration::begin(control, source, id, order));
+        self.migration = Some(Migration::begin(control, dial, source, id, order));
     }
 
     /// Handles the outcome of a migration step.
--- a/crates/http/src/client.rs
+++ b/crates/http/src/client.rs
@@ -11,6 +11,7 @@
 use tokio::time::timeout;
 
 use crate::connection::Connection;
+use crate::dial::{Dial, TcpDial};
 use crate::error::HttpError;
 
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(1_000);
@@ -59,11 +60,22 @@
 /// request could be taken for the response to the next one, and a connection whose state a
 /// middlebox has dropped would stay silent. A new connection has neither problem.
 pub async fn send(
+    address: SocketAddr,
+    request: Request<Full<Bytes>>,
+    time_limit: Duration,
+) -> Result<Call, HttpError> {
+    send_over(&TcpDial, address, request, time_limit).await
+}
+
+/// Like [`send`], over a byte stream that `dial` opens.
+pub async fn send_over(
+    dial: &dyn Dial,
     address: SocketAddr,
     mut request: Request<Full<Bytes>>,
     time_limit: Duration,
 ) -> Result<Call, HttpError> {
-    let mut connection = Connection::open(address, CONNECT_TIMEOUT.min(time_limit)).await?;
+    let stream = dial.dial(address, CONNECT_TIMEOUT.min(time_limit)).await?;
+    let mut connection = Connection::over(address, stream).await?;
     request.headers_mut().insert(
         hyper::header::HOST,
         hyper::header::HeaderValue::from_str(&address.to_string())
@@ -81,8 +93,7 @@
 
 /// Sends a GET without a body.
 pub async fn get(address: SocketAddr, path: &str, time_limit: Duration) -> Result<Call, HttpError> {
-    let request = build_request(address, Method::GET, path, Bytes::new())?;
-    send(address, request, time_limit).await
+    send(address, get_request(address, path)?, time_limit).await
 }
 
 /// Sends a POST with a JSON body.
@@ -92,9 +103,28 @@
     message: &T,
     time_limit: Duration,
 ) -> Result<Call, HttpError> {
+    send(address, post_request(address, path, message)?, time_limit).await
+}
+
+/// A GET without a body.
+///
+/// # Errors
+/// [`HttpError::Unreachable`] if the path is not valid.
+pub fn get_request(address: SocketAddr, path: &str) -> Result<Request<Full<Bytes>>, HttpError> {
+    build_request(address, Method::GET, path, Bytes::new())
+}
+
+/// A POST with a JSON body.
+///
+/// # Errors
+/// [`HttpError::Unreachable`] if the message or the path is not valid.
+pub fn post_request<T: Serialize>(
+    address: SocketAddr,
+    path: &str,
+    message: &T,
+) -> Result<Request<Full<Bytes>>, HttpError> {
     let body = serde_json::to_vec(message).map_err(|_| HttpError::Unreachable { address })?;
-    let request = build_request(address, Method::POST, path, Bytes::from(body))?;
-    send(address, request, time_limit).await
+    build_request(address, Method::POST, path, Bytes::from(body))
 }
 
 fn build_request(
--- a/crates/http/src/connection.rs
+++ b/crates/http/src/connection.rs
@@ -9,21 +9,12 @@
 use hyper::client::conn::http1;
 use hyper::{Request, Response};
 use hyper_util::rt::TokioIo;
-use socket2::{SockRef, TcpKeepalive};
-use tokio::net::TcpStream;
-use tokio::time::{sleep, timeout};
+use tokio::time::sleep;
 use tokio_util::task::AbortOnDropHandle;
 
+use crate::dial::{ByteStream, Dial, TcpDial};
 use crate::error::HttpError;
 
-/// Idle time before the first TCP keepalive probe, and time between probes.
-const KEEPALIVE_PERIOD: Duration = Duration::from_millis(1_000);
-/// Unanswered keepalive probes after which the connection counts as dead.
-const KEEPALIVE_RETRIES: u32 = 2;
-/// The connection is closed when sent bytes stay unacknowledged this long; the same time as the
-/// keepalive probes take to fail.
-const UNACKNOWLEDGED_TIMEOUT: Duration = Duration::from_millis(3_000);
-
 /// Wait before probing whether a peer that closed a connection still runs. An exiting process
 /// closes its sockets one after the other, its listener possibly last, so an immediate probe could
 /// still succeed.
@@ -34,8 +25,13 @@
 
 /// Whether a peer that has just closed a connection still accepts new ones.
 pub async fn is_listening(address: SocketAddr) -> bool {
+    is_listening_over(&TcpDial, address).await
+}
+
+/// Like [`is_listening`], by a connection that `dial` opens.
+pub async fn is_listening_over(dial: &dyn Dial, address: SocketAddr) -> bool {
     sleep(LISTENER_CLOSE_WAIT).await;
-    Connection::open(address, PROBE_TIMEOUT).await.is_ok()
+    dial.dial(address, PROBE_TIMEOUT).await.is_ok()
 }
 
 /// An open connection. Dropping it closes it, even during an exchange.
@@ -52,12 +48,16 @@
     /// # Errors
     /// [`HttpError::Unreachable`]
     pub async fn open(address: SocketAddr, time_limit: Duration) -> Result<Self, HttpError> {
-        let connected = timeout(time_limit, TcpStream::connect(address)).await;
-        let Ok(Ok(socket)) = connected else {
-            return Err(HttpError::Unreachable { address });
-        };
-        enable_keepalive(&socket);
-        let Ok((sender, driver)) = http1::handshake(TokioIo::new(socket)).await else {
+        let stream = TcpDial.dial(address, time_limit).await?;
+        Self::over(address, stream).await
+    }
+
+    /// Uses an open byte stream to the peer at `address`.
+    ///
+    /// # Errors
+    /// [`HttpError::Unreachable`]
+    pub async fn over(address: SocketAddr, stream: Box<dyn ByteStream>) -> Result<Self, HttpError> {
+        let Ok((sender, driver)) = http1::handshake(TokioIo::new(stream)).await else {
             return Err(HttpError::Unreachable { address });
         };
         Ok(Self {
@@ -89,18 +89,3 @@
         self.sender.is_ready()
     }
 }
-
-/// Lets the kernel detect a peer that goes silent without a reset: after a power failure, behind a
-/// network partition, or when a middlebox has dropped the connection's state. Otherwise a stream
-/// from it would wait for the next byte until the caller's deadline.
-fn enable_keepalive(socket: &TcpStream) {
-    let _ = socket.set_nodelay(true);
-    let keepalive = TcpKeepalive::new()
-        .with_time(KEEPALIVE_PERIOD)
-        .with_interval(KEEPALIVE_PERIOD)
-        .with_retries(KEEPALIVE_RETRIES);
-    let socket = SockRef::from(socket);
-    // On systems without one of these options, the timeout of each call still applies.
-    let _ = socket.set_tcp_keepalive(&keepalive);
-    let _ = socket.set_tcp_user_timeout(Some(UNACKNOWLEDGED_TIMEOUT));
-}
--- a/crates/http/src/lib.rs
+++ b/crates/http/src/lib.rs
@@ -3,13 +3,15 @@
 
 mod client;
 mod connection;
+mod dial;
 mod error;
 mod lines;
 mod reset;
 mod server;
 
-pub use client::{Call, get, post_json, send};
-pub use connection::{Connection, LISTENER_CLOSE_WAIT, is_listening};
+pub use client::{Call, get, get_request, post_json, post_request, send, send_over};
+pub use connection::{Connection, LISTENER_CLOSE_WAIT, is_listening, is_listening_over};
+pub use dial::{ByteStream, Dial, TcpDial};
 pub use error::HttpError;
 pub use lines::Lines;
 pub use server::{
