Reach upstreams over other hosts when the own links are lost

A host knew no path but its own, and took each upstream that it could not reach for one that had ended.

A host asks others for a tunnel: a byte stream to an upstream over their own connection to it. It does so where its own link has just failed, at once where a tunnel has worked for that upstream or no own link works, and tests the own link each second until it is back. All calls to upstreams take this path, so a home that is cut off doesn't take engines for gone, and a lost link isn't taken for a crash. Whether an upstream has ended is judged by other hosts too: those that can't reach it either aren't asked again for a second. Which path, which hosts and when the own links count as lost is decided in policy, without a network. A tunnel marks the orderly end of a response, since a host that is killed closes its connections in order as well. A host that stops finishes the tunnels it carries; it carries 512 at most, to registered upstreams only.

Ruled out: to be unready, since the balancer uses the hosts of a data centre that is cut as a whole, and open connections stay; to pass whole requests on to a peer, which would move deadlines, retries and the proof that nothing ran to a second host.

--- a/crates/cluster/src/members.rs
+++ b/crates/cluster/src/members.rs
@@ -4,6 +4,7 @@
 //! Membership Protocol", DSN 2002.)
 
 use std::collections::HashMap;
+use std::net::SocketAddr;
 
 use fulmarpath_policy::{HomeIndex, HostKey, Millis, rank};
 use fulmarpath_wire::{MemberInfo, MemberState, Rumour};
@@ -330,6 +331,26 @@
             .collect()
     }
 
+    /// Addresses of live members in random order, those of this host's data centre and of others in
+    /// turn: either kind may be out of reach together.
+    pub fn neighbours(&self, draw: u64, count: usize) -> Vec<SocketAddr> {
+        let data_centre = &self.records[&self.own_key].rumour.member.data_centre;
+        let alive = self.others();
+        let mut alive: Vec<(u64, &MemberInfo)> = alive
+            .filter(|(_, record)| record.rumour.state == MemberState::Alive)
+            .map(|(key, record)| (rank(draw, key.0), &record.rumour.member))
+            .collect();
+        alive.sort_by_key(|(order, _)| *order);
+        let (local, remote): (Vec<_>, Vec<_>) = alive
+            .into_iter()
+            .map(|(_, member)| member)
+            .partition(|member| member.data_centre == *data_centre);
+        let pairs = local.len().max(remote.len());
+        let turns = (0..pairs).flat_map(|turn| [local.get(turn), remote.get(turn)]);
+        let addresses = turns.flatten().map(|member| member.address);
+        addresses.take(count).collect()
+    }
+
     /// Members eligible as homes.
     pub fn homes(&self) -> impl Iterator<Item = (HostKey, &MemberInfo)> {
         self.records
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use fulmarpath_http::{Connection, HttpError};
+use fulmarpath_http::{Connection, Dial, HttpError};
 use fulmarpath_policy::{Millis, Verdict};
 use http_body_util::Full;
 use hyper::body::Incoming;
--- a/crates/gateway/src/crashes.rs
+++ b/crates/gateway/src/crashes.rs
@@ -83,8 +83,11 @@
         if self.instances.is_cold(self.clock.now_ms(), chosen.key) {
             return false;
         }
-        if !is_listening_over(&*self.dial, chosen.address).await {
-            return true;
+        let has_lost_link = self.dial.has_lost_link(chosen.address);
+        if !is_listening_over(&self.dial, chosen.address).await {
+            let now_ms = self.clock.now_ms();
+            let can_tell = !has_lost_link && !self.dial.is_cut_off(now_ms);
+            return can_tell || self.dial.is_out_of_reach(now_ms, chosen.address);
         }
         timeout(RESTART_TIMEOUT, chosen.lost.cancelled())
             .await
@@ -99,9 +102,14 @@
         if engine.lost.is_cancelled() {
             return false;
         }
-        let result = self.control.probe(&*self.dial, engine.address).await;
-        let answers = !matches!(result.status, EngineStatus::Gone | EngineStatus::Unknown);
-        answers && self.is_current_incarnation(engine.upstream, result)
+        let has_lost_link = self.dial.has_lost_link(engine.address);
+        let result = self.control.probe(&self.dial, engine.address).await;
+        if !matches!(result.status, EngineStatus::Gone | EngineStatus::Unknown) {
+            return self.is_current_incarnation(engine.upstream, result);
+        }
+        // Where this host had no link of its own, only other hosts can tell.
+        let now_ms = self.clock.now_ms();
+        has_lost_link && !self.dial.is_out_of_reach(now_ms, engine.address)
     }
 
     fn log_crash(&self, run: &InterruptedRun) {
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -32,6 +32,8 @@
 use crate::start_limits::StartLimiter;
 use crate::store_era::StoreEra;
 use crate::stream_buffer::StreamBuffers;
+use crate::tunnels::Tunnels;
+use crate::upstream_dial::UpstreamDial;
 
 /// Settings of a gateway.
 #[derive(Debug, Clone)]
@@ -68,8 +70,8 @@
 
 /// One host's gateway.
 ///
-/// Lock order: roster, evacuations, instances, cells, runs, crashes, circuits, members, retries,
-/// retry bound; none is held across an await.
+/// Lock order: roster, evacuations, instances, cells, runs, crashes, circuits, paths, tunnel hosts,
+/// members, retries, retry bound; none is held across an await.
 pub struct Gateway {
     pub(crate) settings: GatewaySettings,
     pub(crate) clock: Clock,
@@ -80,7 +82,7 @@
     pub(crate) start_limiter: StartLimiter,
     pub(crate) instances: Instances,
     pub(crate) metrics: Metrics,
-    pub(crate) fleet: Fleet,
+    pub(crate) fleet: Arc<Fleet>,
     pub(crate) cells: Cells,
     pub(crate) runs: Runs,
     pub(crate) stream_buffers: StreamBuffers,
@@ -92,7 +94,8 @@
     pub(crate) store_era: StoreEra,
     pub(crate) control: Arc<dyn EngineControl>,
     /// Opens connections to upstreams.
-    pub(crate) dial: Arc<dyn Dial>,
+    pub(crate) dial: UpstreamDial,
+    pub(crate) tunnels: Tunnels,
     active_configuration: ArcSwapOption<ActiveConfiguration>,
     retries: Mutex<HashMap<String, RetryWindow>>,
     retry_bound: Mutex<RetryBound>,
@@ -115,9 +118,14 @@
         let clock = Clock::start();
         let own = settings.host.address;
         let has_seeds = settings.seeds.iter().any(|seed| *seed != own);
+        let fleet = Arc::new(Fleet::new(clock.now_ms(), &settings.host, has_seeds));
+        let metrics = Metrics::default();
+        let counts = metrics.dials.clone();
         Self {
+            dial: UpstreamDial::new(Arc::new(TcpDial), fleet.clone(), clock, counts),
+            tunnels: Tunnels::default(),
             instances: Instances::new(&settings.host.data_centre),
-            fleet: Fleet::new(clock.now_ms(), &settings.host, has_seeds),
+            fleet,
             clock,
             cells: Cells::default(),
             runs: Runs::default(),
@@ -129,13 +137,12 @@
             unusable_log: LogThrottle::default(),
             store_era: StoreEra::default(),
             control,
-            dial: Arc::new(TcpDial),
             dialect,
             metadata,
             roster: Mutex::new(Roster::new(settings.registration_ttl_ms)),
             evacuations: Mutex::default(),
             start_limiter: StartLimiter::default(),
-            metrics: Metrics::default(),
+            metrics,
             active_configuration: ArcSwapOption::empty(),
             retries: Mutex::default(),
             retry_bound: Mutex::new(settings.retries),
@@ -146,9 +153,10 @@
         }
     }
 
-    /// Replaces how connections to upstreams are opened.
+    /// Replaces how connections to upstreams are opened over this host's own links.
     pub fn with_dial(mut self, dial: Arc<dyn Dial>) -> Self {
-        self.dial = dial;
+        let counts = self.metrics.dials.clone();
+        self.dial = UpstreamDial::new(dial, self.fleet.clone(), self.clock, counts);
         self
     }
 
@@ -372,6 +380,7 @@
             cold: self.cold_count() as i64,
             limited: self.instances.limited_count() as i64,
             leaving: self.instances.leaving_count() as i64,
+            tunnelled: self.dial.tunnelled_count() as i64,
             backing_off: self.instances.backing_off_count(now_ms) as i64,
             retries_left: left.collect(),
         }
--- a/crates/gateway/src/instances.rs
+++ b/crates/gateway/src/instances.rs
@@ -1,6 +1,7 @@
 //! The upstreams that this host may send to, and their state as known here.
 
 use std::collections::HashSet;
+use std::net::SocketAddr;
 
 use fulmarpath_policy::{
     Choice, Cold, Evacuations, Millis, ReportedLoad, UpstreamKey, Verdict, choose,
@@ -252,6 +253,11 @@
         Some(table.arena[*key].registration.clone())
     }
 
+    /// Whether an upstream is registered with this address.
+    pub(crate) fn has_address(&self, address: SocketAddr) -> bool {
+        self.table.lock().has_address(address)
+    }
+
     /// Whether a chosen upstream is still registered and has not announced its departure.
     pub(crate) fn takes_work(&self, key: InstanceKey) -> bool {
         let table = self.table.lock();
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -61,7 +61,9 @@
 mod stream;
 mod stream_buffer;
 mod tracker;
+mod tunnels;
 mod unusable_entries;
+mod upstream_dial;
 mod upstream_table;
 
 pub use configuration::{
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -80,6 +80,37 @@
     pub(crate) service: String,
 }
 
+/// An attempt to connect to an upstream.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct DialLabels {
+    /// `own` for this host's own link, `tunnel` for one over another host.
+    path: &'static str,
+    outcome: &'static str,
+}
+
+/// Counts attempts to connect to upstreams.
+#[derive(Debug, Clone, Default)]
+pub(crate) struct DialCounts {
+    dials: Family<DialLabels, Counter>,
+}
+
+impl DialCounts {
+    pub(crate) fn direct(&self, is_open: bool) {
+        self.count("own", is_open);
+    }
+
+    pub(crate) fn tunnel(&self, is_open: bool) {
+        self.count("tunnel", is_open);
+    }
+
+    fn count(&self, path: &'static str, is_open: bool) {
+        let outcome = if is_open { "open" } else { "unreachable" };
+        self.dials
+            .get_or_create(&DialLabels { path, outcome })
+            .inc();
+    }
+}
+
 /// The direction of bytes between hosts.
 #[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
 struct DirectionLabels {
@@ -117,6 +148,7 @@
     pub(crate) cold: i64,
     pub(crate) limited: i64,
     pub(crate) leaving: i64,
+    pub(crate) tunnelled: i64,
     pub(crate) backing_off: i64,
     pub(crate) retries_left: Vec<(String, i64)>,
 }
@@ -135,6 +167,10 @@
     pub(crate) running_copies: Counter,
     pub(crate) stalls: Counter,
     stream_ends: Family<StreamEndLabels, Counter>,
+    /// Attempts to connect to upstreams.
+    pub(crate) dials: DialCounts,
+    /// Tunnels that this host has carried for others.
+    pub(crate) tunnels: Counter,
     pub(crate) cold_waits: Counter,
     pub(crate) limit_waits: Counter,
     crashes: Family<CrashLabels, Counter>,
@@ -157,6 +193,7 @@
     cold: Gauge,
     limited: Gauge,
     leaving: Gauge,
+    tunnelled: Gauge,
     backing_off: Gauge,
     retries_left: Family<ServiceLabels, Gauge>,
     registry: Arc<Registry>,
@@ -250,6 +287,15 @@
         let backing_off = Gauge::default();
         let help = "Upstreams that have refused this host and asked it to back off";
         registry.register("resting_upstreams", help, backing_off.clone());
+        let tunnelled = Gauge::default();
+        let help = "Upstreams that this host reaches through tunnels over other hosts";
+        registry.register("tunnelled_upstreams", help, tunnelled.clone());
+        let dials = DialCounts::default();
+        let help = "Attempts to connect to upstreams, by path and outcome";
+        registry.register("dials", help, dials.dials.clone());
+        let tunnels = Counter::default();
+        let help = "Tunnels to upstreams that this host has carried for other hosts";
+        registry.register("tunnels", help, tunnels.clone());
         let cold_waits = Counter::default();
         let help = "Deferred start requests at cold upstreams";
         registry.register("cold_waits", help, cold_waits.clone());
@@ -283,7 +329,10 @@
             cold,
             limited,
             leaving,
+            tunnelled,
             backing_off,
+            dials,
+            tunnels,
             cold_waits,
             limit_waits,
             retries_left,
@@ -358,6 +407,7 @@
         self.cold.set(readings.cold);
         self.limited.set(readings.limited);
         self.leaving.set(readings.leaving);
+        self.tunnelled.set(readings.tunnelled);
         self.backing_off.set(readings.backing_off);
         for (service, left) in &readings.retries_left {
             let service = service.clone();
--- a/crates/gateway/src/peer.rs
+++ b/crates/gateway/src/peer.rs
@@ -1,5 +1,6 @@
 //! The server side of the protocol between gateways.
 
+use std::io::Cursor;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -8,6 +9,7 @@
     Circuit, ContentKey, Placement, PlacementRequest, Revision, RunEnd, RunKey, UpstreamKey,
     Verdict,
 };
+use fulmarpath_wire::tunnel::TUNNEL_MARK;
 use fulmarpath_wire::{
     Announcement, CellKey, Counted, GatewayPeer, GatewayPeerClient, MembersDigest, MigrationAnswer,
     Ping, Pong, RelayedRuns, ReplicatedState, Rumour, StartAnswer, StartRequest, Traffic, framed,
@@ -17,6 +19,7 @@
 use tarpc::context::Context;
 use tarpc::server::{BaseChannel, Channel};
 use tarpc::tokio_serde::formats::Bincode;
+use tokio::io::{AsyncReadExt, join};
 use tokio::net::{TcpListener, TcpStream};
 
 use crate::encoding::{EncodingError, encode};
@@ -48,16 +51,29 @@
                 }
             };
             let _ = socket.set_nodelay(true);
-            let socket = Counted::new(socket, self.fleet.traffic.clone());
-            let transport = tarpc::serde_transport::new(framed(socket), Bincode::default());
-            let server = Server {
-                gateway: self.clone(),
-            };
-            let requests = BaseChannel::with_defaults(transport).execute(server.serve());
-            tokio::spawn(requests.for_each(|request| async {
-                tokio::spawn(request);
-            }));
+            tokio::spawn(self.clone().serve_peer(socket));
+        }
+    }
+
+    /// Serves the calls on a connection from a peer, or the tunnel that it begins with.
+    async fn serve_peer(self: Arc<Self>, mut socket: TcpStream) {
+        let mut start = [0; TUNNEL_MARK.len()];
+        if socket.read_exact(&mut start).await.is_err() {
+            return;
+        }
+        if start == TUNNEL_MARK {
+            return self.serve_tunnel(socket).await;
         }
+        let (read, write) = socket.into_split();
+        let socket = join(Cursor::new(start).chain(read), write);
+        let socket = Counted::new(socket, self.fleet.traffic.clone());
+        let transport = tarpc::serde_transport::new(framed(socket), Bincode::default());
+        let server = Server { gateway: self };
+        let requests = BaseChannel::with_defaults(transport).execute(server.serve());
+        let served = requests.for_each(|request| async {
+            tokio::spawn(request);
+        });
+        served.await;
     }
 }
 
--- a/crates/gateway/src/probe.rs
+++ b/crates/gateway/src/probe.rs
@@ -109,7 +109,7 @@
         let Some(destination) = self.instances.find(engine) else {
             return;
         };
-        let result = self.control.probe(&*self.dial, destination.address).await;
+        let result = self.control.probe(&self.dial, destination.address).await;
         if !self.is_current_incarnation(engine, result) {
             return;
         }
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -296,7 +296,7 @@
 
     fn begin_migration(&mut self, order: MigrationOrder) {
         let control = self.gateway.control.clone();
-        let dial = self.gateway.dial.clone();
+        let dial = Arc::new(self.gateway.dial.clone());
         let source = self.stream.address();
         let id = self.tracker.id.clone();
         self.handover.begin_migration();
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -112,7 +112,8 @@
             .settings
             .grace_ms
             .saturating_sub(LINGER_MS + EXIT_RESERVE_MS);
-        let finished = timeout(Duration::from_millis(left_ms), server).await;
+        let ended = async { tokio::join!(server, self.tunnels.ended()) };
+        let finished = timeout(Duration::from_millis(left_ms), ended).await;
         match finished {
             Ok(_) => info!("host: {} stopped, all is answered", self.settings.host.name),
             Err(_) => info!(
--- a/crates/gateway/src/upstream_table.rs
+++ b/crates/gateway/src/upstream_table.rs
@@ -1,6 +1,7 @@
 //! The upstreams known to one host, and the backpressure of each.
 
 use std::collections::{HashMap, HashSet};
+use std::net::SocketAddr;
 
 use fulmarpath_policy::{Backpressure, Millis, UpstreamKey};
 use indexmap::IndexSet;
@@ -23,6 +24,9 @@
     pub(crate) by_name: HashMap<String, InstanceKey>,
     pub(crate) by_upstream: HashMap<UpstreamKey, InstanceKey>,
     by_service: HashMap<String, IndexSet<InstanceKey>>,
+    /// Number of upstreams at each address: one may be listed still when another has taken its
+    /// address over.
+    addresses: HashMap<SocketAddr, usize>,
     /// Upstreams that this host found cold and that the cells do not know as cold yet.
     pub(crate) found_cold: HashSet<InstanceKey>,
     /// Backpressure by upstream. It outlives the upstreams' entries, which expire during a store
@@ -43,8 +47,11 @@
             let is_same_service = instance.registration.service == registration.service;
             if instance.is_same_incarnation(registration) && is_same_service {
                 if instance.registration != *registration {
-                    instance.registration = registration.clone();
+                    let previous =
+                        std::mem::replace(&mut instance.registration, registration.clone());
                     instance.apply_stated_cold(now_ms);
+                    self.remove_address(previous.address);
+                    *self.addresses.entry(registration.address).or_default() += 1;
                 }
                 return key;
             }
@@ -62,6 +69,7 @@
         let mut instance = Instance::new(registration.clone());
         instance.apply_stated_cold(now_ms);
         let upstream = instance.upstream;
+        *self.addresses.entry(registration.address).or_default() += 1;
         let key = self.arena.insert(instance);
         self.by_name.insert(registration.instance.clone(), key);
         self.by_upstream.insert(upstream, key);
@@ -79,6 +87,7 @@
         let Some(instance) = self.arena.remove(key) else {
             return;
         };
+        self.remove_address(instance.registration.address);
         self.by_upstream.remove(&instance.upstream);
         self.found_cold.remove(&key);
         let service = &instance.registration.service;
@@ -90,6 +99,20 @@
         }
     }
 
+    fn remove_address(&mut self, address: SocketAddr) {
+        if let Some(count) = self.addresses.get_mut(&address) {
+            *count -= 1;
+            if *count == 0 {
+                self.addresses.remove(&address);
+            }
+        }
+    }
+
+    /// Whether an upstream is registered with this address.
+    pub(crate) fn has_address(&self, address: SocketAddr) -> bool {
+        self.addresses.contains_key(&address)
+    }
+
     /// The upstreams of a service.
     pub(crate) fn of_service(
         &self,
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -1,5 +1,5 @@
 //! The protocols between the hosts of the system: one tarpc service for entry hosts, one for
-//! gateways, and their messages.
+//! gateways, and their messages, and tunnels to upstreams.
 //!
 //! Every call is short, and long operations are polled. A connection that went silent is thereby
 //! detected by the first call that exceeds its timeout, and is replaced by a new one.
@@ -9,6 +9,7 @@
 mod peers;
 mod service;
 mod traffic;
+pub mod tunnel;
 
 pub use gateway::{
     AdvertisedLimit, Announcement, CellKey, GatewayPeer, GatewayPeerClient, MembersDigest,
