Count a request as a retry only if an upstream may have received it before

A host drew on the retry budget for each further upstream, also where the connection to the one before was never made. When links are lost the budget was gone after a few requests, and callers got 503 after one dispatch that had not been sent, though other upstreams had room. The operator bounds what arrives at upstreams beyond the first of each request; a connection that fails is no arrival. Dispatches per request are bounded as before.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -141,6 +141,7 @@
             .await;
         let Ok(mut connection) = opened else {
             self.instances.record_unreachable(self.clock.now_ms(), key);
+            self.metrics.unsent.inc();
             return Err(Failure::Unsent);
         };
         let request = self.outbound(inbound, &in_flight.chosen, &options);
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -110,6 +110,7 @@
         let mut not_run_count = 0;
         let mut failed_response = None;
         let mut is_admitted = false;
+        let mut has_arrived = false;
         let mut problem = Problem::NoUpstream;
         loop {
             let now_ms = self.clock.now_ms();
@@ -122,7 +123,7 @@
                 };
                 break;
             }
-            if !tried.is_empty() && !self.may_retry(now_ms, &inbound.service) {
+            if has_arrived && !self.may_retry(now_ms, &inbound.service) {
                 break;
             }
             if !std::mem::replace(&mut is_admitted, true)
@@ -147,6 +148,7 @@
             let may_run_again = inbound.may_run_again(runs + 1);
             let until_ms = self.attempt_deadline_ms(inbound, now_ms, may_run_again);
             let outcome = self.try_once(inbound, tracker, chosen, until_ms).await;
+            has_arrived |= !matches!(outcome, Err(Failure::Unsent));
             let failure = match outcome {
                 Ok(response) if response.status.is_server_error() && may_run_again => {
                     failed_response = Some(response);
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -297,6 +297,11 @@
         self.metrics.retries.get()
     }
 
+    /// Dispatches of requests for which no connection could be made.
+    pub fn unsent_count(&self) -> u64 {
+        self.metrics.unsent.get()
+    }
+
     /// What this host's control work has cost since its start.
     pub fn control_counts(&self) -> ControlCounts {
         let traffic = &self.fleet.traffic;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -157,6 +157,8 @@
 pub(crate) struct Metrics {
     pub(crate) requests: Family<EndLabels, Counter>,
     pub(crate) retries: Counter,
+    /// Dispatches for which no connection could be made.
+    pub(crate) unsent: Counter,
     pub(crate) store_failures: Counter,
     pub(crate) configuration_version: Gauge,
     pub(crate) store_era: Gauge,
@@ -211,6 +213,9 @@
         let mut registry = Registry::with_prefix("fulmarpath_gateway");
         registry.register("requests", "Requests by kind and outcome", requests.clone());
         registry.register("retries", "Retries of requests", retries.clone());
+        let unsent = Counter::default();
+        let help = "Dispatches of requests for which no connection could be made";
+        registry.register("unsent", help, unsent.clone());
         let help = "Failed calls to the store";
         registry.register("store_failures", help, store_failures.clone());
         let help = "Version of the active configuration";
@@ -338,6 +343,7 @@
             retries_left,
             requests,
             retries,
+            unsent,
             store_failures,
             configuration_version,
             store_era,
--- a/crates/gateway/src/start.rs
+++ b/crates/gateway/src/start.rs
@@ -46,6 +46,8 @@
 #[derive(Default)]
 pub(crate) struct Attempts {
     tried: Vec<ChosenUpstream>,
+    /// Whether one of them may have received it, so that sending it again is a retry.
+    has_arrived: bool,
     /// Number of engines on which it may have run.
     runs: u32,
     /// When the last engine was lost, if its stream had begun.
@@ -128,7 +130,7 @@
             if now_ms >= inbound.deadline_ms {
                 return Err(Problem::TooLateToSend);
             }
-            if !attempts.tried.is_empty() && !self.may_retry(now_ms, &inbound.service) {
+            if attempts.has_arrived && !self.may_retry(now_ms, &inbound.service) {
                 break;
             }
             if !std::mem::replace(&mut is_admitted, true) {
@@ -142,7 +144,9 @@
             self.refuse_if_open(inbound)?;
             attempts.tried.push(selected.chosen.clone());
             let attempt = self.start_on(inbound, run_guard, tracker, selected, last_event);
-            let failure = match attempt.await {
+            let started = attempt.await;
+            attempts.has_arrived |= !matches!(started, Err(Failure::Unsent));
+            let failure = match started {
                 Ok(started) => {
                     attempts.runs += 1;
                     is_admitted = false;
