Keep the requests at brittle upstreams within their slots

Hosts see only their own requests: at several times as many callers as slots, four hosts made one of three stand-ins turn away 221 within a second.

A host that was told so asks the home of the upstream for each start, as for a limit. The home counts a start for as long as a request takes there, by the asking host's measure, and grants no more at once than there are slots; after a rejection no more than half of what was there, and one more each half second after that. Callers wait for at most half of their target, and are then refused with the time of the next start. Without a home, hosts keep to a quarter of the slots together.

brittle_upstreams_turn_few_requests_away failed with the starts not asked for (221 rejections, 6 allowed) and passes, also five times beside eight busy processes.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -185,6 +185,8 @@
                 .penalise_until(now_ms + REFUSAL_PENALTY_MS, key);
             if is_misdirected {
                 self.instances.mark_gone(key);
+            } else {
+                self.report_rejection(in_flight.chosen.upstream);
             }
             return Err(Failure::Shed);
         }
--- a/crates/gateway/src/backpressure.rs
+++ b/crates/gateway/src/backpressure.rs
@@ -1,7 +1,7 @@
 //! Applies the backpressure signals of upstreams, and logs their changes.
 
 use fulmarpath_policy::{Backpressure, Millis, Signals, UpstreamKey};
-use fulmarpath_wire::AdvertisedLimit;
+use fulmarpath_wire::{AdvertisedLimit, BrittleLoad};
 use spdlog::info;
 
 use crate::gateway::Gateway;
@@ -24,6 +24,13 @@
             }
             (_, None) => info!("backpressure: {instance} no longer advertises a limit"),
         }
+        match (before.brittle_at(), after.brittle_at()) {
+            (before, after) if before == after => {}
+            (_, Some(rejections)) => {
+                info!("backpressure: {instance} falls over if it refuses {rejections} a second")
+            }
+            (_, None) => info!("backpressure: {instance} is no longer brittle"),
+        }
         if let Some(backoff_ms) = signals.backoff_ms {
             info!("backpressure: {instance} wants nothing from this host for {backoff_ms} ms");
         }
@@ -82,6 +89,22 @@
         })
     }
 
+    /// What a start at a brittle upstream depends on; `None` if the upstream is not brittle.
+    pub(crate) fn brittle_load(&self, upstream: UpstreamKey) -> Option<BrittleLoad> {
+        let table = self.table.lock();
+        table.backpressure.get(&upstream)?.brittle_at()?;
+        let instance = &table.arena[*table.by_upstream.get(&upstream)?];
+        Some(BrittleLoad {
+            slots: instance.registration.slots,
+            duration_ms: instance.stats.expected_latency_ms(),
+        })
+    }
+
+    /// Registered upstreams that have told this host that they are brittle.
+    pub(crate) fn brittle_count(&self) -> usize {
+        self.count_matching(|backpressure| backpressure.brittle_at().is_some())
+    }
+
     /// Upstreams whose signals allow no new request from this host at present.
     pub(crate) fn throttled(&self, now_ms: Millis) -> Vec<UpstreamKey> {
         let table = self.table.lock();
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -14,6 +14,7 @@
 use spdlog::info;
 
 use crate::availability::ColdLimits;
+use crate::brittle_starts::BrittleLimiter;
 use crate::cells::{Cells, LayoutChanged};
 use crate::configuration::{ActiveConfiguration, Configuration};
 use crate::control::EngineControl;
@@ -80,6 +81,7 @@
     pub(crate) roster: Mutex<Roster>,
     pub(crate) evacuations: Mutex<Evacuations>,
     pub(crate) start_limiter: StartLimiter,
+    pub(crate) brittle_limiter: BrittleLimiter,
     pub(crate) instances: Instances,
     pub(crate) metrics: Metrics,
     pub(crate) fleet: Arc<Fleet>,
@@ -142,6 +144,7 @@
             roster: Mutex::new(Roster::new(settings.registration_ttl_ms)),
             evacuations: Mutex::default(),
             start_limiter: StartLimiter::default(),
+            brittle_limiter: BrittleLimiter::default(),
             metrics,
             active_configuration: ArcSwapOption::empty(),
             retries: Mutex::default(),
@@ -385,6 +388,7 @@
             cold: self.cold_count() as i64,
             limited: self.instances.limited_count() as i64,
             leaving: self.instances.leaving_count() as i64,
+            brittle: self.instances.brittle_count() as i64,
             tunnelled: self.dial.tunnelled_count() as i64,
             backing_off: self.instances.backing_off_count(now_ms) as i64,
             retries_left: left.collect(),
--- a/crates/gateway/src/instances.rs
+++ b/crates/gateway/src/instances.rs
@@ -25,7 +25,7 @@
         /// A warm upstream that is full.
         full: Option<UpstreamKey>,
     },
-    /// This upstream, which advertises a limit: a start must be requested first.
+    /// This upstream, which advertises a limit or is brittle: a start must be requested first.
     Limited(UpstreamKey),
     /// No upstream now: all that accept work throttle this host, by a limit or by backoff.
     Throttled {
@@ -135,9 +135,9 @@
             && (has_capacity || cold.is_empty())
         {
             let upstream = table.arena[key].upstream;
-            return match table.limit_of(upstream) {
-                Some(_) => Selection::Limited(upstream),
-                None => Selection::Warm(table.begin_request(now_ms, key)),
+            return match table.needs_start(upstream) {
+                true => Selection::Limited(upstream),
+                false => Selection::Warm(table.begin_request(now_ms, key)),
             };
         }
         if cold.is_empty() {
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -7,6 +7,7 @@
 mod attempt;
 mod availability;
 mod backpressure;
+mod brittle_starts;
 mod cell_layout;
 mod cells;
 mod collection_reader;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -148,6 +148,7 @@
     pub(crate) cold: i64,
     pub(crate) limited: i64,
     pub(crate) leaving: i64,
+    pub(crate) brittle: i64,
     pub(crate) tunnelled: i64,
     pub(crate) backing_off: i64,
     pub(crate) retries_left: Vec<(String, i64)>,
@@ -175,6 +176,7 @@
     pub(crate) tunnels: Counter,
     pub(crate) cold_waits: Counter,
     pub(crate) limit_waits: Counter,
+    pub(crate) brittle_waits: Counter,
     crashes: Family<CrashLabels, Counter>,
     peer_messages: Family<MessageLabels, Counter>,
     peer_bytes: Family<DirectionLabels, Gauge>,
@@ -195,6 +197,7 @@
     cold: Gauge,
     limited: Gauge,
     leaving: Gauge,
+    brittle: Gauge,
     tunnelled: Gauge,
     backing_off: Gauge,
     retries_left: Family<ServiceLabels, Gauge>,
@@ -292,6 +295,9 @@
         let backing_off = Gauge::default();
         let help = "Upstreams that have refused this host and asked it to back off";
         registry.register("resting_upstreams", help, backing_off.clone());
+        let brittle = Gauge::default();
+        let help = "Upstreams that have told this host that they are brittle";
+        registry.register("brittle_upstreams", help, brittle.clone());
         let tunnelled = Gauge::default();
         let help = "Upstreams that this host reaches through tunnels over other hosts";
         registry.register("tunnelled_upstreams", help, tunnelled.clone());
@@ -307,6 +313,9 @@
         let limit_waits = Counter::default();
         let help = "Deferred start requests at upstreams that advertise a limit";
         registry.register("limit_waits", help, limit_waits.clone());
+        let brittle_waits = Counter::default();
+        let help = "Deferred start requests at brittle upstreams";
+        registry.register("brittle_waits", help, brittle_waits.clone());
         let retries_left = Family::default();
         let help = "Remaining retry budget of this host for a service";
         registry.register("retries_left", help, retries_left.clone());
@@ -334,12 +343,14 @@
             cold,
             limited,
             leaving,
+            brittle,
             tunnelled,
             backing_off,
             dials,
             tunnels,
             cold_waits,
             limit_waits,
+            brittle_waits,
             retries_left,
             requests,
             retries,
@@ -413,6 +424,7 @@
         self.cold.set(readings.cold);
         self.limited.set(readings.limited);
         self.leaving.set(readings.leaving);
+        self.brittle.set(readings.brittle);
         self.tunnelled.set(readings.tunnelled);
         self.backing_off.set(readings.backing_off);
         for (service, left) in &readings.retries_left {
--- a/crates/gateway/src/peer.rs
+++ b/crates/gateway/src/peer.rs
@@ -11,8 +11,9 @@
 };
 use fulmarpath_wire::tunnel::TUNNEL_MARK;
 use fulmarpath_wire::{
-    Announcement, CellKey, Counted, GatewayPeer, GatewayPeerClient, MembersDigest, MigrationAnswer,
-    Ping, Pong, RelayedRuns, ReplicatedState, Rumour, StartAnswer, StartRequest, Traffic, framed,
+    Announcement, BrittleLoad, CellKey, Counted, GatewayPeer, GatewayPeerClient, MembersDigest,
+    MigrationAnswer, Ping, Pong, RelayedRuns, ReplicatedState, Rumour, StartAnswer, StartRequest,
+    Traffic, framed,
 };
 use futures::StreamExt;
 use tarpc::client::Config;
@@ -209,6 +210,21 @@
         self.gateway.grant_start(upstream, request)
     }
 
+    async fn ask_brittle_start(
+        self,
+        _: Context,
+        upstream: UpstreamKey,
+        load: BrittleLoad,
+    ) -> StartAnswer {
+        self.count("ask_brittle_start");
+        self.gateway.grant_brittle_start(upstream, load)
+    }
+
+    async fn report_rejection(self, _: Context, upstream: UpstreamKey) {
+        self.count("report_rejection");
+        self.gateway.handle_rejection(upstream);
+    }
+
     async fn report_crash(self, _: Context, content: ContentKey, upstream: UpstreamKey) {
         self.count("report_crash");
         poison::handle_crash_report(&self.gateway.as_circuit_host(), content, upstream);
--- a/crates/gateway/src/start_limits.rs
+++ b/crates/gateway/src/start_limits.rs
@@ -24,20 +24,20 @@
 use crate::problem::Problem;
 
 /// Timeout of a start request: several round trips between data centres.
-const REQUEST_TIMEOUT: Duration = Duration::from_millis(80);
+pub(crate) const REQUEST_TIMEOUT: Duration = Duration::from_millis(80);
 /// Retry delay if no home answers: another home is determined within the time of a few pings.
 const NO_HOME_RETRY_MS: Millis = 300;
 /// Maximum number of cold upstreams tried in sequence: each request costs a round trip.
 const MAX_COLD_REQUESTS: usize = 3;
 /// Timeout for connecting to a home and requesting a start: a host that has lost power does not
 /// answer at all.
-const HOME_TIMEOUT: Duration = Duration::from_millis(100);
+pub(crate) const HOME_TIMEOUT: Duration = Duration::from_millis(100);
 /// Upper bound on the retry delay if this host's share is used up: the next start of a share may be
 /// minutes away, and a home is available again within seconds.
 const MAX_SHARE_WAIT_MS: Millis = 1_000;
 /// Fraction of a limit that all hosts together use without a home. The home may still be reachable
 /// for other hosts and grant them the full limit.
-const FRACTION_WITHOUT_HOME: f32 = 0.25;
+pub(crate) const FRACTION_WITHOUT_HOME: f32 = 0.25;
 /// How long a generation that resumes on another engine waits for a start there: its caller sees a
 /// pause and disconnects after seconds.
 const CONTINUATION_WAIT_MS: Millis = 400;
@@ -251,7 +251,7 @@
     }
 
     /// The host that grants an upstream's starts; `None` if it is this host.
-    fn home_of_starts(&self, upstream: UpstreamKey) -> Option<MemberInfo> {
+    pub(crate) fn home_of_starts(&self, upstream: UpstreamKey) -> Option<MemberInfo> {
         let members = self.fleet.members.lock();
         let (key, info) = members.homes_of(upstream.0, 1).pop()?;
         (key != members.own_key()).then_some(info)
@@ -349,7 +349,7 @@
         self.request_start(upstream, request).await
     }
 
-    /// Requests a start if the upstream is cold or advertises a limit.
+    /// Requests a start if the upstream is cold, advertises a limit or is brittle.
     async fn request_start_if_limited(&self, upstream: UpstreamKey) -> Result<(), Millis> {
         let request = StartRequest {
             is_cold: self.is_cold(upstream),
@@ -357,7 +357,8 @@
                 .instances
                 .advertised_limit(self.clock.now_ms(), upstream),
         };
-        self.request_start(upstream, request).await
+        self.request_start(upstream, request).await?;
+        self.request_start_if_brittle(upstream).await
     }
 
     fn is_cold(&self, upstream: UpstreamKey) -> bool {
@@ -365,8 +366,8 @@
         cold.is_some_and(|cold| self.clock.now_ms() < cold.until_ms)
     }
 
-    /// Requests a start if the upstream advertises a limit; returns whether it was refused. In that
-    /// case the upstream is throttled locally until the time that the home gave, and other requests
+    /// Requests a start if the upstream advertises a limit or is brittle; returns whether it was
+    /// refused. In that case the upstream is throttled locally until the time that the home gave, and other requests
     /// do not ask the home until then.
     pub(crate) async fn is_start_refused(&self, upstream: UpstreamKey) -> bool {
         let request = StartRequest {
@@ -375,7 +376,10 @@
                 .instances
                 .advertised_limit(self.clock.now_ms(), upstream),
         };
-        let requested = self.request_start(upstream, request).await;
+        let requested = match self.request_start(upstream, request).await {
+            Ok(()) => self.request_start_if_brittle(upstream).await,
+            refused => refused,
+        };
         if let Err(wait_ms) = requested {
             let until_ms = self.clock.now_ms() + wait_ms;
             self.instances.throttle_until(upstream, until_ms);
@@ -401,7 +405,7 @@
     }
 }
 
-fn start_answer(granted: Result<(), Millis>) -> StartAnswer {
+pub(crate) fn start_answer(granted: Result<(), Millis>) -> StartAnswer {
     match granted {
         Ok(()) => StartAnswer::Now,
         Err(wait_ms) => StartAnswer::Later { wait_ms },
--- a/crates/gateway/src/upstream_table.rs
+++ b/crates/gateway/src/upstream_table.rs
@@ -155,9 +155,13 @@
         instance.takes_work() && !backpressure.is_some_and(Backpressure::is_leaving)
     }
 
-    /// The limit that an upstream advertises.
-    pub(crate) fn limit_of(&self, upstream: UpstreamKey) -> Option<f32> {
-        self.backpressure.get(&upstream)?.limit_per_s()
+    /// Whether a start has to be requested for each request to an upstream, because it advertises a
+    /// limit or is brittle.
+    pub(crate) fn needs_start(&self, upstream: UpstreamKey) -> bool {
+        let backpressure = self.backpressure.get(&upstream);
+        backpressure.is_some_and(|backpressure| {
+            backpressure.limit_per_s().is_some() || backpressure.brittle_at().is_some()
+        })
     }
 
     /// Removes the backpressure of upstreams that have been gone for long.
--- a/crates/policy/src/backpressure.rs
+++ b/crates/policy/src/backpressure.rs
@@ -16,6 +16,9 @@
     pub limit_per_s: Option<f32>,
     /// The upstream is leaving and accepts no new requests.
     pub is_leaving: bool,
+    /// Requests that the upstream can turn away within a second before it falls over; `None` if it
+    /// stays up however many these are.
+    pub brittle_at: Option<u32>,
     /// The upstream rejected the request and asks this host to send nothing for this long.
     pub backoff_ms: Option<Millis>,
 }
@@ -29,6 +32,7 @@
     /// Until when the limit allows no request of this host.
     throttled_until_ms: Millis,
     is_leaving: bool,
+    brittle_at: Option<u32>,
     /// Until when this host must send nothing.
     backoff_until_ms: Millis,
     /// Generations that have continued there in the current backoff period.
@@ -36,12 +40,13 @@
 }
 
 impl Backpressure {
-    /// Applies the signals of a response. A limit that is missing from them ends. An upstream that
+    /// Applies the signals of a response. A limit or brittleness that is missing from them ends. An upstream that
     /// is leaving stays so.
     pub fn update(&mut self, now_ms: Millis, signals: Signals) {
         self.limit_per_s = signals.limit_per_s;
         self.updated_ms = now_ms;
         self.is_leaving |= signals.is_leaving;
+        self.brittle_at = signals.brittle_at;
         if let Some(backoff_ms) = signals.backoff_ms {
             if !self.is_backing_off(now_ms) {
                 self.continued = 0;
@@ -76,6 +81,11 @@
         self.is_leaving
     }
 
+    /// Requests that the upstream can turn away within a second, if it is brittle.
+    pub fn brittle_at(&self) -> Option<u32> {
+        self.brittle_at
+    }
+
     /// Whether the upstream has asked this host to back off.
     pub fn is_backing_off(&self, now_ms: Millis) -> bool {
         now_ms < self.backoff_until_ms
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -9,6 +9,7 @@
 
 mod backlog;
 mod backpressure;
+mod brittle;
 mod broadcast;
 mod cell;
 mod cell_partitioning;
@@ -48,6 +49,7 @@
 mod weights;
 
 pub use backpressure::{Backpressure, Signals};
+pub use brittle::BrittleStarts;
 pub use broadcast::{Recipient, broadcast_branches, split_branch};
 pub use cell::{
     Cell, CellEngine, EngineCapacity, EngineSnapshot, Migration, MigrationOutcome, Placement,
--- a/crates/policy/src/upstream_stats.rs
+++ b/crates/policy/src/upstream_stats.rs
@@ -139,6 +139,11 @@
         self.failures.share(now_ms)
     }
 
+    /// The time to the first byte of a response.
+    pub fn expected_latency_ms(&self) -> f32 {
+        self.latency_ms.unwrap_or(UNKNOWN_LATENCY_MS)
+    }
+
     /// Cost of one more request, for comparison between upstreams of one service.
     pub fn cost(&self, now_ms: Millis) -> f32 {
         let failure_factor = 1.0 + FAILURE_WEIGHT * self.failure_share(now_ms);
@@ -171,7 +176,6 @@
     fn latency_or_age_ms(&self, now_ms: Millis) -> f32 {
         let oldest_ms = self.in_flight.iter().map(|(_, at_ms)| *at_ms).min();
         let pending_ms = oldest_ms.map_or(0, |at_ms| now_ms.saturating_sub(at_ms));
-        let smoothed = self.latency_ms.unwrap_or(UNKNOWN_LATENCY_MS);
-        smoothed.max(pending_ms as f32).max(1.0)
+        self.expected_latency_ms().max(pending_ms as f32).max(1.0)
     }
 }
--- a/crates/policy/tests/backpressure.rs
+++ b/crates/policy/tests/backpressure.rs
@@ -6,11 +6,13 @@
 const LIMITED: Signals = Signals {
     limit_per_s: Some(3.0),
     is_leaving: false,
+    brittle_at: None,
     backoff_ms: None,
 };
 const LEAVING: Signals = Signals {
     limit_per_s: None,
     is_leaving: true,
+    brittle_at: None,
     backoff_ms: None,
 };
 
--- a/crates/wire/src/gateway.rs
+++ b/crates/wire/src/gateway.rs
@@ -99,7 +99,16 @@
     pub limit: Option<AdvertisedLimit>,
 }
 
-/// The answer to a [`StartRequest`].
+/// What a start at a brittle upstream depends on, as the asking host knows it.
+#[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
+pub struct BrittleLoad {
+    /// Requests that the upstream runs at once.
+    pub slots: u32,
+    /// Time that a request takes there.
+    pub duration_ms: f32,
+}
+
+/// The answer to a [`StartRequest`] or a request for a start at a brittle upstream.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub enum StartAnswer {
     /// The request may start at once.
@@ -155,4 +164,8 @@
     /// Returns the part of the complete list of upstreams that follows an instance, encoded as in
     /// an announcement.
     async fn upstreams_part(after: Option<String>) -> Vec<u8>;
+    /// Asks the home of a brittle upstream for permission to start a request there.
+    async fn ask_brittle_start(upstream: UpstreamKey, load: BrittleLoad) -> StartAnswer;
+    /// Reports to the home of a brittle upstream that it has turned a request away.
+    async fn report_rejection(upstream: UpstreamKey);
 }
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -12,8 +12,8 @@
 pub mod tunnel;
 
 pub use gateway::{
-    AdvertisedLimit, Announcement, CellKey, GatewayPeer, GatewayPeerClient, MembersDigest,
-    MigrationAnswer, RelayedRuns, ReplicatedState, StartAnswer, StartRequest,
+    AdvertisedLimit, Announcement, BrittleLoad, CellKey, GatewayPeer, GatewayPeerClient,
+    MembersDigest, MigrationAnswer, RelayedRuns, ReplicatedState, StartAnswer, StartRequest,
 };
 pub use message::{
     ClaimAnswer, ClaimRequest, Document, FetchAnswer, GenerationEnd, LimitAnswer, MemberInfo,
