Carry streams on when the link to their engine is lost

When a host lost its links, the streams it relayed fell silent and broke after three seconds, once the connections' keepalive failed, though their engines generated on and other hosts reached them. Streams with a running copy went on there; the others were lost to their callers.

A stream that has been silent for twice the longest pause that is on time has its own link to the engine tested. If that is lost, the generation is stopped over a tunnel and resumes where its memory is, by the steps of a migration, so that nothing runs twice. An engine that is only silent is waited for, with one test a second at the most. After a failed attempt over the own link, tunnels come first for a second.

--- a/crates/gateway/src/engine_stream.rs
+++ b/crates/gateway/src/engine_stream.rs
@@ -28,6 +28,8 @@
     /// only by the end of its connection shows a break in no other way.
     EndInEvent,
     Broken,
+    /// The generation was stopped, and can resume.
+    Stopped,
     TimedOut,
 }
 
--- a/crates/gateway/src/instance.rs
+++ b/crates/gateway/src/instance.rs
@@ -50,6 +50,15 @@
         }
     }
 
+    /// The upstream, as a destination on which a generation may resume.
+    pub(crate) fn as_destination(&self) -> Destination {
+        Destination {
+            upstream: self.upstream,
+            address: self.registration.address,
+            lost: self.lost.clone(),
+        }
+    }
+
     /// Applies the cold time that its entry states.
     pub(crate) fn apply_stated_cold(&mut self, now_ms: Millis) {
         let until_ms = now_ms + self.registration.cold_ms;
--- a/crates/gateway/src/instances.rs
+++ b/crates/gateway/src/instances.rs
@@ -239,15 +239,31 @@
         found.filter(|_| !is_evacuated && !is_throttled)
     }
 
+    /// The least loaded upstream of a service, as far as this host knows, except one.
+    pub(crate) fn other_destination(
+        &self,
+        now_ms: Millis,
+        service: &str,
+        except: UpstreamKey,
+    ) -> Option<Destination> {
+        let table = self.table.lock();
+        let instances = table.of_service(service).map(|key| &table.arena[*key]);
+        let open = instances.filter(|instance| {
+            let is_throttled = table.is_throttled(now_ms, instance.upstream);
+            instance.upstream != except && table.takes_work(instance) && !is_throttled
+        });
+        let least_loaded = open.min_by(|a, b| {
+            let (a, b) = (a.stats.cost(now_ms), b.stats.cost(now_ms));
+            a.total_cmp(&b)
+        });
+        least_loaded.map(Instance::as_destination)
+    }
+
     /// The current incarnation of an upstream, as a destination.
     pub(crate) fn find(&self, upstream: UpstreamKey) -> Option<Destination> {
         let table = self.table.lock();
-        let instance = &table.arena[*table.by_upstream.get(&upstream)?];
-        Some(Destination {
-            upstream,
-            address: instance.registration.address,
-            lost: instance.lost.clone(),
-        })
+        let key = table.by_upstream.get(&upstream)?;
+        Some(table.arena[*key].as_destination())
     }
 
     /// The registration of an upstream's current incarnation.
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -36,6 +36,7 @@
 mod key;
 mod list_assembly;
 mod log_throttle;
+mod lost_link;
 mod metadata;
 mod metrics;
 mod migration;
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -82,6 +82,8 @@
     pub(crate) stopped: Option<StoppedGeneration>,
     pub(crate) backup: Option<Destination>,
     pub(crate) recoveries: u32,
+    /// When the link to the engine was last checked because the engine was silent.
+    pub(crate) link_checked_ms: Millis,
     /// The next event is the first from a different engine.
     pub(crate) has_just_switched: bool,
     /// The engine has ended its response normally.
@@ -111,6 +113,7 @@
             migration: None,
             stopped: None,
             recoveries: 0,
+            link_checked_ms: 0,
             has_just_switched: false,
             is_complete: false,
             gateway,
@@ -174,6 +177,7 @@
             StreamRead::Bytes => return Some(NextStep::Read),
             StreamRead::TimedOut => return None,
             StreamRead::End => return Some(self.handover.end_stream(StreamEnd::Complete)),
+            StreamRead::Stopped => return Some(NextStep::Resume),
             StreamRead::EndInEvent => "in_event",
             StreamRead::Broken => "interrupted",
         };
@@ -194,9 +198,12 @@
         self.is_complete
     }
 
-    /// How long the engine may stay silent before the generation resumes from the running copy.
+    /// How long the engine may stay silent before the generation resumes from the running copy, or
+    /// the link to the engine is checked.
     fn silence_left(&self) -> Option<Duration> {
-        let can_fail_over = self.backup.is_some() && self.handover.can_begin_migration();
+        if !self.handover.can_begin_migration() {
+            return None;
+        }
         let target_ms = self.inbound.route.gap_target_ms?;
         // Time spent by the previous engine, for a final copy or in silence, does not count as this
         // engine's silence.
@@ -204,9 +211,12 @@
             .tracker
             .last_event_ms()?
             .max(self.stream.response_at_ms);
-        let until_ms = since_ms + (target_ms as f32 * SILENCE_FRACTION) as Millis;
+        let until_ms = match self.backup {
+            Some(_) => since_ms + (target_ms as f32 * SILENCE_FRACTION) as Millis,
+            None => self.link_check_ms(since_ms, target_ms),
+        };
         let left_ms = until_ms.saturating_sub(self.gateway.clock.now_ms());
-        can_fail_over.then(|| Duration::from_millis(left_ms))
+        Some(Duration::from_millis(left_ms))
     }
 
     /// Abandons a silent engine, unless this host itself was suspended: bytes that arrived
@@ -215,10 +225,12 @@
         let until_ms = self.gateway.clock.now_ms() + RESUME_READ_MS;
         let read = self.stream.read(&mut self.events, until_ms, &self.gateway);
         match read.await {
-            StreamRead::TimedOut => {
+            StreamRead::TimedOut if self.backup.is_some() => {
                 self.fail_over_from_silent_engine().await;
                 StreamRead::Bytes
             }
+            StreamRead::TimedOut if self.stop_over_tunnel().await => StreamRead::Stopped,
+            StreamRead::TimedOut => StreamRead::Bytes,
             read => read,
         }
     }
--- a/crates/gateway/src/upstream_dial.rs
+++ b/crates/gateway/src/upstream_dial.rs
@@ -87,6 +87,19 @@
         self.shared.dial_direct(upstream, time_limit).await
     }
 
+    /// Tests the own link to an upstream.
+    ///
+    /// # Errors
+    /// [`HttpError::Unreachable`]
+    pub(crate) async fn test_own_link(
+        &self,
+        upstream: SocketAddr,
+        time_limit: Duration,
+    ) -> Result<(), HttpError> {
+        self.shared.dial_direct(upstream, time_limit).await?;
+        Ok(())
+    }
+
     /// Whether this host has lost its links to upstreams in general.
     pub(crate) fn is_cut_off(&self, now_ms: Millis) -> bool {
         self.shared.paths.lock().is_lastingly_cut_off(now_ms)
@@ -122,7 +135,7 @@
             shared.paths.lock().choose(now_ms, upstream)
         };
         if path == Path::Tunnel {
-            shared.clone().test_own_link(upstream);
+            shared.clone().spawn_test(upstream);
             if let Some(stream) = shared.dial_tunnel(upstream, until).await {
                 return Ok(stream);
             }
@@ -241,7 +254,7 @@
     }
 
     /// Tests the own link to an upstream that is reached through tunnels, if that is due.
-    fn test_own_link(self: Arc<Self>, upstream: SocketAddr) {
+    fn spawn_test(self: Arc<Self>, upstream: SocketAddr) {
         let Ok(permit) = self.tests.clone().try_acquire_owned() else {
             return;
         };
--- a/crates/policy/src/paths.rs
+++ b/crates/policy/src/paths.rs
@@ -75,7 +75,9 @@
     /// The path to try first.
     pub fn choose(&self, now_ms: Millis, upstream: SocketAddr) -> Path {
         let is_tunnelled = self.via(upstream).is_some();
-        if self.may_tunnel(now_ms, upstream) && (is_tunnelled || self.is_cut_off(now_ms)) {
+        let prefers_tunnel =
+            is_tunnelled || self.has_just_failed(now_ms, upstream) || self.is_cut_off(now_ms);
+        if prefers_tunnel && self.may_tunnel(now_ms, upstream) {
             Path::Tunnel
         } else {
             Path::Direct
@@ -104,9 +106,13 @@
     /// Whether to carry a tunnel to an upstream for another host: not where this host's own link has
     /// just failed, so that the other host asks the next one without delay.
     pub fn may_carry(&self, now_ms: Millis, upstream: SocketAddr) -> bool {
+        !self.has_just_failed(now_ms, upstream)
+    }
+
+    fn has_just_failed(&self, now_ms: Millis, upstream: SocketAddr) -> bool {
         let link = self.links.get(&upstream);
         let failed_ms = link.and_then(|link| link.failed_ms);
-        failed_ms.is_none_or(|failed_ms| now_ms.saturating_sub(failed_ms) >= TEST_PERIOD_MS)
+        failed_ms.is_some_and(|failed_ms| now_ms.saturating_sub(failed_ms) < TEST_PERIOD_MS)
     }
 
     /// Whether the host has been cut off for a while.
--- a/crates/policy/tests/paths.rs
+++ b/crates/policy/tests/paths.rs
@@ -81,7 +81,8 @@
 /// asks all others again and again for an upstream that has ended.
 #[rstest]
 #[case::nothing_known(PathCase { events: vec![], now_ms: 1_000, upstream: 1, path: Path::Direct, may_tunnel: true })]
-#[case::one_link_lost(PathCase { events: vec![(1_000, lost(1))], now_ms: 1_010, upstream: 1, path: Path::Direct, may_tunnel: true })]
+#[case::link_just_lost(PathCase { events: vec![(1_000, lost(1))], now_ms: 1_010, upstream: 1, path: Path::Tunnel, may_tunnel: true })]
+#[case::link_lost_some_time_ago(PathCase { events: vec![(1_000, lost(1))], now_ms: 2_000, upstream: 1, path: Path::Direct, may_tunnel: true })]
 #[case::another_than_the_lost(PathCase { events: vec![(1_000, lost(1))], now_ms: 1_010, upstream: 2, path: Path::Direct, may_tunnel: true })]
 #[case::reached_through_a_tunnel(PathCase { events: vec![(1_000, lost(1)), (1_005, tunnelled(1)), (1_010, works(2))], now_ms: 1_020, upstream: 1, path: Path::Tunnel, may_tunnel: true })]
 #[case::own_link_is_back(PathCase { events: vec![(1_000, lost(1)), (1_005, tunnelled(1)), (2_010, works(1))], now_ms: 2_020, upstream: 1, path: Path::Direct, may_tunnel: true })]
