Tell the home of an upstream that its limit has ended

The host that gets the first response without the limit reports that to the home, which adopts it if it knows nothing later. Older news of the limit from other hosts are ignored as before. the_end_of_a_limit_is_adopted_from_other_hosts.

--- a/crates/gateway/src/backpressure.rs
+++ b/crates/gateway/src/backpressure.rs
@@ -1,5 +1,7 @@
 //! Applies the backpressure signals of upstreams, and logs their changes.
 
+use std::sync::Arc;
+
 use fulmarpath_policy::{Backpressure, Millis, Signals, UpstreamKey};
 use fulmarpath_wire::{AdvertisedLimit, BrittleLoad};
 use spdlog::info;
@@ -10,7 +12,7 @@
 
 impl Gateway {
     /// Applies the signals in the head of an upstream's own response.
-    pub(crate) fn apply_signals(&self, chosen: &ChosenUpstream, signals: Signals) {
+    pub(crate) fn apply_signals(self: &Arc<Self>, chosen: &ChosenUpstream, signals: Signals) {
         let now_ms = self.clock.now_ms();
         let change = self
             .instances
@@ -22,7 +24,10 @@
             (_, Some(limit)) => {
                 info!("backpressure: {instance} takes {limit} requests a second from all hosts")
             }
-            (_, None) => info!("backpressure: {instance} no longer advertises a limit"),
+            (_, None) => {
+                info!("backpressure: {instance} no longer advertises a limit");
+                self.report_limit_end(chosen.upstream);
+            }
         }
         match (before.brittle_at(), after.brittle_at()) {
             (before, after) if before == after => {}
@@ -60,6 +65,14 @@
         (before, after)
     }
 
+    /// Applies the end of a limit that another host noticed at `ended_ms`.
+    pub(crate) fn apply_limit_end(&self, upstream: UpstreamKey, ended_ms: Millis) {
+        let mut table = self.table.lock();
+        if let Some(backpressure) = table.backpressure.get_mut(&upstream) {
+            backpressure.merge_limit_end(ended_ms);
+        }
+    }
+
     /// Applies a limit that another host received at `received_ms`.
     pub(crate) fn apply_limit(&self, upstream: UpstreamKey, per_s: f32, received_ms: Millis) {
         let mut table = self.table.lock();
--- a/crates/gateway/src/peer.rs
+++ b/crates/gateway/src/peer.rs
@@ -225,6 +225,12 @@
         self.gateway.handle_rejection(upstream);
     }
 
+    async fn report_limit_end(self, _: Context, upstream: UpstreamKey) {
+        self.count("report_limit_end");
+        let now_ms = self.gateway.clock.now_ms();
+        self.gateway.instances.apply_limit_end(upstream, now_ms);
+    }
+
     async fn report_crash(self, _: Context, content: ContentKey, upstream: UpstreamKey) {
         self.count("report_crash");
         poison::handle_crash_report(&self.gateway.as_circuit_host(), content, upstream);
--- a/crates/gateway/src/start_limits.rs
+++ b/crates/gateway/src/start_limits.rs
@@ -8,6 +8,7 @@
 //! grants the starts, at the cost of one message per request.
 
 use std::collections::HashMap;
+use std::sync::Arc;
 use std::time::Duration;
 
 use fulmarpath_policy::{ColdStarts, Draws, Millis, Pacer, UpstreamKey};
@@ -335,6 +336,26 @@
         start_answer(self.start_limiter.grant(now_ms, upstream, start_limit))
     }
 
+    /// Reports to the home of an upstream's starts that its limit has ended. The home, to which the
+    /// other hosts turn for each start, would otherwise keep the limit until a response of its own.
+    pub(crate) fn report_limit_end(self: &Arc<Self>, upstream: UpstreamKey) {
+        let Some(home) = self.home_of_starts(upstream) else {
+            return;
+        };
+        let gateway = self.clone();
+        tokio::spawn(async move {
+            let call = |client: GatewayPeerClient, context| async move {
+                client.report_limit_end(context, upstream).await
+            };
+            if let Err(error) = gateway.fleet.peers.call(home.address, call).await {
+                warn!(
+                    "starts: could not report the end of the limit of upstream {:016x}: {error}",
+                    upstream.0
+                );
+            }
+        });
+    }
+
     /// Requests a start if the upstream is cold.
     ///
     /// # Errors
--- a/crates/policy/src/backpressure.rs
+++ b/crates/policy/src/backpressure.rs
@@ -66,6 +66,16 @@
         }
     }
 
+    /// Adopts the end of a limit that another host noticed at `ended_ms`, unless later news are
+    /// known.
+    pub fn merge_limit_end(&mut self, ended_ms: Millis) {
+        if ended_ms > self.updated_ms {
+            self.limit_per_s = None;
+            self.throttled_until_ms = 0;
+            self.updated_ms = ended_ms;
+        }
+    }
+
     /// Blocks new requests to the upstream until `until_ms`, because of its limit.
     pub fn throttle_until(&mut self, until_ms: Millis) {
         self.throttled_until_ms = until_ms;
--- a/crates/policy/tests/backpressure.rs
+++ b/crates/policy/tests/backpressure.rs
@@ -39,6 +39,27 @@
     assert_eq!(backpressure.limit_per_s(), None);
 }
 
+/// Guards against a limit that a home keeps although another host knows that it has ended, and
+/// against an older end that lifts a limit.
+#[rstest]
+#[case::later(1_001, None, 0)]
+#[case::earlier(999, Some(3.0), 1_400)]
+fn the_end_of_a_limit_is_adopted_from_other_hosts(
+    #[case] ended_ms: u64,
+    #[case] limit_per_s: Option<f32>,
+    #[case] blocked_until_ms: u64,
+) {
+    let mut backpressure = Backpressure::default();
+    backpressure.update(1_000, LIMITED);
+    backpressure.throttle_until(1_400);
+    backpressure.merge_limit_end(ended_ms);
+    assert_eq!(backpressure.limit_per_s(), limit_per_s);
+    assert_eq!(backpressure.blocked_until_ms(), blocked_until_ms);
+    // A host that was told of the limit before asks for a start.
+    backpressure.merge_limit(3.0, 900);
+    assert_eq!(backpressure.limit_per_s(), limit_per_s);
+}
+
 /// Guards against an upstream that gets no requests after its limit has ended.
 #[test]
 fn throttling_ends_with_the_limit() {
--- a/crates/wire/src/gateway.rs
+++ b/crates/wire/src/gateway.rs
@@ -168,4 +168,6 @@
     async fn ask_brittle_start(upstream: UpstreamKey, load: BrittleLoad) -> StartAnswer;
     /// Reports to the home of a brittle upstream that it has turned a request away.
     async fn report_rejection(upstream: UpstreamKey);
+    /// Reports to the home of an upstream's starts that the upstream advertises no limit any more.
+    async fn report_limit_end(upstream: UpstreamKey);
 }
