--- a/crates/gateway/src/upstream_dial.rs
+++ b/crates/gateway/src/upstream_dial.rs
@@ -202,6 +202,7 @@
                     return Some(stream);
                 }
                 Err(TunnelError::Refused) => {
+                    info!("paths: host {host} opens no tunnel at present");
                     self.tunnel_hosts.lock().record_unusable(now_ms, host);
                 }
                 // It may have lost its own link to this one upstream.
