--- a/crates/cluster/src/poison.rs
+++ b/crates/cluster/src/poison.rs
@@ -2,10 +2,9 @@
 //!
 //! Two hosts are the homes of all crash reports, because requests for different services may share
 //! what crashes their upstreams. Each run that had just begun on an upstream that crashed costs one
-//! message to each home. Each change of a circuit, which is rare,
-//! reaches every host. The traffic therefore doesn't grow with the square of the fleet, however
-//! many upstreams crash at once. Entry hosts and gateways implement [`CircuitHost`] with their own
-//! transport.
+//! message to each home. Each change of a circuit, which is rare, reaches every host. The traffic
+//! therefore doesn't grow with the square of the fleet, however many upstreams crash at once. Entry
+//! hosts and gateways implement [`CircuitHost`] with their own transport.
 
 use std::net::SocketAddr;
 use std::sync::Arc;
--- a/crates/policy/src/circuit/mod.rs
+++ b/crates/policy/src/circuit/mod.rs
@@ -4,8 +4,8 @@
 //!
 //! Such a request terminates everything running on an upstream each time its caller retries, on any
 //! host. No single host sees enough: the retries are new requests, each on another host and another
-//! upstream. So all hosts report to the home of a service which requests had just started on a
-//! crashed upstream, the home decides on the circuit of each content, and every host keeps the
+//! upstream. So all hosts report to the homes of crash reports which requests had just started on a
+//! crashed upstream, a home decides on the circuit of each content, and every host keeps the
 //! circuits.
 //!
 //! Requests that started at the same time are suspects too, so two crashes do not open a circuit
