Group the gateway's modules into folders by concern

crates/gateway/src had 65 flat files, and files of one concern were found only by their names. What belongs together has a folder now: cells (tables, layout, homes, runs, probes, departures), upstreams (instances, limits, paths), relay (one stream, its migrations and recovery), store (reading and writing entries) and roster (registrations). 32 names are left at the top.

Files are renamed and paths changed; no code differs.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -12,14 +12,14 @@
 use tokio::time::timeout;
 
 use crate::crashes::InterruptedRun;
-use crate::framing::Framing;
 use crate::gateway::Gateway;
 use crate::head::{Continuation, Outbound, ResponseHead};
 use crate::inbound::InboundRequest;
-use crate::instance::ChosenUpstream;
 use crate::problem::Problem;
 use crate::record::Dispatch;
+use crate::relay::framing::Framing;
 use crate::tracker::{ANSWERED, InFlightRequest, RequestTracker};
+use crate::upstreams::instance::ChosenUpstream;
 
 /// Connect timeout: several round trips between data centres, and an upstream's handshake. A lost
 /// SYN is retransmitted only after 1 s, by which time another upstream has answered.
--- a/crates/gateway/src/departures.rs
+++ b/crates/gateway/src/cells/departures.rs
@@ -5,7 +5,7 @@
 
 use fulmarpath_policy::{Millis, Revision};
 
-use crate::directory::{Departure, Registration};
+use crate::roster::directory::{Departure, Registration};
 
 /// Maximum number of stored departures: ten times as many as occur, at hundreds a second, while an
 /// update reaches all hosts of a fleet.
--- a/crates/gateway/src/cell_layout.rs
+++ b/crates/gateway/src/cells/layout.rs
@@ -5,8 +5,8 @@
 use fulmarpath_policy::{CellPartitioning, RunKey, UpstreamKey};
 use fulmarpath_wire::CellKey;
 
-use crate::directory::Registration;
 use crate::key::{cell_key, name_key};
+use crate::roster::directory::Registration;
 
 pub(crate) type CellsByEngine = HashMap<UpstreamKey, CellKey>;
 
--- a/crates/gateway/src/cells.rs
+++ b/crates/gateway/src/cells/mod.rs
@@ -1,6 +1,12 @@
 //! The cells' tables on this host. They cover all generations of a cell if this host is its home,
 //! otherwise only the generations that this host relays.
 
+pub(crate) mod departures;
+pub(crate) mod homes;
+pub(crate) mod layout;
+pub(crate) mod probe;
+pub(crate) mod runs;
+
 use std::collections::{BTreeMap, HashMap};
 
 use fulmarpath_policy::{
@@ -10,12 +16,12 @@
 use fulmarpath_wire::{CellKey, RelayedRuns};
 use parking_lot::Mutex;
 
-use crate::availability::Availability;
-use crate::cell_layout::{self, CellsByEngine};
+use crate::cells::layout::CellsByEngine;
 use crate::configuration::{ActiveConfiguration, EngineTraits};
 use crate::control::EngineStatus;
-use crate::directory::{Directory, RegisteredState, Registration, RegistrationChange};
 use crate::key::{data_centre_key, name_key, upstream_key};
+use crate::roster::directory::{Directory, RegisteredState, Registration, RegistrationChange};
+use crate::upstreams::availability::Availability;
 
 struct Table {
     service: String,
@@ -81,7 +87,7 @@
             };
             let registered = by_service.remove(service.name.as_str()).unwrap_or_default();
             let layout = layouts.entry(service.name.clone()).or_default();
-            layout.counts = cell_layout::count_by_data_centre(&registered);
+            layout.counts = layout::count_by_data_centre(&registered);
             let partitioning = layout.partitioning.updated(&layout.counts);
             if !partitioning.has_same_cells(&layout.partitioning) {
                 has_new_layout = true;
@@ -90,8 +96,7 @@
                 tables.retain(|_, table| table.service != service.name);
             }
             layout.partitioning = partitioning;
-            let by_cell =
-                cell_layout::group_by_cell(&layout.partitioning, &service.name, &registered);
+            let by_cell = layout::group_by_cell(&layout.partitioning, &service.name, &registered);
             // In a cell without registered engines, all earlier engines count as leaving.
             for (key, table) in tables.iter_mut() {
                 if table.service == service.name && !by_cell.contains_key(key) {
@@ -139,7 +144,7 @@
             let after = change.after.as_ref().and_then(|after| {
                 let service = active.service(&after.service)?;
                 let layout = layouts.get(&service.name)?;
-                let cell = cell_layout::cell_of(&layout.partitioning, after);
+                let cell = layout::cell_of(&layout.partitioning, after);
                 Some((cell, after, service.engine.as_ref()?))
             });
             // A restarted engine replaces its previous process within its cell.
@@ -186,7 +191,7 @@
         let unpartitioned = CellPartitioning::default();
         let layout = layouts.get(service);
         let partitioning = layout.map_or(&unpartitioned, |layout| &layout.partitioning);
-        cell_layout::cell_for(partitioning, service, data_centre, run)
+        layout::cell_for(partitioning, service, data_centre, run)
     }
 
     /// Places a generation, as the home of its cell or in place of one.
--- a/crates/gateway/src/runs.rs
+++ b/crates/gateway/src/cells/runs.rs
@@ -7,7 +7,7 @@
 use parking_lot::Mutex;
 use tokio::sync::{mpsc, oneshot};
 
-use crate::instance::Destination;
+use crate::upstreams::instance::Destination;
 
 /// An order to migrate a generation to another engine.
 pub(crate) struct MigrationOrder {
--- a/crates/gateway/src/crashes.rs
+++ b/crates/gateway/src/crashes.rs
@@ -12,8 +12,8 @@
 use crate::gateway::Gateway;
 use crate::head::PromptPart;
 use crate::inbound::InboundRequest;
-use crate::instance::ChosenUpstream;
 use crate::tracker::{RequestTracker, logged_parts};
+use crate::upstreams::instance::ChosenUpstream;
 
 /// An upstream that accepts connections may have been restarted already: its registration shows
 /// the new incarnation within this time.
--- a/crates/gateway/src/dissemination.rs
+++ b/crates/gateway/src/dissemination.rs
@@ -24,11 +24,11 @@
 use spdlog::{info, warn};
 use tokio::time::sleep;
 
-use crate::directory::{DepartureNotice, DirectoryChange, ListedPage, Registration};
 use crate::encoding::{EncodingError, decode, encode};
 use crate::gateway::Gateway;
-use crate::metadata::ReadPage;
-use crate::store_sync::{log_decisions, log_store_restored};
+use crate::roster::directory::{DepartureNotice, DirectoryChange, ListedPage, Registration};
+use crate::store::metadata::ReadPage;
+use crate::store::sync::{log_decisions, log_store_restored};
 
 /// Minimum time between two announcements of one host on its access to the store.
 const STORE_ACCESS_INTERVAL_MS: Millis = 400;
--- a/crates/gateway/src/evacuations.rs
+++ b/crates/gateway/src/evacuations.rs
@@ -10,11 +10,11 @@
 use spdlog::{info, warn};
 use tokio::time::sleep;
 
-use crate::collection_reader::{CollectionReader, StoreUpdate, outcome};
 use crate::encoding::{EncodingError, decode};
 use crate::gateway::Gateway;
-use crate::metadata::{Change, Changes, Freshness, Snapshot};
-use crate::store_sync::WATCH_WAIT_FRACTION;
+use crate::store::collection_reader::{CollectionReader, StoreUpdate, outcome};
+use crate::store::metadata::{Change, Changes, Freshness, Snapshot};
+use crate::store::sync::WATCH_WAIT_FRACTION;
 
 const LOG_NAME: &str = "the evacuations";
 
--- a/crates/gateway/src/fleet.rs
+++ b/crates/gateway/src/fleet.rs
@@ -25,12 +25,12 @@
 use tarpc::context::Context;
 
 use crate::configuration::Configuration;
-use crate::directory::{Directory, DirectoryChange, DirectoryPart, HostRegistration};
 use crate::encoding::decode;
 use crate::gateway::Gateway;
 use crate::join::JoiningHosts;
-use crate::list_assembly::ListAssembly;
-use crate::presence_log::PresenceLog;
+use crate::roster::directory::{Directory, DirectoryChange, DirectoryPart, HostRegistration};
+use crate::roster::list_assembly::ListAssembly;
+use crate::roster::presence_log::PresenceLog;
 
 /// Between two pings. Each goes to one member, so a host's share does not grow with the size of the
 /// fleet.
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -19,10 +19,10 @@
 use crate::gateway::Gateway;
 use crate::hop;
 use crate::inbound::InboundRequest;
-use crate::instance::ChosenUpstream;
 use crate::poison::mark_sent;
 use crate::problem::{Problem, reply};
 use crate::tracker::RequestTracker;
+use crate::upstreams::instance::ChosenUpstream;
 
 /// Maximum number of dispatches of one request that were not run, in addition to the attempts that
 /// the route allows. Each costs a round trip; after three the service is full or gone.
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -13,29 +13,29 @@
 use parking_lot::Mutex;
 use spdlog::info;
 
-use crate::availability::ColdLimits;
-use crate::brittle_starts::BrittleLimiter;
+use crate::cells::homes::CellDuties;
+use crate::cells::probe::ProbeTimes;
+use crate::cells::runs::Runs;
 use crate::cells::{Cells, LayoutChanged};
 use crate::configuration::{ActiveConfiguration, Configuration};
 use crate::control::EngineControl;
-use crate::directory::{HostRegistration, RegistrationChange};
 use crate::dissemination::Dissemination;
 use crate::fleet::Fleet;
 use crate::head::Dialect;
-use crate::homes::CellDuties;
-use crate::instances::Instances;
 use crate::log_throttle::LogThrottle;
-use crate::metadata::Metadata;
 use crate::metrics::{Metrics, PeerBytes, Readings};
-use crate::probe::ProbeTimes;
+use crate::relay::stream_buffer::StreamBuffers;
 use crate::roster::Roster;
-use crate::runs::Runs;
-use crate::start_limits::StartLimiter;
-use crate::store_era::StoreEra;
-use crate::stream_buffer::StreamBuffers;
+use crate::roster::directory::{HostRegistration, RegistrationChange};
+use crate::store::era::StoreEra;
+use crate::store::metadata::Metadata;
 use crate::surge_guard::SurgeGuard;
-use crate::tunnels::Tunnels;
-use crate::upstream_dial::UpstreamDial;
+use crate::upstreams::availability::ColdLimits;
+use crate::upstreams::brittle_starts::BrittleLimiter;
+use crate::upstreams::dial::UpstreamDial;
+use crate::upstreams::instances::Instances;
+use crate::upstreams::start_limits::StartLimiter;
+use crate::upstreams::tunnels::Tunnels;
 
 /// Settings of a gateway.
 #[derive(Debug, Clone)]
--- a/crates/gateway/src/join.rs
+++ b/crates/gateway/src/join.rs
@@ -19,9 +19,9 @@
 use tokio::sync::mpsc;
 use tokio::time::sleep;
 
-use crate::collection_reader::outcome;
 use crate::gateway::Gateway;
-use crate::metadata::Freshness;
+use crate::store::collection_reader::outcome;
+use crate::store::metadata::Freshness;
 
 /// The next seed is contacted as well after this long without an answer.
 const NEXT_SEED_DELAY: Duration = Duration::from_millis(120);
--- a/crates/gateway/src/key.rs
+++ b/crates/gateway/src/key.rs
@@ -3,7 +3,7 @@
 use fulmarpath_policy::{ModelKey, RunKey, UpstreamKey};
 use fulmarpath_wire::CellKey;
 
-use crate::directory::Registration;
+use crate::roster::directory::Registration;
 
 /// The key of one incarnation of an upstream.
 pub(crate) fn upstream_key(registration: &Registration) -> UpstreamKey {
--- a/crates/gateway/src/engine_stream.rs
+++ b/crates/gateway/src/relay/engine_stream.rs
@@ -12,11 +12,11 @@
 use tokio::time::timeout;
 
 use crate::attempt::UpstreamResponse;
-use crate::events::EventBuffer;
-use crate::framing::Framing;
 use crate::gateway::Gateway;
-use crate::instance::Destination;
+use crate::relay::events::EventBuffer;
+use crate::relay::framing::Framing;
 use crate::tracker::InFlightRequest;
+use crate::upstreams::instance::Destination;
 
 const EVENT_STREAM: &str = "text/event-stream";
 
--- a/crates/gateway/src/migration.rs
+++ b/crates/gateway/src/relay/migration.rs
@@ -9,9 +9,9 @@
 use futures::future::BoxFuture;
 use tokio::sync::oneshot;
 
+use crate::cells::runs::MigrationOrder;
 use crate::control::{CompletedCopy, CopyError, EngineControl};
-use crate::instance::Destination;
-use crate::runs::MigrationOrder;
+use crate::upstreams::instance::Destination;
 
 /// The outcome of one step of a migration.
 #[derive(Debug, Clone)]
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay/mod.rs
@@ -1,5 +1,13 @@
 //! Relays one generation to its caller, across migrations and failovers between engines.
 
+pub(crate) mod engine_stream;
+pub(crate) mod events;
+pub(crate) mod framing;
+pub(crate) mod migration;
+pub(crate) mod recovery;
+pub(crate) mod stream;
+pub(crate) mod stream_buffer;
+
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -13,15 +21,15 @@
 use tokio::sync::mpsc;
 use tokio::time::sleep;
 
-use crate::engine_stream::{EngineStream, StreamRead};
-use crate::events::{EventBuffer, split_events};
+use crate::cells::runs::MigrationOrder;
 use crate::gateway::Gateway;
 use crate::inbound::InboundRequest;
-use crate::instance::Destination;
-use crate::migration::{Migration, StepOutcome};
-use crate::runs::MigrationOrder;
+use crate::relay::engine_stream::{EngineStream, StreamRead};
+use crate::relay::events::{EventBuffer, split_events};
+use crate::relay::migration::{Migration, StepOutcome};
 use crate::start::{Attempts, StartedGeneration};
 use crate::tracker::RequestTracker;
+use crate::upstreams::instance::Destination;
 
 /// Fraction of the route's gap target after which a silent engine is abandoned for the running copy
 /// on another engine. The remainder is for the other engine to resume. An engine that loses power
--- a/crates/gateway/src/recovery.rs
+++ b/crates/gateway/src/relay/recovery.rs
@@ -8,11 +8,11 @@
 
 use crate::attempt::{DispatchOptions, UpstreamResponse};
 use crate::crashes::InterruptedRun;
-use crate::engine_stream::{EngineStream, StreamRead};
 use crate::head::Continuation;
-use crate::instance::Destination;
+use crate::relay::engine_stream::{EngineStream, StreamRead};
 use crate::relay::{Relay, StoppedGeneration};
 use crate::start::StartedGeneration;
+use crate::upstreams::instance::Destination;
 
 /// Time to read the data in transit from a stopped engine, which closes its stream just before it
 /// responds: the latency between data centres.
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/relay/stream.rs
@@ -12,9 +12,9 @@
 use crate::hop;
 use crate::inbound::InboundRequest;
 use crate::key::run_key;
+use crate::relay::stream_buffer::BufferWriter;
 use crate::relay::{Relay, RunGuard};
 use crate::start::{Attempts, StartedGeneration};
-use crate::stream_buffer::BufferWriter;
 use crate::tracker::RequestTracker;
 
 impl Gateway {
--- a/crates/gateway/src/list_assembly.rs
+++ b/crates/gateway/src/roster/list_assembly.rs
@@ -4,7 +4,7 @@
 
 use fulmarpath_policy::{Millis, Revision};
 
-use crate::directory::{DirectoryChange, ListedPage};
+use crate::roster::directory::{DirectoryChange, ListedPage};
 
 /// Time without a page after which the rest of a list is not expected any more: several times the
 /// time in which a watcher reads a page.
--- a/crates/gateway/src/roster.rs
+++ b/crates/gateway/src/roster/mod.rs
@@ -14,21 +14,28 @@
 //! again only because of the backup gets no work until it writes its entry again, or until its
 //! entry has outlived the time after which the store removes a silent upstream.
 
+pub(crate) mod directory;
+pub(crate) mod list_assembly;
+pub(crate) mod missing_entries;
+pub(crate) mod presence_decisions;
+pub(crate) mod presence_log;
+pub(crate) mod restored_entries;
+
 use std::collections::{BTreeMap, HashMap, HashSet};
 use std::ops::Bound;
 
 use fulmarpath_policy::{Millis, Revision};
 
-use crate::departures::Departures;
-use crate::directory::{
+use crate::cells::departures::Departures;
+use crate::roster::directory::{
     Departure, DepartureNotice, Directory, DirectoryChange, DirectoryPart, ExpiredEntry,
     RegisteredState, Registration, RegistrationChange,
 };
-use crate::metadata::{Change, Changes, Snapshot, UnusableEntry};
-use crate::missing_entries::MissingEntries;
-use crate::presence_decisions::{PresenceDecision, PresenceDecisions};
-use crate::restored_entries::RestoredEntries;
-use crate::store_outage::StoreOutage;
+use crate::roster::missing_entries::MissingEntries;
+use crate::roster::presence_decisions::{PresenceDecision, PresenceDecisions};
+use crate::roster::restored_entries::RestoredEntries;
+use crate::store::metadata::{Change, Changes, Snapshot, UnusableEntry};
+use crate::store::outage::StoreOutage;
 
 /// How long an entry outlives its upstream's last heartbeat if the settings do not say.
 const DEFAULT_REGISTRATION_TTL_MS: Millis = 3_600;
--- a/crates/gateway/src/restored_entries.rs
+++ b/crates/gateway/src/roster/restored_entries.rs
@@ -4,7 +4,7 @@
 
 use fulmarpath_policy::Millis;
 
-use crate::directory::Registration;
+use crate::roster::directory::Registration;
 
 /// Margin within which the store's removal of an entry is received.
 const REMOVAL_MARGIN_MS: Millis = 400;
--- a/crates/gateway/src/start.rs
+++ b/crates/gateway/src/start.rs
@@ -12,12 +12,12 @@
 use crate::drain::can_finish;
 use crate::gateway::Gateway;
 use crate::inbound::InboundRequest;
-use crate::instance::{ChosenUpstream, Destination};
 use crate::key::data_centre_key;
 use crate::poison::mark_sent;
 use crate::problem::Problem;
 use crate::relay::RunGuard;
 use crate::tracker::RequestTracker;
+use crate::upstreams::instance::{ChosenUpstream, Destination};
 
 /// Maximum number of engines that one generation is sent to.
 const MAX_DISPATCHES: usize = 4;
--- a/crates/gateway/src/collection_reader.rs
+++ b/crates/gateway/src/store/collection_reader.rs
@@ -10,7 +10,7 @@
 use tokio::time::sleep;
 
 use crate::gateway::Gateway;
-use crate::metadata::{Changes, Collection, Freshness, ReadPage, Snapshot, StoreError};
+use crate::store::metadata::{Changes, Collection, Freshness, ReadPage, Snapshot, StoreError};
 
 /// Between two attempts while the store is unavailable; randomised, so that not all hosts call at
 /// once.
--- a/crates/gateway/src/store_era.rs
+++ b/crates/gateway/src/store/era.rs
@@ -6,9 +6,9 @@
 use parking_lot::Mutex;
 use spdlog::{info, warn};
 
-use crate::directory::Directory;
 use crate::gateway::Gateway;
 use crate::log_throttle::LogThrottle;
+use crate::roster::directory::Directory;
 
 /// Between two log lines about dropped answers: there may be many calls a second, and the counter
 /// includes all of them.
--- a/crates/gateway/src/metadata.rs
+++ b/crates/gateway/src/store/metadata.rs
@@ -6,7 +6,7 @@
 use fulmarpath_policy::{Companions, ContentKey, Revision, UpstreamKey};
 
 use crate::configuration::Configuration;
-use crate::directory::{HostRegistration, Registration};
+use crate::roster::directory::{HostRegistration, Registration};
 
 /// A failed call to the store.
 #[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
--- a/crates/gateway/src/stored_circuits.rs
+++ b/crates/gateway/src/store/stored_circuits.rs
@@ -17,9 +17,9 @@
 use spdlog::{info, warn};
 use tokio::time::sleep;
 
-use crate::collection_reader::outcome;
 use crate::gateway::Gateway;
-use crate::metadata::{Freshness, StoreError, StoredCircuit};
+use crate::store::collection_reader::outcome;
+use crate::store::metadata::{Freshness, StoreError, StoredCircuit};
 
 /// Between two write attempts while the store is unavailable.
 const WRITE_PERIOD: Duration = Duration::from_secs(1);
--- a/crates/gateway/src/store_sync.rs
+++ b/crates/gateway/src/store/sync.rs
@@ -10,15 +10,15 @@
 use spdlog::{info, warn};
 use tokio::time::sleep;
 
-use crate::collection_reader::{CollectionReader, StoreUpdate, outcome};
 use crate::configuration::Configuration;
-use crate::directory::{
-    DepartureNotice, Directory, DirectoryChange, Registration, RegistrationChange,
-};
 use crate::gateway::Gateway;
 use crate::key::upstream_key;
-use crate::metadata::{Change, Freshness, PartialList, ReadPage};
 use crate::roster::Roster;
+use crate::roster::directory::{
+    DepartureNotice, Directory, DirectoryChange, Registration, RegistrationChange,
+};
+use crate::store::collection_reader::{CollectionReader, StoreUpdate, outcome};
+use crate::store::metadata::{Change, Freshness, PartialList, ReadPage};
 
 /// How long one watch waits, as a fraction of the time within which a change must be in force. A
 /// store that stops responding or loses an answer is detected only when the watch ends; each watch
--- a/crates/gateway/src/unusable_entries.rs
+++ b/crates/gateway/src/store/unusable_entries.rs
@@ -4,7 +4,7 @@
 use spdlog::warn;
 
 use crate::gateway::Gateway;
-use crate::metadata::{Change, Changes, Snapshot, UnusableEntry};
+use crate::store::metadata::{Change, Changes, Snapshot, UnusableEntry};
 
 /// Between two log lines about unusable entries: another writer may write several a second, and the
 /// counter includes all of them.
--- a/crates/gateway/src/tracker.rs
+++ b/crates/gateway/src/tracker.rs
@@ -6,14 +6,14 @@
 use spdlog::info;
 
 use crate::configuration::{Route, RouteKind};
-use crate::framing::Framing;
 use crate::gateway::Gateway;
 use crate::head::{GenerationHead, PromptPart};
-use crate::instance::ChosenUpstream;
 use crate::key::run_key;
 use crate::metrics::EndLabels;
 use crate::problem::Problem;
 use crate::record::{Dispatch, REQUEST_PREFIX, RequestRecord, Size};
+use crate::relay::framing::Framing;
+use crate::upstreams::instance::ChosenUpstream;
 
 /// Maximum number of parts of a prompt in a log line. Callers send few.
 const MAX_LOGGED_PARTS: usize = 8;
--- a/crates/gateway/src/backpressure.rs
+++ b/crates/gateway/src/upstreams/backpressure.rs
@@ -7,8 +7,8 @@
 use spdlog::info;
 
 use crate::gateway::Gateway;
-use crate::instance::ChosenUpstream;
-use crate::instances::Instances;
+use crate::upstreams::instance::ChosenUpstream;
+use crate::upstreams::instances::Instances;
 
 impl Gateway {
     /// Applies the signals in the head of an upstream's own response.
--- a/crates/gateway/src/brittle_starts.rs
+++ b/crates/gateway/src/upstreams/brittle_starts.rs
@@ -11,7 +11,9 @@
 use tokio::time::timeout;
 
 use crate::gateway::Gateway;
-use crate::start_limits::{FRACTION_WITHOUT_HOME, HOME_TIMEOUT, REQUEST_TIMEOUT, start_answer};
+use crate::upstreams::start_limits::{
+    FRACTION_WITHOUT_HOME, HOME_TIMEOUT, REQUEST_TIMEOUT, start_answer,
+};
 
 /// The starts that this host has granted at brittle upstreams.
 #[derive(Debug, Default)]
--- a/crates/gateway/src/instance.rs
+++ b/crates/gateway/src/upstreams/instance.rs
@@ -6,9 +6,9 @@
 use slotmap::new_key_type;
 use tokio_util::sync::CancellationToken;
 
-use crate::availability::{ColdLimit, ColdLimits};
-use crate::directory::{RegisteredState, Registration};
 use crate::key::upstream_key;
+use crate::roster::directory::{RegisteredState, Registration};
+use crate::upstreams::availability::{ColdLimit, ColdLimits};
 
 new_key_type! {
     /// Key of an upstream's incarnation in this host's arena.
--- a/crates/gateway/src/instances.rs
+++ b/crates/gateway/src/upstreams/instances.rs
@@ -8,10 +8,10 @@
 };
 use parking_lot::Mutex;
 
-use crate::availability::{Availability, ColdLimits};
-use crate::directory::{Directory, Registration, RegistrationChange};
-use crate::instance::{ChosenUpstream, Destination, Instance, InstanceKey};
-use crate::upstream_table::UpstreamTable;
+use crate::roster::directory::{Directory, Registration, RegistrationChange};
+use crate::upstreams::availability::{Availability, ColdLimits};
+use crate::upstreams::instance::{ChosenUpstream, Destination, Instance, InstanceKey};
+use crate::upstreams::table::UpstreamTable;
 
 /// The outcome of selecting an upstream for a request.
 #[derive(Debug)]
--- a/crates/gateway/src/lost_link.rs
+++ b/crates/gateway/src/upstreams/lost_link.rs
@@ -10,8 +10,8 @@
 use spdlog::info;
 
 use crate::control::CopyError;
-use crate::instance::Destination;
 use crate::relay::{Relay, StoppedGeneration};
+use crate::upstreams::instance::Destination;
 
 /// Multiple of the route's gap target after which the link to a silent engine is checked. Engines
 /// are often silent for shorter times while they read other prompts.
--- a/crates/gateway/src/start_limits.rs
+++ b/crates/gateway/src/upstreams/start_limits.rs
@@ -20,9 +20,9 @@
 use tokio::time::{sleep, timeout};
 
 use crate::gateway::Gateway;
-use crate::instance::{ChosenUpstream, InstanceKey};
-use crate::instances::Selection;
 use crate::problem::Problem;
+use crate::upstreams::instance::{ChosenUpstream, InstanceKey};
+use crate::upstreams::instances::Selection;
 
 /// Timeout of a start request: several round trips between data centres.
 pub(crate) const REQUEST_TIMEOUT: Duration = Duration::from_millis(80);
--- a/crates/gateway/src/upstream_table.rs
+++ b/crates/gateway/src/upstreams/table.rs
@@ -8,8 +8,8 @@
 use slotmap::SlotMap;
 use spdlog::info;
 
-use crate::directory::{Registration, RegistrationChange};
-use crate::instance::{ChosenUpstream, Instance, InstanceKey};
+use crate::roster::directory::{Registration, RegistrationChange};
+use crate::upstreams::instance::{ChosenUpstream, Instance, InstanceKey};
 
 /// How long the backpressure of an unregistered upstream is kept. Entries that expired during a
 /// store outage are back within seconds of its end, and an outage lasts for minutes.
