Select an engine before anything is placed

A cell could only place or queue a request. The request and its result stay in placement.rs, what selects is in selection.rs.

Decisions of place are unchanged; the tests of the policy package pass.

--- a/crates/policy/src/cell/mod.rs
+++ b/crates/policy/src/cell/mod.rs
@@ -14,6 +14,7 @@
 mod placement;
 mod prefill_rate;
 mod run;
+mod selection;
 mod shares;
 mod waiting;
 
--- a/crates/policy/src/cell/waiting.rs
+++ b/crates/policy/src/cell/waiting.rs
@@ -10,9 +10,10 @@
 
 use super::cost::AverageCost;
 use super::forecast::{Forecast, MemoryDemand};
-use super::placement::{PlacementAttempt, PlacementRequest};
+use super::placement::PlacementRequest;
 use super::prefill_rate::PrefillRate;
 use super::run::RunKey;
+use super::selection::PlacementAttempt;
 use super::shares::Shares;
 use super::{Cell, CellEngine};
 use crate::key::{Millis, OrganisationKey, UpstreamKey};
