Hold events of a stream for a moment to shorten its longest pause

Callers of a deployment with uneven engines saw pauses of 182 to 190 ms where 180 ms are on time: a prompt is prefilled beside their answer on a slow engine while its machine is busy with other work.

Where a route bounds pauses and the operator the delay of events, a host holds each event but the first for up to 0.4 of the latter bound, and spends the time held when an event is late. An event is passed on earlier if its caller would otherwise wait longer than 0.95 of the bound on pauses. Nothing is held once the stream has ended. An interrupted stream ends 10 ms after its last event: without that, three tests of broken streams failed, since the connection was reset before it had written what had just been released.

Ruled out: a fixed delay for all events, which spends all of its time on the first pause of a busy phase, so the next one is late.

--- a/crates/bench/src/fleet/gateway_host.rs
+++ b/crates/bench/src/fleet/gateway_host.rs
@@ -135,6 +135,7 @@
         grace_ms: 8_000,
         evacuation_bound_ms: None,
         cold_bound: None,
+        event_delay_bound_ms: None,
     };
     let (dialect, control) = (Arc::new(HeaderDialect), Arc::new(EngineClient));
     let gateway = Arc::new(Gateway::new(settings, dialect, control, metadata(store)));
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -55,6 +55,9 @@
     pub evacuation_bound_ms: Option<Millis>,
     /// Bound on the requests to a cold upstream; `None` if they are not bounded.
     pub cold_bound: Option<ColdBound>,
+    /// Bound on the time between an engine's making of an event and its arrival at the caller; `None`
+    /// if the operator states none, in which case no event is held.
+    pub event_delay_bound_ms: Option<Millis>,
     /// Time between a stop signal and the end of the process.
     pub grace_ms: Millis,
 }
@@ -133,7 +136,7 @@
             clock,
             cells: Cells::default(),
             runs: Runs::default(),
-            stream_buffers: StreamBuffers::default(),
+            stream_buffers: StreamBuffers::new(clock),
             cell_duties: CellDuties::default(),
             probe_times: ProbeTimes::default(),
             dissemination: Dissemination::default(),
--- a/crates/gateway/src/relay/stream.rs
+++ b/crates/gateway/src/relay/stream.rs
@@ -5,6 +5,7 @@
 
 use bytes::Bytes;
 use fulmarpath_http::{Reply, full_body, stream_body};
+use fulmarpath_policy::Playout;
 use hyper::Response;
 
 use crate::forward::into_reply;
@@ -40,13 +41,22 @@
         *reply.status_mut() = started.response.http.status();
         *reply.headers_mut() = started.response.http.headers().clone();
         hop::strip(reply.headers_mut());
+        let playout = self.playout(&inbound);
         let relay = Relay::new(inbound, tracker, run_guard, attempts, started);
-        let (writer, chunks) = self.stream_buffers.open();
+        let (writer, chunks) = self.stream_buffers.open(playout);
         tokio::spawn(relay_into(relay, writer));
         *reply.body_mut() = stream_body(chunks);
         reply
     }
 
+    /// How a stream's events are held, if its route bounds pauses and the operator the delay of
+    /// events.
+    fn playout(&self, inbound: &InboundRequest) -> Option<Playout> {
+        let gap_target_ms = inbound.route.gap_target_ms?;
+        let delay_bound_ms = self.settings.event_delay_bound_ms?;
+        Some(Playout::new(gap_target_ms, delay_bound_ms))
+    }
+
     /// Forwards an engine's own error response, which is short and not a stream.
     async fn forward_failure(
         &self,
--- a/crates/gateway/src/relay/stream_buffer.rs
+++ b/crates/gateway/src/relay/stream_buffer.rs
@@ -4,20 +4,31 @@
 //! caller migrates nothing off a leaving engine. A relay therefore reads on ahead of its caller,
 //! within a bound for each stream and one for all streams of the host. Once the host's bound is
 //! reached, each stream goes on at the pace of its own caller.
+//!
+//! Where the operator bounds the delay of events, a stream's events are also held for up to a part
+//! of that bound, so that its caller sees shorter pauses: see [`Playout`].
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use bytes::Bytes;
+use fulmarpath_cluster::Clock;
 use fulmarpath_http::BodyInterrupted;
+use fulmarpath_policy::{Millis, Playout};
 use futures::Stream;
 use futures::stream::unfold;
 use tokio::sync::{OwnedSemaphorePermit, Semaphore, mpsc};
+use tokio::time::sleep;
 
 /// Bytes that one stream may be ahead of its caller: the whole of a usual answer.
 const MAX_STREAM_BYTES: usize = 256 * 1024;
 /// Bytes that all streams of a host together may be ahead of their callers.
 const MAX_HOST_BYTES: usize = 8 * 1024 * 1024;
 
+/// Time for a connection to write the events that were held until just before their stream is broken
+/// off. What has not been written by then is lost with the connection.
+const WRITE_TIME: Duration = Duration::from_millis(10);
+
 /// The caller has left.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) struct CallerGone;
@@ -28,6 +39,7 @@
 /// A piece with its share of the bounds, which it holds until the caller's connection takes it.
 struct Buffered {
     chunk: Chunk,
+    arrived_ms: Millis,
     _permits: (OwnedSemaphorePermit, Option<OwnedSemaphorePermit>),
 }
 
@@ -35,30 +47,69 @@
 #[derive(Debug)]
 pub(crate) struct StreamBuffers {
     host: Arc<Semaphore>,
+    clock: Clock,
 }
 
-impl Default for StreamBuffers {
-    fn default() -> Self {
+impl StreamBuffers {
+    /// Creates the buffers of a host.
+    pub(crate) fn new(clock: Clock) -> Self {
         Self {
             host: Arc::new(Semaphore::new(MAX_HOST_BYTES)),
+            clock,
         }
     }
-}
 
-impl StreamBuffers {
-    /// Opens a buffer; the stream ends when the writer is dropped.
-    pub(crate) fn open(&self) -> (BufferWriter, impl Stream<Item = Chunk> + Send + 'static) {
+    /// Opens a buffer; the stream ends when the writer is dropped. Events are passed on as `playout`
+    /// decides, or as they come.
+    pub(crate) fn open(
+        &self,
+        playout: Option<Playout>,
+    ) -> (BufferWriter, impl Stream<Item = Chunk> + Send + 'static) {
         let (chunks, received) = mpsc::unbounded_channel::<Buffered>();
         let writer = BufferWriter {
             chunks,
             own: Arc::new(Semaphore::new(MAX_STREAM_BYTES)),
             host: self.host.clone(),
+            clock: self.clock,
         };
-        let reader = unfold(received, |mut received| async {
-            let buffered = received.recv().await?;
-            Some((buffered.chunk, received))
+        let reader = BufferReader {
+            received,
+            clock: self.clock,
+            playout,
+        };
+        let chunks = unfold(reader, |mut reader| async {
+            let chunk = reader.next().await?;
+            Some((chunk, reader))
         });
-        (writer, reader)
+        (writer, chunks)
+    }
+}
+
+/// The caller's end of a buffer.
+struct BufferReader {
+    received: mpsc::UnboundedReceiver<Buffered>,
+    clock: Clock,
+    playout: Option<Playout>,
+}
+
+impl BufferReader {
+    /// The next chunk, when it is to be passed on. Nothing is held once the stream has ended.
+    async fn next(&mut self) -> Option<Chunk> {
+        let buffered = self.received.recv().await?;
+        let Some(playout) = &mut self.playout else {
+            return Some(buffered.chunk);
+        };
+        if buffered.chunk.is_err() {
+            sleep(WRITE_TIME).await;
+            return Some(buffered.chunk);
+        }
+        let release_ms = playout.release_ms(buffered.arrived_ms);
+        let is_last = self.received.is_closed() && self.received.is_empty();
+        if !is_last {
+            let held_ms = release_ms.saturating_sub(self.clock.now_ms());
+            sleep(Duration::from_millis(held_ms)).await;
+        }
+        Some(buffered.chunk)
     }
 }
 
@@ -67,6 +118,7 @@
     chunks: mpsc::UnboundedSender<Buffered>,
     own: Arc<Semaphore>,
     host: Arc<Semaphore>,
+    clock: Clock,
 }
 
 impl BufferWriter {
@@ -80,12 +132,14 @@
     /// # Errors
     /// [`CallerGone`]
     pub(crate) async fn send(&self, chunk: Chunk) -> Result<(), CallerGone> {
+        let arrived_ms = self.clock.now_ms();
         let permits = tokio::select! {
             () = self.caller_gone() => return Err(CallerGone),
             permits = self.permits(&chunk) => permits?,
         };
         let buffered = Buffered {
             chunk,
+            arrived_ms,
             _permits: permits,
         };
         self.chunks.send(buffered).map_err(|_| CallerGone)
--- a/tests/log_lines.rs
+++ b/tests/log_lines.rs
@@ -101,6 +101,7 @@
         grace_ms: 4_000,
         evacuation_bound_ms: None,
         cold_bound: None,
+        event_delay_bound_ms: None,
     };
     let (dialect, control) = (Arc::new(HeaderDialect), Arc::new(EngineClient));
     let gateway = Gateway::new(settings, dialect, control, metadata(store.address));
