Decide which other cell is asked for room, and take requests of other cells

A full cell refused requests while other cells of its service had room: a home knew its own cell only.

Cell gets both sides of a request that is handed on: place_unless_costly searches once where the own cell is cheap and queues at once where it is full; withdraw forgets a request that another cell has taken; place_below returns the cost as well, and counts the generation only for 2.5 s unless its host states it, because the answer to the asking home may be lost.

--- a/crates/policy/src/cell/mod.rs
+++ b/crates/policy/src/cell/mod.rs
@@ -11,6 +11,7 @@
 mod engine;
 mod forecast;
 mod migration;
+mod overflow;
 mod placement;
 mod prefill_rate;
 mod run;
@@ -235,6 +236,7 @@
                 run.relayed_tokens(),
             );
         }
+        self.expire_unconfirmed(now_ms);
     }
 
     /// Removes the generations of hosts that are gone, whose connections to callers are lost.
--- a/crates/policy/src/cell/run.rs
+++ b/crates/policy/src/cell/run.rs
@@ -67,6 +67,8 @@
     expected_first_ms: Option<Millis>,
     /// No migration is attempted before this time, because one has failed.
     pub(super) backoff_until_ms: Millis,
+    /// It is counted only until then if its host does not state it; `None` once it has.
+    pub(super) unconfirmed_until_ms: Option<Millis>,
 }
 
 impl Run {
@@ -91,6 +93,7 @@
             placed_ms: now_ms,
             expected_first_ms: Some(first_token_ms.saturating_sub(now_ms)),
             backoff_until_ms: 0,
+            unconfirmed_until_ms: None,
         }
     }
 
@@ -109,10 +112,12 @@
             placed_ms: now_ms,
             expected_first_ms: None,
             backoff_until_ms: 0,
+            unconfirmed_until_ms: None,
         }
     }
 
     pub(super) fn restate(&mut self, now_ms: Millis, statement: &RunStatement) {
+        self.unconfirmed_until_ms = None;
         self.engine = statement.engine;
         self.backup = statement.backup;
         if statement.out_tokens > 0 {
--- a/crates/policy/src/cell/selection.rs
+++ b/crates/policy/src/cell/selection.rs
@@ -46,16 +46,16 @@
 
 /// The engine that a request would start on.
 #[derive(Debug, Clone, Copy)]
-struct Candidate {
+pub(super) struct Candidate {
     engine: UpstreamKey,
     backup: Option<UpstreamKey>,
-    cost_ms: f32,
+    pub(super) cost_ms: f32,
     seen: EngineSnapshot,
 }
 
 /// The outcome of a selection.
 #[derive(Debug, Clone, Copy)]
-enum Selection {
+pub(super) enum Selection {
     Engine(Candidate),
     Full,
     TooLarge,
@@ -88,35 +88,24 @@
         }
     }
 
-    /// Places a generation that arrived in another cell, if that costs less than `max_cost_ms` here;
-    /// `None` for any cost. It is never queued.
-    ///
-    /// # Errors
-    /// The cost here, if there is room at all.
-    pub fn place_below(
+    fn place_by(
         &mut self,
         now_ms: Millis,
         request: &PlacementRequest,
-        max_cost_ms: Option<f32>,
-    ) -> Result<Placement, Option<f32>> {
-        match self.select(now_ms, request, |engine| engine.0).1 {
-            Selection::Engine(candidate)
-                if max_cost_ms.is_none_or(|max_cost_ms| candidate.cost_ms < max_cost_ms) =>
-            {
-                Ok(self.start(now_ms, candidate, request))
-            }
-            Selection::Engine(candidate) => Err(Some(candidate.cost_ms)),
-            Selection::Full | Selection::TooLarge | Selection::NoEngine => Err(None),
-        }
+        order: impl Fn(UpstreamKey) -> u64,
+    ) -> Placement {
+        let (attempt, selection) = self.select(now_ms, request, order);
+        self.apply(now_ms, &attempt, selection)
     }
 
-    fn place_by(
+    /// Starts a generation on the engine selected for it, or queues it if there is no room.
+    pub(super) fn apply(
         &mut self,
         now_ms: Millis,
-        request: &PlacementRequest,
-        order: impl Fn(UpstreamKey) -> u64,
+        attempt: &PlacementAttempt<'_>,
+        selection: Selection,
     ) -> Placement {
-        let (attempt, selection) = self.select(now_ms, request, order);
+        let request = attempt.request;
         match selection {
             Selection::Engine(candidate) => self.start(now_ms, candidate, request),
             Selection::TooLarge => Placement::TooLarge,
@@ -124,7 +113,7 @@
             Selection::Full => {
                 match request.is_final_attempt {
                     true => self.waiting.refuse(now_ms, request),
-                    false => self.waiting.enqueue(now_ms, &attempt),
+                    false => self.waiting.enqueue(now_ms, attempt),
                 }
                 Placement::Full {
                     retry_after_ms: request.retry_after_ms(),
@@ -134,7 +123,7 @@
     }
 
     /// Selects the engine for a request, after room was set aside for what precedes it.
-    fn select<'a>(
+    pub(super) fn select<'a>(
         &mut self,
         now_ms: Millis,
         request: &'a PlacementRequest,
--- a/crates/policy/src/cell/waiting.rs
+++ b/crates/policy/src/cell/waiting.rs
@@ -156,6 +156,12 @@
         self.requests.remove(&run);
     }
 
+    /// Removes a request that was placed elsewhere from the queue or the refused ones.
+    pub(super) fn withdraw(&mut self, request: &PlacementRequest) {
+        self.remove(request.run);
+        self.refused.remove(&request.retry_key);
+    }
+
     /// Drops abandoned requests and expired refusals.
     pub(super) fn expire(&mut self, now_ms: Millis) {
         self.requests.retain(|_, waiting| {
--- a/crates/policy/src/cell_partitioning.rs
+++ b/crates/policy/src/cell_partitioning.rs
@@ -87,6 +87,18 @@
         Some((name, draw % entry.partitions))
     }
 
+    /// The data centre and number of each partition that has engines; none if the service is a
+    /// single cell.
+    pub fn partitions(&self) -> impl Iterator<Item = (&str, u64)> {
+        let with_engines = self
+            .data_centres
+            .iter()
+            .filter(|(_, entry)| entry.has_engines);
+        with_engines.flat_map(|(name, entry)| {
+            (0..entry.partitions).map(move |partition| (name.as_str(), partition))
+        })
+    }
+
     /// The data centre and partition for a generation that arrives at a host in `data_centre`:
     /// local if there are engines, otherwise in any data centre with engines. `None` if the
     /// service is a single cell.
