Hand requests on to homes of other cells

A cell's home placed or queued each request by its own table only.

A generation may now run in another cell than the one in which it arrived, so its end and doubts about its engine go to the home of the cell of its engine. A host that relays nothing in a cell any more states that once, since the report of the last end may be lost.

A service with one cell is placed as before.

--- a/crates/gateway/src/cells/homes.rs
+++ b/crates/gateway/src/cells/homes.rs
@@ -5,12 +5,14 @@
 use std::time::Duration;
 
 use fulmarpath_policy::{
-    HostKey, Migration, MigrationOutcome, Placement, PlacementRequest, RunEnd, RunKey, UpstreamKey,
+    HostKey, Migration, MigrationOutcome, Millis, Placement, PlacementRequest, RunEnd, RunKey,
+    UpstreamKey,
 };
 use fulmarpath_wire::{CellKey, GatewayPeerClient, MemberInfo, MigrationAnswer, RelayedRuns};
 use parking_lot::Mutex;
 use spdlog::{info, warn};
 
+use crate::cells::pool::CellPools;
 use crate::gateway::Gateway;
 use crate::metrics::TransferLabels;
 
@@ -31,6 +33,8 @@
     /// Cells whose home did not answer lately: this host acts for the generations that it relays
     /// itself.
     unreachable_homes: Mutex<HashSet<CellKey>>,
+    /// What this host knows of the other cells of its services.
+    pub(crate) pools: CellPools,
     /// Triggers an immediate statement of what this host relays.
     pub(crate) restate_now: tokio::sync::Notify,
 }
@@ -61,7 +65,14 @@
     /// Asks the cell's home where to start a generation. If the home does not answer, this host
     /// decides by its own table, which covers only its own generations: an imperfect placement is
     /// better than none.
-    pub(crate) async fn place(&self, cell: CellKey, request: PlacementRequest) -> Placement {
+    pub(crate) async fn place(
+        self: &Arc<Self>,
+        cell: CellKey,
+        request: PlacementRequest,
+    ) -> Placement {
+        if self.is_home(cell) {
+            return self.place_as_home(cell, request).await;
+        }
         if let Some((key, member)) = self.home_of(cell)
             && key != self.host_key()
         {
@@ -79,11 +90,12 @@
                 Err(error) => warn!("cells: placed without a home: {error}"),
             }
         }
-        let placement = self.place_locally(cell, request);
+        let request = self.without_uncounted_starts(request);
+        let now_ms = self.clock.now_ms();
+        let placement = self.cells.place(now_ms, cell, &request, false);
         // A cell's home counts the generations that start at a cold engine; a host that places in
         // its stead has to request each start from the engine's home.
         if let Placement::On { engine, .. } = placement
-            && !self.is_home(cell)
             && let Err(retry_after_ms) = self.request_start_if_cold(engine).await
         {
             return Placement::Full { retry_after_ms };
@@ -92,50 +104,87 @@
     }
 
     /// Places a generation as the cell's home; `None` if this host is not the home.
-    pub(crate) fn handle_place(
-        &self,
+    pub(crate) async fn handle_place(
+        self: &Arc<Self>,
         cell: CellKey,
-        request: &PlacementRequest,
+        request: PlacementRequest,
     ) -> Option<Placement> {
-        self.is_home(cell)
-            .then(|| self.place_locally(cell, request.clone()))
+        if !self.is_home(cell) {
+            return None;
+        }
+        Some(self.place_as_home(cell, request).await)
     }
 
-    /// Places a generation by this host's own table.
+    /// Places a generation in the own cell, or in another one that has more room.
+    async fn place_as_home(
+        self: &Arc<Self>,
+        cell: CellKey,
+        request: PlacementRequest,
+    ) -> Placement {
+        let request = self.without_uncounted_starts(request);
+        let pools = &self.cell_duties.pools;
+        pools.place(self.clone(), self.clone(), cell, request).await
+    }
+
+    /// Excludes cold engines from a request while their starts can't be counted.
     ///
     /// A host that has just started considers itself the home of every cell until it has met other
     /// hosts. If all hosts start at once, each would start as many generations as a cold engine can
     /// take. Cold engines are therefore excluded until there has been contact with other hosts.
-    fn place_locally(&self, cell: CellKey, mut request: PlacementRequest) -> Placement {
+    pub(crate) fn without_uncounted_starts(
+        &self,
+        mut request: PlacementRequest,
+    ) -> PlacementRequest {
         let now_ms = self.clock.now_ms();
         if !self.fleet.has_recent_contact(now_ms) {
             request.excluded.extend(self.instances.cold(now_ms));
         }
-        self.cells.place(now_ms, cell, &request, self.is_home(cell))
+        request
     }
 
-    /// Reports the end of a generation to the cell's home.
-    pub(crate) fn report_end(self: &Arc<Self>, cell: CellKey, run: RunKey, end: RunEnd) {
+    /// Reports the end of a generation to the home of the cell of its engine, or of the cell in
+    /// which it arrived if it was sent to no engine.
+    pub(crate) fn report_end(
+        self: &Arc<Self>,
+        arrived_in: CellKey,
+        run: RunKey,
+        is_complete: bool,
+        first_ms: Option<Millis>,
+    ) {
+        let ended = self
+            .runs
+            .remove(run, |engine| self.cells.cell_of_engine(engine));
+        let cell = ended.map_or(arrived_in, |ended| ended.cell);
+        let end = RunEnd {
+            out_tokens: ended.map_or(0, |ended| ended.out_tokens),
+            is_complete,
+            first_ms,
+        };
         self.cells.end(self.clock.now_ms(), cell, run, end);
+        if !self.is_home(cell) {
+            let gateway = self.clone();
+            tokio::spawn(async move { gateway.report_end_to_home(cell, run, end).await });
+        }
+    }
+
+    /// Tells the home of a cell that a generation has ended.
+    pub(crate) async fn report_end_to_home(&self, cell: CellKey, run: RunKey, end: RunEnd) {
         let Some((key, member)) = self.home_of(cell) else {
             return;
         };
         if key == self.host_key() {
-            return;
+            return self.cells.end(self.clock.now_ms(), cell, run, end);
+        }
+        let call = |client: GatewayPeerClient, context| async move {
+            client.ended(context, cell, run, end).await
+        };
+        if let Err(error) = self.fleet.peers.call(member.address, call).await {
+            // The next statement conveys the end as well.
+            warn!(
+                "cells: could not report the end of {:016x} to its home: {error}",
+                run.0
+            );
         }
-        let gateway = self.clone();
-        tokio::spawn(async move {
-            let call = |client: GatewayPeerClient, context| async move {
-                client.ended(context, cell, run, end).await
-            };
-            if let Err(error) = gateway.fleet.peers.call(member.address, call).await {
-                // The next statement conveys the end as well.
-                warn!(
-                    "cells: could not report the end of {:016x} to its home: {error}",
-                    run.0
-                );
-            }
-        });
     }
 
     /// Reports to each cell's home which generations this host relays, periodically and on request.
@@ -148,6 +197,7 @@
                 members.homes().map(|(key, _)| key).collect()
             };
             self.cells.retain_hosts(|host| present.contains(&host));
+            self.cell_duties.pools.retain(|cell| self.is_home(cell));
             let cell_of_engine = |engine| self.cells.cell_of_engine(engine);
             for relayed_runs in self.runs.restatements(self.host_key(), cell_of_engine) {
                 self.restate(relayed_runs).await;
--- a/crates/gateway/src/cells/layout.rs
+++ b/crates/gateway/src/cells/layout.rs
@@ -2,7 +2,7 @@
 
 use std::collections::{BTreeMap, HashMap};
 
-use fulmarpath_policy::{CellPartitioning, RunKey, UpstreamKey};
+use fulmarpath_policy::{CellPartitioning, OtherCells, RunKey, UpstreamKey};
 use fulmarpath_wire::CellKey;
 
 use crate::key::{cell_key, name_key};
@@ -10,6 +10,44 @@
 
 pub(crate) type CellsByEngine = HashMap<UpstreamKey, CellKey>;
 
+/// The cells of a service that have engines, in one group for each data centre; none if the service
+/// is a single cell.
+#[derive(Debug, Default)]
+pub(crate) struct CellGroups {
+    groups: Vec<Vec<CellKey>>,
+}
+
+impl CellGroups {
+    pub(crate) fn new(partitioning: &CellPartitioning, service: &str) -> Self {
+        let mut by_data_centre: BTreeMap<&str, Vec<CellKey>> = BTreeMap::new();
+        for (data_centre, partition) in partitioning.partitions() {
+            let cell = cell_key(service, Some((data_centre, partition)));
+            by_data_centre.entry(data_centre).or_default().push(cell);
+        }
+        Self {
+            groups: by_data_centre.into_values().collect(),
+        }
+    }
+
+    /// Whether there is a cell other than this one.
+    pub(crate) fn has_others(&self, cell: CellKey) -> bool {
+        self.all().any(|other| other != cell)
+    }
+
+    /// The cells other than this one.
+    pub(crate) fn others(&self, cell: CellKey) -> OtherCells<CellKey> {
+        let own = self.groups.iter().find(|group| group.contains(&cell));
+        let is_near = |other: &CellKey| own.is_some_and(|group| group.contains(other));
+        let others = self.all().filter(|other| *other != cell);
+        let (near, far) = others.partition(is_near);
+        OtherCells { near, far }
+    }
+
+    fn all(&self) -> impl Iterator<Item = CellKey> {
+        self.groups.iter().flatten().copied()
+    }
+}
+
 /// Number of engines in each data centre.
 pub(crate) fn count_by_data_centre(registered: &[&Registration]) -> BTreeMap<String, usize> {
     let mut counts = BTreeMap::new();
--- a/crates/gateway/src/cells/mod.rs
+++ b/crates/gateway/src/cells/mod.rs
@@ -4,10 +4,13 @@
 pub(crate) mod departures;
 pub(crate) mod homes;
 pub(crate) mod layout;
+pub(crate) mod overflow;
+pub(crate) mod pool;
 pub(crate) mod probe;
 pub(crate) mod runs;
 
 use std::collections::{BTreeMap, HashMap};
+use std::sync::Arc;
 
 use fulmarpath_policy::{
     Cell, CellEngine, CellPartitioning, EngineCapacity, HostKey, Migration, MigrationOutcome,
@@ -16,7 +19,7 @@
 use fulmarpath_wire::{CellKey, RelayedRuns};
 use parking_lot::Mutex;
 
-use crate::cells::layout::CellsByEngine;
+use crate::cells::layout::{CellGroups, CellsByEngine};
 use crate::configuration::{ActiveConfiguration, EngineTraits};
 use crate::control::EngineStatus;
 use crate::key::{data_centre_key, name_key, upstream_key};
@@ -43,6 +46,24 @@
     partitioning: CellPartitioning,
     /// Number of registered engines in each data centre.
     counts: BTreeMap<String, usize>,
+    /// The cells of the partitioning that have engines.
+    groups: Arc<CellGroups>,
+}
+
+impl Layout {
+    /// The layout that follows this one.
+    fn updated(&self, service: &str, counts: BTreeMap<String, usize>) -> Self {
+        let partitioning = self.partitioning.updated(&counts);
+        let groups = match partitioning == self.partitioning {
+            true => self.groups.clone(),
+            false => Arc::new(CellGroups::new(&partitioning, service)),
+        };
+        Self {
+            partitioning,
+            counts,
+            groups,
+        }
+    }
 }
 
 /// Engines belong to other cells than before, so changes can't be applied one by one.
@@ -87,15 +108,14 @@
             };
             let registered = by_service.remove(service.name.as_str()).unwrap_or_default();
             let layout = layouts.entry(service.name.clone()).or_default();
-            layout.counts = layout::count_by_data_centre(&registered);
-            let partitioning = layout.partitioning.updated(&layout.counts);
-            if !partitioning.has_same_cells(&layout.partitioning) {
+            let updated = layout.updated(&service.name, layout::count_by_data_centre(&registered));
+            if !updated.partitioning.has_same_cells(&layout.partitioning) {
                 has_new_layout = true;
                 // The tables are discarded, since engines that moved to another cell would be taken
                 // for leaving engines; homes learn of the generations from the next statements.
                 tables.retain(|_, table| table.service != service.name);
             }
-            layout.partitioning = partitioning;
+            *layout = updated;
             let by_cell = layout::group_by_cell(&layout.partitioning, &service.name, &registered);
             // In a cell without registered engines, all earlier engines count as leaving.
             for (key, table) in tables.iter_mut() {
@@ -359,15 +379,11 @@
     for (service, mut counts) in counts {
         counts.retain(|_, count| *count > 0);
         let layout = layouts.get(service).ok_or(LayoutChanged)?;
-        let partitioning = layout.partitioning.updated(&counts);
-        if !partitioning.has_same_cells(&layout.partitioning) {
+        let after = layout.updated(service, counts);
+        if !after.partitioning.has_same_cells(&layout.partitioning) {
             return Err(LayoutChanged);
         }
-        let layout = Layout {
-            partitioning,
-            counts,
-        };
-        updated.push((service.to_owned(), layout));
+        updated.push((service.to_owned(), after));
     }
     layouts.extend(updated);
     Ok(())
--- a/crates/gateway/src/cells/probe.rs
+++ b/crates/gateway/src/cells/probe.rs
@@ -57,13 +57,15 @@
 }
 
 impl Gateway {
-    /// Reports to a cell's home that a request on an engine failed, with the verdict on it.
+    /// Reports to the home of an engine's cell that a request on it failed, with the verdict on it.
+    /// If the engine is in no cell any more, this is the one in which the request arrived.
     pub(crate) fn report_engine_failure(
         self: &Arc<Self>,
-        cell: CellKey,
+        arrived_in: CellKey,
         engine: UpstreamKey,
         verdict: Verdict,
     ) {
+        let cell = self.cells.cell_of_engine(engine).unwrap_or(arrived_in);
         let Some((key, member)) = self.home_of(cell) else {
             return;
         };
--- a/crates/gateway/src/cells/runs.rs
+++ b/crates/gateway/src/cells/runs.rs
@@ -1,6 +1,6 @@
 //! The generations that this host relays.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 
 use fulmarpath_policy::{HostKey, RunKey, RunStatement, UpstreamKey};
 use fulmarpath_wire::{CellKey, MigrationAnswer, RelayedRuns};
@@ -15,8 +15,17 @@
     pub(crate) answer: oneshot::Sender<MigrationAnswer>,
 }
 
+/// Where a generation ran when it ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) struct EndedRun {
+    pub(crate) out_tokens: u32,
+    /// Cell of its engine.
+    pub(crate) cell: CellKey,
+}
+
 #[derive(Debug)]
 struct Entry {
+    /// Cell of its engine when it was sent there.
     cell: CellKey,
     statement: RunStatement,
     /// Sends to its relay; `None` until its engine begins to respond.
@@ -27,6 +36,8 @@
 #[derive(Debug, Default)]
 pub(crate) struct Runs {
     entries: Mutex<HashMap<RunKey, Entry>>,
+    /// Cells of which generations were last stated.
+    stated: Mutex<HashSet<CellKey>>,
 }
 
 impl Runs {
@@ -41,7 +52,10 @@
         let known = entries.entry(statement.run);
         // A generation that is regenerated elsewhere keeps its relay.
         known
-            .and_modify(|entry| entry.statement = statement)
+            .and_modify(|entry| {
+                entry.cell = cell;
+                entry.statement = statement;
+            })
             .or_insert(Entry {
                 cell,
                 statement,
@@ -66,13 +80,36 @@
         }
     }
 
-    /// Removes a generation that has ended; returns its output tokens.
-    pub(crate) fn remove(&self, run: RunKey) -> Option<u32> {
+    /// Records that a generation continues on another engine, which is in `cell` if that is known.
+    pub(crate) fn relocate(
+        &self,
+        run: RunKey,
+        cell: Option<CellKey>,
+        engine: UpstreamKey,
+        backup: Option<UpstreamKey>,
+    ) {
+        if let Some(entry) = self.entries.lock().get_mut(&run) {
+            entry.cell = cell.unwrap_or(entry.cell);
+            entry.statement.engine = engine;
+            entry.statement.backup = backup;
+        }
+    }
+
+    /// Removes a generation that has ended; `None` if it was sent to no engine.
+    pub(crate) fn remove(
+        &self,
+        run: RunKey,
+        cell_of_engine: impl Fn(UpstreamKey) -> Option<CellKey>,
+    ) -> Option<EndedRun> {
         let entry = self.entries.lock().remove(&run)?;
-        Some(entry.statement.out_tokens)
+        Some(EndedRun {
+            out_tokens: entry.statement.out_tokens,
+            cell: cell_of_engine(entry.statement.engine).unwrap_or(entry.cell),
+        })
     }
 
-    /// All generations, grouped by the current cell of their engine.
+    /// All generations, grouped by the current cell of their engine. A cell of which there are none
+    /// any more is stated once without any, in case the report of the last end was lost.
     pub(crate) fn restatements(
         &self,
         host: HostKey,
@@ -83,6 +120,10 @@
             let cell = cell_of_engine(entry.statement.engine).unwrap_or(entry.cell);
             by_cell.entry(cell).or_default().push(entry.statement);
         }
+        let stated = by_cell.keys().copied().collect();
+        for cell in std::mem::replace(&mut *self.stated.lock(), stated) {
+            by_cell.entry(cell).or_default();
+        }
         let cells = by_cell.into_iter();
         cells
             .map(|(cell, runs)| RelayedRuns { cell, host, runs })
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -48,6 +48,12 @@
     end: &'static str,
 }
 
+/// What became of a request that one cell tried to hand on to another.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct OverflowLabels {
+    outcome: &'static str,
+}
+
 /// A call to the store.
 #[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
 pub(crate) struct StoreLabels {
@@ -172,6 +178,7 @@
     pub(crate) running_copies: Counter,
     pub(crate) stalls: Counter,
     stream_ends: Family<StreamEndLabels, Counter>,
+    overflow: Family<OverflowLabels, Counter>,
     /// Attempts to connect to upstreams.
     pub(crate) dials: DialCounts,
     /// Tunnels that this host has carried for others.
@@ -255,6 +262,9 @@
         let stream_ends = Family::default();
         let help = "Streams that their engines ended, by framing and by how they ended";
         registry.register("stream_ends", help, stream_ends.clone());
+        let overflow = Family::default();
+        let help = "Requests between homes of cells of one service, by outcome";
+        registry.register("overflow", help, overflow.clone());
         let crashes = Family::default();
         let help = "Runs that ended because their upstream ended without notice";
         registry.register("crashed_runs", help, crashes.clone());
@@ -334,6 +344,7 @@
             running_copies,
             stalls,
             stream_ends,
+            overflow,
             crashes,
             store_calls,
             peer_messages,
@@ -389,6 +400,13 @@
         self.stream_ends.get_or_create(&labels).inc();
     }
 
+    /// Counts a request that a home tried to hand on to another one, or has taken from another one.
+    pub(crate) fn overflow(&self, outcome: &'static str) {
+        self.overflow
+            .get_or_create(&OverflowLabels { outcome })
+            .inc();
+    }
+
     /// Counts a run that ended because its upstream did.
     pub(crate) fn crash(&self, is_suspect: bool) {
         let suspect = if is_suspect { "yes" } else { "no" };
--- a/crates/gateway/src/peer.rs
+++ b/crates/gateway/src/peer.rs
@@ -12,8 +12,8 @@
 use fulmarpath_wire::tunnel::TUNNEL_MARK;
 use fulmarpath_wire::{
     Announcement, BrittleLoad, CellKey, Counted, GatewayPeer, GatewayPeerClient, MembersDigest,
-    MigrationAnswer, Ping, Pong, RelayedRuns, ReplicatedState, Rumour, StartAnswer, StartRequest,
-    Traffic, framed,
+    MigrationAnswer, OverflowAnswer, Ping, Pong, RelayedRuns, ReplicatedState, Rumour, StartAnswer,
+    StartRequest, Traffic, framed,
 };
 use futures::StreamExt;
 use tarpc::client::Config;
@@ -172,7 +172,19 @@
         request: PlacementRequest,
     ) -> Option<Placement> {
         self.count("place");
-        self.gateway.handle_place(cell, &request)
+        self.gateway.handle_place(cell, request).await
+    }
+
+    async fn place_overflow(
+        self,
+        _: Context,
+        cell: CellKey,
+        request: PlacementRequest,
+        max_cost_ms: Option<f32>,
+    ) -> OverflowAnswer {
+        self.count("place_overflow");
+        self.gateway
+            .handle_place_overflow(cell, request, max_cost_ms)
     }
 
     async fn ended(self, _: Context, cell: CellKey, run: RunKey, end: RunEnd) {
--- a/crates/gateway/src/relay/mod.rs
+++ b/crates/gateway/src/relay/mod.rs
@@ -14,7 +14,7 @@
 use bytes::{Bytes, BytesMut};
 use fulmarpath_http::BodyInterrupted;
 use fulmarpath_policy::{
-    Handover, MigrationStep, Millis, NextStep, RunEnd, RunKey, StreamEnd, Verdict, has_proved_sound,
+    Handover, MigrationStep, Millis, NextStep, RunKey, StreamEnd, Verdict, has_proved_sound,
 };
 use fulmarpath_wire::{CellKey, MigrationAnswer};
 use spdlog::info;
@@ -43,6 +43,7 @@
 /// Reports the end of a generation to its cell's home when dropped.
 pub(crate) struct RunGuard {
     pub(crate) gateway: Arc<Gateway>,
+    /// The cell in which it arrived.
     pub(crate) cell: CellKey,
     pub(crate) run: RunKey,
     /// The complete response has reached the caller.
@@ -53,13 +54,8 @@
 
 impl Drop for RunGuard {
     fn drop(&mut self) {
-        let out_tokens = self.gateway.runs.remove(self.run);
-        let end = RunEnd {
-            out_tokens: out_tokens.unwrap_or_default(),
-            is_complete: self.is_complete,
-            first_ms: self.first_ms,
-        };
-        self.gateway.report_end(self.cell, self.run, end);
+        self.gateway
+            .report_end(self.cell, self.run, self.is_complete, self.first_ms);
     }
 }
 
--- a/crates/gateway/src/relay/recovery.rs
+++ b/crates/gateway/src/relay/recovery.rs
@@ -130,10 +130,10 @@
         self.handover.restart();
         let engine = self.stream.engine().upstream;
         let backup = self.backup.as_ref().map(|backup| backup.upstream);
-        self.gateway.runs.update(self.run_guard.run, |statement| {
-            statement.engine = engine;
-            statement.backup = backup;
-        });
+        let cell = self.gateway.cells.cell_of_engine(engine);
+        self.gateway
+            .runs
+            .relocate(self.run_guard.run, cell, engine, backup);
     }
 
     /// Reads the data that a stopped engine still has in transit.
--- a/crates/gateway/src/start.rs
+++ b/crates/gateway/src/start.rs
@@ -199,7 +199,9 @@
         }
         tracker.mark_placed(self.clock.now_ms());
         let statement = run_statement(inbound, run_guard, &selected);
-        self.runs.record_dispatch(run_guard.cell, statement);
+        let cell = self.cells.cell_of_engine(statement.engine);
+        self.runs
+            .record_dispatch(cell.unwrap_or(run_guard.cell), statement);
         let options = DispatchOptions {
             until_ms: inbound.deadline_ms,
             backup: selected.backup.as_ref().map(|backup| backup.address),
@@ -258,7 +260,7 @@
     /// Requests a placement from the cell's home until there is capacity. Returns `None` if no
     /// engine is left to try.
     async fn find_engine(
-        &self,
+        self: &Arc<Self>,
         inbound: &InboundRequest,
         run_guard: &RunGuard,
         tracker: &mut RequestTracker,
--- a/crates/wire/src/gateway.rs
+++ b/crates/wire/src/gateway.rs
@@ -123,6 +123,25 @@
     },
 }
 
+/// The answer of a cell's home to a request of another cell.
+#[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
+pub enum OverflowAnswer {
+    /// The request is counted in the cell and may start.
+    Placed {
+        /// Where it starts.
+        placement: Placement,
+        /// Its cost there.
+        cost_ms: f32,
+    },
+    /// The cell doesn't take it.
+    Declined {
+        /// Its cost there, if there is room.
+        cost_ms: Option<f32>,
+    },
+    /// The receiver isn't the home of the cell.
+    NotHome,
+}
+
 /// The calls that a gateway answers.
 #[tarpc::service]
 pub trait GatewayPeer {
@@ -174,4 +193,11 @@
     async fn report_rejection(upstream: UpstreamKey);
     /// Reports to the home of an upstream's starts that the upstream advertises no limit any more.
     async fn report_limit_end(upstream: UpstreamKey);
+    /// Asks the home of another cell to take a request if it costs less than `max_cost_ms` there;
+    /// `None` for any cost.
+    async fn place_overflow(
+        cell: CellKey,
+        request: PlacementRequest,
+        max_cost_ms: Option<f32>,
+    ) -> OverflowAnswer;
 }
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -13,7 +13,8 @@
 
 pub use gateway::{
     AdvertisedLimit, Announcement, BrittleLoad, CellKey, GatewayPeer, GatewayPeerClient,
-    MembersDigest, MigrationAnswer, RelayedRuns, ReplicatedState, StartAnswer, StartRequest,
+    MembersDigest, MigrationAnswer, OverflowAnswer, RelayedRuns, ReplicatedState, StartAnswer,
+    StartRequest,
 };
 pub use message::{
     ClaimAnswer, ClaimRequest, Document, FetchAnswer, GenerationEnd, LimitAnswer, MemberInfo,
