--- a/crates/gateway/src/cells/layout.rs
+++ b/crates/gateway/src/cells/layout.rs
@@ -64,7 +64,7 @@
     registered: &[&'a Registration],
 ) -> HashMap<CellKey, Vec<&'a Registration>> {
     let mut by_cell: HashMap<CellKey, Vec<&Registration>> = HashMap::new();
-    if partitioning == &CellPartitioning::default() {
+    if partitioning.is_single_cell() {
         by_cell.insert(cell_key(service, None), Vec::new());
     }
     for registration in registered {
--- a/crates/gateway/src/cells/mod.rs
+++ b/crates/gateway/src/cells/mod.rs
@@ -79,9 +79,16 @@
     /// The layout of each service.
     layouts: Mutex<HashMap<String, Layout>>,
     by_engine: Mutex<CellsByEngine>,
+    /// The partitioning of a service without engines.
+    unpartitioned: CellPartitioning,
 }
 
 impl Cells {
+    /// Replaces the maximum number of engines in a cell.
+    pub(crate) fn set_max_cell_engines(&mut self, max_cell_engines: usize) {
+        self.unpartitioned = CellPartitioning::new(max_cell_engines);
+    }
+
     /// Applies the registered engines; returns whether homes need new statements of the running
     /// generations.
     pub(crate) fn apply_directory(
@@ -107,7 +114,12 @@
                 continue;
             };
             let registered = by_service.remove(service.name.as_str()).unwrap_or_default();
-            let layout = layouts.entry(service.name.clone()).or_default();
+            let layout = layouts
+                .entry(service.name.clone())
+                .or_insert_with(|| Layout {
+                    partitioning: self.unpartitioned.clone(),
+                    ..Layout::default()
+                });
             let updated = layout.updated(&service.name, layout::count_by_data_centre(&registered));
             if !updated.partitioning.has_same_cells(&layout.partitioning) {
                 has_new_layout = true;
@@ -208,9 +220,8 @@
     /// The cell for a generation that a host in `data_centre` starts.
     pub(crate) fn cell_for(&self, service: &str, data_centre: &str, run: RunKey) -> CellKey {
         let layouts = self.layouts.lock();
-        let unpartitioned = CellPartitioning::default();
         let layout = layouts.get(service);
-        let partitioning = layout.map_or(&unpartitioned, |layout| &layout.partitioning);
+        let partitioning = layout.map_or(&self.unpartitioned, |layout| &layout.partitioning);
         layout::cell_for(partitioning, service, data_centre, run)
     }
 
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -166,6 +166,12 @@
         self
     }
 
+    /// Replaces the maximum number of engines in a cell.
+    pub fn with_max_cell_engines(mut self, max_cell_engines: usize) -> Self {
+        self.cells.set_max_cell_engines(max_cell_engines);
+        self
+    }
+
     /// The active configuration.
     pub fn active_configuration(&self) -> Option<Arc<ActiveConfiguration>> {
         self.active_configuration.load_full()
--- a/crates/policy/src/cell_partitioning.rs
+++ b/crates/policy/src/cell_partitioning.rs
@@ -7,11 +7,11 @@
 
 use std::collections::BTreeMap;
 
-/// Maximum number of engines in a cell. A home examines each engine and each generation of its cell
-/// for every arriving request and again for every waiting one.
+/// Usual maximum number of engines in a cell. A home examines each engine and each generation of its
+/// cell for every arriving request and again for every waiting one.
 const MAX_CELL_ENGINES: usize = 64;
 /// Partitions are merged only if the merged ones would each have at most this share of
-/// [`MAX_CELL_ENGINES`]. This applies to halving the partitions of a data centre and to making a
+/// the maximum. This applies to halving the partitions of a data centre and to making a
 /// service a single cell. Up to a sixth of the engines come and go within seconds, and after each
 /// change of the partitioning all homes must rebuild their state.
 const MERGE_FILL_SHARE: f32 = 0.5;
@@ -27,19 +27,38 @@
 /// The partitioning of one service's engines; a single cell by default. Hosts with the same engine
 /// list and history compute the same partitioning. A host with a different one calls a home that
 /// doesn't know the cell, and then places the request without a home.
-#[derive(Debug, Clone, Default, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq)]
 pub struct CellPartitioning {
+    max_cell_engines: usize,
     data_centres: BTreeMap<String, DataCentre>,
 }
 
+impl Default for CellPartitioning {
+    fn default() -> Self {
+        Self::new(MAX_CELL_ENGINES)
+    }
+}
+
 impl CellPartitioning {
+    /// A single cell, until a service has more engines than a cell may have.
+    pub fn new(max_cell_engines: usize) -> Self {
+        Self {
+            max_cell_engines,
+            data_centres: BTreeMap::new(),
+        }
+    }
+
+    /// Whether the service is a single cell.
+    pub fn is_single_cell(&self) -> bool {
+        self.data_centres.is_empty()
+    }
+
     /// The partitioning that follows this one for the given number of engines per data centre.
     pub fn updated(&self, counts: &BTreeMap<String, usize>) -> Self {
         let total: usize = counts.values().sum();
-        let is_partitioned = !self.data_centres.is_empty();
-        let stays_partitioned = total as f32 > MAX_CELL_ENGINES as f32 * MERGE_FILL_SHARE;
-        if total <= MAX_CELL_ENGINES && !(is_partitioned && stays_partitioned) {
-            return Self::default();
+        let stays_partitioned = total as f32 > self.max_cell_engines as f32 * MERGE_FILL_SHARE;
+        if total <= self.max_cell_engines && (self.is_single_cell() || !stays_partitioned) {
+            return Self::new(self.max_cell_engines);
         }
         let mut data_centres = self.data_centres.clone();
         for data_centre in data_centres.values_mut() {
@@ -56,16 +75,22 @@
                 },
             );
         }
-        Self { data_centres }
+        Self {
+            max_cell_engines: self.max_cell_engines,
+            data_centres,
+        }
     }
 
     fn partitions_for(&self, name: &str, count: usize) -> u64 {
-        let wanted = count.div_ceil(MAX_CELL_ENGINES).next_power_of_two().max(1) as u64;
+        let wanted = count
+            .div_ceil(self.max_cell_engines)
+            .next_power_of_two()
+            .max(1) as u64;
         let Some(before) = self.data_centres.get(name) else {
             return wanted;
         };
         let merge_limit =
-            MAX_CELL_ENGINES as f32 * MERGE_FILL_SHARE * before.partitions as f32 / 2.0;
+            self.max_cell_engines as f32 * MERGE_FILL_SHARE * before.partitions as f32 / 2.0;
         let stays = wanted < before.partitions && count as f32 > merge_limit;
         if stays { before.partitions } else { wanted }
     }
--- a/crates/policy/tests/cell_partitioning.rs
+++ b/crates/policy/tests/cell_partitioning.rs
@@ -58,3 +58,16 @@
         .expect("a partition");
     assert_eq!(data_centre, "far");
 }
+
+/// Guards against a bound that is lost when a service becomes a single cell again.
+#[test]
+fn a_smaller_bound_is_kept() {
+    let mut partitioning = CellPartitioning::new(2);
+    for (near, expected) in [(2, 1), (3, 2), (1, 1), (3, 2)] {
+        partitioning = partitioning.updated(&counts(near, 0));
+        assert_eq!(cells(&partitioning), expected, "{near} engines");
+        assert_eq!(partitioning.is_single_cell(), expected == 1);
+        let with_engines = if expected == 1 { 0 } else { expected };
+        assert_eq!(partitioning.partitions().count(), with_engines);
+    }
+}
