--- a/crates/gateway/src/cells/mod.rs
+++ b/crates/gateway/src/cells/mod.rs
@@ -4,10 +4,13 @@
 pub(crate) mod departures;
 pub(crate) mod homes;
 pub(crate) mod layout;
+pub(crate) mod overflow;
+pub(crate) mod pool;
 pub(crate) mod probe;
 pub(crate) mod runs;
 
 use std::collections::{BTreeMap, HashMap};
+use std::sync::Arc;
 
 use fulmarpath_policy::{
     Cell, CellEngine, CellPartitioning, EngineCapacity, HostKey, Migration, MigrationOutcome,
@@ -16,7 +19,7 @@
 use fulmarpath_wire::{CellKey, RelayedRuns};
 use parking_lot::Mutex;
 
-use crate::cells::layout::CellsByEngine;
+use crate::cells::layout::{CellGroups, CellsByEngine};
 use crate::configuration::{ActiveConfiguration, EngineTraits};
 use crate::control::EngineStatus;
 use crate::key::{data_centre_key, name_key, upstream_key};
@@ -43,6 +46,24 @@
     partitioning: CellPartitioning,
     /// Number of registered engines in each data centre.
     counts: BTreeMap<String, usize>,
+    /// The cells of the partitioning that have engines.
+    groups: Arc<CellGroups>,
+}
+
+impl Layout {
+    /// The layout that follows this one.
+    fn updated(&self, service: &str, counts: BTreeMap<String, usize>) -> Self {
+        let partitioning = self.partitioning.updated(&counts);
+        let groups = match partitioning == self.partitioning {
+            true => self.groups.clone(),
+            false => Arc::new(CellGroups::new(&partitioning, service)),
+        };
+        Self {
+            partitioning,
+            counts,
+            groups,
+        }
+    }
 }
 
 /// Engines belong to other cells than before, so changes can't be applied one by one.
@@ -58,9 +79,16 @@
     /// The layout of each service.
     layouts: Mutex<HashMap<String, Layout>>,
     by_engine: Mutex<CellsByEngine>,
+    /// The partitioning of a service without engines.
+    unpartitioned: CellPartitioning,
 }
 
 impl Cells {
+    /// Replaces the maximum number of engines in a cell.
+    pub(crate) fn set_max_cell_engines(&mut self, max_cell_engines: usize) {
+        self.unpartitioned = CellPartitioning::new(max_cell_engines);
+    }
+
     /// Applies the registered engines; returns whether homes need new statements of the running
     /// generations.
     pub(crate) fn apply_directory(
@@ -86,16 +114,20 @@
                 continue;
             };
             let registered = by_service.remove(service.name.as_str()).unwrap_or_default();
-            let layout = layouts.entry(service.name.clone()).or_default();
-            layout.counts = layout::count_by_data_centre(&registered);
-            let partitioning = layout.partitioning.updated(&layout.counts);
-            if !partitioning.has_same_cells(&layout.partitioning) {
+            let layout = layouts
+                .entry(service.name.clone())
+                .or_insert_with(|| Layout {
+                    partitioning: self.unpartitioned.clone(),
+                    ..Layout::default()
+                });
+            let updated = layout.updated(&service.name, layout::count_by_data_centre(&registered));
+            if !updated.partitioning.has_same_cells(&layout.partitioning) {
                 has_new_layout = true;
                 // The tables are discarded, since engines that moved to another cell would be taken
                 // for leaving engines; homes learn of the generations from the next statements.
                 tables.retain(|_, table| table.service != service.name);
             }
-            layout.partitioning = partitioning;
+            *layout = updated;
             let by_cell = layout::group_by_cell(&layout.partitioning, &service.name, &registered);
             // In a cell without registered engines, all earlier engines count as leaving.
             for (key, table) in tables.iter_mut() {
@@ -188,9 +220,8 @@
     /// The cell for a generation that a host in `data_centre` starts.
     pub(crate) fn cell_for(&self, service: &str, data_centre: &str, run: RunKey) -> CellKey {
         let layouts = self.layouts.lock();
-        let unpartitioned = CellPartitioning::default();
         let layout = layouts.get(service);
-        let partitioning = layout.map_or(&unpartitioned, |layout| &layout.partitioning);
+        let partitioning = layout.map_or(&self.unpartitioned, |layout| &layout.partitioning);
         layout::cell_for(partitioning, service, data_centre, run)
     }
 
@@ -359,15 +390,11 @@
     for (service, mut counts) in counts {
         counts.retain(|_, count| *count > 0);
         let layout = layouts.get(service).ok_or(LayoutChanged)?;
-        let partitioning = layout.partitioning.updated(&counts);
-        if !partitioning.has_same_cells(&layout.partitioning) {
+        let after = layout.updated(service, counts);
+        if !after.partitioning.has_same_cells(&layout.partitioning) {
             return Err(LayoutChanged);
         }
-        let layout = Layout {
-            partitioning,
-            counts,
-        };
-        updated.push((service.to_owned(), layout));
+        updated.push((service.to_owned(), after));
     }
     layouts.extend(updated);
     Ok(())
