Shorten the pause of a live migration to its final copy and one event

The pause contained the part of an event that was computed twice, the set-up of two connections while the generation was stopped, and a wait of up to 12 ms for streams of which all events had arrived. An event in transit at the stop was read, discarded and made a second time.

- The final copy waits for the next event; the generation runs meanwhile.
- The connection for the final copy is opened during the first copy, that to the destination during the final copy.
One that the upstream has closed meanwhile is replaced.
- Events in transit are passed on before the generation resumes.
Nothing is waited for if the engine's count of events has arrived.
- moves lines name the time of each step; a new one those of the pause.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -17,13 +17,14 @@
 use crate::inbound::InboundRequest;
 use crate::problem::Problem;
 use crate::record::Dispatch;
+use crate::relay::early_dial::EarlyDial;
 use crate::relay::framing::Framing;
 use crate::tracker::{ANSWERED, InFlightRequest, RequestTracker};
 use crate::upstreams::instance::ChosenUpstream;
 
 /// Connect timeout: several round trips between data centres, and an upstream's handshake. A lost
 /// SYN is retransmitted only after 1 s, by which time another upstream has answered.
-const CONNECT_TIMEOUT_MS: Millis = 250;
+pub(crate) const CONNECT_TIMEOUT_MS: Millis = 250;
 /// How long an upstream that refuses a request, for instance because it is full, is deprioritised.
 const REFUSAL_PENALTY_MS: Millis = 200;
 /// How long an upstream that closes its connection, possibly because it is leaving, is
@@ -37,10 +38,12 @@
     pub(crate) in_flight: InFlightRequest,
     /// Closed when dropped, which makes the upstream cancel the request.
     pub(crate) connection: Connection,
+    /// When the connection was open.
+    pub(crate) connected_ms: Millis,
 }
 
 /// What a dispatch carries in addition to the caller's own request.
-#[derive(Debug, Clone, Default)]
+#[derive(Default)]
 pub(crate) struct DispatchOptions {
     /// Deadline for the response head.
     pub(crate) until_ms: Millis,
@@ -50,6 +53,8 @@
     pub(crate) continuation: Option<Continuation>,
     /// The event after which a stream that began elsewhere resumes.
     pub(crate) last_event: Option<u64>,
+    /// A connection to the upstream that is already being opened.
+    pub(crate) early: Option<EarlyDial>,
 }
 
 /// Why a dispatch has no response.
@@ -126,7 +131,7 @@
         self: &Arc<Self>,
         inbound: &InboundRequest,
         chosen: ChosenUpstream,
-        options: DispatchOptions,
+        mut options: DispatchOptions,
         tracker: &RequestTracker,
     ) -> Result<UpstreamResponse, Failure> {
         let (address, key) = (chosen.address, chosen.key);
@@ -136,16 +141,18 @@
             .until_ms
             .saturating_sub(started_ms)
             .min(CONNECT_TIMEOUT_MS);
+        let early = options.early.take();
         let opened = self
-            .connect(address, Duration::from_millis(connect_ms))
+            .connect(address, Duration::from_millis(connect_ms), early)
             .await;
         let Ok(mut connection) = opened else {
             self.instances.record_unreachable(self.clock.now_ms(), key);
             self.metrics.unsent.inc();
             return Err(Failure::Unsent);
         };
+        let connected_ms = self.clock.now_ms();
         let request = self.outbound(inbound, &in_flight.chosen, &options);
-        let left_ms = options.until_ms.saturating_sub(self.clock.now_ms());
+        let left_ms = options.until_ms.saturating_sub(connected_ms);
         let lost = in_flight.chosen.lost.clone();
         let exchange = timeout(Duration::from_millis(left_ms), connection.exchange(request));
         let exchanged = tokio::select! {
@@ -214,6 +221,7 @@
             http,
             in_flight,
             connection,
+            connected_ms,
         })
     }
 
@@ -221,8 +229,12 @@
         &self,
         address: SocketAddr,
         time_limit: Duration,
+        early: Option<EarlyDial>,
     ) -> Result<Connection, HttpError> {
-        let stream = self.dial.dial(address, time_limit).await?;
+        let stream = match early {
+            Some(early) => early.dial(address, time_limit).await?,
+            None => self.dial.dial(address, time_limit).await?,
+        };
         Connection::over(address, stream).await
     }
 
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -240,6 +240,7 @@
             http,
             mut in_flight,
             connection,
+            ..
         } = response;
         let (parts, body) = http.into_parts();
         let left_ms = deadline_ms.saturating_sub(self.clock.now_ms());
--- a/crates/gateway/src/relay/migration.rs
+++ b/crates/gateway/src/relay/migration.rs
@@ -1,23 +1,30 @@
 //! Live migration of one generation: a first copy while it runs, then a short final copy after it
-//! is stopped.
+//! is stopped, which begins right after an event has arrived.
 
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::time::Duration;
 
 use fulmarpath_http::Dial;
+use fulmarpath_policy::Millis;
 use fulmarpath_wire::MigrationAnswer;
 use futures::future::BoxFuture;
 use tokio::sync::oneshot;
+use tokio::time::sleep;
 
 use crate::cells::runs::MigrationOrder;
 use crate::control::{CompletedCopy, CopyError, EngineControl};
+use crate::relay::early_dial::EarlyDial;
+use crate::relay::pause::CopyTimes;
 use crate::upstreams::instance::Destination;
 
 /// The outcome of one step of a migration.
 #[derive(Debug, Clone)]
 pub(crate) enum StepOutcome {
-    /// The first copy is complete; the final one is in progress.
+    /// The first copy is complete.
     Copied,
+    /// The event that the final copy waits for has not arrived in time.
+    EventOverdue,
     /// The generation continues on the source.
     Stayed,
     /// The generation continues on the source; the destination had no capacity.
@@ -27,13 +34,30 @@
     /// The engine does not know the generation: it has not begun, or has ended.
     NotFound,
     /// The generation is stopped and its KV cache is at the destination.
-    Stopped { to: Destination, copy_id: String },
+    Stopped {
+        to: Destination,
+        copy_id: String,
+        /// Events that it had produced; `None` if the engine did not say.
+        events: Option<u64>,
+    },
     /// The generation is stopped and its KV cache is still at the source.
     StoppedAtSource { copy_id: String },
 }
 
+/// The stage of a migration.
+enum Stage {
+    /// The first copy is in progress.
+    Copying,
+    /// The final copy begins after the next event, or at this time.
+    AwaitingEvent { until_ms: Millis },
+    /// The final copy is in progress.
+    Stopping,
+}
+
 /// A migration in progress.
 pub(crate) struct Migration {
+    stage: Stage,
+    pub(crate) times: CopyTimes,
     control: Arc<dyn EngineControl>,
     dial: Arc<dyn Dial>,
     source: SocketAddr,
@@ -43,22 +67,33 @@
     copy_id: Option<String>,
     answer: oneshot::Sender<MigrationAnswer>,
     call: BoxFuture<'static, Result<CompletedCopy, CopyError>>,
+    /// Reaches the source for the final copy.
+    source_dial: Arc<EarlyDial>,
+    /// Reaches the destination, once the final copy is in progress.
+    destination_dial: Option<EarlyDial>,
 }
 
 impl Migration {
     pub(crate) fn begin(
+        now_ms: Millis,
         control: Arc<dyn EngineControl>,
         dial: Arc<dyn Dial>,
         source: SocketAddr,
         request_id: String,
         order: MigrationOrder,
     ) -> Self {
+        let source_dial = Arc::new(EarlyDial::open(dial.clone(), source));
         let call = {
             let (control, dial) = (control.clone(), dial.clone());
             let (id, to) = (request_id.clone(), order.to.address);
             Box::pin(async move { control.copy(&*dial, source, &id, to).await })
         };
         Self {
+            stage: Stage::Copying,
+            times: CopyTimes {
+                began_ms: now_ms,
+                ..CopyTimes::default()
+            },
             control,
             dial,
             source,
@@ -67,6 +102,8 @@
             copy_id: None,
             answer: order.answer,
             call,
+            source_dial,
+            destination_dial: None,
         }
     }
 
@@ -136,11 +173,41 @@
         });
     }
 
-    /// Waits for the call in progress and begins the next one.
-    pub(crate) async fn step(migration: &mut Option<Self>) -> StepOutcome {
+    /// Has the final copy wait for the next event, at most until `until_ms`.
+    pub(crate) fn await_event(&mut self, until_ms: Millis) {
+        self.stage = Stage::AwaitingEvent { until_ms };
+    }
+
+    /// Whether the final copy begins after the next event.
+    pub(crate) fn awaits_event(&self) -> bool {
+        matches!(self.stage, Stage::AwaitingEvent { .. })
+    }
+
+    /// Begins the final copy, which stops the generation. Meanwhile the destination is connected to.
+    pub(crate) fn stop(&mut self, now_ms: Millis) {
+        self.times.asked_ms = now_ms;
+        self.stage = Stage::Stopping;
+        let (control, source, to) = (self.control.clone(), self.source, self.to.address);
+        let id = self.request_id.clone();
+        let dial = self.source_dial.clone();
+        self.call = Box::pin(async move { control.stop_and_copy(&*dial, source, &id, to).await });
+        self.destination_dial = Some(EarlyDial::open(self.dial.clone(), to));
+    }
+
+    /// Takes the connection that is being opened to the destination.
+    pub(crate) fn take_destination_dial(&mut self) -> Option<EarlyDial> {
+        self.destination_dial.take()
+    }
+
+    /// Waits for the end of the step in progress.
+    pub(crate) async fn step(migration: &mut Option<Self>, now_ms: Millis) -> StepOutcome {
         let Some(migration) = migration else {
             return std::future::pending().await;
         };
+        if let Stage::AwaitingEvent { until_ms } = migration.stage {
+            sleep(Duration::from_millis(until_ms.saturating_sub(now_ms))).await;
+            return StepOutcome::EventOverdue;
+        }
         let result = (&mut migration.call).await;
         match migration.copy_id.clone() {
             None => migration.after_first_copy(result),
@@ -157,10 +224,6 @@
             Err(CopyError::Unknown) => return StepOutcome::Orphaned,
         };
         self.copy_id = Some(copied.copy_id);
-        let (control, dial) = (self.control.clone(), self.dial.clone());
-        let (source, to) = (self.source, self.to.address);
-        let id = self.request_id.clone();
-        self.call = Box::pin(async move { control.stop_and_copy(&*dial, source, &id, to).await });
         StepOutcome::Copied
     }
 
@@ -173,6 +236,7 @@
             Ok(copied) => StepOutcome::Stopped {
                 to: self.to.clone(),
                 copy_id: copied.copy_id,
+                events: Some(copied.events),
             },
             Err(CopyError::NotFound) => StepOutcome::NotFound,
             Err(CopyError::NoRoom {
@@ -188,6 +252,7 @@
             Err(CopyError::Unknown) => StepOutcome::Stopped {
                 to: self.to.clone(),
                 copy_id: first_copy_id,
+                events: None,
             },
         }
     }
--- a/crates/gateway/src/relay/mod.rs
+++ b/crates/gateway/src/relay/mod.rs
@@ -1,9 +1,12 @@
 //! Relays one generation to its caller, across migrations and failovers between engines.
 
+pub(crate) mod early_dial;
 pub(crate) mod engine_stream;
 pub(crate) mod events;
 pub(crate) mod framing;
+mod migrate;
 pub(crate) mod migration;
+pub(crate) mod pause;
 pub(crate) mod recovery;
 pub(crate) mod stream;
 pub(crate) mod stream_buffer;
@@ -14,10 +17,10 @@
 use bytes::{Bytes, BytesMut};
 use fulmarpath_http::BodyInterrupted;
 use fulmarpath_policy::{
-    Handover, MigrationStep, Millis, NextStep, RunEnd, RunKey, StreamEnd, Verdict, has_proved_sound,
+    EventIntervals, Handover, Millis, NextStep, RunEnd, RunKey, StreamEnd, Verdict,
+    has_proved_sound,
 };
-use fulmarpath_wire::{CellKey, MigrationAnswer};
-use spdlog::info;
+use fulmarpath_wire::CellKey;
 use tokio::sync::mpsc;
 use tokio::time::sleep;
 
@@ -26,7 +29,8 @@
 use crate::inbound::InboundRequest;
 use crate::relay::engine_stream::{EngineStream, StreamRead};
 use crate::relay::events::{EventBuffer, split_events};
-use crate::relay::migration::{Migration, StepOutcome};
+use crate::relay::migration::Migration;
+use crate::relay::pause::Pause;
 use crate::start::{Attempts, StartedGeneration};
 use crate::tracker::RequestTracker;
 use crate::upstreams::instance::Destination;
@@ -69,6 +73,21 @@
     pub(crate) to: Option<Destination>,
     /// Identifies the copy of the KV cache.
     pub(crate) copy_id: String,
+    /// Events that the generation had produced; `None` if that is not known.
+    pub(crate) events: Option<u64>,
+    /// Whether what was in transit on its stream has been read.
+    pub(crate) is_drained: bool,
+}
+
+impl StoppedGeneration {
+    pub(crate) fn new(to: Option<Destination>, copy_id: String, events: Option<u64>) -> Self {
+        Self {
+            to,
+            copy_id,
+            events,
+            is_drained: false,
+        }
+    }
 }
 
 /// One generation that is relayed to its caller.
@@ -86,8 +105,12 @@
     orders: mpsc::Receiver<MigrationOrder>,
     pub(crate) handover: Handover,
     pub(crate) migration: Option<Migration>,
+    /// How long its events take.
+    pub(crate) intervals: EventIntervals,
     /// Set between a stop and the resumption after it.
     pub(crate) stopped: Option<StoppedGeneration>,
+    /// The pause of a migration, until the next event.
+    pub(crate) pause: Option<Pause>,
     pub(crate) backup: Option<Destination>,
     pub(crate) recoveries: u32,
     /// When the link to the engine was last checked because the engine was silent.
@@ -121,7 +144,9 @@
             last_event: inbound.last_event,
             handover: Handover::default(),
             migration: None,
+            intervals: EventIntervals::default(),
             stopped: None,
+            pause: None,
             recoveries: 0,
             link_checked_ms: 0,
             has_just_switched: false,
@@ -140,17 +165,28 @@
     pub(crate) async fn next(&mut self) -> Option<Result<Bytes, BodyInterrupted>> {
         loop {
             match self.take_events() {
-                Ok(Some(events)) => return Some(Ok(events)),
+                Ok(Some(events)) => {
+                    self.stop_after_event();
+                    return Some(Ok(events));
+                }
                 Ok(None) if self.is_complete => return self.finish(),
                 Ok(None) => {}
                 Err(broken) => return Some(Err(self.fail("stream_gap", broken))),
             }
-            let Some(next) = self.step().await else {
+            let next = match self.stopped.is_some() {
+                true => Some(NextStep::Resume),
+                false => self.step().await,
+            };
+            let Some(next) = next else {
                 return Some(Err(self.fail("stream_overdue", BodyInterrupted)));
             };
             let continues = match next {
                 NextStep::Read | NextStep::AwaitMigration => true,
                 NextStep::Finish => self.complete().await || self.recover().await,
+                NextStep::Resume if self.needs_drain() => {
+                    self.drain().await;
+                    true
+                }
                 NextStep::Resume => self.resume_after_stop().await || self.recover().await,
                 NextStep::Recover => self.recover().await,
             };
@@ -163,8 +199,9 @@
     /// Waits for data from the engine, a migration order, the end of a migration step or a timeout,
     /// whichever is first; `None` if the deadline has passed.
     async fn step(&mut self) -> Option<NextStep> {
+        let now_ms = self.gateway.clock.now_ms();
         let until_ms = self.inbound.deadline_ms;
-        let left_ms = until_ms.saturating_sub(self.gateway.clock.now_ms());
+        let left_ms = until_ms.saturating_sub(now_ms);
         let reads = self.handover.is_stream_open();
         let lost = self.stream.in_flight.chosen.lost.clone();
         let silence = self.silence_left();
@@ -180,7 +217,7 @@
                 self.begin_migration(order);
                 StreamRead::Bytes
             }
-            outcome = Migration::step(&mut self.migration), if self.migration.is_some() => {
+            outcome = Migration::step(&mut self.migration, now_ms), if self.migration.is_some() => {
                 return Some(self.advance(outcome));
             }
         };
@@ -314,6 +351,8 @@
         if self.stream.ran_ms(now_ms).is_some_and(has_proved_sound) {
             self.note_success();
         }
+        self.intervals.record(now_ms, events);
+        self.log_pause();
         if let Some(pause_ms) = self.tracker.record_events(now_ms, events) {
             let metrics = &self.gateway.metrics;
             metrics.pause_ms.observe(pause_ms as f64);
@@ -329,66 +368,4 @@
             statement.out_tokens = out_tokens
         });
     }
-
-    fn begin_migration(&mut self, order: MigrationOrder) {
-        let control = self.gateway.control.clone();
-        let dial = Arc::new(self.gateway.dial.clone());
-        let source = self.stream.address();
-        let id = self.tracker.id.clone();
-        self.handover.begin_migration();
-        self.migration = Some(Migration::begin(control, dial, source, id, order));
-    }
-
-    /// Handles the outcome of a migration step.
-    fn advance(&mut self, outcome: StepOutcome) -> NextStep {
-        let answer = match outcome {
-            StepOutcome::Copied => return self.handover.advance_migration(MigrationStep::Copied),
-            StepOutcome::Stopped { to, copy_id } => {
-                self.stopped = Some(StoppedGeneration {
-                    to: Some(to),
-                    copy_id,
-                });
-                return self.handover.advance_migration(MigrationStep::Stopped);
-            }
-            StepOutcome::StoppedAtSource { copy_id } => {
-                self.stopped = Some(StoppedGeneration { to: None, copy_id });
-                return self.handover.advance_migration(MigrationStep::Stopped);
-            }
-            StepOutcome::Stayed => MigrationAnswer::Stayed,
-            StepOutcome::Refused => MigrationAnswer::Refused,
-            // Before the first event the generation is still queued in its engine, and there is no
-            // copy.
-            StepOutcome::NotFound if self.tracker.events == 0 => MigrationAnswer::Stayed,
-            StepOutcome::NotFound | StepOutcome::Orphaned => MigrationAnswer::LeftBehind,
-        };
-        let next = self.handover.advance_migration(MigrationStep::NotStopped);
-        let has_copy = self.migration.as_ref().is_some_and(Migration::has_copy);
-        // If the engine was lost before it could stop the generation, the first copy remains, and
-        // may be the only one.
-        if next != NextStep::Recover || !has_copy {
-            self.end_migration(answer);
-        }
-        next
-    }
-
-    pub(crate) fn end_migration(&mut self, answer: MigrationAnswer) {
-        if let Some(migration) = self.migration.take() {
-            info!(
-                "moves: request {} to {}: {answer:?}",
-                self.tracker.id,
-                migration.destination()
-            );
-            migration.answer(answer);
-        }
-    }
-}
-
-impl Drop for Relay {
-    /// Discards the copy of a migration that is still in progress: the generation has ended or its
-    /// caller has left.
-    fn drop(&mut self) {
-        if let Some(migration) = self.migration.take() {
-            migration.discard(MigrationAnswer::Over);
-        }
-    }
 }
--- a/crates/gateway/src/relay/recovery.rs
+++ b/crates/gateway/src/relay/recovery.rs
@@ -10,6 +10,7 @@
 use crate::crashes::InterruptedRun;
 use crate::head::Continuation;
 use crate::relay::engine_stream::{EngineStream, StreamRead};
+use crate::relay::migration::Migration;
 use crate::relay::{Relay, StoppedGeneration};
 use crate::start::StartedGeneration;
 use crate::upstreams::instance::Destination;
@@ -125,6 +126,7 @@
         self.has_just_switched = true;
         // An incomplete event is discarded: the next engine sends it in full.
         self.events.take_remainder();
+        self.intervals.switch_engine();
         self.stream = EngineStream::new(self.gateway.clock.now_ms(), response);
         self.backup = backup;
         self.handover.restart();
@@ -136,24 +138,40 @@
         });
     }
 
-    /// Reads the data that a stopped engine still has in transit.
-    async fn drain(&mut self) {
+    /// Whether a stopped engine may still have data in transit, which are read before the generation
+    /// resumes.
+    pub(crate) fn needs_drain(&self) -> bool {
+        self.stopped
+            .as_ref()
+            .is_some_and(|stopped| !stopped.is_drained)
+    }
+
+    /// Reads the data that a stopped engine still has in transit, unless all of its events have
+    /// arrived.
+    pub(crate) async fn drain(&mut self) {
+        let Some(stopped) = &mut self.stopped else {
+            return;
+        };
+        stopped.is_drained = true;
+        let has_all = stopped.events.is_some() && stopped.events == self.last_event;
         let until_ms = self.gateway.clock.now_ms() + DRAIN_TIMEOUT_MS;
-        while self.handover.is_stream_open() {
+        while self.handover.is_stream_open() && !has_all {
             let read = self.stream.read(&mut self.events, until_ms, &self.gateway);
             if !matches!(read.await, StreamRead::Bytes) {
-                return;
+                break;
             }
         }
+        if let Some(pause) = &mut self.pause {
+            pause.drained_ms = self.gateway.clock.now_ms();
+        }
     }
 
     /// Resumes a generation that was stopped: at the destination, or at the source, which still has
     /// its KV cache.
     pub(crate) async fn resume_after_stop(&mut self) -> bool {
-        let Some(StoppedGeneration { to, copy_id }) = self.stopped.take() else {
+        let Some(StoppedGeneration { to, copy_id, .. }) = self.stopped.take() else {
             return false;
         };
-        self.drain().await;
         let source = self.stream.engine();
         let has_migrated = match to {
             Some(to) => self.resume_at(&to, source.address, &copy_id).await,
@@ -192,6 +210,7 @@
             .reserve_continuation(destination.upstream, until_ms);
         let chosen = reserved.await;
         let Some(chosen) = chosen else { return false };
+        let reserved_ms = self.gateway.clock.now_ms();
         let service = &self.inbound.service;
         self.gateway.count_continuation(now_ms, service);
         let backup = self.backup.clone();
@@ -205,6 +224,10 @@
                 copy_id: copy_id.to_owned(),
             }),
             last_event: self.last_event,
+            early: self
+                .migration
+                .as_mut()
+                .and_then(Migration::take_destination_dial),
         };
         let gateway = self.gateway.clone();
         let sent = gateway.dispatch(&self.inbound, &mut self.tracker, chosen, options);
@@ -216,6 +239,11 @@
             }
         };
         gateway.metrics.continuation("yes");
+        if let Some(pause) = &mut self.pause {
+            pause.reserved_ms = reserved_ms;
+            pause.connected_ms = response.connected_ms;
+            pause.resumed_ms = gateway.clock.now_ms();
+        }
         info!(
             "moves: request {} goes on at {} after event {:?}, {} ms",
             self.tracker.id,
--- a/crates/gateway/src/upstreams/lost_link.rs
+++ b/crates/gateway/src/upstreams/lost_link.rs
@@ -58,13 +58,14 @@
             }
         );
         self.stopped = match stopped {
-            Ok(copied) => Some(StoppedGeneration {
-                to: Some(to),
-                copy_id: copied.copy_id,
-            }),
+            Ok(copied) => Some(StoppedGeneration::new(
+                Some(to),
+                copied.copy_id,
+                Some(copied.events),
+            )),
             Err(CopyError::NoRoom {
                 copy_id: Some(copy_id),
-            }) => Some(StoppedGeneration { to: None, copy_id }),
+            }) => Some(StoppedGeneration::new(None, copy_id, None)),
             Err(_) => None,
         };
         self.stopped.is_some()
