Simulate uneven engines and uneven demand in virtual time

The simulation knew one cell of equal engines with an even load, so nothing about pauses on slow engines or about full cells beside empty ones could be compared in it.

A replacement starts in the data centre of the engine that it replaces.

--- a/crates/bench/src/reclaim/event.rs
+++ b/crates/bench/src/reclaim/event.rs
@@ -29,8 +29,8 @@
     EngineGone(usize),
     /// An engine ends without notice.
     Crash,
-    /// A replacement engine has started.
-    EngineStarted,
+    /// The replacement of an engine has started.
+    ReplacementStarted(usize),
     /// Hosts restate the runs that they relay.
     RestateRuns,
 }
