Model the event at which a migrating generation is stopped

The row `stop_at_event` is the gateway's code with the final copy right after an event.

Rows have the 90th percentile of the pauses of migrations. An attempt has a module of its own.

--- a/crates/bench/src/cmd/cell.rs
+++ b/crates/bench/src/cmd/cell.rs
@@ -26,7 +26,8 @@
     /// 0.75), or multiple of the scenario's request rates (the others, 1.0)
     #[bpaf(argument("F"))]
     load: Option<f64>,
-    /// Run one policy only: oracle, stay, move, copy_all, copy_largest, unfair, one_cell or kept
+    /// Run one policy only: oracle, stay, move, copy_all, copy_largest, unfair, one_cell,
+    /// stop_at_event or kept
     #[bpaf(argument("NAME"))]
     policy: Option<PolicyName>,
     /// Number of engines, 48 unless the scenario has another
@@ -156,7 +157,7 @@
     } = &row.figures;
     println!(
         "{:<12} seed {:<4} benefit {:.3} | on time: all {:.3} worst kind {:.3} worst tenth of \
-         organisations {:.3} | preemptions {} moves {} pause of a move ms p50 {:.0} p99 {:.0}",
+         organisations {:.3} | preemptions {} moves {} pause of a move ms p50 {:.0} p90 {:.0} p99 {:.0}",
         row.policy,
         row.seed,
         row.figures.benefit_share,
@@ -166,6 +167,7 @@
         row.preemptions,
         row.moves,
         row.pause_ms_p50,
+        row.pause_ms_p90,
         row.pause_ms_p99,
     );
     print_counts("long", long);
--- a/crates/bench/src/reclaim/cells.rs
+++ b/crates/bench/src/reclaim/cells.rs
@@ -7,6 +7,9 @@
     UpstreamKey,
 };
 
+use super::row::PolicyName;
+use super::world::Settings;
+
 /// Index of a cell.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord)]
 pub(super) struct CellIndex(usize);
@@ -80,6 +83,21 @@
     }
 }
 
+/// How the engines are divided into cells.
+fn partitioning(settings: &Settings) -> CellPartitioning {
+    let scenario = settings.scenario;
+    if !scenario.has_partitions || settings.policy == PolicyName::OneCell {
+        return CellPartitioning::default();
+    }
+    let numbers = 0..settings.engines;
+    let mut counts: BTreeMap<String, usize> = BTreeMap::new();
+    for number in numbers {
+        let name = (number % scenario.data_centres).to_string();
+        *counts.entry(name).or_default() += 1;
+    }
+    CellPartitioning::default().updated(&counts)
+}
+
 /// The cells of a service and their homes.
 #[derive(Debug)]
 pub(super) struct Cells {
@@ -91,12 +109,13 @@
 }
 
 impl Cells {
-    pub(super) fn new(partitioning: CellPartitioning, sharing: Box<dyn Sharing>) -> Self {
+    /// Cells without engines yet.
+    pub(super) fn of(settings: &Settings) -> Self {
         Self {
-            partitioning,
+            partitioning: partitioning(settings),
             cells: Vec::new(),
             indexes: BTreeMap::new(),
-            sharing,
+            sharing: Box::new(Separate),
         }
     }
 
--- a/crates/bench/src/reclaim/engine_lifecycle.rs
+++ b/crates/bench/src/reclaim/engine_lifecycle.rs
@@ -1,5 +1,6 @@
 //! Reclaims, crashes and replacements of engines.
 
+use fulmarpath_policy::MigrationOutcome;
 use rand::Rng;
 
 use super::engine::{Engine, Job, Site};
@@ -71,6 +72,7 @@
         self.engines[engine].is_gone = true;
         self.engines[engine].epoch += 1;
         for run in self.engines[engine].drain_runs() {
+            self.abandon_stop(run, MigrationOutcome::Orphaned);
             self.fail_over(run);
         }
         self.register();
--- a/crates/bench/src/reclaim/host.rs
+++ b/crates/bench/src/reclaim/host.rs
@@ -2,11 +2,12 @@
 
 use fulmarpath_policy::{CellEngine, RunKey, RunStatement};
 
+use super::attempt::Attempt;
 use super::cells::CellIndex;
 use super::engine_lifecycle::NOTICE_US;
 use super::event::Event;
 use super::row::PolicyName;
-use super::world::{Attempt, HOST, NOTICE_DELAY_US, World, key_of};
+use super::world::{HOST, NOTICE_DELAY_US, World, key_of};
 
 pub(super) const RESTATE_PERIOD_US: u64 = 1_000_000;
 /// Delay from the receipt of a notice until the home has the engine's report of its remaining time.
--- a/crates/bench/src/reclaim/migration.rs
+++ b/crates/bench/src/reclaim/migration.rs
@@ -3,6 +3,7 @@
 use fulmarpath_policy::{Migration, MigrationOutcome};
 
 use super::event::Event;
+use super::request::EVENT_TOKENS;
 use super::row::PolicyName;
 use super::world::{World, engine_of, key_of};
 
@@ -83,13 +84,28 @@
         if self.engines[from].is_gone {
             return self.end_migration(migration, MigrationOutcome::Orphaned);
         }
-        if self.attempts[run].has_ended || self.engines[from].find(run).is_none() {
+        let job = self.engines[from].find(run);
+        let Some(out_tokens) = job.map(|job| job.out_tokens) else {
             self.engines[to].drop_copy(run);
             return self.end_migration(migration, MigrationOutcome::Ended);
+        };
+        let waits_for_event = self.settings.policy == PolicyName::StopAtEvent;
+        if waits_for_event && !out_tokens.is_multiple_of(EVENT_TOKENS) {
+            self.attempts[run].stops_after_event = Some(migration);
+            return;
         }
-        let Some(job) = self.engines[from].remove(run) else {
+        self.stop_and_copy(migration);
+    }
+
+    /// Stops a generation and begins the final copy. The destination sends whole events, so the
+    /// tokens since the last event are computed again there.
+    pub(super) fn stop_and_copy(&mut self, migration: Migration) {
+        let (from, to) = (engine_of(migration.from), engine_of(migration.to));
+        let run = migration.run.0 as usize;
+        let Some(mut job) = self.engines[from].remove(run) else {
             return;
         };
+        job.out_tokens -= job.out_tokens % EVENT_TOKENS;
         self.attempts[run].in_transfer = Some(job);
         let new_tokens = job
             .held_tokens()
@@ -99,6 +115,17 @@
             .schedule(end_us, Event::DeltaCopied(migration));
     }
 
+    /// Ends a migration that waits for an event that won't come.
+    pub(super) fn abandon_stop(&mut self, run: usize, outcome: MigrationOutcome) {
+        let Some(migration) = self.attempts[run].stops_after_event.take() else {
+            return;
+        };
+        if outcome == MigrationOutcome::Ended {
+            self.engines[engine_of(migration.to)].drop_copy(run);
+        }
+        self.end_migration(migration, outcome);
+    }
+
     pub(super) fn resume_migrated(&mut self, migration: Migration) {
         let (from, to) = (engine_of(migration.from), engine_of(migration.to));
         let run = migration.run.0 as usize;
--- a/crates/bench/src/reclaim/mod.rs
+++ b/crates/bench/src/reclaim/mod.rs
@@ -2,6 +2,7 @@
 //! Placement and migration are decided by the gateway's own code. The simulated engines, the links
 //! that queue transfers, and the load follow the workload specification of the users' deployments.
 
+mod attempt;
 mod cells;
 mod demand;
 mod engine;
--- a/crates/bench/src/reclaim/placement.rs
+++ b/crates/bench/src/reclaim/placement.rs
@@ -2,11 +2,12 @@
 
 use fulmarpath_policy::{Millis, OrganisationKey, Placement, PlacementRequest, RunKey};
 
+use super::attempt::Attempt;
 use super::engine::Job;
 use super::event::Event;
 use super::request::CallerRequest;
 use super::row::PolicyName;
-use super::world::{Attempt, HOST, World, engine_of};
+use super::world::{HOST, World, engine_of};
 
 /// Hosts wait for a placement for this share of the target time, as the gateway's do.
 const MAX_WAIT_SHARE: f64 = 0.55;
--- a/crates/bench/src/reclaim/row.rs
+++ b/crates/bench/src/reclaim/row.rs
@@ -24,12 +24,14 @@
     Unfair,
     /// The gateway as it is, with all engines in one cell.
     OneCell,
+    /// The gateway as it is, except that a migrating generation is stopped right after an event.
+    StopAtEvent,
     /// The gateway as it is.
     Kept,
 }
 
 impl PolicyName {
-    const ALL: [Self; 8] = [
+    const ALL: [Self; 9] = [
         Self::Oracle,
         Self::Stay,
         Self::Move,
@@ -37,6 +39,7 @@
         Self::CopyLargest,
         Self::Unfair,
         Self::OneCell,
+        Self::StopAtEvent,
         Self::Kept,
     ];
 
@@ -49,13 +52,17 @@
             Self::CopyLargest => "copy_largest",
             Self::Unfair => "unfair",
             Self::OneCell => "one_cell",
+            Self::StopAtEvent => "stop_at_event",
             Self::Kept => "kept",
         }
     }
 
     /// Whether the gateway's own code decides about running copies.
     pub(super) fn can_back_up(self) -> bool {
-        matches!(self, Self::Kept | Self::OneCell | Self::Unfair)
+        matches!(
+            self,
+            Self::Kept | Self::OneCell | Self::StopAtEvent | Self::Unfair
+        )
     }
 }
 
@@ -111,6 +118,7 @@
     pub(crate) wasted_prompt_tokens: u64,
     /// Pauses in streams whose generation was migrated.
     pub(crate) pause_ms_p50: f64,
+    pub(crate) pause_ms_p90: f64,
     pub(crate) pause_ms_p99: f64,
 }
 
@@ -271,6 +279,7 @@
             moves: self.moves,
             wasted_prompt_tokens: self.wasted_prompt_tokens,
             pause_ms_p50: percentile(&self.pauses_ms, 0.5),
+            pause_ms_p90: percentile(&self.pauses_ms, 0.9),
             pause_ms_p99: percentile(&self.pauses_ms, 0.99),
         }
     }
--- a/crates/bench/src/reclaim/scenario.rs
+++ b/crates/bench/src/reclaim/scenario.rs
@@ -135,7 +135,12 @@
     has_partitions: false,
 };
 
-const UNEVEN_POLICIES: &[PolicyName] = &[PolicyName::Oracle, PolicyName::OneCell, PolicyName::Kept];
+const UNEVEN_POLICIES: &[PolicyName] = &[
+    PolicyName::Oracle,
+    PolicyName::OneCell,
+    PolicyName::StopAtEvent,
+    PolicyName::Kept,
+];
 
 const UNEVEN_ENGINES: Scenario = Scenario {
     name: "uneven-engines",
@@ -200,8 +205,9 @@
     ],
     demand: Demand {
         data_centre_shares: &[63.0 / 215.0, 83.0 / 215.0, 69.0 / 215.0],
-        // The page says only that peaks are at different times; this is the swing of the other load.
-        swing: 0.55,
+        // The page gives no amplitude. With a smaller one, cells refuse far fewer requests than it
+        // reports.
+        swing: 0.65,
         swing_period_s: 15.0,
         surges: &[
             Surge {
@@ -215,7 +221,7 @@
                 during_s: 15.0..19.0,
             },
         ],
-        // One pair of surges in the time of a run by the users, which is about 33 s.
+        // The page gives no interval. Long answers end between two pairs of surges.
         surge_period_s: 30.0,
     },
     has_partitions: true,
--- a/crates/bench/src/reclaim/world.rs
+++ b/crates/bench/src/reclaim/world.rs
@@ -1,13 +1,12 @@
 //! The simulation of one run: callers, the home of the cell and its engines.
 
-use std::collections::BTreeMap;
-
-use fulmarpath_policy::{CellPartitioning, HostKey, RunEnd, RunKey, UpstreamKey};
+use fulmarpath_policy::{HostKey, MigrationOutcome, RunEnd, RunKey, UpstreamKey};
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
 
-use super::cells::{CellIndex, Cells, Separate};
-use super::engine::{Engine, Job, StepOutput};
+use super::attempt::Attempt;
+use super::cells::{CellIndex, Cells};
+use super::engine::{Engine, StepOutput};
 use super::engine_lifecycle;
 use super::event::{Event, EventQueue};
 use super::host;
@@ -40,25 +39,6 @@
     pub(crate) mix: Mix,
 }
 
-/// One attempt of a caller and its progress.
-#[derive(Debug, Clone, Copy)]
-pub(super) struct Attempt {
-    pub(super) caller: usize,
-    pub(super) arrived_us: u64,
-    pub(super) placed_us: u64,
-    pub(super) engine: Option<usize>,
-    pub(super) backup: Option<usize>,
-    /// Removed from its engine, in transfer to another.
-    pub(super) in_transfer: Option<Job>,
-    pub(super) has_ended: bool,
-    pub(super) was_migrated: bool,
-    pub(super) first_event_us: Option<u64>,
-    pub(super) last_event_us: u64,
-    longest_pause_ms: f64,
-    /// The step factor of its engine, unless it ran on several.
-    pub(super) step_factor: Option<f64>,
-}
-
 pub(super) struct World {
     pub(super) settings: Settings,
     pub(super) now_us: u64,
@@ -86,7 +66,7 @@
         settings,
         now_us: 0,
         event_queue: EventQueue::default(),
-        cells: Cells::new(partitioning(&settings), Box::new(Separate)),
+        cells: Cells::of(&settings),
         engines: Vec::new(),
         outcomes: outcomes.collect(),
         callers,
@@ -109,21 +89,6 @@
     key.0 as usize - 1
 }
 
-/// How the engines are divided into cells.
-fn partitioning(settings: &Settings) -> CellPartitioning {
-    let scenario = settings.scenario;
-    if !scenario.has_partitions || settings.policy == PolicyName::OneCell {
-        return CellPartitioning::default();
-    }
-    let numbers = 0..settings.engines;
-    let mut counts: BTreeMap<String, usize> = BTreeMap::new();
-    for number in numbers {
-        let name = (number % scenario.data_centres).to_string();
-        *counts.entry(name).or_default() += 1;
-    }
-    CellPartitioning::default().updated(&counts)
-}
-
 impl World {
     fn run_events(&mut self) {
         self.start_engines();
@@ -172,20 +137,7 @@
 
     pub(super) fn schedule_attempt(&mut self, caller: usize, at_us: u64) {
         let attempt = self.attempts.len();
-        self.attempts.push(Attempt {
-            caller,
-            arrived_us: at_us,
-            placed_us: at_us,
-            engine: None,
-            backup: None,
-            in_transfer: None,
-            has_ended: false,
-            was_migrated: false,
-            first_event_us: None,
-            last_event_us: 0,
-            longest_pause_ms: 0.0,
-            step_factor: None,
-        });
+        self.attempts.push(Attempt::new(caller, at_us));
         self.event_queue.schedule(at_us, Event::Arrive(attempt));
     }
 
@@ -231,6 +183,11 @@
             let held = self.callers[self.attempts[run].caller].prompt_tokens + out;
             self.engines[backup].grow_copy(run, held);
         }
+        if out.is_multiple_of(EVENT_TOKENS)
+            && let Some(migration) = self.attempts[run].stops_after_event.take()
+        {
+            self.stop_and_copy(migration);
+        }
     }
 
     /// Records an event that reaches its caller.
@@ -251,6 +208,7 @@
 
     fn complete(&mut self, run: usize) {
         self.record_event(run);
+        self.abandon_stop(run, MigrationOutcome::Ended);
         self.end_attempt(run, true);
         let attempt = self.attempts[run];
         let caller_request = self.callers[attempt.caller];
@@ -273,7 +231,7 @@
         let end = RunEnd {
             out_tokens: self.callers[self.attempts[run].caller].length_tokens,
             is_complete,
-            first_ms: self.first_ms(run),
+            first_ms: self.attempts[run].first_ms(),
         };
         let (now_ms, cell) = (self.now_ms(), self.cell_of_run(run));
         self.cells
@@ -294,10 +252,4 @@
         };
         engine.map_or_else(own, |engine| self.engines[engine].site.cell)
     }
-
-    /// Time from the placement of an attempt to its first event.
-    fn first_ms(&self, run: usize) -> Option<u64> {
-        let attempt = &self.attempts[run];
-        Some((attempt.first_event_us? - attempt.placed_us) / 1_000)
-    }
 }
