--- a/crates/bench/src/reclaim/migration.rs
+++ b/crates/bench/src/reclaim/migration.rs
@@ -2,8 +2,8 @@
 
 use fulmarpath_policy::{Migration, MigrationOutcome};
 
-use super::engine::CAPACITY;
 use super::event::Event;
+use super::request::EVENT_TOKENS;
 use super::row::PolicyName;
 use super::world::{World, engine_of, key_of};
 
@@ -21,8 +21,8 @@
         let now_ms = self.now_ms();
         if let Some(stop_us) = self.engines[engine].stops_at_us {
             let remaining_us = stop_us.saturating_sub(self.now_us) + REPORT_AGE_US;
-            self.cell
-                .set_time_left(now_ms, key_of(engine), remaining_us / 1_000);
+            let cell = self.cells.get_mut(self.engines[engine].site.cell);
+            cell.set_time_left(now_ms, key_of(engine), remaining_us / 1_000);
         }
     }
 
@@ -31,7 +31,8 @@
             return;
         }
         let now_ms = self.now_ms();
-        match self.cell.next_migration(now_ms, key_of(engine)) {
+        let own = self.engines[engine].site.cell;
+        match self.cells.next_migration(now_ms, own, key_of(engine)) {
             Some(migration) => self.begin_migration(migration),
             None => self.after(MIGRATION_POLL_US, Event::NextMigration(engine)),
         }
@@ -59,9 +60,10 @@
     /// Queues a copy on both links; returns when it ends. A transfer between data centres takes
     /// twice the time.
     fn reserve_links(&mut self, from: usize, to: usize, tokens: u32) -> u64 {
-        let is_remote = self.engines[from].data_centre != self.engines[to].data_centre;
-        let bits = f64::from(tokens) * f64::from(CAPACITY.token_bytes) * 8.0;
-        let local_us = bits / f64::from(CAPACITY.link_mbps);
+        let sites = [from, to].map(|engine| self.engines[engine].site);
+        let is_remote = sites[0].data_centre != sites[1].data_centre;
+        let bits = f64::from(tokens) * f64::from(sites[0].capacity.token_bytes) * 8.0;
+        let local_us = bits / f64::from(sites[0].capacity.link_mbps);
         let duration_us = match (self.settings.policy, is_remote) {
             (PolicyName::Oracle, _) => 0.0,
             (_, false) => local_us,
@@ -82,13 +84,28 @@
         if self.engines[from].is_gone {
             return self.end_migration(migration, MigrationOutcome::Orphaned);
         }
-        if self.attempts[run].has_ended || self.engines[from].find(run).is_none() {
+        let job = self.engines[from].find(run);
+        let Some(out_tokens) = job.map(|job| job.out_tokens) else {
             self.engines[to].drop_copy(run);
             return self.end_migration(migration, MigrationOutcome::Ended);
+        };
+        let waits_for_event = self.settings.policy == PolicyName::StopAtEvent;
+        if waits_for_event && !out_tokens.is_multiple_of(EVENT_TOKENS) {
+            self.attempts[run].stops_after_event = Some(migration);
+            return;
         }
-        let Some(job) = self.engines[from].remove(run) else {
+        self.stop_and_copy(migration);
+    }
+
+    /// Stops a generation and begins the final copy. The destination sends whole events, so the
+    /// tokens since the last event are computed again there.
+    pub(super) fn stop_and_copy(&mut self, migration: Migration) {
+        let (from, to) = (engine_of(migration.from), engine_of(migration.to));
+        let run = migration.run.0 as usize;
+        let Some(mut job) = self.engines[from].remove(run) else {
             return;
         };
+        job.out_tokens -= job.out_tokens % EVENT_TOKENS;
         self.attempts[run].in_transfer = Some(job);
         let new_tokens = job
             .held_tokens()
@@ -98,6 +115,17 @@
             .schedule(end_us, Event::DeltaCopied(migration));
     }
 
+    /// Ends a migration that waits for an event that won't come.
+    pub(super) fn abandon_stop(&mut self, run: usize, outcome: MigrationOutcome) {
+        let Some(migration) = self.attempts[run].stops_after_event.take() else {
+            return;
+        };
+        if outcome == MigrationOutcome::Ended {
+            self.engines[engine_of(migration.to)].drop_copy(run);
+        }
+        self.end_migration(migration, outcome);
+    }
+
     pub(super) fn resume_migrated(&mut self, migration: Migration) {
         let (from, to) = (engine_of(migration.from), engine_of(migration.to));
         let run = migration.run.0 as usize;
@@ -117,6 +145,7 @@
         }
         self.attempts[run].engine = Some(target);
         self.attempts[run].was_migrated = true;
+        self.attempts[run].step_factor = None;
         self.engines[target].resume(job);
         self.start_step_if_idle(target);
         let outcome = match target == to {
@@ -129,7 +158,10 @@
 
     fn end_migration(&mut self, migration: Migration, outcome: MigrationOutcome) {
         let now_ms = self.now_ms();
-        self.cell.finish_migration(now_ms, migration, outcome);
+        let between =
+            [migration.from, migration.to].map(|key| self.engines[engine_of(key)].site.cell);
+        self.cells
+            .finish_migration(now_ms, between, migration, outcome);
         self.after(1_000, Event::NextMigration(engine_of(migration.from)));
     }
 }
