Name the cell that took a request in its record

The line of a request did not show that another cell's home had placed it. taken_by names that cell, explain says that the own cell handed it on. The cell of a request is looked up for each placement, since the cells may have changed since it arrived.

--- a/crates/gateway/src/record.rs
+++ b/crates/gateway/src/record.rs
@@ -76,6 +76,9 @@
     /// many.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub parts: Vec<String>,
+    /// The cell whose home placed it last, if it was not the one in which it arrived.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub taken_by: Option<String>,
     /// The state of the engine as known to the cell's home.
     pub seen: Option<EngineSnapshot>,
     /// Time from arrival until the first event was sent to the caller.
@@ -97,7 +100,10 @@
     /// Explains the outcome of the request in one sentence.
     pub fn cause(&self) -> String {
         let (outcome, upstreams) = (self.describe_outcome(), self.upstreams);
-        format!("{outcome}; upstreams were known by revision {upstreams}")
+        let taken_by = self.taken_by.as_ref().map_or_else(String::new, |cell| {
+            format!("; its cell handed it on to cell {cell}")
+        });
+        format!("{outcome}{taken_by}; upstreams were known by revision {upstreams}")
     }
 
     fn describe_outcome(&self) -> String {
--- a/crates/gateway/src/start.rs
+++ b/crates/gateway/src/start.rs
@@ -282,8 +282,13 @@
                 request.max_wait_ms = inbound.route.target_ms.saturating_sub(waited_ms);
                 request.is_final_attempt = is_final_attempt;
             }
+            // The cells may have changed since the request arrived.
+            let data_centre = &self.settings.host.data_centre;
+            let cell = self
+                .cells
+                .cell_for(&inbound.service, data_centre, run_guard.run);
             let placement = match &request {
-                Some(request) => self.place(run_guard.cell, request.clone()).await,
+                Some(request) => self.place(cell, request.clone()).await,
                 None => Placement::NoEngine,
             };
             match placement {
@@ -293,6 +298,8 @@
                     seen,
                 } => {
                     tracker.set_engine_snapshot(seen);
+                    let taken_by = self.cells.cell_of_engine(engine);
+                    tracker.set_taken_by(taken_by.filter(|taken_by| *taken_by != cell));
                     if self.is_start_refused(engine).await {
                         // Other hosts may take every start of this engine, and this request has no
                         // time left to retry.
--- a/crates/gateway/src/tracker.rs
+++ b/crates/gateway/src/tracker.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 
 use fulmarpath_policy::{ContentKey, EngineSnapshot, Millis, Verdict};
+use fulmarpath_wire::CellKey;
 use spdlog::info;
 
 use crate::configuration::{Route, RouteKind};
@@ -52,6 +53,8 @@
     /// Ids of the shared parts of its prompt, for log lines.
     parts: Vec<String>,
     engine_snapshot: Option<EngineSnapshot>,
+    /// The cell that has taken it from the one in which it arrived.
+    taken_by: Option<CellKey>,
     first_event_ms: Option<Millis>,
     longest_pause_ms: Millis,
     event_at_ms: Millis,
@@ -76,6 +79,7 @@
             size: None,
             parts: Vec::new(),
             engine_snapshot: None,
+            taken_by: None,
             first_event_ms: None,
             longest_pause_ms: 0,
             event_at_ms: 0,
@@ -113,6 +117,11 @@
         self.engine_snapshot = Some(snapshot);
     }
 
+    /// Sets the cell that has taken the request; `None` if that is the one in which it arrived.
+    pub(crate) fn set_taken_by(&mut self, cell: Option<CellKey>) {
+        self.taken_by = cell;
+    }
+
     /// Records when an upstream was first selected for the request.
     pub(crate) fn mark_placed(&mut self, now_ms: Millis) {
         let since_ms = now_ms.saturating_sub(self.arrived_ms);
@@ -224,6 +233,7 @@
             placed_ms: self.placed_ms,
             size: self.size,
             parts: self.parts.clone(),
+            taken_by: self.taken_by.map(|cell| format!("{:016x}", cell.0)),
             seen: self.engine_snapshot,
             first_event_ms: self.first_event_ms,
             longest_pause_ms: self.longest_pause_ms,
--- a/tests/explain.rs
+++ b/tests/explain.rs
@@ -28,6 +28,7 @@
         placed_ms: None,
         size: None,
         parts: Vec::new(),
+        taken_by: None,
         seen: None,
         first_event_ms: None,
         longest_pause_ms: 0,
@@ -79,6 +80,28 @@
     );
 }
 
+/// The cause names the cell that took a request from its own cell, and no cell otherwise; the record
+/// has no such field then.
+#[rstest]
+#[case::own_cell(None, "")]
+#[case::other_cell(Some("00000000000000b2"), "handed it on to cell 00000000000000b2")]
+fn names_the_cell_that_took_it(#[case] taken_by: Option<&str>, #[case] expected: &str) {
+    let record = RequestRecord {
+        taken_by: taken_by.map(str::to_owned),
+        ..record("answered", 200, &["i-1"])
+    };
+    let line = request_line(5, &record);
+    assert_eq!(line.contains("taken_by"), taken_by.is_some());
+    let logs = [("host-a".to_owned(), line)];
+    let cause = &explain("9c41", &logs).expect("it is found").causes[0];
+    assert!(cause.contains(expected), "{cause}");
+    assert_eq!(
+        cause.contains("handed it on"),
+        taken_by.is_some(),
+        "{cause}"
+    );
+}
+
 /// Lines of several hosts are merged by time. The relaying host logs the request id, the home of
 /// its cell only the key of the generation. Truncated lines are counted, and a prefix that a log
 /// collector puts before a line is ignored.
