Migrate generations to engines of other cells

A leaving engine's generation was lost if no engine of its cell had room for it, although other cells had.

The home of the source now selects such a generation (unplaceable_migration), and the home of another cell reserves an engine for it (reserve_incoming), which counts its memory and its incoming transfer there, after the room for its own leaving generations.

The generations of a leaving engine and requests are asked for apart, as a cell may have room for one and not for the other.

--- /dev/null
+++ b/crates/gateway/src/cells/border.rs
@@ -0,0 +1,144 @@
+//! Migrates generations of leaving engines to engines of other cells, and takes those of other
+//! cells.
+
+use std::sync::Arc;
+
+use fulmarpath_policy::{
+    IncomingMigration, Migration, MigrationOutcome, Millis, RunKey, UpstreamKey,
+};
+use fulmarpath_wire::{CellKey, GatewayPeerClient};
+use spdlog::{info, warn};
+
+use crate::cells::Cells;
+use crate::cells::homes::metric_label;
+use crate::cells::overflow::CALL_TIMEOUT;
+use crate::cells::pool::OtherHomes;
+use crate::gateway::Gateway;
+
+impl Cells {
+    fn unplaceable_migration(
+        &self,
+        now_ms: Millis,
+        cell: CellKey,
+        from: UpstreamKey,
+    ) -> Option<IncomingMigration> {
+        let tables = self.tables.lock();
+        let table = tables.get(&cell)?;
+        table.cell.unplaceable_migration(now_ms, from)
+    }
+
+    fn begin_outgoing(
+        &self,
+        cell: CellKey,
+        run: RunKey,
+        from: UpstreamKey,
+        to: UpstreamKey,
+    ) -> Option<Migration> {
+        let mut tables = self.tables.lock();
+        tables.get_mut(&cell)?.cell.begin_outgoing(run, from, to)
+    }
+
+    fn finish_outgoing(
+        &self,
+        now_ms: Millis,
+        cell: CellKey,
+        migration: Migration,
+        outcome: MigrationOutcome,
+    ) {
+        if let Some(table) = self.tables.lock().get_mut(&cell) {
+            table.cell.finish_outgoing(now_ms, migration, outcome);
+        }
+    }
+
+    fn reserve_incoming(
+        &self,
+        now_ms: Millis,
+        cell: CellKey,
+        incoming: &IncomingMigration,
+    ) -> Option<UpstreamKey> {
+        let mut tables = self.tables.lock();
+        let table = tables.get_mut(&cell)?;
+        table.cell.reserve_incoming(now_ms, incoming)
+    }
+
+    pub(crate) fn finish_incoming(
+        &self,
+        now_ms: Millis,
+        cell: CellKey,
+        run: RunKey,
+        outcome: MigrationOutcome,
+    ) {
+        if let Some(table) = self.tables.lock().get_mut(&cell) {
+            table.cell.finish_incoming(now_ms, run, outcome);
+        }
+    }
+}
+
+impl Gateway {
+    /// Asks another host, the home of a cell, to reserve an engine for a migration; `None` if it does
+    /// not answer.
+    pub(super) async fn ask_to_reserve(
+        &self,
+        cell: CellKey,
+        incoming: IncomingMigration,
+    ) -> Option<Option<UpstreamKey>> {
+        let (_, member) = self.home_of(cell)?;
+        let call = |client: GatewayPeerClient, context| async move {
+            client.reserve_incoming(context, cell, incoming).await
+        };
+        let peers = &self.fleet.peers;
+        let sent = peers.call_with_timeout(member.address, CALL_TIMEOUT, call);
+        match sent.await {
+            Ok(reserved) => Some(reserved),
+            Err(error) => {
+                warn!(
+                    "cells: could not ask {} for a destination: {error}",
+                    member.name
+                );
+                None
+            }
+        }
+    }
+
+    /// Reserves an engine for a generation of another cell, as the home of this one.
+    pub(crate) fn handle_reserve_incoming(
+        &self,
+        cell: CellKey,
+        incoming: &IncomingMigration,
+    ) -> Option<UpstreamKey> {
+        if !self.is_home(cell) {
+            return None;
+        }
+        let now_ms = self.clock.now_ms();
+        self.cells.reserve_incoming(now_ms, cell, incoming)
+    }
+
+    /// Migrates the next generation of a leaving engine that finds no destination in its cell to an
+    /// engine of another one; `None` if there is none.
+    pub(crate) async fn migrate_over_border(
+        self: &Arc<Self>,
+        cell: CellKey,
+        from: UpstreamKey,
+    ) -> Option<MigrationOutcome> {
+        let now_ms = self.clock.now_ms();
+        let outgoing = self.cells.unplaceable_migration(now_ms, cell, from)?;
+        let homes: Arc<dyn OtherHomes> = self.clone();
+        let pools = &self.cell_duties.pools;
+        let reserved = pools.reserve(self.as_ref(), &homes, cell, outgoing).await;
+        let (other, to) = reserved?;
+        let run = outgoing.statement.run;
+        let outcome = match self.cells.begin_outgoing(cell, run, from, to) {
+            Some(migration) => {
+                let outcome = self.perform_migration(migration).await;
+                let now_ms = self.clock.now_ms();
+                self.cells.finish_outgoing(now_ms, cell, migration, outcome);
+                self.metrics.border_transfer(metric_label(outcome));
+                info!("cells: {:016x} to cell {:016x}", run.0, other.0);
+                outcome
+            }
+            None => MigrationOutcome::NotMoved,
+        };
+        tokio::spawn(async move { homes.finish_incoming(other, run, outcome).await });
+        Some(outcome)
+    }
+}
--- a/crates/gateway/src/cells/homes.rs
+++ b/crates/gateway/src/cells/homes.rs
@@ -261,30 +261,45 @@
         let mut moved = 0;
         while self.cells.is_leaving(cell, engine) && self.acts_for(cell) {
             let now_ms = self.clock.now_ms();
-            let Some(migration) = self.cells.next_migration(now_ms, cell, engine) else {
-                tokio::time::sleep(MIGRATION_CHECK_PERIOD).await;
-                continue;
-            };
-            let outcome = self.request_migration(migration).await;
-            info!(
-                "cells: {:016x} from {:016x} to {:016x}: {} after {} ms",
-                migration.run.0,
-                migration.from.0,
-                migration.to.0,
-                log_name(outcome),
-                self.clock.now_ms().saturating_sub(now_ms)
-            );
-            let labels = TransferLabels {
-                end: metric_label(outcome),
+            let outcome = match self.cells.next_migration(now_ms, cell, engine) {
+                Some(migration) => {
+                    let outcome = self.perform_migration(migration).await;
+                    self.cells
+                        .finish_migration(self.clock.now_ms(), cell, migration, outcome);
+                    Some(outcome)
+                }
+                None => self.migrate_over_border(cell, engine).await,
             };
-            self.metrics.transfers.get_or_create(&labels).inc();
-            moved += u32::from(outcome == MigrationOutcome::Moved);
-            self.cells
-                .finish_migration(self.clock.now_ms(), cell, migration, outcome);
+            moved += u32::from(outcome == Some(MigrationOutcome::Moved));
+            if outcome.is_none() {
+                tokio::time::sleep(MIGRATION_CHECK_PERIOD).await;
+            }
         }
         info!("cells: {moved} generations carried off {:016x}", engine.0);
     }
 
+    /// Has a generation migrated by the host that relays it.
+    pub(crate) async fn perform_migration(
+        self: &Arc<Self>,
+        migration: Migration,
+    ) -> MigrationOutcome {
+        let now_ms = self.clock.now_ms();
+        let outcome = self.request_migration(migration).await;
+        info!(
+            "cells: {:016x} from {:016x} to {:016x}: {} after {} ms",
+            migration.run.0,
+            migration.from.0,
+            migration.to.0,
+            log_name(outcome),
+            self.clock.now_ms().saturating_sub(now_ms)
+        );
+        let labels = TransferLabels {
+            end: metric_label(outcome),
+        };
+        self.metrics.transfers.get_or_create(&labels).inc();
+        outcome
+    }
+
     async fn request_migration(self: &Arc<Self>, migration: Migration) -> MigrationOutcome {
         let Migration { run, to, host, .. } = migration;
         if host == self.host_key() {
@@ -329,7 +344,7 @@
     }
 }
 
-fn metric_label(outcome: MigrationOutcome) -> &'static str {
+pub(crate) fn metric_label(outcome: MigrationOutcome) -> &'static str {
     match outcome {
         MigrationOutcome::Moved => "moved",
         MigrationOutcome::NotMoved => "stayed",
--- a/crates/gateway/src/cells/mod.rs
+++ b/crates/gateway/src/cells/mod.rs
@@ -1,6 +1,7 @@
 //! The cells' tables on this host. They cover all generations of a cell if this host is its home,
 //! otherwise only the generations that this host relays.
 
+pub(crate) mod border;
 pub(crate) mod departures;
 pub(crate) mod homes;
 pub(crate) mod layout;
--- a/crates/gateway/src/cells/overflow.rs
+++ b/crates/gateway/src/cells/overflow.rs
@@ -3,17 +3,20 @@
 use std::time::Duration;
 
 use async_trait::async_trait;
-use fulmarpath_policy::{Millis, OtherCells, Placement, PlacementRequest, RunEnd, RunKey};
+use fulmarpath_policy::{
+    IncomingMigration, MigrationOutcome, Millis, OtherCells, Placement, PlacementRequest, RunEnd,
+    RunKey,
+};
 use fulmarpath_wire::{CellKey, GatewayPeerClient, OverflowAnswer};
 use spdlog::warn;
 
 use crate::cells::Cells;
-use crate::cells::pool::{OtherHomes, Overflow, OwnCell};
+use crate::cells::pool::{OtherHomes, Overflow, OwnCell, Reservation};
 use crate::gateway::Gateway;
 
 /// After this time the relaying host has no use for an answer any more. Longer than the time that
 /// the asking home waits, because a call that fails closes its connection.
-const CALL_TIMEOUT: Duration = Duration::from_millis(150);
+pub(super) const CALL_TIMEOUT: Duration = Duration::from_millis(150);
 
 impl Cells {
     fn has_others(&self, cell: CellKey) -> bool {
@@ -145,6 +148,38 @@
     async fn release(&self, cell: CellKey, run: RunKey) {
         self.report_end_to_home(cell, run, RunEnd::default()).await;
     }
+
+    async fn reserve_incoming(
+        &self,
+        cell: CellKey,
+        incoming: IncomingMigration,
+    ) -> Option<Reservation> {
+        let reserved = match self.is_home(cell) {
+            true => self.handle_reserve_incoming(cell, &incoming),
+            false => self.ask_to_reserve(cell, incoming).await?,
+        };
+        Some(reserved.map_or(Reservation::Declined, Reservation::At))
+    }
+
+    async fn finish_incoming(&self, cell: CellKey, run: RunKey, outcome: MigrationOutcome) {
+        let Some((key, member)) = self.home_of(cell) else {
+            return;
+        };
+        if key == self.host_key() {
+            let now_ms = self.clock.now_ms();
+            return self.cells.finish_incoming(now_ms, cell, run, outcome);
+        }
+        let call = |client: GatewayPeerClient, context| async move {
+            client.finish_incoming(context, cell, run, outcome).await
+        };
+        if let Err(error) = self.fleet.peers.call(member.address, call).await {
+            // The reservation ends with the statements, or after its time.
+            warn!(
+                "cells: could not report the migration of {:016x} to the home of cell {:016x}: {error}",
+                run.0, cell.0
+            );
+        }
+    }
 }
 
 impl Gateway {
--- a/crates/gateway/src/cells/pool.rs
+++ b/crates/gateway/src/cells/pool.rs
@@ -7,7 +7,8 @@
 
 use async_trait::async_trait;
 use fulmarpath_policy::{
-    Ask, Millis, OtherCells, Placement, PlacementRequest, Pool, PoolAnswer, RunKey,
+    Ask, IncomingMigration, MigrationOutcome, Millis, OtherCells, Placement, PlacementRequest,
+    Pool, PoolAnswer, RunKey, UpstreamKey,
 };
 use fulmarpath_wire::{CellKey, OverflowAnswer};
 use parking_lot::Mutex;
@@ -57,6 +58,24 @@
     ) -> Option<OverflowAnswer>;
     /// Tells the home of a cell that a generation that it has taken does not run there.
     async fn release(&self, cell: CellKey, run: RunKey);
+    /// Asks the home of a cell to reserve an engine for a generation of a leaving engine; `None` if
+    /// it does not answer.
+    async fn reserve_incoming(
+        &self,
+        cell: CellKey,
+        incoming: IncomingMigration,
+    ) -> Option<Reservation>;
+    /// Tells the home of a cell how a migration ended for which it had reserved an engine.
+    async fn finish_incoming(&self, cell: CellKey, run: RunKey, outcome: MigrationOutcome);
+}
+
+/// The answer of a cell's home to a migration from another cell.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Reservation {
+    /// This engine is reserved.
+    At(UpstreamKey),
+    /// No engine has room and time for it.
+    Declined,
 }
 
 /// What became of a request that a home tried to hand on.
@@ -73,7 +92,16 @@
 /// What the homes of cells on this host know of the other cells.
 #[derive(Debug, Default)]
 pub struct CellPools {
-    pools: Mutex<HashMap<CellKey, Pool<CellKey>>>,
+    pools: Mutex<HashMap<CellKey, Pools>>,
+}
+
+/// What the home of one cell knows of the other cells.
+#[derive(Debug, Default)]
+struct Pools {
+    requests: Pool<CellKey>,
+    /// Kept apart, because a cell may have room for a request but not for a transfer in time, and
+    /// the other way round.
+    migrations: Pool<CellKey>,
 }
 
 impl CellPools {
@@ -132,7 +160,7 @@
                 max_cost_ms,
             } = next?;
             asked.push(other);
-            let answer = ask(homes.clone(), other, request.clone(), max_cost_ms).await;
+            let answer = ask_to_place(homes.clone(), other, request.clone(), max_cost_ms).await;
             let now_ms = own.now_ms();
             self.with(cell, |pool| {
                 pool.record(now_ms, other, own_cost_ms, pool_answer(answer));
@@ -154,25 +182,110 @@
         self.pools.lock().retain(|cell, _| is_home(*cell));
     }
 
+    /// Finds an engine of another cell for a generation of a leaving engine, and reserves it there.
+    pub async fn reserve(
+        &self,
+        own: &dyn OwnCell,
+        homes: &Arc<dyn OtherHomes>,
+        cell: CellKey,
+        incoming: IncomingMigration,
+    ) -> Option<(CellKey, UpstreamKey)> {
+        if !own.has_others(cell) {
+            return None;
+        }
+        let others = own.others(cell);
+        let mut asked = Vec::new();
+        loop {
+            let now_ms = own.now_ms();
+            let draw = rand::random();
+            let next = self.with_pools(cell, |pools| {
+                pools
+                    .migrations
+                    .candidate(now_ms, None, &others, draw, &asked)
+            });
+            let other = next?.cell;
+            asked.push(other);
+            let answer = ask_to_reserve(homes.clone(), other, incoming).await;
+            let now_ms = own.now_ms();
+            let recorded = match answer {
+                // All cells with room are alike, so the last one that had room is asked first.
+                Some(Reservation::At(_)) => PoolAnswer::Placed { cost_ms: 0.0 },
+                Some(Reservation::Declined) => PoolAnswer::Declined { cost_ms: None },
+                None => PoolAnswer::Silent,
+            };
+            self.with_pools(cell, |pools| {
+                pools.migrations.record(now_ms, other, None, recorded);
+            });
+            match answer {
+                Some(Reservation::At(to)) => return Some((other, to)),
+                Some(Reservation::Declined) => {}
+                None => warn!("cells: no answer from the home of cell {:016x}", other.0),
+            }
+        }
+    }
+
     fn with<T>(&self, cell: CellKey, decide: impl FnOnce(&mut Pool<CellKey>) -> T) -> T {
+        self.with_pools(cell, |pools| decide(&mut pools.requests))
+    }
+
+    fn with_pools<T>(&self, cell: CellKey, decide: impl FnOnce(&mut Pools) -> T) -> T {
         decide(self.pools.lock().entry(cell).or_default())
     }
 }
 
-/// Asks another home. The call continues after [`ANSWER_TIMEOUT`], or if the relaying host has
-/// given up: the other home then learns that what it has placed does not run.
-async fn ask(
+async fn ask_to_place(
     homes: Arc<dyn OtherHomes>,
     cell: CellKey,
     request: PlacementRequest,
     max_cost_ms: Option<f32>,
 ) -> Option<OverflowAnswer> {
+    let run = request.run;
+    let call = {
+        let homes = homes.clone();
+        async move { homes.place_overflow(cell, request, max_cost_ms).await }
+    };
+    let undo = async move |answer| {
+        if matches!(answer, OverflowAnswer::Placed { .. }) {
+            homes.release(cell, run).await;
+        }
+    };
+    ask(call, undo).await
+}
+
+async fn ask_to_reserve(
+    homes: Arc<dyn OtherHomes>,
+    cell: CellKey,
+    incoming: IncomingMigration,
+) -> Option<Reservation> {
+    let call = {
+        let homes = homes.clone();
+        async move { homes.reserve_incoming(cell, incoming).await }
+    };
+    let undo = async move |answer| {
+        if matches!(answer, Reservation::At(_)) {
+            let outcome = MigrationOutcome::NotMoved;
+            homes
+                .finish_incoming(cell, incoming.statement.run, outcome)
+                .await;
+        }
+    };
+    ask(call, undo).await
+}
+
+/// Waits [`ANSWER_TIMEOUT`] for the answer of another home. The call continues after that, or if the
+/// relaying host has given up; its answer is undone then.
+async fn ask<T, U>(
+    call: impl Future<Output = Option<T>> + Send + 'static,
+    undo: impl FnOnce(T) -> U + Send + 'static,
+) -> Option<T>
+where
+    T: Send + 'static,
+    U: Future<Output = ()> + Send,
+{
     let (send, mut answered) = oneshot::channel();
     tokio::spawn(async move {
-        let run = request.run;
-        let answer = homes.place_overflow(cell, request, max_cost_ms).await;
-        if let Err(Some(OverflowAnswer::Placed { .. })) = send.send(answer) {
-            homes.release(cell, run).await;
+        if let Err(Some(late)) = send.send(call.await) {
+            undo(late).await;
         }
     });
     match timeout(ANSWER_TIMEOUT, &mut answered).await {
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -36,7 +36,7 @@
 mod tracker;
 mod upstreams;
 
-pub use cells::pool::{CellPools, OtherHomes, Overflow, OwnCell};
+pub use cells::pool::{CellPools, OtherHomes, Overflow, OwnCell, Reservation};
 pub use configuration::{
     ActiveConfiguration, CallerLimits, Configuration, EngineTraits, Organisation, Route, RouteKind,
     Service, Share,
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -179,6 +179,7 @@
     pub(crate) stalls: Counter,
     stream_ends: Family<StreamEndLabels, Counter>,
     overflow: Family<OverflowLabels, Counter>,
+    border_transfers: Family<TransferLabels, Counter>,
     /// Attempts to connect to upstreams.
     pub(crate) dials: DialCounts,
     /// Tunnels that this host has carried for others.
@@ -265,6 +266,9 @@
         let overflow = Family::default();
         let help = "Requests between homes of cells of one service, by outcome";
         registry.register("overflow", help, overflow.clone());
+        let border_transfers = Family::default();
+        let help = "Migrations to engines of another cell that this host ordered, by outcome";
+        registry.register("border_transfers", help, border_transfers.clone());
         let crashes = Family::default();
         let help = "Runs that ended because their upstream ended without notice";
         registry.register("crashed_runs", help, crashes.clone());
@@ -345,6 +349,7 @@
             stalls,
             stream_ends,
             overflow,
+            border_transfers,
             crashes,
             store_calls,
             peer_messages,
@@ -407,6 +412,12 @@
             .inc();
     }
 
+    /// Counts a migration to an engine of another cell.
+    pub(crate) fn border_transfer(&self, end: &'static str) {
+        let labels = TransferLabels { end };
+        self.border_transfers.get_or_create(&labels).inc();
+    }
+
     /// Counts a run that ended because its upstream did.
     pub(crate) fn crash(&self, is_suspect: bool) {
         let suspect = if is_suspect { "yes" } else { "no" };
--- a/crates/gateway/src/peer.rs
+++ b/crates/gateway/src/peer.rs
@@ -6,8 +6,8 @@
 
 use fulmarpath_cluster::poison;
 use fulmarpath_policy::{
-    Circuit, ContentKey, CrashedRun, Placement, PlacementRequest, Revision, RunEnd, RunKey,
-    SoundContent, UpstreamKey, Verdict,
+    Circuit, ContentKey, CrashedRun, IncomingMigration, MigrationOutcome, Placement,
+    PlacementRequest, Revision, RunEnd, RunKey, SoundContent, UpstreamKey, Verdict,
 };
 use fulmarpath_wire::tunnel::TUNNEL_MARK;
 use fulmarpath_wire::{
@@ -187,6 +187,30 @@
             .handle_place_overflow(cell, request, max_cost_ms)
     }
 
+    async fn reserve_incoming(
+        self,
+        _: Context,
+        cell: CellKey,
+        incoming: IncomingMigration,
+    ) -> Option<UpstreamKey> {
+        self.count("reserve_incoming");
+        self.gateway.handle_reserve_incoming(cell, &incoming)
+    }
+
+    async fn finish_incoming(
+        self,
+        _: Context,
+        cell: CellKey,
+        run: RunKey,
+        outcome: MigrationOutcome,
+    ) {
+        self.count("finish_incoming");
+        let now_ms = self.gateway.clock.now_ms();
+        self.gateway
+            .cells
+            .finish_incoming(now_ms, cell, run, outcome);
+    }
+
     async fn ended(self, _: Context, cell: CellKey, run: RunKey, end: RunEnd) {
         self.count("ended");
         let now_ms = self.gateway.clock.now_ms();
--- a/crates/gateway/tests/cell_pool.rs
+++ b/crates/gateway/tests/cell_pool.rs
@@ -5,10 +5,10 @@
 use std::time::Duration;
 
 use async_trait::async_trait;
-use fulmarpath_gateway::{CellPools, OtherHomes, Overflow, OwnCell};
+use fulmarpath_gateway::{CellPools, OtherHomes, Overflow, OwnCell, Reservation};
 use fulmarpath_policy::{
-    EngineSnapshot, HostKey, Millis, OrganisationKey, OtherCells, Placement, PlacementRequest,
-    RunKey, UpstreamKey,
+    EngineSnapshot, HostKey, IncomingMigration, MigrationOutcome, Millis, OrganisationKey,
+    OtherCells, Placement, PlacementRequest, RunKey, RunStatement, UpstreamKey,
 };
 use fulmarpath_wire::{CellKey, OverflowAnswer};
 use parking_lot::Mutex;
@@ -127,14 +127,26 @@
 struct FakeHomes {
     /// Time until each answer, and the answer; `None` if it is lost.
     answers: Mutex<VecDeque<(u64, Option<OverflowAnswer>)>>,
+    /// The same for migrations.
+    reservations: Mutex<VecDeque<(u64, Option<Reservation>)>>,
     asked: Mutex<Vec<(CellKey, Option<f32>)>>,
     released: Mutex<Vec<RunKey>>,
+    finished: Mutex<Vec<MigrationOutcome>>,
 }
 
 impl FakeHomes {
     fn new(answers: &[(u64, Option<OverflowAnswer>)]) -> Arc<Self> {
+        Self::with(answers, &[])
+    }
+
+    fn with(
+        answers: &[(u64, Option<OverflowAnswer>)],
+        reservations: &[(u64, Option<Reservation>)],
+    ) -> Arc<Self> {
         Arc::new(Self {
             answers: Mutex::new(answers.iter().copied().collect()),
+            reservations: Mutex::new(reservations.iter().copied().collect()),
+            finished: Mutex::default(),
             asked: Mutex::default(),
             released: Mutex::default(),
         })
@@ -159,6 +171,18 @@
     async fn release(&self, _: CellKey, run: RunKey) {
         self.released.lock().push(run);
     }
+
+    async fn reserve_incoming(&self, cell: CellKey, _: IncomingMigration) -> Option<Reservation> {
+        self.asked.lock().push((cell, None));
+        let answer = self.reservations.lock().pop_front();
+        let (after_ms, answer) = answer.expect("an expected call");
+        sleep(Duration::from_millis(after_ms)).await;
+        answer
+    }
+
+    async fn finish_incoming(&self, _: CellKey, _: RunKey, outcome: MigrationOutcome) {
+        self.finished.lock().push(outcome);
+    }
 }
 
 fn request(run: u64) -> PlacementRequest {
@@ -366,3 +390,93 @@
     }
     assert_eq!(homes.asked.lock().len(), 2);
 }
+
+fn outgoing() -> IncomingMigration {
+    IncomingMigration {
+        statement: RunStatement {
+            run: RunKey(9),
+            organisation: OrganisationKey(0),
+            engine: UpstreamKey(1),
+            backup: None,
+            prompt_tokens: 1_000,
+            out_tokens: 50,
+            limit_tokens: 600,
+            hint_tokens: None,
+        },
+        host: HostKey(7),
+        data_centre: 1,
+        left_ms: 1_500,
+    }
+}
+
+struct MigrationCase {
+    others: usize,
+    reservations: &'static [(u64, Option<Reservation>)],
+    expected: Option<UpstreamKey>,
+    /// Whether another home is told that the generation does not come.
+    is_finished: bool,
+}
+
+const RESERVED: Reservation = Reservation::At(UpstreamKey(200));
+const MIGRATION_CASE: MigrationCase = MigrationCase {
+    others: 3,
+    reservations: &[],
+    expected: None,
+    is_finished: false,
+};
+
+/// Guards against a generation that stays on its leaving engine because one home has no room or does
+/// not answer, and against memory that stays reserved after an answer that came too late.
+#[rstest]
+#[case::single_cell(MigrationCase { others: 0, ..MIGRATION_CASE })]
+#[case::reserved(MigrationCase {
+    reservations: &[(1, Some(RESERVED))],
+    expected: Some(UpstreamKey(200)),
+    ..MIGRATION_CASE
+})]
+#[case::reserved_by_the_second(MigrationCase {
+    reservations: &[(1, Some(Reservation::Declined)), (1, Some(RESERVED))],
+    expected: Some(UpstreamKey(200)),
+    ..MIGRATION_CASE
+})]
+#[case::home_is_gone(MigrationCase {
+    reservations: &[(0, None), (1, Some(RESERVED))],
+    expected: Some(UpstreamKey(200)),
+    ..MIGRATION_CASE
+})]
+#[case::declined_twice(MigrationCase {
+    reservations: &[(1, Some(Reservation::Declined)), (1, Some(Reservation::Declined))],
+    ..MIGRATION_CASE
+})]
+#[case::answer_comes_late(MigrationCase {
+    reservations: &[(60, Some(RESERVED)), (1, Some(Reservation::Declined))],
+    is_finished: true,
+    ..MIGRATION_CASE
+})]
+#[tokio::test(start_paused = true)]
+async fn reserves_by_the_answers(#[case] case: MigrationCase) {
+    let own = FakeCell::new(OwnState::Full, case.others);
+    let fake = FakeHomes::with(&[], case.reservations);
+    let homes: Arc<dyn OtherHomes> = fake.clone();
+    let pools = CellPools::default();
+    let reserved = pools.reserve(own.as_ref(), &homes, OWN, outgoing()).await;
+    assert_eq!(reserved.map(|(_, to)| to), case.expected);
+    assert_eq!(fake.asked.lock().len(), case.reservations.len());
+    sleep(Duration::from_millis(200)).await;
+    let finished = case.is_finished.then_some(MigrationOutcome::NotMoved);
+    assert_eq!(*fake.finished.lock(), Vec::from_iter(finished));
+}
+
+/// Guards against requests that are refused because a cell could not take a migration, which needs
+/// more room and an idle link.
+#[tokio::test(start_paused = true)]
+async fn migrations_and_requests_are_declined_apart() {
+    let own = FakeCell::new(OwnState::Full, 1);
+    let fake = FakeHomes::with(&[(1, Some(TAKEN))], &[(1, Some(Reservation::Declined))]);
+    let homes: Arc<dyn OtherHomes> = fake.clone();
+    let pools = CellPools::default();
+    let reserved = pools.reserve(own.as_ref(), &homes, OWN, outgoing()).await;
+    assert_eq!(reserved, None);
+    let placement = pools.place(own.clone(), homes, OWN, request(10)).await;
+    assert_eq!(placement, on(200));
+}
--- a/crates/policy/src/cell/migration.rs
+++ b/crates/policy/src/cell/migration.rs
@@ -8,6 +8,8 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
+use serde::{Deserialize, Serialize};
+
 use super::Cell;
 use super::engine::Engine;
 use super::forecast::Forecast;
@@ -15,18 +17,18 @@
 use crate::key::{HostKey, Millis, UpstreamKey};
 
 /// Fixed part of a transfer: two calls to the engine and the start at the destination.
-const SETUP_MS: f32 = 15.0;
+pub(super) const SETUP_MS: f32 = 15.0;
 /// Backoff of a generation whose migration has failed; others are migrated meanwhile.
 const RETRY_BACKOFF_MS: Millis = 150;
 /// Maximum share of a destination's memory that migrations may fill.
-const MAX_MEMORY_SHARE: f32 = 0.97;
+pub(super) const MAX_MEMORY_SHARE: f32 = 0.97;
 /// Like [`MAX_MEMORY_SHARE`], but when little time is left: a full engine pauses a generation
 /// briefly, whereas a leaving engine cuts it permanently.
 const LATE_MAX_MEMORY_SHARE: f32 = 1.05;
 /// Little time is left when it is enough for fewer than this many transfers of a generation within
 /// its data centre: a first attempt and a retry. A larger value would cover most of the notice
 /// period and fill engines without need.
-const LATE_TRANSFERS: f32 = 2.5;
+pub(super) const LATE_TRANSFERS: f32 = 2.5;
 /// A generation is not migrated if the probability that its engine's end cuts it is lower than
 /// this: a migration is cheap, but occupies the link.
 const MIN_LOSS_PROBABILITY: f32 = 0.1;
@@ -45,7 +47,7 @@
 }
 
 /// The outcome of a migration.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub enum MigrationOutcome {
     /// The generation continues on the destination.
     Moved,
@@ -133,7 +135,7 @@
     ///
     /// A transfer cut by the end of its engine saves nothing, and its partial copy holds memory on
     /// the destination until it expires, 9 s later with a copy TTL of 5 s.
-    fn destination(
+    pub(super) fn destination(
         &self,
         now_ms: Millis,
         forecast: &Forecast,
@@ -208,7 +210,12 @@
     }
 
     /// The generations that may leave an engine now, largest loss rate first.
-    fn by_loss_rate(&self, now_ms: Millis, engine: &Engine, left_ms: f32) -> Vec<(f32, RunKey)> {
+    pub(super) fn by_loss_rate(
+        &self,
+        now_ms: Millis,
+        engine: &Engine,
+        left_ms: f32,
+    ) -> Vec<(f32, RunKey)> {
         let movable = self.runs.iter().filter(|(_, run)| {
             run.is_on(engine.entry.key)
                 && !run.is_migrating()
@@ -229,7 +236,7 @@
 }
 
 /// Cost of a full destination against an empty one: about one transfer between data centres.
-const MEMORY_COST_MS: f32 = 300.0;
+pub(super) const MEMORY_COST_MS: f32 = 300.0;
 
 /// Expected loss of computed tokens if a generation stays, per millisecond of link time.
 fn loss_rate(run: &Run, engine: &Engine, loss_probability: f32, now_ms: Millis) -> f32 {
--- a/crates/policy/src/cell/mod.rs
+++ b/crates/policy/src/cell/mod.rs
@@ -10,6 +10,7 @@
 mod cost;
 mod engine;
 mod forecast;
+mod incoming;
 mod migration;
 mod overflow;
 mod placement;
@@ -22,6 +23,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 pub use engine::{CellEngine, EngineCapacity};
+pub use incoming::IncomingMigration;
 pub use migration::{Migration, MigrationOutcome};
 pub use placement::{EngineSnapshot, Placement, PlacementRequest};
 pub use run::{RunEnd, RunKey, RunStatement};
--- a/crates/policy/src/cell/run.rs
+++ b/crates/policy/src/cell/run.rs
@@ -223,6 +223,20 @@
         answer_lengths.running_probability(self.stated_length(), out_tokens, ahead_ms / TOKEN_MS)
     }
 
+    /// What its host would state now.
+    pub(super) fn statement(&self, now_ms: Millis, run: RunKey) -> RunStatement {
+        RunStatement {
+            run,
+            organisation: self.organisation,
+            engine: self.engine,
+            backup: self.backup,
+            prompt_tokens: self.prompt_tokens,
+            out_tokens: self.out_tokens(now_ms) as u32,
+            limit_tokens: self.limit_tokens,
+            hint_tokens: self.hint_tokens,
+        }
+    }
+
     /// Memory held now.
     pub(super) fn held_tokens(&self, now_ms: Millis) -> f32 {
         self.prompt_tokens as f32 + self.out_tokens(now_ms)
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -55,8 +55,8 @@
 pub use brittle::BrittleStarts;
 pub use broadcast::{Recipient, broadcast_branches, split_branch};
 pub use cell::{
-    Cell, CellEngine, EngineCapacity, EngineSnapshot, Migration, MigrationOutcome, Placement,
-    PlacementRequest, RunEnd, RunKey, RunStatement,
+    Cell, CellEngine, EngineCapacity, EngineSnapshot, IncomingMigration, Migration,
+    MigrationOutcome, Placement, PlacementRequest, RunEnd, RunKey, RunStatement,
 };
 pub use cell_partitioning::CellPartitioning;
 pub use choose::{Choice, Draws, choose};
--- a/crates/policy/tests/pool/main.rs
+++ b/crates/policy/tests/pool/main.rs
@@ -5,5 +5,6 @@
 #[path = "../cell/fixtures.rs"]
 #[allow(dead_code)]
 mod fixtures;
+mod incoming;
 mod overflow;
 mod uneven_load;
--- a/crates/wire/src/gateway.rs
+++ b/crates/wire/src/gateway.rs
@@ -3,8 +3,9 @@
 use std::net::SocketAddr;
 
 use fulmarpath_policy::{
-    Circuit, ContentKey, CrashedRun, HostKey, Millis, Placement, PlacementRequest, Revision,
-    RunEnd, RunKey, RunStatement, SoundContent, UpstreamKey, Verdict,
+    Circuit, ContentKey, CrashedRun, HostKey, IncomingMigration, MigrationOutcome, Millis,
+    Placement, PlacementRequest, Revision, RunEnd, RunKey, RunStatement, SoundContent, UpstreamKey,
+    Verdict,
 };
 use serde::{Deserialize, Serialize};
 
@@ -200,4 +201,10 @@
         request: PlacementRequest,
         max_cost_ms: Option<f32>,
     ) -> OverflowAnswer;
+    /// Asks the home of another cell to reserve an engine for a generation of a leaving engine;
+    /// `None` if there is no room or the receiver isn't the home.
+    async fn reserve_incoming(cell: CellKey, incoming: IncomingMigration) -> Option<UpstreamKey>;
+    /// Reports to the home of another cell how a migration ended for which it had reserved an
+    /// engine.
+    async fn finish_incoming(cell: CellKey, run: RunKey, outcome: MigrationOutcome);
 }
