--- a/crates/gateway/src/relay/mod.rs
+++ b/crates/gateway/src/relay/mod.rs
@@ -327,6 +327,11 @@
     }
 
     fn begin_migration(&mut self, order: MigrationOrder) {
+        // A home that has just taken over the cell may not know of the last migration.
+        if order.to.upstream == self.stream.engine().upstream {
+            let _ = order.answer.send(MigrationAnswer::Moved);
+            return;
+        }
         let control = self.gateway.control.clone();
         let dial = Arc::new(self.gateway.dial.clone());
         let source = self.stream.address();
--- a/crates/policy/src/cell/incoming.rs
+++ b/crates/policy/src/cell/incoming.rs
@@ -111,6 +111,7 @@
         now_ms: Millis,
         incoming: &IncomingMigration,
     ) -> Option<UpstreamKey> {
+        self.expire_unconfirmed(now_ms);
         let run = Run::restored(now_ms, incoming.host, &incoming.statement);
         let demand = run.demand(now_ms, &self.answer_lengths);
         let mut forecast = self.forecast(now_ms);
--- a/crates/policy/src/cell/overflow.rs
+++ b/crates/policy/src/cell/overflow.rs
@@ -52,6 +52,7 @@
         request: &PlacementRequest,
         max_cost_ms: Option<f32>,
     ) -> Result<(Placement, f32), Option<f32>> {
+        self.expire_unconfirmed(now_ms);
         let (attempt, selection) = self.select(now_ms, request, |engine| engine.0);
         let Selection::Engine(candidate) = selection else {
             return Err(None);
