--- a/crates/gateway/src/cells/border.rs
+++ b/crates/gateway/src/cells/border.rs
@@ -7,7 +7,7 @@
     IncomingMigration, Migration, MigrationOutcome, Millis, RunKey, UpstreamKey,
 };
 use fulmarpath_wire::{CellKey, GatewayPeerClient};
-use spdlog::{info, warn};
+use spdlog::info;
 
 use crate::cells::Cells;
 use crate::cells::homes::metric_label;
@@ -88,16 +88,8 @@
         };
         let peers = &self.fleet.peers;
         let sent = peers.call_with_timeout(member.address, CALL_TIMEOUT, call);
-        match sent.await {
-            Ok(reserved) => Some(reserved),
-            Err(error) => {
-                warn!(
-                    "cells: could not ask {} for a destination: {error}",
-                    member.name
-                );
-                None
-            }
-        }
+        // The pool logs which homes do not answer, once while they stay silent.
+        sent.await.ok()
     }
 
     /// Reserves an engine for a generation of another cell, as the home of this one.
--- a/crates/gateway/src/cells/overflow.rs
+++ b/crates/gateway/src/cells/overflow.rs
@@ -133,16 +133,8 @@
         };
         let peers = &self.fleet.peers;
         let sent = peers.call_with_timeout(member.address, CALL_TIMEOUT, call);
-        match sent.await {
-            Ok(answer) => Some(answer),
-            Err(error) => {
-                warn!(
-                    "cells: could not hand a request on to {}: {error}",
-                    member.name
-                );
-                None
-            }
-        }
+        // The pool logs which homes do not answer, once while they stay silent.
+        sent.await.ok()
     }
 
     async fn release(&self, cell: CellKey, run: RunKey) {
--- a/crates/gateway/src/cells/pool.rs
+++ b/crates/gateway/src/cells/pool.rs
@@ -163,7 +163,7 @@
             let answer = ask_to_place(homes.clone(), other, request.clone(), max_cost_ms).await;
             let now_ms = own.now_ms();
             self.with(cell, |pool| {
-                pool.record(now_ms, other, own_cost_ms, pool_answer(answer));
+                record(pool, now_ms, other, own_cost_ms, pool_answer(answer));
             });
             own.count(outcome(answer));
             if let Some(OverflowAnswer::Placed { placement, .. }) = answer {
@@ -171,9 +171,6 @@
                 info!("cells: {:016x} handed on to cell {:016x}", run.0, other.0);
                 return Some(placement);
             }
-            if answer.is_none() {
-                warn!("cells: no answer from the home of cell {:016x}", other.0);
-            }
         }
     }
 
@@ -214,12 +211,10 @@
                 None => PoolAnswer::Silent,
             };
             self.with_pools(cell, |pools| {
-                pools.migrations.record(now_ms, other, None, recorded);
+                record(&mut pools.migrations, now_ms, other, None, recorded);
             });
-            match answer {
-                Some(Reservation::At(to)) => return Some((other, to)),
-                Some(Reservation::Declined) => {}
-                None => warn!("cells: no answer from the home of cell {:016x}", other.0),
+            if let Some(Reservation::At(to)) = answer {
+                return Some((other, to));
             }
         }
     }
@@ -297,6 +292,20 @@
     }
 }
 
+/// Records the answer of a cell, and logs the first time that its home is silent.
+fn record(
+    pool: &mut Pool<CellKey>,
+    now_ms: Millis,
+    cell: CellKey,
+    own_cost_ms: Option<f32>,
+    answer: PoolAnswer,
+) {
+    if answer == PoolAnswer::Silent && !pool.is_silent(now_ms, cell) {
+        warn!("cells: no answer from the home of cell {:016x}", cell.0);
+    }
+    pool.record(now_ms, cell, own_cost_ms, answer);
+}
+
 fn pool_answer(answer: Option<OverflowAnswer>) -> PoolAnswer {
     match answer {
         Some(OverflowAnswer::Placed { cost_ms, .. }) => PoolAnswer::Placed { cost_ms },
--- a/crates/policy/src/pool.rs
+++ b/crates/policy/src/pool.rs
@@ -222,6 +222,12 @@
         self.truncate();
     }
 
+    /// Whether the home of a cell is known not to answer.
+    pub fn is_silent(&self, now_ms: Millis, cell: C) -> bool {
+        let known = self.known.get(&cell);
+        known.is_some_and(|known| is_within(now_ms, known.silent_ms, SILENCE_TTL_MS))
+    }
+
     /// Number of cells that are remembered.
     pub fn known_count(&self) -> usize {
         self.known.len()
