--- a/crates/gateway/src/relay/migrate.rs
+++ b/crates/gateway/src/relay/migrate.rs
@@ -14,6 +14,11 @@
 
 impl Relay {
     pub(crate) fn begin_migration(&mut self, order: MigrationOrder) {
+        // A home that has just taken over the cell may not know of the last migration.
+        if order.to.upstream == self.stream.engine().upstream {
+            let _ = order.answer.send(MigrationAnswer::Moved);
+            return;
+        }
         let now_ms = self.gateway.clock.now_ms();
         let control = self.gateway.control.clone();
         let dial = Arc::new(self.gateway.dial.clone());
