Use the slowdown that a plain upstream reports with its load

The report may have a fourth figure: how long work takes on the upstream's machine at the moment, in percent of the usual time. It was not read.

It counts in the cost of the upstream for 300 ms, weighted by its age. Where three quarters of a service's slots are in use it does not count, as the others would become full.

--- a/crates/gateway/src/upstreams/instances.rs
+++ b/crates/gateway/src/upstreams/instances.rs
@@ -120,12 +120,13 @@
         let accepting = accepting.filter(|key| available_at_ms(key) <= now_ms);
         let (cold, warm): (Vec<InstanceKey>, Vec<InstanceKey>) =
             accepting.partition(|key| table.arena[**key].cold(now_ms).is_some());
+        let slowdown_share = table.slowdown_share(now_ms, &warm);
         let choices: Vec<Choice<InstanceKey>> = warm
             .into_iter()
             .map(|key| (key, &table.arena[key]))
             .map(|(key, instance)| Choice {
                 key,
-                cost: instance.stats.cost(now_ms),
+                cost: instance.stats.cost_with_slowdown(now_ms, slowdown_share),
                 is_local: instance.registration.data_centre == self.data_centre,
                 needs_trial: instance.stats.needs_trial(now_ms),
             })
--- a/crates/gateway/src/upstreams/table.rs
+++ b/crates/gateway/src/upstreams/table.rs
@@ -3,7 +3,7 @@
 use std::collections::{HashMap, HashSet};
 use std::net::SocketAddr;
 
-use fulmarpath_policy::{Backpressure, Choice, Millis, UpstreamKey};
+use fulmarpath_policy::{Backpressure, Choice, Millis, UpstreamKey, spare_share};
 use indexmap::IndexSet;
 use slotmap::SlotMap;
 use spdlog::info;
@@ -194,6 +194,18 @@
         self.arena[key].stats.begin_trial(now_ms, lowest_ms);
     }
 
+    /// How far the slowdowns that these upstreams of one service report count.
+    pub(crate) fn slowdown_share(&self, now_ms: Millis, keys: &[InstanceKey]) -> f32 {
+        let instances = keys.iter().map(|key| &self.arena[*key]);
+        let mut slowdowns = instances.clone().map(|known| known.stats.slowdown(now_ms));
+        if !slowdowns.any(|slowdown| slowdown > 1.0) {
+            return 0.0;
+        }
+        let used = instances.clone().map(|known| known.stats.occupancy(now_ms));
+        let slots = instances.map(|known| known.registration.slots.max(1) as f32);
+        spare_share(used.sum(), slots.sum())
+    }
+
     /// Counts a request at an upstream.
     pub(crate) fn begin_request(&mut self, now_ms: Millis, key: InstanceKey) -> ChosenUpstream {
         let instance = &mut self.arena[key];
--- a/crates/policy/src/upstream_stats.rs
+++ b/crates/policy/src/upstream_stats.rs
@@ -14,6 +14,11 @@
 
 /// Age at which a load report is ignored: several times the duration of a small request.
 const REPORT_TTL_MS: Millis = 1_500;
+/// Age at which a reported slowdown is ignored: the duration of a phase in which other work on the
+/// upstream's machine slows it down.
+const SLOWDOWN_TTL_MS: Millis = 300;
+/// Bound on a reported slowdown: an upstream that reports more is avoided already.
+const MAX_SLOWDOWN: f32 = 10.0;
 /// Weight of one response in the smoothed latency: about the last eight count.
 const GAIN: f32 = 0.12;
 /// Factor on the cost at a failure share of 1. An upstream that fails half of its requests is
@@ -42,6 +47,17 @@
     pub waiting: u32,
     /// Maximum number of requests in progress.
     pub slots: u32,
+    /// How long work takes on its machine at the moment, in percent of the usual time; `None` if it
+    /// does not say.
+    pub work_time_percent: Option<u32>,
+}
+
+impl ReportedLoad {
+    /// How much slower than usual its machine is; 1 is usual.
+    fn slowdown(&self) -> f32 {
+        let percent = self.work_time_percent.unwrap_or(100);
+        (percent as f32 / 100.0).clamp(1.0, MAX_SLOWDOWN)
+    }
 }
 
 /// How a request to an upstream ended.
@@ -196,13 +212,31 @@
 
     /// Cost of one more request, for comparison between upstreams of one service.
     pub fn cost(&self, now_ms: Millis) -> f32 {
+        self.cost_with_slowdown(now_ms, 0.0)
+    }
+
+    /// Like [`UpstreamStats::cost`], with a share (0 to 1) of the slowdown that the upstream reports.
+    pub fn cost_with_slowdown(&self, now_ms: Millis, share: f32) -> f32 {
         let failure_factor = 1.0 + FAILURE_WEIGHT * self.failure_share(now_ms);
         let penalty = if now_ms < self.penalised_until_ms {
             4.0
         } else {
             1.0
         };
-        (1.0 + self.occupancy(now_ms)) * self.latency_or_age_ms(now_ms) * failure_factor * penalty
+        let slowdown = 1.0 + (self.slowdown(now_ms) - 1.0) * share;
+        let latency_ms = self.latency_or_age_ms(now_ms) * slowdown;
+        (1.0 + self.occupancy(now_ms)) * latency_ms * failure_factor * penalty
+    }
+
+    /// How much slower than usual the upstream is by its report, weighted by the age of that; 1 is
+    /// usual.
+    pub fn slowdown(&self, now_ms: Millis) -> f32 {
+        let Some(report) = self.report else {
+            return 1.0;
+        };
+        let age_ms = now_ms.saturating_sub(report.at_ms);
+        let weight = 1.0 - age_ms as f32 / SLOWDOWN_TTL_MS as f32;
+        1.0 + (report.load.slowdown() - 1.0) * weight.max(0.0)
     }
 
     /// Estimated number of requests at the upstream, from all hosts.
--- a/crates/policy/tests/upstreams.rs
+++ b/crates/policy/tests/upstreams.rs
@@ -67,6 +67,7 @@
         running: 5,
         waiting: 1,
         slots: 6,
+        work_time_percent: None,
     };
     stats.record_load(1_000, load);
     stats.start(1_000);
