--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -48,6 +48,7 @@
 };
 pub use problem::Problem;
 pub use record::{Dispatch, REQUEST_PREFIX, RequestRecord, Size};
+pub use relay::stream_buffer::{BufferWriter, CallerGone, Chunk, StreamBuffers};
 pub use roster::Roster;
 pub use roster::directory::{
     Departure, DepartureNotice, Directory, DirectoryChange, DirectoryPart, HostRegistration,
--- a/crates/gateway/src/relay/stream_buffer.rs
+++ b/crates/gateway/src/relay/stream_buffer.rs
@@ -3,7 +3,7 @@
 //! An engine cuts off a response that stays unread for some seconds, and a relay that waits for its
 //! caller migrates nothing off a leaving engine. A relay therefore reads on ahead of its caller,
 //! within a bound for each stream and one for all streams of the host. Once the host's bound is
-//! reached, each stream goes on at the pace of its own caller.
+//! reached, each stream goes on at the pace of its own caller, with one piece at a time.
 
 use std::sync::Arc;
 
@@ -20,10 +20,10 @@
 
 /// The caller has left.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub(crate) struct CallerGone;
+pub struct CallerGone;
 
 /// A piece of a stream, or its failure.
-pub(crate) type Chunk = Result<Bytes, BodyInterrupted>;
+pub type Chunk = Result<Bytes, BodyInterrupted>;
 
 /// A piece with its share of the bounds, which it holds until the caller's connection takes it.
 struct Buffered {
@@ -33,7 +33,7 @@
 
 /// The buffers of all streams of one host.
 #[derive(Debug)]
-pub(crate) struct StreamBuffers {
+pub struct StreamBuffers {
     host: Arc<Semaphore>,
 }
 
@@ -47,7 +47,7 @@
 
 impl StreamBuffers {
     /// Opens a buffer; the stream ends when the writer is dropped.
-    pub(crate) fn open(&self) -> (BufferWriter, impl Stream<Item = Chunk> + Send + 'static) {
+    pub fn open(&self) -> (BufferWriter, impl Stream<Item = Chunk> + Send + 'static) {
         let (chunks, received) = mpsc::unbounded_channel::<Buffered>();
         let writer = BufferWriter {
             chunks,
@@ -63,7 +63,7 @@
 }
 
 /// The relay's end of a buffer.
-pub(crate) struct BufferWriter {
+pub struct BufferWriter {
     chunks: mpsc::UnboundedSender<Buffered>,
     own: Arc<Semaphore>,
     host: Arc<Semaphore>,
@@ -71,7 +71,7 @@
 
 impl BufferWriter {
     /// Waits until the caller has left.
-    pub(crate) async fn caller_gone(&self) {
+    pub async fn caller_gone(&self) {
         self.chunks.closed().await;
     }
 
@@ -79,7 +79,7 @@
     ///
     /// # Errors
     /// [`CallerGone`]
-    pub(crate) async fn send(&self, chunk: Chunk) -> Result<(), CallerGone> {
+    pub async fn send(&self, chunk: Chunk) -> Result<(), CallerGone> {
         let permits = tokio::select! {
             () = self.caller_gone() => return Err(CallerGone),
             permits = self.permits(&chunk) => permits?,
