--- a/crates/policy/tests/cell/main.rs
+++ b/crates/policy/tests/cell/main.rs
@@ -6,6 +6,8 @@
 mod failing_engines;
 mod fair_shares;
 mod fixtures;
+mod memory;
+mod migrated_memory;
 mod migration;
 mod placement;
 mod prefill_rate;
