--- a/crates/gateway/src/relay/stream_buffer.rs
+++ b/crates/gateway/src/relay/stream_buffer.rs
@@ -3,7 +3,7 @@
 //! An engine cuts off a response that stays unread for some seconds, and a relay that waits for its
 //! caller migrates nothing off a leaving engine. A relay therefore reads on ahead of its caller,
 //! within a bound for each stream and one for all streams of the host. Once the host's bound is
-//! reached, each stream goes on at the pace of its own caller.
+//! reached, each stream goes on at the pace of its own caller, with one piece at a time.
 //!
 //! Where the operator bounds the delay of events, a stream's events are also held for up to a part
 //! of that bound, so that its caller sees shorter pauses: see [`Playout`].
@@ -31,10 +31,10 @@
 
 /// The caller has left.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub(crate) struct CallerGone;
+pub struct CallerGone;
 
 /// A piece of a stream, or its failure.
-pub(crate) type Chunk = Result<Bytes, BodyInterrupted>;
+pub type Chunk = Result<Bytes, BodyInterrupted>;
 
 /// A piece with its share of the bounds, which it holds until the caller's connection takes it.
 struct Buffered {
@@ -45,14 +45,14 @@
 
 /// The buffers of all streams of one host.
 #[derive(Debug)]
-pub(crate) struct StreamBuffers {
+pub struct StreamBuffers {
     host: Arc<Semaphore>,
     clock: Clock,
 }
 
 impl StreamBuffers {
     /// Creates the buffers of a host.
-    pub(crate) fn new(clock: Clock) -> Self {
+    pub fn new(clock: Clock) -> Self {
         Self {
             host: Arc::new(Semaphore::new(MAX_HOST_BYTES)),
             clock,
@@ -61,7 +61,7 @@
 
     /// Opens a buffer; the stream ends when the writer is dropped. Events are passed on as `playout`
     /// decides, or as they come.
-    pub(crate) fn open(
+    pub fn open(
         &self,
         playout: Option<Playout>,
     ) -> (BufferWriter, impl Stream<Item = Chunk> + Send + 'static) {
@@ -114,7 +114,7 @@
 }
 
 /// The relay's end of a buffer.
-pub(crate) struct BufferWriter {
+pub struct BufferWriter {
     chunks: mpsc::UnboundedSender<Buffered>,
     own: Arc<Semaphore>,
     host: Arc<Semaphore>,
@@ -123,7 +123,7 @@
 
 impl BufferWriter {
     /// Waits until the caller has left.
-    pub(crate) async fn caller_gone(&self) {
+    pub async fn caller_gone(&self) {
         self.chunks.closed().await;
     }
 
@@ -131,7 +131,7 @@
     ///
     /// # Errors
     /// [`CallerGone`]
-    pub(crate) async fn send(&self, chunk: Chunk) -> Result<(), CallerGone> {
+    pub async fn send(&self, chunk: Chunk) -> Result<(), CallerGone> {
         let arrived_ms = self.clock.now_ms();
         let permits = tokio::select! {
             () = self.caller_gone() => return Err(CallerGone),
