Learn the speed of each engine at the home of its cell

A home took all engines for equal, sent as much work to slow ones as to fast ones and predicted both wrongly. It now learns a factor for each engine from the progress between two statements of a generation and from first events, and the cell's usual time per token, which was a constant. Both account for the prompts prefilled meanwhile. The factor is used for the prefill queue, expected first events, output tokens, remaining time and the cost of running generations; a start costs the time by which its answer takes longer than on the fastest engine, beyond a margin of 15%.

--- a/crates/policy/src/cell/cost.rs
+++ b/crates/policy/src/cell/cost.rs
@@ -6,7 +6,6 @@
 //! with size. Requests are compared with the average of their cell, so no constant here depends on
 //! a deployment.
 
-use super::engine::TOKEN_MS;
 use super::forecast::MemoryDemand;
 use super::prefill_rate::PrefillRate;
 
@@ -49,7 +48,7 @@
 /// Memory times time: the prompt during prefill, then one more token per decode step.
 fn held_token_ms(prefill_rate: &PrefillRate, demand: MemoryDemand) -> f32 {
     let prefill_ms = prefill_rate.ms(demand.held_tokens);
-    let decode_ms = demand.remaining_tokens * TOKEN_MS;
+    let decode_ms = demand.remaining_tokens * demand.token_ms;
     (demand.held_tokens + demand.remaining_tokens / 2.0) * (prefill_ms + decode_ms)
 }
 
--- a/crates/policy/src/cell/engine.rs
+++ b/crates/policy/src/cell/engine.rs
@@ -1,12 +1,10 @@
 //! One engine of a cell.
 
+use super::pace::EnginePace;
 use crate::cold::{Cold, ColdStarts};
 use crate::failures::Failures;
 use crate::key::{Millis, UpstreamKey};
 
-/// Time per output token for each generation of an average batch: a decode step, a small share for
-/// each generation in it, and an occasional chunk of a prefill.
-pub(crate) const TOKEN_MS: f32 = 11.0;
 /// Minimum notice period of an engine, used until the engine states its remaining time.
 const MIN_NOTICE_MS: Millis = 1_500;
 /// Maximum age of an engine's statement of its remaining time, including network delay.
@@ -62,6 +60,10 @@
     /// When all prompts sent to it will have been prefilled. A time since the start of the process,
     /// which an `f32` rounds to whole seconds after some months.
     pub(super) prefilled_at_ms: f64,
+    /// Time that all prompts sent to it take or took to prefill.
+    prefill_ms: f64,
+    /// Its speed, as far as known.
+    pub(super) pace: EnginePace,
     /// The latest time until which an incoming transfer blocks others.
     receiving_until_ms: Millis,
     /// No transfer is sent here before this time, because the engine had no room for one.
@@ -90,6 +92,8 @@
         Self {
             entry,
             prefilled_at_ms: 0.0,
+            prefill_ms: 0.0,
+            pace: EnginePace::default(),
             receiving_until_ms: 0,
             refused_until_ms: 0,
             orphaned_copies: Vec::new(),
@@ -207,6 +211,17 @@
     pub(super) fn add_prefill(&mut self, now_ms: Millis, prefill_ms: f32) {
         let from_ms = self.prefilled_at_ms.max(now_ms as f64);
         self.prefilled_at_ms = from_ms + f64::from(prefill_ms);
+        self.prefill_ms += f64::from(prefill_ms);
+    }
+
+    /// Time that it has spent on prefills until now.
+    pub(super) fn prefilled_ms(&self, now_ms: Millis) -> f64 {
+        self.prefill_ms - f64::from(self.prefill_wait_ms(now_ms))
+    }
+
+    /// Time that it takes for anything, as a multiple of the cell's usual time.
+    pub(super) fn pace_factor(&self) -> f32 {
+        self.pace.factor()
     }
 
     /// How long a new prompt waits for the prefills queued before it.
--- a/crates/policy/src/cell/forecast.rs
+++ b/crates/policy/src/cell/forecast.rs
@@ -15,6 +15,8 @@
 pub(super) struct MemoryDemand {
     pub(super) held_tokens: f32,
     pub(super) remaining_tokens: f32,
+    /// Time per token.
+    pub(super) token_ms: f32,
 }
 
 impl MemoryDemand {
@@ -99,6 +101,7 @@
         MemoryDemand {
             held_tokens: self.held_tokens(now_ms),
             remaining_tokens: self.remaining_tokens(now_ms, answer_lengths),
+            token_ms: self.token_ms(),
         }
     }
 }
--- a/crates/policy/src/cell/mod.rs
+++ b/crates/policy/src/cell/mod.rs
@@ -10,7 +10,9 @@
 mod cost;
 mod engine;
 mod forecast;
+mod measurement;
 mod migration;
+mod pace;
 mod placement;
 mod prefill_rate;
 mod run;
@@ -29,6 +31,7 @@
 use crate::upstream_stats::Verdict;
 use answer_lengths::AnswerLengths;
 use engine::Engine;
+use pace::Pace;
 use prefill_rate::PrefillRate;
 use run::Run;
 use waiting::WaitingList;
@@ -52,6 +55,7 @@
     waiting: WaitingList,
     answer_lengths: AnswerLengths,
     prefill_rate: PrefillRate,
+    pace: Pace,
 }
 
 impl Cell {
@@ -196,10 +200,8 @@
         let Some(run) = self.runs.remove(&run) else {
             return;
         };
-        if let Some(first_ms) = end.first_ms
-            && let Some(expected_ms) = run.expected_first_ms()
-        {
-            self.prefill_rate.learn(expected_ms as f32, first_ms as f32);
+        if let Some(first_ms) = end.first_ms {
+            self.learn_first_event(now_ms, &run, first_ms);
         }
         if end.is_complete {
             if let Some(engine) = self.engines.get_mut(&run.engine()) {
@@ -221,20 +223,26 @@
                 || statements.iter().any(|statement| statement.run == *key)
         });
         for statement in statements {
-            let Some(run) = self.runs.get_mut(&statement.run) else {
-                let run = Run::restored(now_ms, host, statement);
-                self.runs.insert(statement.run, run);
-                continue;
-            };
-            let relayed_tokens = run.relayed_tokens();
-            run.restate(now_ms, statement);
-            self.answer_lengths.advance(
-                now_ms,
-                run.stated_length(),
-                relayed_tokens,
-                run.relayed_tokens(),
-            );
+            self.restate_run(now_ms, host, statement);
+        }
+        self.update_pace_factors();
+    }
+
+    fn restate_run(&mut self, now_ms: Millis, host: HostKey, statement: &RunStatement) {
+        let token_ms = self.token_ms_on(statement.engine);
+        let restored = || Run::restored(now_ms, host, token_ms, statement);
+        let run = self.runs.entry(statement.run).or_insert_with(restored);
+        let relayed_tokens = run.relayed_tokens();
+        run.restate(now_ms, token_ms, statement);
+        if let Some(engine) = self.engines.get_mut(&statement.engine) {
+            self.pace.learn_statement(now_ms, engine, run);
         }
+        self.answer_lengths.advance(
+            now_ms,
+            run.stated_length(),
+            relayed_tokens,
+            run.relayed_tokens(),
+        );
     }
 
     /// Removes the generations of hosts that are gone, whose connections to callers are lost.
@@ -254,6 +262,12 @@
         known.is_some_and(Engine::is_leaving) && self.runs_on(engine).next().is_some()
     }
 
+    /// Speed of each engine: the time that it takes for anything, as a multiple of the usual time.
+    pub fn pace_factors(&self) -> impl Iterator<Item = (UpstreamKey, f32)> {
+        let engines = self.engines.values();
+        engines.map(|engine| (engine.entry.key, engine.pace_factor()))
+    }
+
     /// Number of known generations.
     pub fn run_count(&self) -> usize {
         self.runs.len()
--- a/crates/policy/src/cell/placement.rs
+++ b/crates/policy/src/cell/placement.rs
@@ -4,6 +4,7 @@
 
 use super::answer_lengths::{AnswerLengths, StatedLength};
 use super::forecast::MemoryDemand;
+use super::pace::Pace;
 use super::prefill_rate::PrefillRate;
 use super::run::RunKey;
 use crate::key::{HostKey, Millis, OrganisationKey, UpstreamKey};
@@ -133,10 +134,11 @@
         }
     }
 
-    pub(super) fn demand(&self, answer_lengths: &AnswerLengths) -> MemoryDemand {
+    pub(super) fn demand(&self, answer_lengths: &AnswerLengths, pace: &Pace) -> MemoryDemand {
         MemoryDemand {
             held_tokens: self.prompt_tokens as f32,
             remaining_tokens: answer_lengths.remaining_tokens(self.stated_length(), 0.0),
+            token_ms: pace.token_ms(),
         }
     }
 }
--- a/crates/policy/src/cell/run.rs
+++ b/crates/policy/src/cell/run.rs
@@ -3,7 +3,7 @@
 use serde::{Deserialize, Serialize};
 
 use super::answer_lengths::{AnswerLengths, StatedLength};
-use super::engine::TOKEN_MS;
+use super::measurement::Measurement;
 use super::placement::PlacementRequest;
 use crate::key::{HostKey, Millis, OrganisationKey, UpstreamKey};
 
@@ -48,6 +48,28 @@
     pub first_ms: Option<Millis>,
 }
 
+/// The first token as expected when its generation was placed.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct ExpectedFirst {
+    /// Time from the placement to the token.
+    pub(super) after_ms: Millis,
+    /// The factor that was assumed for the engine.
+    pub(super) pace_factor: f32,
+}
+
+/// Where a generation starts, and what is expected of its engine.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct StartedOn {
+    pub(super) engine: UpstreamKey,
+    pub(super) backup: Option<UpstreamKey>,
+    /// When its first token is expected.
+    pub(super) first_token_ms: Millis,
+    /// Expected time per token.
+    pub(super) token_ms: f32,
+    /// The engine's speed.
+    pub(super) pace_factor: f32,
+}
+
 #[derive(Debug, Clone)]
 pub(super) struct Run {
     host: HostKey,
@@ -63,8 +85,12 @@
     /// When `out_tokens` was reached; in the future while the prompt is being prefilled.
     out_tokens_at_ms: Millis,
     placed_ms: Millis,
-    /// Expected time from placement to the first token; `None` if another home placed it.
-    expected_first_ms: Option<Millis>,
+    /// `None` if another home placed it.
+    expected_first: Option<ExpectedFirst>,
+    /// Time per token on its engine.
+    token_ms: f32,
+    /// Measures the speed of its engine by its progress.
+    pub(super) measurement: Measurement,
     /// No migration is attempted before this time, because one has failed.
     pub(super) backoff_until_ms: Millis,
 }
@@ -72,11 +98,16 @@
 impl Run {
     pub(super) fn placed(
         now_ms: Millis,
-        first_token_ms: Millis,
-        engine: UpstreamKey,
-        backup: Option<UpstreamKey>,
+        started_on: StartedOn,
         request: &PlacementRequest,
     ) -> Self {
+        let StartedOn {
+            engine,
+            backup,
+            first_token_ms,
+            token_ms,
+            pace_factor,
+        } = started_on;
         Self {
             host: request.host,
             organisation: request.organisation,
@@ -89,12 +120,22 @@
             out_tokens: 0,
             out_tokens_at_ms: first_token_ms,
             placed_ms: now_ms,
-            expected_first_ms: Some(first_token_ms.saturating_sub(now_ms)),
+            expected_first: Some(ExpectedFirst {
+                after_ms: first_token_ms.saturating_sub(now_ms),
+                pace_factor,
+            }),
+            token_ms,
+            measurement: Measurement::default(),
             backoff_until_ms: 0,
         }
     }
 
-    pub(super) fn restored(now_ms: Millis, host: HostKey, statement: &RunStatement) -> Self {
+    pub(super) fn restored(
+        now_ms: Millis,
+        host: HostKey,
+        token_ms: f32,
+        statement: &RunStatement,
+    ) -> Self {
         Self {
             host,
             organisation: statement.organisation,
@@ -107,22 +148,38 @@
             out_tokens: statement.out_tokens,
             out_tokens_at_ms: now_ms,
             placed_ms: now_ms,
-            expected_first_ms: None,
+            expected_first: None,
+            token_ms,
+            measurement: Measurement::default(),
             backoff_until_ms: 0,
         }
     }
 
-    pub(super) fn restate(&mut self, now_ms: Millis, statement: &RunStatement) {
+    pub(super) fn restate(&mut self, now_ms: Millis, token_ms: f32, statement: &RunStatement) {
+        if self.engine != statement.engine || self.is_migrating() {
+            self.measurement.interrupt();
+        }
         self.engine = statement.engine;
         self.backup = statement.backup;
+        self.token_ms = token_ms;
         if statement.out_tokens > 0 {
             self.out_tokens = statement.out_tokens;
             self.out_tokens_at_ms = now_ms;
         }
     }
 
-    pub(super) fn expected_first_ms(&self) -> Option<Millis> {
-        self.expected_first_ms
+    /// Time per token on its engine.
+    pub(super) fn token_ms(&self) -> f32 {
+        self.token_ms
+    }
+
+    /// When it was placed.
+    pub(super) fn placed_ms(&self) -> Millis {
+        self.placed_ms
+    }
+
+    pub(super) fn expected_first(&self) -> Option<ExpectedFirst> {
+        self.expected_first
     }
 
     pub(super) fn host(&self) -> HostKey {
@@ -135,10 +192,12 @@
 
     pub(super) fn begin_migration(&mut self, to: UpstreamKey) {
         self.migrating_to = Some(to);
+        self.measurement.interrupt();
     }
 
     /// Records the end of a migration, whether it succeeded or not.
     pub(super) fn finish_migration(&mut self, has_migrated: bool) {
+        self.measurement.interrupt();
         if let Some(to) = self.migrating_to.take()
             && has_migrated
         {
@@ -186,7 +245,7 @@
     /// Estimated output tokens: the last stated number and what was decoded since.
     pub(super) fn out_tokens(&self, now_ms: Millis) -> f32 {
         let since_ms = now_ms.saturating_sub(self.out_tokens_at_ms) as f32;
-        (self.out_tokens as f32 + since_ms / TOKEN_MS).min(self.limit_tokens as f32)
+        (self.out_tokens as f32 + since_ms / self.token_ms).min(self.limit_tokens as f32)
     }
 
     /// Output tokens last stated by its host.
@@ -215,7 +274,11 @@
         answer_lengths: &AnswerLengths,
     ) -> f32 {
         let out_tokens = self.out_tokens(now_ms);
-        answer_lengths.running_probability(self.stated_length(), out_tokens, ahead_ms / TOKEN_MS)
+        answer_lengths.running_probability(
+            self.stated_length(),
+            out_tokens,
+            ahead_ms / self.token_ms,
+        )
     }
 
     /// Memory held now.
--- a/crates/policy/src/cell/selection.rs
+++ b/crates/policy/src/cell/selection.rs
@@ -3,9 +3,9 @@
 use super::Cell;
 use super::engine::Engine;
 use super::forecast::{Forecast, MemoryDemand};
+use super::pace::AnswerTime;
 use super::placement::{EngineSnapshot, LATE_FULL_SHARE, Placement, PlacementRequest};
-use super::prefill_rate::PrefillRate;
-use super::run::Run;
+use super::run::{Run, StartedOn};
 use super::shares::Shares;
 use super::waiting::QueueOrder;
 use crate::key::{Millis, UpstreamKey};
@@ -141,7 +141,7 @@
         order: impl Fn(UpstreamKey) -> u64,
     ) -> (PlacementAttempt<'a>, Selection) {
         self.waiting.expire(now_ms);
-        let demand = request.demand(&self.answer_lengths);
+        let demand = request.demand(&self.answer_lengths, &self.pace);
         // If nothing is waiting, there is no order to decide.
         let shares = match self.waiting.is_empty() {
             true => Shares::default(),
@@ -164,11 +164,12 @@
         if request.prompt_tokens >= largest_tokens {
             return (attempt, Selection::TooLarge);
         }
+        let answer_time = self.answer_time(request, demand, &open);
         let mut forecast = self.forecast(now_ms);
         self.reserve_for_leaving(now_ms, &mut forecast);
         self.reserve_for_waiting(attempt.order, &shares, &mut forecast);
         let costs = open.iter().filter_map(|engine| {
-            let cost = cost_ms(now_ms, &self.prefill_rate, &forecast, engine, &attempt)?;
+            let cost = cost_ms(now_ms, &answer_time, &forecast, engine, &attempt)?;
             Some((cost, engine))
         });
         let best = costs.min_by(|a, b| {
@@ -253,10 +254,17 @@
         let Some(chosen) = self.engines.get_mut(&engine) else {
             return Placement::NoEngine;
         };
-        chosen.add_prefill(now_ms, request.prefill_ms(&self.prefill_rate));
+        let factor = chosen.pace_factor();
+        chosen.add_prefill(now_ms, request.prefill_ms(&self.prefill_rate) * factor);
         chosen.record_start(now_ms);
-        let first_token_ms = chosen.prefilled_at_ms as Millis;
-        let run = Run::placed(now_ms, first_token_ms, engine, backup, request);
+        let started_on = StartedOn {
+            engine,
+            backup,
+            first_token_ms: chosen.prefilled_at_ms as Millis,
+            token_ms: self.pace.token_ms() * factor,
+            pace_factor: factor,
+        };
+        let run = Run::placed(now_ms, started_on, request);
         self.runs.insert(request.run, run);
         Placement::On {
             engine,
@@ -269,7 +277,7 @@
 /// Cost of starting on an engine; `None` if the engine has no room or should be avoided.
 fn cost_ms(
     now_ms: Millis,
-    prefill_rate: &PrefillRate,
+    answer_time: &AnswerTime,
     forecast: &Forecast,
     engine: &Engine,
     attempt: &PlacementAttempt<'_>,
@@ -281,7 +289,7 @@
     let max_wait_ms = request.max_wait_ms as f32;
     let full_share = match request.is_final_attempt {
         false if wait_ms > max_wait_ms * MAX_PREFILL_WAIT_SHARE => return None,
-        true if wait_ms + request.prefill_ms(prefill_rate) > max_wait_ms => {
+        true if wait_ms + answer_time.prefill_ms * engine.pace_factor() > max_wait_ms => {
             attempt.full_share.min(LATE_FULL_SHARE)
         }
         _ => attempt.full_share,
@@ -293,11 +301,12 @@
         return None;
     }
     let is_remote = engine.entry.data_centre != request.data_centre;
-    let running_ms = RUNNING_COST_MS * running as f32;
+    let running_ms = RUNNING_COST_MS * running as f32 * engine.pace_factor();
     let memory_ms = MEMORY_COST_MS * share * share;
     let remote_ms = if is_remote { REMOTE_COST_MS } else { 0.0 };
     let failure_ms = FAILURE_COST_MS * failure_share;
-    Some(wait_ms + running_ms + memory_ms + remote_ms + failure_ms)
+    let slow_ms = answer_time.cost_ms(engine);
+    Some(wait_ms + running_ms + slow_ms + memory_ms + remote_ms + failure_ms)
 }
 
 fn snapshot_of(
--- a/crates/policy/tests/cell/main.rs
+++ b/crates/policy/tests/cell/main.rs
@@ -7,6 +7,7 @@
 mod fair_shares;
 mod fixtures;
 mod migration;
+mod pace;
 mod placement;
 mod prefill_rate;
 mod queueing;
