Count the answers that a start or a migration would make late

Answers on slow engines became late because prompts were prefilled beside them, and migrated ones because their next event came late; no decision knew the bound on their pauses. Hosts now state the bound and the longest pause since the last statement, and placement requests state the bound. The home learns how often pauses exceed a length, divided by the engines' factors, with and without prefills beside them, how late first events are, and the pauses of migrations. The expected loss, in the unit of a first event's target and in proportion to the answer's size, is part of the cost of a start and of a migration's destination. An answer that is late already has nothing more to lose. A prompt avoids an engine on which a generation is about to resume by the risk for that generation.

A gauge and a log line show how much the engines of a cell differ.

--- a/crates/bench/src/cmd/decide.rs
+++ b/crates/bench/src/cmd/decide.rs
@@ -214,6 +214,8 @@
         out_tokens: 200,
         limit_tokens: 1_768,
         hint_tokens: Some(500),
+        gap_target_ms: Some(180),
+        longest_pause_ms: 40,
     }
 }
 
@@ -228,6 +230,7 @@
         hint_tokens: None,
         retry_key: run,
         priority: 1,
+        gap_target_ms: Some(180),
         max_wait_ms: 1_800,
         left_ms: 39_000,
         is_final_attempt: false,
--- a/crates/bench/src/reclaim/host.rs
+++ b/crates/bench/src/reclaim/host.rs
@@ -1,10 +1,11 @@
 //! What homes learn from registrations and from the hosts' statements.
 
-use fulmarpath_policy::{CellEngine, RunKey, RunStatement};
+use fulmarpath_policy::{CellEngine, Millis, RunKey, RunStatement};
 
 use super::cells::CellIndex;
 use super::engine_lifecycle::NOTICE_US;
 use super::event::Event;
+use super::request::EVENT_TOKENS;
 use super::row::PolicyName;
 use super::world::{Attempt, HOST, NOTICE_DELAY_US, World, key_of};
 
@@ -55,6 +56,9 @@
             let statements = self.statements(cell);
             self.cells.get_mut(cell).restate(now_ms, HOST, &statements);
         }
+        for attempt in &mut self.attempts {
+            attempt.unstated_pause_ms = 0.0;
+        }
         self.after(RESTATE_PERIOD_US, Event::RestateRuns);
     }
 
@@ -78,9 +82,12 @@
             engine: key_of(engine),
             backup: attempt.backup.map(key_of),
             prompt_tokens: caller_request.prompt_tokens,
-            out_tokens: job.map_or(0, |job| job.out_tokens),
+            // Hosts count the tokens of whole events.
+            out_tokens: job.map_or(0, |job| job.out_tokens - job.out_tokens % EVENT_TOKENS),
             limit_tokens: caller_request.limit_tokens,
             hint_tokens: Some(self.hint(caller_request)),
+            gap_target_ms: self.gap_target_ms(caller_request),
+            longest_pause_ms: attempt.unstated_pause_ms as Millis,
         }
     }
 }
--- a/crates/bench/src/reclaim/placement.rs
+++ b/crates/bench/src/reclaim/placement.rs
@@ -32,6 +32,7 @@
             hint_tokens: Some(self.hint(&caller_request)),
             retry_key: caller as u64,
             priority: caller_request.priority,
+            gap_target_ms: self.gap_target_ms(&caller_request),
             max_wait_ms: caller_request.target_ms.saturating_sub(waited_ms),
             left_ms: caller_request.deadline_ms.saturating_sub(waited_ms),
             is_final_attempt,
@@ -58,6 +59,11 @@
         }
     }
 
+    pub(super) fn gap_target_ms(&self, caller_request: &CallerRequest) -> Option<Millis> {
+        let kind = self.settings.scenario.kind(caller_request.is_long);
+        kind.max_pause_ms.map(|bound_ms| bound_ms as Millis)
+    }
+
     pub(super) fn hint(&self, caller_request: &CallerRequest) -> u32 {
         match self.settings.policy {
             PolicyName::Oracle => caller_request.length_tokens,
--- a/crates/bench/src/reclaim/world.rs
+++ b/crates/bench/src/reclaim/world.rs
@@ -55,6 +55,8 @@
     pub(super) first_event_us: Option<u64>,
     pub(super) last_event_us: u64,
     longest_pause_ms: f64,
+    /// Longest pause since the last statement.
+    pub(super) unstated_pause_ms: f64,
     /// The step factor of its engine, unless it ran on several.
     pub(super) step_factor: Option<f64>,
 }
@@ -184,6 +186,7 @@
             first_event_us: None,
             last_event_us: 0,
             longest_pause_ms: 0.0,
+            unstated_pause_ms: 0.0,
             step_factor: None,
         });
         self.event_queue.schedule(at_us, Event::Arrive(attempt));
@@ -242,6 +245,7 @@
         } else {
             let pause_ms = (now_us - attempt.last_event_us) as f64 / 1_000.0;
             attempt.longest_pause_ms = attempt.longest_pause_ms.max(pause_ms);
+            attempt.unstated_pause_ms = attempt.unstated_pause_ms.max(pause_ms);
             if std::mem::take(&mut attempt.was_migrated) {
                 self.tally.pauses_ms.push(pause_ms);
             }
--- a/crates/gateway/src/cells/homes.rs
+++ b/crates/gateway/src/cells/homes.rs
@@ -140,6 +140,7 @@
 
     /// Reports to each cell's home which generations this host relays, periodically and on request.
     pub(crate) async fn restate_runs(self: Arc<Self>) {
+        let mut uneven = HashSet::new();
         loop {
             let notified = self.cell_duties.restate_now.notified();
             let _ = tokio::time::timeout(RESTATE_PERIOD, notified).await;
@@ -152,6 +153,7 @@
             for relayed_runs in self.runs.restatements(self.host_key(), cell_of_engine) {
                 self.restate(relayed_runs).await;
             }
+            self.report_engine_speeds(&mut uneven);
         }
     }
 
--- a/crates/gateway/src/cells/mod.rs
+++ b/crates/gateway/src/cells/mod.rs
@@ -6,6 +6,7 @@
 pub(crate) mod layout;
 pub(crate) mod probe;
 pub(crate) mod runs;
+pub(crate) mod speeds;
 
 use std::collections::{BTreeMap, HashMap};
 
@@ -17,6 +18,7 @@
 use parking_lot::Mutex;
 
 use crate::cells::layout::CellsByEngine;
+use crate::cells::speeds::SpeedRange;
 use crate::configuration::{ActiveConfiguration, EngineTraits};
 use crate::control::EngineStatus;
 use crate::key::{data_centre_key, name_key, upstream_key};
@@ -302,6 +304,24 @@
         all.collect()
     }
 
+    /// The speeds of the engines of some cells.
+    pub(crate) fn speed_ranges(
+        &self,
+        is_included: impl Fn(CellKey) -> bool,
+    ) -> Vec<(CellKey, SpeedRange)> {
+        let tables = self.tables.lock();
+        let included = tables.iter().filter(|(cell, _)| is_included(**cell));
+        let ranges = included.filter_map(|(cell, table)| {
+            let factors = || table.cell.pace_factors().map(|(_, factor)| factor);
+            let range = SpeedRange {
+                fastest_factor: factors().reduce(f32::min)?,
+                slowest_factor: factors().reduce(f32::max)?,
+            };
+            Some((*cell, range))
+        });
+        ranges.collect()
+    }
+
     pub(crate) fn next_migration(
         &self,
         now_ms: Millis,
--- a/crates/gateway/src/cells/runs.rs
+++ b/crates/gateway/src/cells/runs.rs
@@ -72,16 +72,17 @@
         Some(entry.statement.out_tokens)
     }
 
-    /// All generations, grouped by the current cell of their engine.
+    /// All generations, grouped by the current cell of their engine. Their longest pauses begin anew.
     pub(crate) fn restatements(
         &self,
         host: HostKey,
         cell_of_engine: impl Fn(UpstreamKey) -> Option<CellKey>,
     ) -> Vec<RelayedRuns> {
         let mut by_cell: HashMap<CellKey, Vec<RunStatement>> = HashMap::new();
-        for entry in self.entries.lock().values() {
+        for entry in self.entries.lock().values_mut() {
             let cell = cell_of_engine(entry.statement.engine).unwrap_or(entry.cell);
             by_cell.entry(cell).or_default().push(entry.statement);
+            entry.statement.longest_pause_ms = 0;
         }
         let cells = by_cell.into_iter();
         cells
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -168,6 +168,7 @@
     pub(crate) first_byte_ms: Histogram,
     pub(crate) pause_ms: Histogram,
     pub(crate) transfers: Family<TransferLabels, Counter>,
+    pub(crate) engine_speed_ratio_percent: Gauge,
     pub(crate) continuations: Family<ContinuationLabels, Counter>,
     pub(crate) running_copies: Counter,
     pub(crate) stalls: Counter,
@@ -242,6 +243,13 @@
         let transfers = Family::default();
         let help = "Migrations off leaving engines that this host ordered, by outcome";
         registry.register("transfers", help, transfers.clone());
+        let engine_speed_ratio_percent = Gauge::default();
+        let help = "Largest ratio of the slowest to the fastest engine in a cell of this home";
+        registry.register(
+            "engine_speed_ratio_percent",
+            help,
+            engine_speed_ratio_percent.clone(),
+        );
         let continuations = Family::default();
         let help = "Generations that this host asked another engine to resume";
         registry.register("continuations", help, continuations.clone());
@@ -330,6 +338,7 @@
         registry.register("retries_left", help, retries_left.clone());
         Self {
             transfers,
+            engine_speed_ratio_percent,
             continuations,
             running_copies,
             stalls,
--- a/crates/gateway/src/relay/mod.rs
+++ b/crates/gateway/src/relay/mod.rs
@@ -314,7 +314,8 @@
         if self.stream.ran_ms(now_ms).is_some_and(has_proved_sound) {
             self.note_success();
         }
-        if let Some(pause_ms) = self.tracker.record_events(now_ms, events) {
+        let pause_ms = self.tracker.record_events(now_ms, events);
+        if let Some(pause_ms) = pause_ms {
             let metrics = &self.gateway.metrics;
             metrics.pause_ms.observe(pause_ms as f64);
             let target_ms = self.inbound.route.gap_target_ms;
@@ -326,7 +327,9 @@
         let out_tokens = self.tracker.events * self.event_tokens;
         let runs = &self.gateway.runs;
         runs.update(self.run_guard.run, |statement| {
-            statement.out_tokens = out_tokens
+            statement.out_tokens = out_tokens;
+            let pause_ms = pause_ms.unwrap_or_default();
+            statement.longest_pause_ms = statement.longest_pause_ms.max(pause_ms);
         });
     }
 
--- a/crates/policy/src/cell/cost.rs
+++ b/crates/policy/src/cell/cost.rs
@@ -13,7 +13,7 @@
 /// one or two seconds on an overloaded cell.
 const AVERAGE_GAIN: f32 = 0.02;
 /// Benefit of an output token to the caller, relative to that of a prompt token.
-const OUTPUT_TOKEN_WEIGHT: f32 = 10.0;
+pub(super) const OUTPUT_TOKEN_WEIGHT: f32 = 10.0;
 /// Part of a generation's benefit that does not depend on its size, relative to the benefit of an
 /// average generation.
 const MIN_BENEFIT: f32 = 0.3;
@@ -37,14 +37,18 @@
     ) -> f32 {
         let size_tokens = demand.held_tokens + OUTPUT_TOKEN_WEIGHT * demand.remaining_tokens;
         update_average(&mut self.size_tokens, size_tokens);
-        let relative_size = size_tokens / self.size_tokens.max(1.0);
-        let benefit = MIN_BENEFIT + (1.0 - MIN_BENEFIT) * relative_size;
+        let benefit = benefit(size_tokens, self.size_tokens);
         let cost = held_token_ms(prefill_rate, demand) / benefit;
         update_average(&mut self.cost, cost);
         (cost / self.cost.max(1.0)).min(MAX_RELATIVE_COST)
     }
 }
 
+/// Benefit of a generation to its caller, relative to one of average size.
+pub(super) fn benefit(size_tokens: f32, average_tokens: f32) -> f32 {
+    MIN_BENEFIT + (1.0 - MIN_BENEFIT) * size_tokens / average_tokens.max(1.0)
+}
+
 /// Memory times time: the prompt during prefill, then one more token per decode step.
 fn held_token_ms(prefill_rate: &PrefillRate, demand: MemoryDemand) -> f32 {
     let prefill_ms = prefill_rate.ms(demand.held_tokens);
@@ -52,7 +56,8 @@
     (demand.held_tokens + demand.remaining_tokens / 2.0) * (prefill_ms + decode_ms)
 }
 
-fn update_average(average: &mut f32, new: f32) {
+/// Updates a moving average, which begins with its first value.
+pub(super) fn update_average(average: &mut f32, new: f32) {
     match *average == 0.0 {
         true => *average = new,
         false => *average += (new - *average) * AVERAGE_GAIN,
--- a/crates/policy/src/cell/engine.rs
+++ b/crates/policy/src/cell/engine.rs
@@ -66,6 +66,9 @@
     pub(super) pace: EnginePace,
     /// The latest time until which an incoming transfer blocks others.
     receiving_until_ms: Millis,
+    /// What it costs if a prompt is prefilled here when the generation of the incoming transfer
+    /// resumes.
+    resume_risk_ms: f32,
     /// No transfer is sent here before this time, because the engine had no room for one.
     refused_until_ms: Millis,
     orphaned_copies: Vec<OrphanedCopy>,
@@ -95,6 +98,7 @@
             prefill_ms: 0.0,
             pace: EnginePace::default(),
             receiving_until_ms: 0,
+            resume_risk_ms: 0.0,
             refused_until_ms: 0,
             orphaned_copies: Vec::new(),
             failures: Failures::default(),
@@ -164,7 +168,13 @@
     /// Two transfers to one engine share its link. The final short copy of each, during which the
     /// generation is stopped, would wait behind the long copy of the other, and callers would see a
     /// pause. So only one runs at a time.
-    pub(super) fn begin_receiving(&mut self, now_ms: Millis, duration_ms: Millis) {
+    pub(super) fn begin_receiving(
+        &mut self,
+        now_ms: Millis,
+        duration_ms: Millis,
+        resume_risk_ms: f32,
+    ) {
+        self.resume_risk_ms = resume_risk_ms;
         self.receiving_until_ms = now_ms + duration_ms * OVERDUE_FACTOR;
     }
 
@@ -173,6 +183,14 @@
         self.receiving_until_ms = 0;
     }
 
+    /// What it costs to send a prompt here, because a generation is about to resume.
+    pub(super) fn resume_risk_ms(&self, now_ms: Millis) -> f32 {
+        match now_ms < self.receiving_until_ms {
+            true => self.resume_risk_ms,
+            false => 0.0,
+        }
+    }
+
     /// Records that it had no room for a transfer.
     pub(super) fn refuse_transfers(&mut self, now_ms: Millis) {
         self.refused_until_ms = now_ms + REFUSAL_BACKOFF_MS;
@@ -219,6 +237,11 @@
         self.prefill_ms - f64::from(self.prefill_wait_ms(now_ms))
     }
 
+    /// Whether it will still prefill prompts at a time.
+    pub(super) fn is_prefilling_at(&self, at_ms: Millis) -> bool {
+        self.prefilled_at_ms > at_ms as f64
+    }
+
     /// Time that it takes for anything, as a multiple of the cell's usual time.
     pub(super) fn pace_factor(&self) -> f32 {
         self.pace.factor()
--- a/crates/policy/src/cell/forecast.rs
+++ b/crates/policy/src/cell/forecast.rs
@@ -34,6 +34,8 @@
 struct Load {
     /// Running generations.
     running: u32,
+    /// What it costs in a second of prefill that running answers may become late.
+    prefill_risk_per_s: f32,
     /// Memory at each of [`HORIZONS_TOKENS`].
     held_tokens: [f32; HORIZONS_TOKENS.len()],
 }
@@ -72,6 +74,11 @@
         self.load(engine).running
     }
 
+    /// What it costs in a second of prefill on an engine that answers there may become late.
+    pub(super) fn prefill_risk_per_s(&self, engine: UpstreamKey) -> f32 {
+        self.load(engine).prefill_risk_per_s
+    }
+
     /// Reserves memory of an engine for a generation that takes precedence.
     pub(super) fn reserve(&mut self, engine: UpstreamKey, demand: MemoryDemand) {
         self.loads.entry(engine).or_default().add(demand);
@@ -90,7 +97,9 @@
             for engine in run.holders() {
                 loads.entry(engine).or_default().add(demand);
             }
-            loads.entry(run.engine()).or_default().running += 1;
+            let load = loads.entry(run.engine()).or_default();
+            load.running += 1;
+            load.prefill_risk_per_s += run.prefill_risk_per_s;
         }
         Forecast { now_ms, loads }
     }
--- a/crates/policy/src/cell/measurement.rs
+++ b/crates/policy/src/cell/measurement.rs
@@ -13,6 +13,8 @@
     pub(super) tokens: f32,
     /// Share of the time in which the engine prefilled prompts.
     pub(super) prefill_share: f32,
+    /// Longest pause between two of its events.
+    pub(super) longest_pause_ms: Millis,
 }
 
 /// A statement of a generation, from which the next interval is measured.
@@ -22,6 +24,8 @@
     pub(super) out_tokens: u32,
     /// Time that the engine had spent on prefills by then.
     pub(super) prefilled_ms: f64,
+    /// Longest pause since the previous statement; as a start, of the interval so far.
+    pub(super) longest_pause_ms: Millis,
 }
 
 impl IntervalStart {
@@ -34,6 +38,7 @@
             duration_ms: duration_ms as f32,
             tokens: tokens as f32,
             prefill_share: (prefill_ms / duration_ms.max(1) as f32).clamp(0.0, 1.0),
+            longest_pause_ms: end.longest_pause_ms,
         };
         (duration_ms >= MIN_INTERVAL_MS).then_some(interval)
     }
@@ -63,16 +68,35 @@
         *self = Self::Interrupted;
     }
 
+    /// Begins an interval, to which the pauses before it don't belong.
+    fn since(now: IntervalStart) -> Self {
+        Self::Since(IntervalStart {
+            longest_pause_ms: 0,
+            ..now
+        })
+    }
+
     /// The interval that a new statement completes, if any.
     pub(super) fn advance(&mut self, now: IntervalStart) -> Option<Interval> {
         match *self {
             Self::Interrupted => *self = Self::StartsAfter(now.out_tokens),
-            Self::StartsAfter(tokens) if now.out_tokens > tokens => *self = Self::Since(now),
+            Self::StartsAfter(tokens) if now.out_tokens > tokens => *self = Self::since(now),
             Self::StartsAfter(_) => {}
             Self::Since(start) => {
-                let interval = start.until(now)?;
-                *self = Self::Since(now);
-                return Some(interval);
+                let longest_pause_ms = start.longest_pause_ms.max(now.longest_pause_ms);
+                let end = IntervalStart {
+                    longest_pause_ms,
+                    ..now
+                };
+                let interval = start.until(end);
+                *self = match interval {
+                    Some(_) => Self::since(now),
+                    None => Self::Since(IntervalStart {
+                        longest_pause_ms,
+                        ..start
+                    }),
+                };
+                return interval;
             }
         }
         None
--- a/crates/policy/src/cell/migration.rs
+++ b/crates/policy/src/cell/migration.rs
@@ -82,8 +82,9 @@
                 self.destination(now_ms, &forecast, &copy_ms, run, left_ms, is_free)?;
             Some((key, to, duration_ms))
         })?;
+        let resume_risk_ms = self.resume_risk_ms(now_ms, key, to);
         let receiver = self.engines.get_mut(&to)?;
-        receiver.begin_receiving(now_ms, duration_ms);
+        receiver.begin_receiving(now_ms, duration_ms, resume_risk_ms);
         receiver.record_start(now_ms);
         let run = self.runs.get_mut(&key)?;
         run.begin_migration(to);
@@ -118,6 +119,13 @@
         }
         if let Some(run) = self.runs.get_mut(&migration.run) {
             run.finish_migration(outcome == MigrationOutcome::Moved);
+            if outcome == MigrationOutcome::Moved
+                && let Some(to) = self.engines.get(&migration.to)
+            {
+                let is_prefilling = to.is_prefilling_at(now_ms);
+                let event_ms = self.pauses.event_ms(to.pace_factor(), is_prefilling);
+                run.record_resumption(now_ms, event_ms);
+            }
             if matches!(
                 outcome,
                 MigrationOutcome::NotMoved | MigrationOutcome::Orphaned
@@ -149,6 +157,7 @@
             true => LATE_MAX_MEMORY_SHARE,
             false => MAX_MEMORY_SHARE,
         };
+        let risk = self.migration_risk(run, demand);
         let open = self.engines.values().filter(|engine| is_open(engine));
         let costs = open.filter_map(|engine| {
             let is_local = engine.entry.data_centre == source.entry.data_centre;
@@ -158,13 +167,27 @@
             }
             let share = forecast.peak_share(engine, demand);
             let busy_ms = copy_ms.get(&engine.entry.key).copied().unwrap_or_default();
-            let cost_ms = duration_ms + busy_ms + MEMORY_COST_MS * share;
+            let pace_factor = engine.pace_factor();
+            let is_prefilling = engine.is_prefilling_at(now_ms + duration_ms as Millis);
+            let risk_ms = risk.migration_cost_ms(pace_factor, is_prefilling);
+            let cost_ms = duration_ms + busy_ms + MEMORY_COST_MS * share + risk_ms;
             (share <= max_share).then_some((cost_ms, engine.entry.key, duration_ms as Millis))
         });
         let best = costs.min_by(|a, b| a.0.total_cmp(&b.0).then(a.1.cmp(&b.1)));
         best.map(|(_, key, duration_ms)| (key, duration_ms))
     }
 
+    /// What it costs if a prompt is prefilled on an engine when a generation resumes there.
+    fn resume_risk_ms(&self, now_ms: Millis, run: RunKey, to: UpstreamKey) -> f32 {
+        let (Some(run), Some(to)) = (self.runs.get(&run), self.engines.get(&to)) else {
+            return 0.0;
+        };
+        let demand = run.demand(now_ms, &self.answer_lengths);
+        let risk = self.migration_risk(run, demand);
+        let pace_factor = to.pace_factor();
+        risk.migration_cost_ms(pace_factor, true) - risk.migration_cost_ms(pace_factor, false)
+    }
+
     /// How long the links of engines are occupied by backup copies that have just started and
     /// include the whole prompt.
     fn initial_copies_ms(&self, now_ms: Millis) -> BTreeMap<UpstreamKey, f32> {
--- a/crates/policy/src/cell/mod.rs
+++ b/crates/policy/src/cell/mod.rs
@@ -9,10 +9,13 @@
 mod answer_lengths;
 mod cost;
 mod engine;
+mod exceedances;
 mod forecast;
+mod late_risk;
 mod measurement;
 mod migration;
 mod pace;
+mod pauses;
 mod placement;
 mod prefill_rate;
 mod run;
@@ -32,6 +35,7 @@
 use answer_lengths::AnswerLengths;
 use engine::Engine;
 use pace::Pace;
+use pauses::Pauses;
 use prefill_rate::PrefillRate;
 use run::Run;
 use waiting::WaitingList;
@@ -56,6 +60,7 @@
     answer_lengths: AnswerLengths,
     prefill_rate: PrefillRate,
     pace: Pace,
+    pauses: Pauses,
 }
 
 impl Cell {
@@ -226,6 +231,7 @@
             self.restate_run(now_ms, host, statement);
         }
         self.update_pace_factors();
+        self.pauses.refresh(now_ms);
     }
 
     fn restate_run(&mut self, now_ms: Millis, host: HostKey, statement: &RunStatement) {
@@ -235,7 +241,24 @@
         let relayed_tokens = run.relayed_tokens();
         run.restate(now_ms, token_ms, statement);
         if let Some(engine) = self.engines.get_mut(&statement.engine) {
-            self.pace.learn_statement(now_ms, engine, run);
+            let pause_ms = statement.longest_pause_ms;
+            if let Some(resumption) = run.take_resumption(now_ms, pause_ms) {
+                self.pauses
+                    .learn_resumption(resumption.event_ms, resumption.longest_pause_ms);
+            }
+            let interval = self.pace.learn_statement(now_ms, engine, run, pause_ms);
+            let pace_factor = engine.pace_factor();
+            if let Some(interval) = interval {
+                self.pauses.learn(pace_factor, interval);
+            }
+            run.prefill_risk_per_s = match run.is_late {
+                true => 0.0,
+                false => {
+                    let demand = run.demand(now_ms, &self.answer_lengths);
+                    self.pauses
+                        .prefill_risk_per_s(run.gap_target_ms, pace_factor, demand)
+                }
+            };
         }
         self.answer_lengths.advance(
             now_ms,
--- a/crates/policy/src/cell/pace.rs
+++ b/crates/policy/src/cell/pace.rs
@@ -152,16 +152,24 @@
         (initial_ms + self.decode_ms) / (INITIAL_TOKENS + self.quiet_tokens)
     }
 
-    /// Learns from a statement of a generation that runs on an engine.
-    pub(super) fn learn_statement(&mut self, now_ms: Millis, engine: &mut Engine, run: &mut Run) {
+    /// Learns from a statement of a generation that runs on an engine; returns the interval that the
+    /// statement completes, if any.
+    pub(super) fn learn_statement(
+        &mut self,
+        now_ms: Millis,
+        engine: &mut Engine,
+        run: &mut Run,
+        longest_pause_ms: Millis,
+    ) -> Option<Interval> {
         let now = IntervalStart {
             at_ms: now_ms,
             out_tokens: run.relayed_tokens(),
             prefilled_ms: engine.prefilled_ms(now_ms),
+            longest_pause_ms,
         };
-        if let Some(interval) = run.measurement.advance(now) {
-            self.learn_interval(now_ms, &mut engine.pace, interval);
-        }
+        let interval = run.measurement.advance(now)?;
+        self.learn_interval(now_ms, &mut engine.pace, interval);
+        Some(interval)
     }
 
     /// Learns from the progress of a generation on an engine.
@@ -174,6 +182,7 @@
             duration_ms,
             tokens,
             prefill_share,
+            ..
         } = interval;
         let quiet_tokens = tokens / (1.0 - self.prefill_loss * prefill_share);
         self.decay(now_ms);
@@ -281,6 +290,8 @@
             return;
         };
         let usual_ms = expected.after_ms as f32 / expected.pace_factor;
+        self.pauses
+            .learn_first_event(expected.after_ms as f32, first_ms as f32);
         let engine = self.engines.get_mut(&run.engine());
         let factor = engine.as_ref().map_or(1.0, |engine| engine.pace_factor());
         self.prefill_rate.learn(usual_ms, first_ms as f32 / factor);
--- a/crates/policy/src/cell/placement.rs
+++ b/crates/policy/src/cell/placement.rs
@@ -50,6 +50,8 @@
     pub retry_key: u64,
     /// Priority of its organisation or route; 0 is the most urgent.
     pub priority: u8,
+    /// Bound on the pauses between its events, if it has one.
+    pub gap_target_ms: Option<Millis>,
     /// How long its first event may still take to be on time.
     #[serde(rename = "patience_ms")]
     pub max_wait_ms: Millis,
--- a/crates/policy/src/cell/run.rs
+++ b/crates/policy/src/cell/run.rs
@@ -15,6 +15,9 @@
 /// before it.
 const RECENT_MS: Millis = 1_500;
 
+/// A statement this long after a migration includes its pause.
+const RESUMPTION_STATED_MS: Millis = 400;
+
 /// A generation as stated by the host that relays it.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct RunStatement {
@@ -34,6 +37,10 @@
     pub limit_tokens: u32,
     /// The caller's estimate of the length.
     pub hint_tokens: Option<u32>,
+    /// Bound on the pauses between its events, if it has one.
+    pub gap_target_ms: Option<Millis>,
+    /// Longest pause between two of its events since the previous statement.
+    pub longest_pause_ms: Millis,
 }
 
 /// How a generation ended, as seen by the host that relayed it.
@@ -57,6 +64,16 @@
     pub(super) pace_factor: f32,
 }
 
+/// A generation that has just resumed after a migration.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct Resumption {
+    at_ms: Millis,
+    /// Expected time to the next event.
+    pub(super) event_ms: f32,
+    /// Longest pause that was stated since.
+    pub(super) longest_pause_ms: Millis,
+}
+
 /// Where a generation starts, and what is expected of its engine.
 #[derive(Debug, Clone, Copy)]
 pub(super) struct StartedOn {
@@ -68,6 +85,8 @@
     pub(super) token_ms: f32,
     /// The engine's speed.
     pub(super) pace_factor: f32,
+    /// What it costs in a second of prefill beside it that it may become late.
+    pub(super) prefill_risk_per_s: f32,
 }
 
 #[derive(Debug, Clone)]
@@ -89,6 +108,14 @@
     expected_first: Option<ExpectedFirst>,
     /// Time per token on its engine.
     token_ms: f32,
+    /// Bound on its pauses.
+    pub(super) gap_target_ms: Option<Millis>,
+    /// Whether a pause has exceeded the bound.
+    pub(super) is_late: bool,
+    /// What it costs in a second of prefill beside it that it may become late.
+    pub(super) prefill_risk_per_s: f32,
+    /// Set for a moment after a migration.
+    resumption: Option<Resumption>,
     /// Measures the speed of its engine by its progress.
     pub(super) measurement: Measurement,
     /// No migration is attempted before this time, because one has failed.
@@ -107,6 +134,7 @@
             first_token_ms,
             token_ms,
             pace_factor,
+            prefill_risk_per_s,
         } = started_on;
         Self {
             host: request.host,
@@ -125,6 +153,10 @@
                 pace_factor,
             }),
             token_ms,
+            gap_target_ms: request.gap_target_ms,
+            is_late: false,
+            prefill_risk_per_s,
+            resumption: None,
             measurement: Measurement::default(),
             backoff_until_ms: 0,
         }
@@ -150,6 +182,10 @@
             placed_ms: now_ms,
             expected_first: None,
             token_ms,
+            gap_target_ms: statement.gap_target_ms,
+            is_late: false,
+            prefill_risk_per_s: 0.0,
+            resumption: None,
             measurement: Measurement::default(),
             backoff_until_ms: 0,
         }
@@ -162,6 +198,8 @@
         self.engine = statement.engine;
         self.backup = statement.backup;
         self.token_ms = token_ms;
+        let is_over = |bound_ms| statement.longest_pause_ms > bound_ms;
+        self.is_late |= self.gap_target_ms.is_some_and(is_over);
         if statement.out_tokens > 0 {
             self.out_tokens = statement.out_tokens;
             self.out_tokens_at_ms = now_ms;
@@ -205,6 +243,27 @@
         }
     }
 
+    /// Records that it has resumed on another engine, where an event was expected within `event_ms`.
+    pub(super) fn record_resumption(&mut self, now_ms: Millis, event_ms: f32) {
+        self.resumption = Some(Resumption {
+            at_ms: now_ms,
+            event_ms,
+            longest_pause_ms: 0,
+        });
+    }
+
+    /// The pause of its migration, once it has been stated.
+    pub(super) fn take_resumption(
+        &mut self,
+        now_ms: Millis,
+        longest_pause_ms: Millis,
+    ) -> Option<Resumption> {
+        let resumption = self.resumption.as_mut()?;
+        resumption.longest_pause_ms = resumption.longest_pause_ms.max(longest_pause_ms);
+        let is_stated = now_ms >= resumption.at_ms + RESUMPTION_STATED_MS;
+        self.resumption.take_if(|_| is_stated)
+    }
+
     /// Forgets the copies on an engine that has lost them.
     pub(super) fn forget_copies(&mut self, lost: UpstreamKey) {
         self.backup = self.backup.filter(|backup| *backup != lost);
--- a/crates/policy/src/cell/selection.rs
+++ b/crates/policy/src/cell/selection.rs
@@ -165,12 +165,16 @@
             return (attempt, Selection::TooLarge);
         }
         let answer_time = self.answer_time(request, demand, &open);
+        let start_risk = self.start_risk(request, demand);
         let mut forecast = self.forecast(now_ms);
         self.reserve_for_leaving(now_ms, &mut forecast);
         self.reserve_for_waiting(attempt.order, &shares, &mut forecast);
         let costs = open.iter().filter_map(|engine| {
             let cost = cost_ms(now_ms, &answer_time, &forecast, engine, &attempt)?;
-            Some((cost, engine))
+            let wait_ms = engine.prefill_wait_ms(now_ms);
+            let risk_per_s = forecast.prefill_risk_per_s(engine.entry.key);
+            let risk_ms = start_risk.cost_ms(engine, wait_ms, risk_per_s);
+            Some((cost + risk_ms + engine.resume_risk_ms(now_ms), engine))
         });
         let best = costs.min_by(|a, b| {
             let by_order = order(a.1.entry.key).cmp(&order(b.1.entry.key));
@@ -257,12 +261,19 @@
         let factor = chosen.pace_factor();
         chosen.add_prefill(now_ms, request.prefill_ms(&self.prefill_rate) * factor);
         chosen.record_start(now_ms);
+        let demand = request.demand(&self.answer_lengths, &self.pace);
+        self.pauses.record_request(request, demand);
         let started_on = StartedOn {
             engine,
             backup,
             first_token_ms: chosen.prefilled_at_ms as Millis,
             token_ms: self.pace.token_ms() * factor,
             pace_factor: factor,
+            prefill_risk_per_s: self.pauses.prefill_risk_per_s(
+                request.gap_target_ms,
+                factor,
+                demand,
+            ),
         };
         let run = Run::placed(now_ms, started_on, request);
         self.runs.insert(request.run, run);
--- a/crates/policy/tests/cell/fixtures.rs
+++ b/crates/policy/tests/cell/fixtures.rs
@@ -50,6 +50,7 @@
         hint_tokens: Some(hint_tokens),
         retry_key: run,
         priority: 1,
+        gap_target_ms: None,
         max_wait_ms: 1_800,
         left_ms: 39_000,
         is_final_attempt: false,
@@ -68,6 +69,8 @@
         out_tokens,
         limit_tokens,
         hint_tokens: Some(limit_tokens),
+        gap_target_ms: None,
+        longest_pause_ms: 0,
     }
 }
 
--- a/crates/policy/tests/cell/main.rs
+++ b/crates/policy/tests/cell/main.rs
@@ -8,6 +8,7 @@
 mod fixtures;
 mod migration;
 mod pace;
+mod pauses;
 mod placement;
 mod prefill_rate;
 mod queueing;
