--- a/crates/bench/src/reclaim/attempt.rs
+++ b/crates/bench/src/reclaim/attempt.rs
@@ -20,6 +20,8 @@
     pub(super) first_event_us: Option<u64>,
     pub(super) last_event_us: u64,
     pub(super) longest_pause_ms: f64,
+    /// Longest pause since the last statement.
+    pub(super) unstated_pause_ms: f64,
     /// The step factor of its engine, unless it ran on several.
     pub(super) step_factor: Option<f64>,
 }
@@ -39,6 +41,7 @@
             first_event_us: None,
             last_event_us: 0,
             longest_pause_ms: 0.0,
+            unstated_pause_ms: 0.0,
             step_factor: None,
         }
     }
--- a/crates/bench/src/reclaim/world.rs
+++ b/crates/bench/src/reclaim/world.rs
@@ -199,6 +199,7 @@
         } else {
             let pause_ms = (now_us - attempt.last_event_us) as f64 / 1_000.0;
             attempt.longest_pause_ms = attempt.longest_pause_ms.max(pause_ms);
+            attempt.unstated_pause_ms = attempt.unstated_pause_ms.max(pause_ms);
             if std::mem::take(&mut attempt.was_migrated) {
                 self.tally.pauses_ms.push(pause_ms);
             }
--- a/crates/policy/src/cell/forecast.rs
+++ b/crates/policy/src/cell/forecast.rs
@@ -15,6 +15,8 @@
 pub(super) struct MemoryDemand {
     pub(super) held_tokens: f32,
     pub(super) remaining_tokens: f32,
+    /// Time per token.
+    pub(super) token_ms: f32,
 }
 
 impl MemoryDemand {
@@ -32,6 +34,8 @@
 struct Load {
     /// Running generations.
     running: u32,
+    /// What it costs in a second of prefill that running answers may become late.
+    prefill_risk_per_s: f32,
     /// Memory at each of [`HORIZONS_TOKENS`].
     held_tokens: [f32; HORIZONS_TOKENS.len()],
 }
@@ -70,6 +74,11 @@
         self.load(engine).running
     }
 
+    /// What it costs in a second of prefill on an engine that answers there may become late.
+    pub(super) fn prefill_risk_per_s(&self, engine: UpstreamKey) -> f32 {
+        self.load(engine).prefill_risk_per_s
+    }
+
     /// Reserves memory of an engine for a generation that takes precedence.
     pub(super) fn reserve(&mut self, engine: UpstreamKey, demand: MemoryDemand) {
         self.loads.entry(engine).or_default().add(demand);
@@ -88,7 +97,9 @@
             for engine in run.holders() {
                 loads.entry(engine).or_default().add(demand);
             }
-            loads.entry(run.engine()).or_default().running += 1;
+            let load = loads.entry(run.engine()).or_default();
+            load.running += 1;
+            load.prefill_risk_per_s += run.prefill_risk_per_s;
         }
         Forecast { now_ms, loads }
     }
@@ -99,6 +110,7 @@
         MemoryDemand {
             held_tokens: self.held_tokens(now_ms),
             remaining_tokens: self.remaining_tokens(now_ms, answer_lengths),
+            token_ms: self.token_ms(),
         }
     }
 }
--- a/crates/policy/src/cell/incoming.rs
+++ b/crates/policy/src/cell/incoming.rs
@@ -112,10 +112,12 @@
         incoming: &IncomingMigration,
     ) -> Option<UpstreamKey> {
         self.expire_unconfirmed(now_ms);
-        let run = Run::restored(now_ms, incoming.host, &incoming.statement);
+        let token_ms = self.pace.token_ms();
+        let run = Run::restored(now_ms, incoming.host, token_ms, &incoming.statement);
         let demand = run.demand(now_ms, &self.answer_lengths);
         let mut forecast = self.forecast(now_ms);
         self.reserve_for_leaving(now_ms, &mut forecast);
+        let risk = self.migration_risk(&run, demand);
         let receivers = self
             .engines
             .values()
@@ -127,20 +129,24 @@
             let has_slot = forecast.running(engine.entry.key) < engine.entry.capacity.slots;
             let fits =
                 has_slot && share <= MAX_MEMORY_SHARE && duration_ms <= incoming.left_ms as f32;
-            let cost_ms = duration_ms + MEMORY_COST_MS * share;
+            let is_prefilling = engine.is_prefilling_at(now_ms + duration_ms as Millis);
+            let risk_ms = risk.migration_cost_ms(engine.pace_factor(), is_prefilling);
+            let cost_ms = duration_ms + MEMORY_COST_MS * share + risk_ms;
             fits.then_some((cost_ms, engine.entry.key, duration_ms as Millis))
         });
         let best = costs.min_by(|a, b| a.0.total_cmp(&b.0).then(a.1.cmp(&b.1)));
         let (_, to, duration_ms) = best?;
+        let token_ms = self.token_ms_on(to);
+        let resume_risk_ms = self.resume_risk_ms(now_ms, &run, to);
         let receiver = self.engines.get_mut(&to)?;
-        receiver.begin_receiving(now_ms, duration_ms);
+        receiver.begin_receiving(now_ms, duration_ms, resume_risk_ms);
         receiver.record_start(now_ms);
         let statement = RunStatement {
             engine: to,
             backup: None,
             ..incoming.statement
         };
-        let mut run = Run::restored(now_ms, incoming.host, &statement);
+        let mut run = Run::restored(now_ms, incoming.host, token_ms, &statement);
         run.expect_statement(now_ms + RESERVATION_TTL_MS);
         run.backoff_until_ms = now_ms + RESERVATION_TTL_MS;
         self.runs.insert(statement.run, run);
--- a/crates/policy/tests/cell/main.rs
+++ b/crates/policy/tests/cell/main.rs
@@ -9,6 +9,8 @@
 mod memory;
 mod migrated_memory;
 mod migration;
+mod pace;
+mod pauses;
 mod placement;
 mod prefill_rate;
 mod queueing;
--- a/crates/policy/tests/cell/memory.rs
+++ b/crates/policy/tests/cell/memory.rs
@@ -257,6 +257,8 @@
                 out_tokens: 0,
                 limit_tokens,
                 hint_tokens: request.hint_tokens,
+                gap_target_ms: None,
+                longest_pause_ms: 0,
             },
             length_tokens,
             first_token_ms: *prefilled_at_us / 1_000,
