Move answers off engines where queued prompts would make them late

When demand peaks, several prompts have to start on one slow engine, and the prefills behind an answer make it late within its first second. The home now looks every 25 ms for the answer that gains most by moving to an engine without prompts queued or to a fast one, if that gain exceeds the risk of the migration's own pause. Each engine has one transfer at a time, which now also holds for engines that send.

The simulation rebalances as the gateway does.

--- a/crates/bench/src/reclaim/event.rs
+++ b/crates/bench/src/reclaim/event.rs
@@ -31,6 +31,8 @@
     Crash,
     /// The replacement of an engine has started.
     ReplacementStarted(usize),
+    /// Homes look for a generation to migrate between engines that stay.
+    Rebalance,
     /// Hosts restate the runs that they relay.
     RestateRuns,
 }
--- a/crates/bench/src/reclaim/migration.rs
+++ b/crates/bench/src/reclaim/migration.rs
@@ -10,6 +10,8 @@
 const REPORT_AGE_US: u64 = 560_000;
 /// Interval between two checks of a leaving engine when nothing can be migrated at present.
 const MIGRATION_POLL_US: u64 = 25_000;
+/// Interval at which homes look for a migration between engines that stay.
+const REBALANCE_PERIOD_US: u64 = 25_000;
 /// Latency of the calls between home, host and engine, at each of the two copies of a migration.
 const CALL_LATENCY_US: u64 = 8_000;
 /// A copy that is not used is dropped after this time.
@@ -37,6 +39,18 @@
         }
     }
 
+    /// Starts a migration between engines that stay in each cell, if there is one.
+    pub(super) fn rebalance(&mut self) {
+        let now_ms = self.now_ms();
+        for cell in self.cells.all() {
+            if let Some(migration) = self.cells.get_mut(cell).next_rebalancing(now_ms) {
+                self.tally.rebalanced += 1;
+                self.begin_migration(migration);
+            }
+        }
+        self.after(REBALANCE_PERIOD_US, Event::Rebalance);
+    }
+
     fn begin_migration(&mut self, migration: Migration) {
         let (from, to) = (engine_of(migration.from), engine_of(migration.to));
         let run = migration.run.0 as usize;
@@ -135,6 +149,9 @@
             [migration.from, migration.to].map(|key| self.engines[engine_of(key)].site.cell);
         self.cells
             .finish_migration(now_ms, between, migration, outcome);
-        self.after(1_000, Event::NextMigration(engine_of(migration.from)));
+        let from = engine_of(migration.from);
+        if self.engines[from].stops_at_us.is_some() {
+            self.after(1_000, Event::NextMigration(from));
+        }
     }
 }
--- a/crates/bench/src/reclaim/row.rs
+++ b/crates/bench/src/reclaim/row.rs
@@ -108,6 +108,8 @@
     pub(crate) lost: usize,
     pub(crate) preemptions: u32,
     pub(crate) moves: u32,
+    /// Generations that were ordered to migrate between engines that stay.
+    pub(crate) rebalanced: u32,
     pub(crate) wasted_prompt_tokens: u64,
     /// Pauses in streams whose generation was migrated.
     pub(crate) pause_ms_p50: f64,
@@ -209,6 +211,7 @@
     pub(super) lost: usize,
     pub(super) preemptions: u32,
     pub(super) moves: u32,
+    pub(super) rebalanced: u32,
     pub(super) wasted_prompt_tokens: u64,
     pub(super) pauses_ms: Vec<f64>,
 }
@@ -269,6 +272,7 @@
             lost: self.lost,
             preemptions: self.preemptions,
             moves: self.moves,
+            rebalanced: self.rebalanced,
             wasted_prompt_tokens: self.wasted_prompt_tokens,
             pause_ms_p50: percentile(&self.pauses_ms, 0.5),
             pause_ms_p99: percentile(&self.pauses_ms, 0.99),
--- a/crates/bench/src/reclaim/world.rs
+++ b/crates/bench/src/reclaim/world.rs
@@ -136,6 +136,9 @@
             .schedule(engine_lifecycle::RECLAIM_PERIOD_US / 2, Event::Reclaim);
         self.event_queue
             .schedule(host::RESTATE_PERIOD_US, Event::RestateRuns);
+        if self.settings.policy != PolicyName::Stay {
+            self.event_queue.schedule(0, Event::Rebalance);
+        }
         self.next_crash();
         let end_us = (self.settings.duration_s * 1e6) as u64 + FINAL_PHASE_US;
         while let Some((at_us, event)) = self.event_queue.pop() {
@@ -161,6 +164,7 @@
             Event::Crash => self.crash(),
             Event::ReplacementStarted(replaced) => self.start_replacement(replaced),
             Event::RestateRuns => self.restate_runs(),
+            Event::Rebalance => self.rebalance(),
         }
     }
 
--- a/crates/gateway/src/cells/homes.rs
+++ b/crates/gateway/src/cells/homes.rs
@@ -237,7 +237,10 @@
         info!("cells: {moved} generations carried off {:016x}", engine.0);
     }
 
-    async fn request_migration(self: &Arc<Self>, migration: Migration) -> MigrationOutcome {
+    pub(crate) async fn request_migration(
+        self: &Arc<Self>,
+        migration: Migration,
+    ) -> MigrationOutcome {
         let Migration { run, to, host, .. } = migration;
         if host == self.host_key() {
             return migration_outcome(self.migrate_relayed_run(run, to).await);
@@ -281,7 +284,7 @@
     }
 }
 
-fn metric_label(outcome: MigrationOutcome) -> &'static str {
+pub(crate) fn metric_label(outcome: MigrationOutcome) -> &'static str {
     match outcome {
         MigrationOutcome::Moved => "moved",
         MigrationOutcome::NotMoved => "stayed",
@@ -292,7 +295,7 @@
 }
 
 /// The name in log lines, which operators match.
-fn log_name(outcome: MigrationOutcome) -> &'static str {
+pub(crate) fn log_name(outcome: MigrationOutcome) -> &'static str {
     match outcome {
         MigrationOutcome::Moved => "Moved",
         MigrationOutcome::NotMoved => "Stayed",
--- a/crates/gateway/src/cells/mod.rs
+++ b/crates/gateway/src/cells/mod.rs
@@ -5,6 +5,7 @@
 pub(crate) mod homes;
 pub(crate) mod layout;
 pub(crate) mod probe;
+pub(crate) mod rebalance;
 pub(crate) mod runs;
 pub(crate) mod speeds;
 
@@ -332,6 +333,24 @@
         tables.get_mut(&cell)?.cell.next_migration(now_ms, from)
     }
 
+    /// The next migration between engines that stay in each of some cells, if there is one.
+    pub(crate) fn next_rebalancings(
+        &self,
+        now_ms: Millis,
+        is_included: impl Fn(CellKey) -> bool,
+    ) -> Vec<(CellKey, Migration)> {
+        let mut tables = self.tables.lock();
+        let at_risk = tables
+            .iter_mut()
+            .filter(|(_, table)| table.cell.has_answers_at_risk());
+        let included = at_risk.filter(|(cell, _)| is_included(**cell));
+        let next = included.filter_map(|(cell, table)| {
+            let migration = table.cell.next_rebalancing(now_ms)?;
+            Some((*cell, migration))
+        });
+        next.collect()
+    }
+
     pub(crate) fn finish_migration(
         &self,
         now_ms: Millis,
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -168,6 +168,7 @@
     pub(crate) first_byte_ms: Histogram,
     pub(crate) pause_ms: Histogram,
     pub(crate) transfers: Family<TransferLabels, Counter>,
+    pub(crate) rebalanced: Family<TransferLabels, Counter>,
     pub(crate) engine_speed_ratio_percent: Gauge,
     pub(crate) continuations: Family<ContinuationLabels, Counter>,
     pub(crate) running_copies: Counter,
@@ -243,6 +244,9 @@
         let transfers = Family::default();
         let help = "Migrations off leaving engines that this host ordered, by outcome";
         registry.register("transfers", help, transfers.clone());
+        let rebalanced = Family::default();
+        let help = "Migrations between engines that stay that this host ordered, by outcome";
+        registry.register("rebalanced_generations", help, rebalanced.clone());
         let engine_speed_ratio_percent = Gauge::default();
         let help = "Largest ratio of the slowest to the fastest engine in a cell of this home";
         registry.register(
@@ -338,6 +342,7 @@
         registry.register("retries_left", help, retries_left.clone());
         Self {
             transfers,
+            rebalanced,
             engine_speed_ratio_percent,
             continuations,
             running_copies,
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -97,6 +97,7 @@
         tokio::spawn(async move { gateway.surge.measure(gateway.clock).await });
         tokio::spawn(self.clone().restate_runs());
         tokio::spawn(self.clone().migrate_off_leaving());
+        tokio::spawn(self.clone().rebalance());
         tokio::spawn(self.clone().probe_uncertain_engines());
         tokio::spawn(self.clone().join_fleet(self.settings.seeds.clone()));
         let gateway = self.clone();
--- a/crates/policy/src/cell/engine.rs
+++ b/crates/policy/src/cell/engine.rs
@@ -69,6 +69,8 @@
     /// What it costs if a prompt is prefilled here when the generation of the incoming transfer
     /// resumes.
     resume_risk_ms: f32,
+    /// The latest time until which a transfer from this engine blocks others.
+    sending_until_ms: Millis,
     /// No transfer is sent here before this time, because the engine had no room for one.
     refused_until_ms: Millis,
     orphaned_copies: Vec<OrphanedCopy>,
@@ -99,6 +101,7 @@
             pace: EnginePace::default(),
             receiving_until_ms: 0,
             resume_risk_ms: 0.0,
+            sending_until_ms: 0,
             refused_until_ms: 0,
             orphaned_copies: Vec::new(),
             failures: Failures::default(),
@@ -191,6 +194,21 @@
         }
     }
 
+    /// Records the start of a transfer from this engine and its expected duration.
+    pub(super) fn begin_sending(&mut self, now_ms: Millis, duration_ms: Millis) {
+        self.sending_until_ms = now_ms + duration_ms * OVERDUE_FACTOR;
+    }
+
+    /// Records the end of a transfer from this engine.
+    pub(super) fn finish_sending(&mut self) {
+        self.sending_until_ms = 0;
+    }
+
+    /// Whether no transfer uses its link, either way.
+    pub(super) fn has_free_link(&self, now_ms: Millis) -> bool {
+        now_ms >= self.sending_until_ms.max(self.receiving_until_ms)
+    }
+
     /// Records that it had no room for a transfer.
     pub(super) fn refuse_transfers(&mut self, now_ms: Millis) {
         self.refused_until_ms = now_ms + REFUSAL_BACKOFF_MS;
@@ -200,7 +218,8 @@
     pub(super) fn can_receive(&self, now_ms: Millis) -> bool {
         self.is_open()
             && self.may_start(now_ms)
-            && now_ms >= self.receiving_until_ms.max(self.refused_until_ms)
+            && self.has_free_link(now_ms)
+            && now_ms >= self.refused_until_ms
     }
 
     /// Records that a transfer was cut and its partial copy remains here.
--- a/crates/policy/src/cell/late_risk.rs
+++ b/crates/policy/src/cell/late_risk.rs
@@ -29,6 +29,20 @@
         self.late_cost_ms * (1.0 - (-late_per_s * decode_s).exp())
     }
 
+    /// Expected loss by the prompts that are queued on an engine.
+    pub(super) fn queue_cost_ms(&self, engine: &Engine, now_ms: Millis) -> f32 {
+        let Some(gap_target_ms) = self.gap_target_ms else {
+            return 0.0;
+        };
+        let pace_factor = engine.pace_factor();
+        let queue_s = engine.prefill_wait_ms(now_ms) / 1_000.0;
+        let beside_s = queue_s.min(self.decode_s * pace_factor);
+        let late_per_s = self
+            .pauses
+            .late_per_s_of_prefill(gap_target_ms, pace_factor);
+        self.late_cost_ms * (1.0 - (-late_per_s * beside_s).exp())
+    }
+
     /// Expected loss by the pause of a migration to an engine.
     pub(super) fn migration_cost_ms(&self, pace_factor: f32, is_prefilling: bool) -> f32 {
         let Some(gap_target_ms) = self.gap_target_ms else {
--- a/crates/policy/src/cell/migration.rs
+++ b/crates/policy/src/cell/migration.rs
@@ -15,7 +15,7 @@
 use crate::key::{HostKey, Millis, UpstreamKey};
 
 /// Fixed part of a transfer: two calls to the engine and the start at the destination.
-const SETUP_MS: f32 = 15.0;
+pub(super) const SETUP_MS: f32 = 15.0;
 /// Backoff of a generation whose migration has failed; others are migrated meanwhile.
 const RETRY_BACKOFF_MS: Millis = 150;
 /// Maximum share of a destination's memory that migrations may fill.
@@ -44,6 +44,15 @@
     pub to: UpstreamKey,
 }
 
+/// A migration that may start, and the expected duration of its transfer.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct Transfer {
+    pub(super) run: RunKey,
+    pub(super) from: UpstreamKey,
+    pub(super) to: UpstreamKey,
+    pub(super) duration_ms: Millis,
+}
+
 /// The outcome of a migration.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum MigrationOutcome {
@@ -75,14 +84,36 @@
         let by_loss_rate = self.by_loss_rate(now_ms, engine, left_ms);
         let forecast = self.forecast(now_ms);
         let copy_ms = self.initial_copies_ms(now_ms);
-        let (key, to, duration_ms) = by_loss_rate.into_iter().find_map(|(_, key)| {
+        let transfer = by_loss_rate.into_iter().find_map(|(_, key)| {
             let run = &self.runs[&key];
             let is_free = |engine: &Engine| engine.can_receive(now_ms);
             let (to, duration_ms) =
                 self.destination(now_ms, &forecast, &copy_ms, run, left_ms, is_free)?;
-            Some((key, to, duration_ms))
+            Some(Transfer {
+                run: key,
+                from,
+                to,
+                duration_ms,
+            })
         })?;
+        self.begin_transfer(now_ms, transfer)
+    }
+
+    /// Counts a migration that starts now at both engines.
+    pub(super) fn begin_transfer(
+        &mut self,
+        now_ms: Millis,
+        transfer: Transfer,
+    ) -> Option<Migration> {
+        let Transfer {
+            run: key,
+            from,
+            to,
+            duration_ms,
+        } = transfer;
         let resume_risk_ms = self.resume_risk_ms(now_ms, key, to);
+        let sender = self.engines.get_mut(&from)?;
+        sender.begin_sending(now_ms, duration_ms);
         let receiver = self.engines.get_mut(&to)?;
         receiver.begin_receiving(now_ms, duration_ms, resume_risk_ms);
         receiver.record_start(now_ms);
@@ -105,6 +136,9 @@
     ) {
         let held = self.runs.get(&migration.run);
         let held_tokens = held.map_or(0.0, |run| run.held_tokens(now_ms));
+        if let Some(from) = self.engines.get_mut(&migration.from) {
+            from.finish_sending();
+        }
         if let Some(to) = self.engines.get_mut(&migration.to) {
             to.finish_receiving();
             match outcome {
--- a/crates/policy/src/cell/mod.rs
+++ b/crates/policy/src/cell/mod.rs
@@ -18,6 +18,7 @@
 mod pauses;
 mod placement;
 mod prefill_rate;
+mod rebalancing;
 mod run;
 mod selection;
 mod shares;
--- a/crates/policy/src/cell/pauses.rs
+++ b/crates/policy/src/cell/pauses.rs
@@ -107,6 +107,11 @@
         self.overdue.rate(spare_ms.max(0.0))
     }
 
+    /// How often an answer on an engine of this factor becomes late in a second of prefill.
+    pub(super) fn late_per_s_of_prefill(&self, gap_target_ms: Millis, pace_factor: f32) -> f32 {
+        self.prefilling.rate(gap_target_ms as f32 / pace_factor)
+    }
+
     /// How often an answer on an engine of this factor becomes late in a second, with the usual
     /// prefills beside it.
     pub(super) fn late_per_s(&self, gap_target_ms: Millis, pace_factor: f32) -> f32 {
--- a/crates/policy/src/cell/selection.rs
+++ b/crates/policy/src/cell/selection.rs
@@ -12,7 +12,7 @@
 use crate::rendezvous::rank;
 
 /// Cost of each running generation: it delays every token of the others in its batch.
-const RUNNING_COST_MS: f32 = 9.0;
+pub(super) const RUNNING_COST_MS: f32 = 9.0;
 /// Cost of an engine in another data centre: network latency and more expensive traffic.
 const REMOTE_COST_MS: f32 = 12.0;
 /// Cost of full memory against empty memory. It is applied to the square of the share, which treats
--- a/crates/policy/tests/cell/main.rs
+++ b/crates/policy/tests/cell/main.rs
@@ -12,3 +12,4 @@
 mod placement;
 mod prefill_rate;
 mod queueing;
+mod rebalancing;
