--- a/crates/policy/src/cell/mod.rs
+++ b/crates/policy/src/cell/mod.rs
@@ -19,6 +19,7 @@
 mod placement;
 mod prefill_rate;
 mod rebalancing;
+mod resumption;
 mod run;
 mod selection;
 mod shares;
--- a/crates/policy/src/cell/run.rs
+++ b/crates/policy/src/cell/run.rs
@@ -5,6 +5,7 @@
 use super::answer_lengths::{AnswerLengths, StatedLength};
 use super::measurement::Measurement;
 use super::placement::PlacementRequest;
+use super::resumption::Resumption;
 use crate::key::{HostKey, Millis, OrganisationKey, UpstreamKey};
 
 /// A generation's key: a hash of its caller's request, the same on every host.
@@ -15,9 +16,6 @@
 /// before it.
 const RECENT_MS: Millis = 1_500;
 
-/// A statement this long after a migration includes its pause.
-const RESUMPTION_STATED_MS: Millis = 400;
-
 /// A generation as stated by the host that relays it.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct RunStatement {
@@ -64,16 +62,6 @@
     pub(super) pace_factor: f32,
 }
 
-/// A generation that has just resumed after a migration.
-#[derive(Debug, Clone, Copy)]
-pub(super) struct Resumption {
-    at_ms: Millis,
-    /// Expected time to the next event.
-    pub(super) event_ms: f32,
-    /// Longest pause that was stated since.
-    pub(super) longest_pause_ms: Millis,
-}
-
 /// Where a generation starts, and what is expected of its engine.
 #[derive(Debug, Clone, Copy)]
 pub(super) struct StartedOn {
@@ -115,7 +103,7 @@
     /// What it costs in a second of prefill beside it that it may become late.
     pub(super) prefill_risk_per_s: f32,
     /// Set for a moment after a migration.
-    resumption: Option<Resumption>,
+    pub(super) resumption: Option<Resumption>,
     /// Measures the speed of its engine by its progress.
     pub(super) measurement: Measurement,
     /// No migration is attempted before this time, because one has failed.
@@ -243,27 +231,6 @@
         }
     }
 
-    /// Records that it has resumed on another engine, where an event was expected within `event_ms`.
-    pub(super) fn record_resumption(&mut self, now_ms: Millis, event_ms: f32) {
-        self.resumption = Some(Resumption {
-            at_ms: now_ms,
-            event_ms,
-            longest_pause_ms: 0,
-        });
-    }
-
-    /// The pause of its migration, once it has been stated.
-    pub(super) fn take_resumption(
-        &mut self,
-        now_ms: Millis,
-        longest_pause_ms: Millis,
-    ) -> Option<Resumption> {
-        let resumption = self.resumption.as_mut()?;
-        resumption.longest_pause_ms = resumption.longest_pause_ms.max(longest_pause_ms);
-        let is_stated = now_ms >= resumption.at_ms + RESUMPTION_STATED_MS;
-        self.resumption.take_if(|_| is_stated)
-    }
-
     /// Forgets the copies on an engine that has lost them.
     pub(super) fn forget_copies(&mut self, lost: UpstreamKey) {
         self.backup = self.backup.filter(|backup| *backup != lost);
