--- a/crates/gateway/src/cells/homes.rs
+++ b/crates/gateway/src/cells/homes.rs
@@ -302,7 +302,10 @@
         outcome
     }
 
-    async fn request_migration(self: &Arc<Self>, migration: Migration) -> MigrationOutcome {
+    pub(crate) async fn request_migration(
+        self: &Arc<Self>,
+        migration: Migration,
+    ) -> MigrationOutcome {
         let Migration { run, to, host, .. } = migration;
         if host == self.host_key() {
             return migration_outcome(self.migrate_relayed_run(run, to).await);
@@ -357,7 +360,7 @@
 }
 
 /// The name in log lines, which operators match.
-fn log_name(outcome: MigrationOutcome) -> &'static str {
+pub(crate) fn log_name(outcome: MigrationOutcome) -> &'static str {
     match outcome {
         MigrationOutcome::Moved => "Moved",
         MigrationOutcome::NotMoved => "Stayed",
--- a/crates/policy/src/cell/migration.rs
+++ b/crates/policy/src/cell/migration.rs
@@ -46,6 +46,15 @@
     pub to: UpstreamKey,
 }
 
+/// A migration that may start, and the expected duration of its transfer.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct Transfer {
+    pub(super) run: RunKey,
+    pub(super) from: UpstreamKey,
+    pub(super) to: UpstreamKey,
+    pub(super) duration_ms: Millis,
+}
+
 /// The outcome of a migration.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub enum MigrationOutcome {
@@ -77,14 +86,36 @@
         let by_loss_rate = self.by_loss_rate(now_ms, engine, left_ms);
         let forecast = self.forecast(now_ms);
         let copy_ms = self.initial_copies_ms(now_ms);
-        let (key, to, duration_ms) = by_loss_rate.into_iter().find_map(|(_, key)| {
+        let transfer = by_loss_rate.into_iter().find_map(|(_, key)| {
             let run = &self.runs[&key];
             let is_free = |engine: &Engine| engine.can_receive(now_ms);
             let (to, duration_ms) =
                 self.destination(now_ms, &forecast, &copy_ms, run, left_ms, is_free)?;
-            Some((key, to, duration_ms))
+            Some(Transfer {
+                run: key,
+                from,
+                to,
+                duration_ms,
+            })
         })?;
-        let resume_risk_ms = self.resume_risk_ms(now_ms, &self.runs[&key], to);
+        self.begin_transfer(now_ms, transfer)
+    }
+
+    /// Counts a migration that starts now at both engines.
+    pub(super) fn begin_transfer(
+        &mut self,
+        now_ms: Millis,
+        transfer: Transfer,
+    ) -> Option<Migration> {
+        let Transfer {
+            run: key,
+            from,
+            to,
+            duration_ms,
+        } = transfer;
+        let resume_risk_ms = self.resume_risk_ms(now_ms, self.runs.get(&key)?, to);
+        let sender = self.engines.get_mut(&from)?;
+        sender.begin_sending(now_ms, duration_ms);
         let receiver = self.engines.get_mut(&to)?;
         receiver.begin_receiving(now_ms, duration_ms, resume_risk_ms);
         receiver.record_start(now_ms);
@@ -107,6 +138,9 @@
     ) {
         let held = self.runs.get(&migration.run);
         let held_tokens = held.map_or(0.0, |run| run.held_tokens(now_ms));
+        if let Some(from) = self.engines.get_mut(&migration.from) {
+            from.finish_sending();
+        }
         if let Some(to) = self.engines.get_mut(&migration.to) {
             to.finish_receiving();
             match outcome {
--- a/crates/policy/src/cell/mod.rs
+++ b/crates/policy/src/cell/mod.rs
@@ -20,6 +20,8 @@
 mod pauses;
 mod placement;
 mod prefill_rate;
+mod rebalancing;
+mod resumption;
 mod run;
 mod selection;
 mod shares;
--- a/crates/policy/tests/cell/main.rs
+++ b/crates/policy/tests/cell/main.rs
@@ -14,3 +14,4 @@
 mod placement;
 mod prefill_rate;
 mod queueing;
+mod rebalancing;
