Look for migrations over the border only where there is another cell

A service with a single cell searched for generations without a destination every 25 ms for each leaving engine, and could not use the result.

--- a/crates/gateway/src/cells/border.rs
+++ b/crates/gateway/src/cells/border.rs
@@ -112,6 +112,9 @@
         cell: CellKey,
         from: UpstreamKey,
     ) -> Option<MigrationOutcome> {
+        if !self.cells.has_others(cell) {
+            return None;
+        }
         let now_ms = self.clock.now_ms();
         let outgoing = self.cells.unplaceable_migration(now_ms, cell, from)?;
         let homes: Arc<dyn OtherHomes> = self.clone();
--- a/crates/gateway/src/cells/overflow.rs
+++ b/crates/gateway/src/cells/overflow.rs
@@ -19,7 +19,7 @@
 pub(super) const CALL_TIMEOUT: Duration = Duration::from_millis(150);
 
 impl Cells {
-    fn has_others(&self, cell: CellKey) -> bool {
+    pub(super) fn has_others(&self, cell: CellKey) -> bool {
         let tables = self.tables.lock();
         let layouts = self.layouts.lock();
         let layout = tables
