Count copies of ended generations, and ignore statements from before a migration

A home forgot a generation that ended during its transfer, with the copy at the destination, which the host discards only when the transfer is over. A statement that was sent before a migration and arrived after its outcome put the generation back on its earlier engine. In both cases the home sent the destination more than its memory holds.

A copy of an ended generation counts until the outcome of its migration, and like other orphaned copies after that if it could not be discarded.

--- a/crates/policy/src/cell/engine.rs
+++ b/crates/policy/src/cell/engine.rs
@@ -1,6 +1,7 @@
 //! One engine of a cell.
 
 use super::pace::EnginePace;
+use super::run::RunKey;
 use crate::cold::{Cold, ColdStarts};
 use crate::failures::Failures;
 use crate::key::{Millis, UpstreamKey};
@@ -88,6 +89,8 @@
 /// A copy that can be neither used nor released: its transfer was cut, so its id is unknown.
 #[derive(Debug, Clone, Copy)]
 struct OrphanedCopy {
+    /// Set while its host may still discard it: its generation has ended during the transfer.
+    ended_run: Option<RunKey>,
     tokens: f32,
     until_ms: Millis,
 }
@@ -227,14 +230,31 @@
     /// If it were not counted, the home would place generations on engines that hold such a copy,
     /// where they would wait in the engine's queue until the copy expires.
     pub(super) fn add_orphaned_copy(&mut self, now_ms: Millis, tokens: f32) {
+        self.add_copy(now_ms, None, tokens);
+    }
+
+    /// Records that a generation has ended during its transfer to this engine. The copy counts until
+    /// its host has discarded it.
+    pub(super) fn add_ended_copy(&mut self, now_ms: Millis, run: RunKey, tokens: f32) {
+        self.add_copy(now_ms, Some(run), tokens);
+    }
+
+    fn add_copy(&mut self, now_ms: Millis, ended_run: Option<RunKey>, tokens: f32) {
         let lifetime_ms = self.entry.capacity.copy_ttl_ms as f32 * ORPHANED_COPY_TTL_FACTOR;
         self.orphaned_copies.retain(|copy| copy.until_ms > now_ms);
         self.orphaned_copies.push(OrphanedCopy {
+            ended_run,
             tokens,
             until_ms: now_ms + lifetime_ms as Millis,
         });
     }
 
+    /// Records that the copy of a generation that had ended has been discarded.
+    pub(super) fn release_ended_copy(&mut self, run: RunKey) {
+        self.orphaned_copies
+            .retain(|copy| copy.ended_run != Some(run));
+    }
+
     /// Memory held by orphaned copies.
     pub(super) fn orphaned_tokens(&self, now_ms: Millis) -> f32 {
         let live = self
--- a/crates/policy/src/cell/migration.rs
+++ b/crates/policy/src/cell/migration.rs
@@ -137,15 +137,23 @@
         outcome: MigrationOutcome,
     ) {
         let held = self.runs.get(&migration.run);
-        let held_tokens = held.map_or(0.0, |run| run.held_tokens(now_ms));
+        let held_tokens = held.map(|run| run.held_tokens(now_ms));
         if let Some(from) = self.engines.get_mut(&migration.from) {
             from.finish_sending();
         }
         if let Some(to) = self.engines.get_mut(&migration.to) {
             to.finish_receiving();
+            if outcome != MigrationOutcome::Orphaned {
+                to.release_ended_copy(migration.run);
+            }
             match outcome {
                 MigrationOutcome::Refused => to.refuse_transfers(now_ms),
-                MigrationOutcome::Orphaned => to.add_orphaned_copy(now_ms, held_tokens),
+                // That of a generation that has ended meanwhile is counted already.
+                MigrationOutcome::Orphaned => {
+                    if let Some(held_tokens) = held_tokens {
+                        to.add_orphaned_copy(now_ms, held_tokens);
+                    }
+                }
                 MigrationOutcome::Moved | MigrationOutcome::NotMoved | MigrationOutcome::Ended => {}
             }
         }
@@ -154,7 +162,7 @@
             return;
         }
         if let Some(run) = self.runs.get_mut(&migration.run) {
-            run.finish_migration(outcome == MigrationOutcome::Moved);
+            run.finish_migration(now_ms, outcome == MigrationOutcome::Moved);
             if outcome == MigrationOutcome::Moved
                 && let Some(to) = self.engines.get(&migration.to)
             {
--- a/crates/policy/src/cell/mod.rs
+++ b/crates/policy/src/cell/mod.rs
@@ -207,7 +207,7 @@
     /// Removes a generation that has ended, and records its prefill time and length.
     pub fn end(&mut self, now_ms: Millis, run: RunKey, end: RunEnd) {
         self.waiting.remove(run);
-        let Some(run) = self.runs.remove(&run) else {
+        let Some(run) = self.remove_run(now_ms, run) else {
             return;
         };
         if let Some(first_ms) = end.first_ms {
@@ -227,11 +227,15 @@
     /// relays. Generations that it does not state are removed, because the message of their end may
     /// be lost.
     pub fn restate(&mut self, now_ms: Millis, host: HostKey, statements: &[RunStatement]) {
-        self.runs.retain(|key, run| {
-            run.host() != host
-                || run.is_recent(now_ms)
-                || statements.iter().any(|statement| statement.run == *key)
-        });
+        let is_stated = |key| statements.iter().any(|statement| statement.run == key);
+        let ended = self
+            .runs
+            .iter()
+            .filter(|(key, run)| run.host() == host && !run.is_recent(now_ms) && !is_stated(**key));
+        let ended: Vec<RunKey> = ended.map(|(key, _)| *key).collect();
+        for run in ended {
+            self.remove_run(now_ms, run);
+        }
         for statement in statements {
             self.restate_run(now_ms, host, statement);
         }
@@ -274,6 +278,17 @@
         );
     }
 
+    /// Removes a generation that has ended. Its copy at the destination of a migration in progress is
+    /// counted until the outcome is known: the host discards it only then.
+    fn remove_run(&mut self, now_ms: Millis, key: RunKey) -> Option<Run> {
+        let run = self.runs.remove(&key)?;
+        let to = run.migrating_to();
+        if let Some(to) = to.and_then(|to| self.engines.get_mut(&to)) {
+            to.add_ended_copy(now_ms, key, run.held_tokens(now_ms));
+        }
+        Some(run)
+    }
+
     /// Removes the generations of hosts that are gone, whose connections to callers are lost.
     pub fn retain_hosts(&mut self, is_present: impl Fn(HostKey) -> bool) {
         self.runs.retain(|_, run| is_present(run.host()));
--- a/crates/policy/src/cell/run.rs
+++ b/crates/policy/src/cell/run.rs
@@ -106,6 +106,8 @@
     pub(super) resumption: Option<Resumption>,
     /// Measures the speed of its engine by its progress.
     pub(super) measurement: Measurement,
+    /// The engine that it was migrated from, and when.
+    moved_from: Option<(UpstreamKey, Millis)>,
     /// No migration is attempted before this time, because one has failed.
     pub(super) backoff_until_ms: Millis,
     /// It is counted only until then if its host does not state it; `None` once it has.
@@ -148,6 +150,7 @@
             prefill_risk_per_s,
             resumption: None,
             measurement: Measurement::default(),
+            moved_from: None,
             backoff_until_ms: 0,
             unconfirmed_until_ms: None,
         }
@@ -178,6 +181,7 @@
             prefill_risk_per_s: 0.0,
             resumption: None,
             measurement: Measurement::default(),
+            moved_from: None,
             backoff_until_ms: 0,
             unconfirmed_until_ms: None,
         }
@@ -185,10 +189,16 @@
 
     pub(super) fn restate(&mut self, now_ms: Millis, token_ms: f32, statement: &RunStatement) {
         self.unconfirmed_until_ms = None;
-        if self.engine != statement.engine || self.is_migrating() {
+        // The statement may have been sent before the outcome of the migration.
+        let is_earlier = self.moved_from.is_some_and(|(from, moved_ms)| {
+            from == statement.engine && now_ms.saturating_sub(moved_ms) < RECENT_MS
+        });
+        if self.is_migrating() || is_earlier || self.engine != statement.engine {
             self.measurement.interrupt();
         }
-        self.engine = statement.engine;
+        if !is_earlier {
+            self.engine = statement.engine;
+        }
         self.backup = statement.backup;
         self.token_ms = token_ms;
         let is_over = |bound_ms| statement.longest_pause_ms > bound_ms;
@@ -221,17 +231,23 @@
         self.migrating_to.is_some()
     }
 
+    /// The destination of a migration in progress.
+    pub(super) fn migrating_to(&self) -> Option<UpstreamKey> {
+        self.migrating_to
+    }
+
     pub(super) fn begin_migration(&mut self, to: UpstreamKey) {
         self.migrating_to = Some(to);
         self.measurement.interrupt();
     }
 
     /// Records the end of a migration, whether it succeeded or not.
-    pub(super) fn finish_migration(&mut self, has_migrated: bool) {
+    pub(super) fn finish_migration(&mut self, now_ms: Millis, has_migrated: bool) {
         self.measurement.interrupt();
         if let Some(to) = self.migrating_to.take()
             && has_migrated
         {
+            self.moved_from = Some((self.engine, now_ms));
             self.engine = to;
         }
     }
--- a/crates/policy/tests/cell/memory.rs
+++ b/crates/policy/tests/cell/memory.rs
@@ -90,9 +90,7 @@
     }
 }
 
-/// A transfer, whose copy holds memory at its destination until its outcome is known. That of a
-/// generation that has ended meanwhile is not counted here: homes forget it, as
-/// `migrated_memory.rs` shows.
+/// A transfer, whose copy holds memory at its destination until its outcome is known.
 #[derive(Debug, Clone)]
 struct Transfer {
     migration: Migration,
@@ -118,6 +116,8 @@
     next_run: u64,
     next_engine: u64,
     stated_ms: u64,
+    /// The host's last statement, until it arrives.
+    in_transit: Option<Vec<RunStatement>>,
 }
 
 impl World {
@@ -134,6 +134,7 @@
             next_run: 1,
             next_engine: ENGINES + 1,
             stated_ms: 1_000,
+            in_transit: None,
         }
     }
 
@@ -149,8 +150,8 @@
         let transfers = transfers.filter(|transfer| {
             let run = self.runs.get(&transfer.migration.run.0);
             // A transfer to the engine with the backup copy completes that copy.
-            let is_copy_of_running = run.is_some_and(|run| run.statement.backup != Some(at));
-            transfer.migration.to == at && is_copy_of_running
+            let is_own_copy = run.is_none_or(|run| run.statement.backup != Some(at));
+            transfer.migration.to == at && is_own_copy
         });
         let orphans = self.orphans.iter();
         let orphans = orphans.filter(|orphan| orphan.engine == at && now_ms < orphan.until_ms);
@@ -196,6 +197,9 @@
     }
 
     fn wait(&mut self, ms: u64) {
+        if let Some(statements) = self.in_transit.take() {
+            self.cell.restate(self.now_ms, HOST, &statements);
+        }
         self.now_ms += ms;
         let now_ms = self.now_ms;
         let ended = self.runs.iter();
@@ -211,7 +215,7 @@
                 ..run.statement
             });
             let statements: Vec<RunStatement> = statements.collect();
-            self.cell.restate(now_ms, HOST, &statements);
+            self.in_transit = Some(statements);
         }
     }
 
@@ -292,7 +296,12 @@
         let Some(migration) = self.cell.next_migration(self.now_ms, from) else {
             return Ok(());
         };
-        let run = &self.runs[&migration.run.0];
+        // Its statement may have been in transit when it ended.
+        let Some(run) = self.runs.get(&migration.run.0) else {
+            let outcome = MigrationOutcome::Ended;
+            self.cell.finish_migration(self.now_ms, migration, outcome);
+            return Ok(());
+        };
         self.transfers.push(Transfer {
             held_tokens: run.held_tokens(self.now_ms),
             migration,
@@ -312,6 +321,7 @@
                 outcome
             }
             Some(_) => outcome,
+            None if outcome == MigrationOutcome::Orphaned => outcome,
             None => MigrationOutcome::Ended,
         };
         if outcome == MigrationOutcome::Orphaned {
