Let few urgent requests of a large organisation keep their turn

The share of the organisation precedes urgency in the queue. An organisation above its share because of its long answers waited behind the long answers of all others with its short urgent requests too, although these take next to nothing.

An organisation above its share now keeps the turn of its urgent requests while they hold no more memory than such requests of the others hold in proportion, plus three standard deviations. A flood of urgent requests exceeds that and waits as before. With one class of urgency nothing changes. Statements of generations carry the priority, so that the next home knows it.

--- a/crates/bench/src/cmd/decide.rs
+++ b/crates/bench/src/cmd/decide.rs
@@ -214,6 +214,7 @@
         out_tokens: 200,
         limit_tokens: 1_768,
         hint_tokens: Some(500),
+        priority: 0,
     }
 }
 
--- a/crates/bench/src/reclaim/host.rs
+++ b/crates/bench/src/reclaim/host.rs
@@ -81,6 +81,7 @@
             out_tokens: job.map_or(0, |job| job.out_tokens),
             limit_tokens: caller_request.limit_tokens,
             hint_tokens: Some(self.hint(caller_request)),
+            priority: caller_request.priority,
         }
     }
 }
--- a/crates/gateway/src/start.rs
+++ b/crates/gateway/src/start.rs
@@ -393,5 +393,6 @@
         out_tokens: 0,
         limit_tokens: generation.output_limit_tokens,
         hint_tokens: generation.length_hint_tokens,
+        priority: inbound.priority,
     }
 }
--- a/crates/policy/src/cell/run.rs
+++ b/crates/policy/src/cell/run.rs
@@ -34,6 +34,8 @@
     pub limit_tokens: u32,
     /// The caller's estimate of the length.
     pub hint_tokens: Option<u32>,
+    /// Priority of its organisation or route; 0 is the most urgent.
+    pub priority: u8,
 }
 
 /// How a generation ended, as seen by the host that relayed it.
@@ -52,6 +54,8 @@
 pub(super) struct Run {
     host: HostKey,
     pub(super) organisation: OrganisationKey,
+    /// 0 is the most urgent.
+    pub(super) priority: u8,
     engine: UpstreamKey,
     backup: Option<UpstreamKey>,
     /// The destination of a migration in progress.
@@ -80,6 +84,7 @@
         Self {
             host: request.host,
             organisation: request.organisation,
+            priority: request.priority,
             engine,
             backup,
             migrating_to: None,
@@ -98,6 +103,7 @@
         Self {
             host,
             organisation: statement.organisation,
+            priority: statement.priority,
             engine: statement.engine,
             backup: statement.backup,
             migrating_to: None,
--- a/crates/policy/src/cell/selection.rs
+++ b/crates/policy/src/cell/selection.rs
@@ -147,7 +147,7 @@
             true => Shares::default(),
             false => self.shares(now_ms, request.organisation, demand),
         };
-        let is_over_share = shares.is_over(request.organisation, demand);
+        let is_over_share = shares.is_over(request.organisation, request.priority, demand);
         let attempt = self.attempt(now_ms, request, demand, is_over_share);
         let open: Vec<&Engine> = self
             .engines
--- a/crates/policy/src/cell/shares.rs
+++ b/crates/policy/src/cell/shares.rs
@@ -10,27 +10,87 @@
 //!
 //! Running generations are never cut for fairness: some tens of answers end per second, and the
 //! memory they free goes first to organisations below their share.
+//!
+//! Urgent requests of an organisation above its share keep their turn as long as they hold no more
+//! than their usual part of its share.
 
-use std::collections::HashMap;
+use std::collections::{BTreeMap, HashMap};
 
 use super::Cell;
 use super::forecast::MemoryDemand;
 use crate::key::{Millis, OrganisationKey};
 
+/// How far the urgent memory of an organisation may exceed its expected part, in standard deviations
+/// of a Poisson process. Arrivals of an organisation that sends its usual load stay below it.
+const URGENT_DEVIATIONS: f32 = 3.0;
+
 /// Memory held by each organisation of a cell and their fair share, in tokens.
 #[derive(Debug, Default)]
 pub(super) struct Shares {
-    held: HashMap<OrganisationKey, f32>,
+    /// By organisation and priority.
+    held: BTreeMap<(OrganisationKey, u8), f32>,
+    /// Of all organisations, by priority.
+    held_by_priority: BTreeMap<u8, f32>,
     level: Option<f32>,
 }
 
 impl Shares {
-    /// Whether an organisation would exceed its share with one more generation. An organisation
-    /// that holds nothing never does, however large the generation is.
-    pub(super) fn is_over(&self, organisation: OrganisationKey, demand: MemoryDemand) -> bool {
-        let held = self.held.get(&organisation).copied().unwrap_or_default();
-        self.level
-            .is_some_and(|level| held > 0.0 && held + demand.total_tokens() > level)
+    /// Whether a request of an organisation is queued behind those of organisations below their
+    /// share: the organisation would exceed its share with it, and the request is not one of the
+    /// few urgent ones that are exempt. An organisation that holds nothing never exceeds its share,
+    /// however large the generation is.
+    pub(super) fn is_over(
+        &self,
+        organisation: OrganisationKey,
+        priority: u8,
+        demand: MemoryDemand,
+    ) -> bool {
+        let Some(level) = self.level else {
+            return false;
+        };
+        let held = self.held_by(organisation, u8::MAX);
+        let exceeds = held > 0.0 && held + demand.total_tokens() > level;
+        exceeds && !self.is_exempt(organisation, priority, demand, level)
+    }
+
+    /// Whether an organisation above its share holds no more memory for requests as urgent as this
+    /// one than the others would in its place, so that they lose next to nothing to it.
+    ///
+    /// Without the exemption, the short urgent requests of a large organisation would wait behind
+    /// the long ones of all others because of its own long ones. A flood of urgent requests exceeds
+    /// the part that such requests have in the memory of others and is not exempt. Requests of the
+    /// least urgent class have all of the memory, so none of them is exempt.
+    fn is_exempt(
+        &self,
+        organisation: OrganisationKey,
+        priority: u8,
+        demand: MemoryDemand,
+        level: f32,
+    ) -> bool {
+        let held = self.held_by(organisation, priority);
+        let all: f32 = self.held_by_priority.values().sum();
+        let urgent: f32 = self
+            .held_by_priority
+            .range(..=priority)
+            .map(|(_, held)| held)
+            .sum();
+        let of_others = all - self.held_by(organisation, u8::MAX);
+        let urgent_part = match of_others > 0.0 {
+            true => ((urgent - held) / of_others).clamp(0.0, 1.0),
+            false => 1.0,
+        };
+        let expected = level * urgent_part;
+        let deviation = (expected * demand.total_tokens()).sqrt();
+        let most = (expected + URGENT_DEVIATIONS * deviation).min(level);
+        held == 0.0 || held + demand.total_tokens() <= most
+    }
+
+    /// Memory held by an organisation for requests at least as urgent as `priority`.
+    fn held_by(&self, organisation: OrganisationKey, priority: u8) -> f32 {
+        let held = self
+            .held
+            .range((organisation, 0)..=(organisation, priority));
+        held.map(|(_, held)| held).sum()
     }
 }
 
@@ -49,12 +109,15 @@
         requester: OrganisationKey,
         demand: MemoryDemand,
     ) -> Shares {
-        let mut held: HashMap<OrganisationKey, f32> = HashMap::new();
+        let mut held: BTreeMap<(OrganisationKey, u8), f32> = BTreeMap::new();
+        let mut held_by_priority: BTreeMap<u8, f32> = BTreeMap::new();
+        let mut demands: HashMap<OrganisationKey, f32> = HashMap::new();
         for run in self.runs.values() {
             let total_tokens = run.demand(now_ms, &self.answer_lengths).total_tokens();
-            *held.entry(run.organisation).or_default() += total_tokens;
+            *held.entry((run.organisation, run.priority)).or_default() += total_tokens;
+            *held_by_priority.entry(run.priority).or_default() += total_tokens;
+            *demands.entry(run.organisation).or_default() += total_tokens;
         }
-        let mut demands = held.clone();
         *demands.entry(requester).or_default() += demand.total_tokens();
         for (organisation, demand) in self.waiting.demands() {
             *demands.entry(organisation).or_default() += demand.total_tokens();
@@ -63,6 +126,7 @@
         let room = open.map(|engine| engine.entry.capacity.memory_tokens as f32);
         Shares {
             held,
+            held_by_priority,
             level: level(demands.into_values().collect(), room.sum()),
         }
     }
--- a/crates/policy/src/cell/waiting.rs
+++ b/crates/policy/src/cell/waiting.rs
@@ -34,9 +34,11 @@
 /// organisations below their share, then the more urgent, then those with the earliest latest start
 /// (least laxity), delayed by their cost to others.
 ///
-/// The share precedes the priority, which organisations assign to their own requests. Otherwise a
-/// flood of urgent requests would block all other organisations as long as it lasts. Lateness
-/// precedes the share, because a late answer has little value for any caller.
+/// The share precedes the priority. Otherwise a flood of urgent requests would block all other
+/// organisations as long as it lasts. The urgent requests of an organisation above its share are not
+/// counted as above it while they are few, see [`Shares::is_over`]: behind the long requests of all
+/// others, short ones would be late although they take next to nothing. Lateness precedes the share,
+/// because a late answer has little value for any caller.
 ///
 /// Ordered by arrival alone, large requests wait as long as small ones and then have longer prompts
 /// to prefill. Cheap requests fit where expensive ones do not, and end sooner: see
@@ -179,7 +181,8 @@
     /// over or below its share after its request was queued.
     fn before(&self, order: QueueOrder, shares: &Shares) -> Vec<(QueueOrder, &Waiting)> {
         let all = self.requests.values().map(|waiting| {
-            let is_over_share = shares.is_over(waiting.organisation, waiting.demand);
+            let is_over_share =
+                shares.is_over(waiting.organisation, waiting.order.priority, waiting.demand);
             let order = QueueOrder {
                 is_over_share,
                 ..waiting.order
--- a/crates/policy/tests/cell/fixtures.rs
+++ b/crates/policy/tests/cell/fixtures.rs
@@ -68,6 +68,7 @@
         out_tokens,
         limit_tokens,
         hint_tokens: Some(limit_tokens),
+        priority: 0,
     }
 }
 
--- a/crates/policy/tests/cell/main.rs
+++ b/crates/policy/tests/cell/main.rs
@@ -10,3 +10,4 @@
 mod placement;
 mod prefill_rate;
 mod queueing;
+mod urgent_requests;
