Keep room for the more urgent requests that are likely to come

Memory that became free went to whoever waited, so short urgent requests that arrived a moment later found none.

The home learns how much memory each class of urgency holds, its mean and variance over five seconds. Less urgent requests leave free what more urgent classes are likely to need beyond what they hold, up to 6% of the memory, sized by Littlewood's rule from the average cost of the classes against their benefit. With one class nothing is kept. `Placement::Full` says whether a request lacked only protected room and whether the home has refused it; the request's record and `protected_room_waits` show the former.

--- a/crates/bench/src/reclaim/placement.rs
+++ b/crates/bench/src/reclaim/placement.rs
@@ -43,10 +43,10 @@
             Placement::On { engine, backup, .. } => {
                 self.start(attempt, engine_of(engine), backup.map(engine_of));
             }
-            Placement::Full { .. } if !is_final_attempt => {
-                self.after(PLACEMENT_RETRY_US, Event::RetryPlacement(attempt))
-            }
-            Placement::Full { retry_after_ms } => self.refuse(attempt, Some(retry_after_ms)),
+            Placement::Full {
+                is_refused: false, ..
+            } => self.after(PLACEMENT_RETRY_US, Event::RetryPlacement(attempt)),
+            Placement::Full { retry_after_ms, .. } => self.refuse(attempt, Some(retry_after_ms)),
             Placement::TooLarge | Placement::NoEngine => self.refuse(attempt, None),
         }
     }
--- a/crates/gateway/src/cells/homes.rs
+++ b/crates/gateway/src/cells/homes.rs
@@ -86,7 +86,11 @@
             && !self.is_home(cell)
             && let Err(retry_after_ms) = self.request_start_if_cold(engine).await
         {
-            return Placement::Full { retry_after_ms };
+            return Placement::Full {
+                retry_after_ms,
+                is_refused: false,
+                lacks_protected_room: false,
+            };
         }
         placement
     }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -47,7 +47,7 @@
     ResponseHead,
 };
 pub use problem::Problem;
-pub use record::{Dispatch, REQUEST_PREFIX, RequestRecord, Size};
+pub use record::{Dispatch, REQUEST_PREFIX, RequestRecord, Shortage, Size};
 pub use roster::Roster;
 pub use roster::directory::{
     Departure, DepartureNotice, Directory, DirectoryChange, DirectoryPart, HostRegistration,
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -179,6 +179,8 @@
     pub(crate) cold_waits: Counter,
     pub(crate) limit_waits: Counter,
     pub(crate) brittle_waits: Counter,
+    pub(crate) protected_room_waits: Counter,
+    pub(crate) early_refusals: Counter,
     crashes: Family<CrashLabels, Counter>,
     peer_messages: Family<MessageLabels, Counter>,
     peer_bytes: Family<DirectionLabels, Gauge>,
@@ -325,6 +327,12 @@
         let brittle_waits = Counter::default();
         let help = "Deferred start requests at brittle upstreams";
         registry.register("brittle_waits", help, brittle_waits.clone());
+        let protected_room_waits = Counter::default();
+        let help = "Generations that lacked only room kept for more urgent ones";
+        registry.register("protected_room_waits", help, protected_room_waits.clone());
+        let early_refusals = Counter::default();
+        let help = "Generations refused at once because they could not start in time";
+        registry.register("early_refusals", help, early_refusals.clone());
         let retries_left = Family::default();
         let help = "Remaining retry budget of this host for a service";
         registry.register("retries_left", help, retries_left.clone());
@@ -360,6 +368,8 @@
             cold_waits,
             limit_waits,
             brittle_waits,
+            protected_room_waits,
+            early_refusals,
             retries_left,
             requests,
             retries,
--- a/crates/gateway/src/record.rs
+++ b/crates/gateway/src/record.rs
@@ -17,6 +17,16 @@
     pub hint_tokens: Option<u32>,
 }
 
+/// Why a request found no room at its cell's home.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Shortage {
+    /// An engine had room for it that was kept for more urgent requests.
+    ProtectedRoom,
+    /// The home refused it at once, because it could not start in time.
+    RefusedEarly,
+}
+
 /// One dispatch of a request to an upstream.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Dispatch {
@@ -78,6 +88,9 @@
     pub parts: Vec<String>,
     /// The state of the engine as known to the cell's home.
     pub seen: Option<EngineSnapshot>,
+    /// Why it found no room, if it didn't at once.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub shortages: Vec<Shortage>,
     /// Time from arrival until the first event was sent to the caller.
     pub first_event_ms: Option<Millis>,
     /// The longest time between two events that were sent to the caller.
@@ -121,7 +134,7 @@
                 "each of {} upstreams that were asked stated that it had not run it",
                 self.dispatches.len()
             ),
-            "full" => "every engine of its cell was predicted to be full".to_owned(),
+            "full" => self.describe_full(),
             "evacuated" => {
                 "every upstream of its service was in an evacuated data centre".to_owned()
             }
@@ -156,6 +169,18 @@
         }
     }
 
+    fn describe_full(&self) -> String {
+        let early = match self.shortages.contains(&Shortage::RefusedEarly) {
+            true => ", and it was refused at once because it could not start in time",
+            false => "",
+        };
+        let protected = match self.shortages.contains(&Shortage::ProtectedRoom) {
+            true => "; some had room that was kept for more urgent requests",
+            false => "",
+        };
+        format!("every engine of its cell was predicted to be full{early}{protected}")
+    }
+
     fn describe_quarantine(&self) -> String {
         let content = self.content.as_deref().unwrap_or_default();
         match self.quarantined_by.as_deref() {
--- a/crates/gateway/src/start.rs
+++ b/crates/gateway/src/start.rs
@@ -15,6 +15,7 @@
 use crate::key::data_centre_key;
 use crate::poison::mark_sent;
 use crate::problem::Problem;
+use crate::record::Shortage;
 use crate::relay::RunGuard;
 use crate::tracker::RequestTracker;
 use crate::upstreams::instance::{ChosenUpstream, Destination};
@@ -305,10 +306,18 @@
                     }
                     refused_by.push(engine);
                 }
-                Placement::Full { retry_after_ms } if is_final_attempt => {
-                    return Err(Problem::Full { retry_after_ms });
+                Placement::Full {
+                    retry_after_ms,
+                    is_refused,
+                    lacks_protected_room,
+                } => {
+                    let is_early = is_refused && !is_final_attempt;
+                    self.record_shortage(tracker, is_early, lacks_protected_room);
+                    if is_refused || is_final_attempt {
+                        return Err(Problem::Full { retry_after_ms });
+                    }
+                    sleep(PLACEMENT_RETRY_INTERVAL).await;
                 }
-                Placement::Full { .. } => sleep(PLACEMENT_RETRY_INTERVAL).await,
                 Placement::TooLarge => return Err(Problem::TooLarge),
                 Placement::NoEngine => {
                     let tried: Vec<_> = tried.iter().map(|chosen| chosen.key).collect();
@@ -324,6 +333,21 @@
         }
     }
 
+    /// Records why a generation found no room, once for each request.
+    fn record_shortage(
+        &self,
+        tracker: &mut RequestTracker,
+        is_early_refusal: bool,
+        lacks_protected_room: bool,
+    ) {
+        if is_early_refusal && tracker.add_shortage(Shortage::RefusedEarly) {
+            self.metrics.early_refusals.inc();
+        }
+        if lacks_protected_room && tracker.add_shortage(Shortage::ProtectedRoom) {
+            self.metrics.protected_room_waits.inc();
+        }
+    }
+
     /// Builds the placement request for the cell's home. Returns `None` for a stream that is not a
     /// generation.
     fn placement_request(
--- a/crates/gateway/src/tracker.rs
+++ b/crates/gateway/src/tracker.rs
@@ -11,7 +11,7 @@
 use crate::key::run_key;
 use crate::metrics::EndLabels;
 use crate::problem::Problem;
-use crate::record::{Dispatch, REQUEST_PREFIX, RequestRecord, Size};
+use crate::record::{Dispatch, REQUEST_PREFIX, RequestRecord, Shortage, Size};
 use crate::relay::framing::Framing;
 use crate::upstreams::instance::ChosenUpstream;
 
@@ -52,6 +52,8 @@
     /// Ids of the shared parts of its prompt, for log lines.
     parts: Vec<String>,
     engine_snapshot: Option<EngineSnapshot>,
+    /// Why it found no room, if it didn't at once.
+    shortages: Vec<Shortage>,
     first_event_ms: Option<Millis>,
     longest_pause_ms: Millis,
     event_at_ms: Millis,
@@ -76,6 +78,7 @@
             size: None,
             parts: Vec::new(),
             engine_snapshot: None,
+            shortages: Vec::new(),
             first_event_ms: None,
             longest_pause_ms: 0,
             event_at_ms: 0,
@@ -113,6 +116,13 @@
         self.engine_snapshot = Some(snapshot);
     }
 
+    /// Records why it found no room; true if that is new.
+    pub(crate) fn add_shortage(&mut self, shortage: Shortage) -> bool {
+        let is_new = !self.shortages.contains(&shortage);
+        self.shortages.extend(is_new.then_some(shortage));
+        is_new
+    }
+
     /// Records when an upstream was first selected for the request.
     pub(crate) fn mark_placed(&mut self, now_ms: Millis) {
         let since_ms = now_ms.saturating_sub(self.arrived_ms);
@@ -225,6 +235,7 @@
             size: self.size,
             parts: self.parts.clone(),
             seen: self.engine_snapshot,
+            shortages: self.shortages.clone(),
             first_event_ms: self.first_event_ms,
             longest_pause_ms: self.longest_pause_ms,
             events: self.events,
--- a/crates/policy/src/cell/mod.rs
+++ b/crates/policy/src/cell/mod.rs
@@ -13,6 +13,7 @@
 mod migration;
 mod placement;
 mod prefill_rate;
+mod protection;
 mod run;
 mod selection;
 mod shares;
@@ -30,6 +31,7 @@
 use answer_lengths::AnswerLengths;
 use engine::Engine;
 use prefill_rate::PrefillRate;
+use protection::Protection;
 use run::Run;
 use waiting::WaitingList;
 
@@ -52,6 +54,7 @@
     waiting: WaitingList,
     answer_lengths: AnswerLengths,
     prefill_rate: PrefillRate,
+    protection: Protection,
 }
 
 impl Cell {
--- a/crates/policy/src/cell/placement.rs
+++ b/crates/policy/src/cell/placement.rs
@@ -12,7 +12,7 @@
 ///
 /// Length predictions are learned and leave little variance, so only a small reserve is kept; an
 /// overcommitted engine pauses generations.
-const FULL_SHARE: f32 = 0.98;
+pub(super) const FULL_SHARE: f32 = 0.98;
 /// Like [`FULL_SHARE`], but for requests that cannot be on time or would be late there: they would
 /// delay others that can still be on time, and a late answer has a seventh of the value.
 pub(super) const LATE_FULL_SHARE: f32 = 0.75;
@@ -89,8 +89,13 @@
     },
     /// No engine has room now.
     Full {
-        /// When to retry.
+        /// When its caller should retry, if it is refused.
         retry_after_ms: Millis,
+        /// Whether the home has refused it, so that asking again is of no use. Otherwise the home
+        /// keeps its place in the queue.
+        is_refused: bool,
+        /// Whether an engine has room for it that is kept for more urgent requests.
+        lacks_protected_room: bool,
     },
     /// It exceeds the memory of every engine of the cell.
     TooLarge,
--- a/crates/policy/src/cell/selection.rs
+++ b/crates/policy/src/cell/selection.rs
@@ -3,7 +3,7 @@
 use super::Cell;
 use super::engine::Engine;
 use super::forecast::{Forecast, MemoryDemand};
-use super::placement::{EngineSnapshot, LATE_FULL_SHARE, Placement, PlacementRequest};
+use super::placement::{EngineSnapshot, FULL_SHARE, LATE_FULL_SHARE, Placement, PlacementRequest};
 use super::prefill_rate::PrefillRate;
 use super::run::Run;
 use super::shares::Shares;
@@ -35,13 +35,25 @@
 /// Shorter answers end within an engine's notice period and get no backup copy.
 const MIN_BACKUP_TOKENS: u32 = 160;
 /// A request being placed now.
-#[derive(Debug)]
+#[derive(Debug, Clone, Copy)]
 pub(super) struct PlacementAttempt<'a> {
     pub(super) request: &'a PlacementRequest,
     pub(super) demand: MemoryDemand,
     pub(super) order: QueueOrder,
     /// Maximum share of an engine's memory at which it may start there.
     pub(super) full_share: f32,
+    /// Whether an engine has room for it that is kept for more urgent requests.
+    pub(super) lacks_protected_room: bool,
+}
+
+impl PlacementAttempt<'_> {
+    /// The same request, leaving a share of each engine's memory to more urgent ones.
+    fn protecting(self, protected_share: f32) -> Self {
+        Self {
+            full_share: self.full_share.min(FULL_SHARE - protected_share),
+            ..self
+        }
+    }
 }
 
 /// The engine that a request would start on.
@@ -128,6 +140,8 @@
                 }
                 Placement::Full {
                     retry_after_ms: request.retry_after_ms(),
+                    is_refused: request.is_final_attempt,
+                    lacks_protected_room: attempt.lacks_protected_room,
                 }
             }
         }
@@ -148,7 +162,8 @@
             false => self.shares(now_ms, request.organisation, demand),
         };
         let is_over_share = shares.is_over(request.organisation, request.priority, demand);
-        let attempt = self.attempt(now_ms, request, demand, is_over_share);
+        self.sample_classes(now_ms);
+        let unprotected = self.attempt(now_ms, request, demand, is_over_share);
         let open: Vec<&Engine> = self
             .engines
             .values()
@@ -159,11 +174,18 @@
             .iter()
             .map(|engine| engine.entry.capacity.memory_tokens);
         let Some(largest_tokens) = memory_tokens.max() else {
-            return (attempt, Selection::NoEngine);
+            return (unprotected, Selection::NoEngine);
         };
         if request.prompt_tokens >= largest_tokens {
-            return (attempt, Selection::TooLarge);
+            return (unprotected, Selection::TooLarge);
         }
+        let open_tokens = open
+            .iter()
+            .map(|engine| engine.entry.capacity.memory_tokens as f32);
+        let protected_share = self
+            .protection
+            .protected_share(request.priority, open_tokens.sum());
+        let mut attempt = unprotected.protecting(protected_share);
         let mut forecast = self.forecast(now_ms);
         self.reserve_for_leaving(now_ms, &mut forecast);
         self.reserve_for_waiting(attempt.order, &shares, &mut forecast);
@@ -176,6 +198,10 @@
             a.0.total_cmp(&b.0).then(by_order)
         });
         let Some((cost_ms, engine)) = best else {
+            attempt.lacks_protected_room = open.iter().any(|engine| {
+                let rate = &self.prefill_rate;
+                cost_ms(now_ms, rate, &forecast, engine, &unprotected).is_some()
+            });
             return (attempt, Selection::Full);
         };
         let candidate = Candidate {
@@ -195,14 +221,20 @@
         demand: MemoryDemand,
         is_over_share: bool,
     ) -> PlacementAttempt<'a> {
-        let order = self
-            .waiting
-            .order(now_ms, &self.prefill_rate, request, demand, is_over_share);
+        let order = self.waiting.order(
+            now_ms,
+            &self.prefill_rate,
+            &mut self.protection,
+            request,
+            demand,
+            is_over_share,
+        );
         PlacementAttempt {
             request,
             demand,
             order,
             full_share: request.full_share(order.is_late),
+            lacks_protected_room: false,
         }
     }
 
--- a/crates/policy/src/cell/waiting.rs
+++ b/crates/policy/src/cell/waiting.rs
@@ -12,6 +12,7 @@
 use super::forecast::{Forecast, MemoryDemand};
 use super::placement::PlacementRequest;
 use super::prefill_rate::PrefillRate;
+use super::protection::Protection;
 use super::run::RunKey;
 use super::selection::PlacementAttempt;
 use super::shares::Shares;
@@ -98,6 +99,7 @@
         &mut self,
         now_ms: Millis,
         prefill_rate: &PrefillRate,
+        protection: &mut Protection,
         request: &PlacementRequest,
         demand: MemoryDemand,
         is_over_share: bool,
@@ -110,9 +112,9 @@
         }
         let trying_ms = self.refused.get(&request.retry_key);
         let trying_ms = trying_ms.map_or(0, |refused| now_ms.saturating_sub(refused.first_ms));
-        let delay_ms = request.max_wait_ms as f32
-            * COST_DELAY_SHARE
-            * self.average_cost.record_and_compare(prefill_rate, demand);
+        let cost = self.average_cost.record_and_compare(prefill_rate, demand);
+        protection.record_request(now_ms, request.priority, cost);
+        let delay_ms = request.max_wait_ms as f32 * COST_DELAY_SHARE * cost;
         QueueOrder {
             is_late: trying_ms >= request.max_wait_ms,
             is_over_share,
--- a/crates/policy/tests/cell/main.rs
+++ b/crates/policy/tests/cell/main.rs
@@ -9,5 +9,6 @@
 mod migration;
 mod placement;
 mod prefill_rate;
+mod protection;
 mod queueing;
 mod urgent_requests;
--- a/crates/policy/tests/cell/queueing.rs
+++ b/crates/policy/tests/cell/queueing.rs
@@ -193,7 +193,7 @@
         ..request(1, 3_000, 900, 100)
     };
     let placed = cell.place(1_000, &refused);
-    let Placement::Full { retry_after_ms } = placed else {
+    let Placement::Full { retry_after_ms, .. } = placed else {
         panic!("{placed:?}");
     };
     assert!(case.after_ms.contains(&retry_after_ms), "{retry_after_ms}");
--- a/tests/explain.rs
+++ b/tests/explain.rs
@@ -1,7 +1,9 @@
 //! `explain` finds the cause of an outcome from the request id and the logs of hosts.
 
 use fulmarpath::explain;
-use fulmarpath::gateway::{Dispatch, REQUEST_PREFIX, RequestRecord, STORE_RESTORED_PREFIX};
+use fulmarpath::gateway::{
+    Dispatch, REQUEST_PREFIX, RequestRecord, STORE_RESTORED_PREFIX, Shortage,
+};
 use fulmarpath_policy::Revision;
 use rstest::rstest;
 
@@ -29,6 +31,7 @@
         size: None,
         parts: Vec::new(),
         seen: None,
+        shortages: Vec::new(),
         first_event_ms: None,
         longest_pause_ms: 0,
         events: 12,
@@ -197,3 +200,18 @@
         "could not find request ffff in 1 lines (0 of them unreadable)"
     );
 }
+
+/// A refusal names what the request lacked, so that an operator can tell a cell without room from
+/// room that is kept for more urgent requests.
+#[rstest]
+#[case::no_room(&[], "predicted to be full; upstreams")]
+#[case::early(&[Shortage::RefusedEarly], "refused at once")]
+#[case::protected(&[Shortage::ProtectedRoom], "kept for more urgent requests")]
+fn refusals_name_what_was_lacking(#[case] shortages: &[Shortage], #[case] expected: &str) {
+    let refused = RequestRecord {
+        shortages: shortages.to_vec(),
+        ..record("full", 503, &[])
+    };
+    let cause = refused.cause();
+    assert!(cause.contains(expected), "{cause}");
+}
