Refuse at once what cannot start in time

A request that found no room was kept waiting for 0.55 of its target, also when far more was requested before it than could become free in that time.

The home compares the memory requested before a request with what becomes free by the predicted ends of generations, two standard deviations above the mean, and refuses it at once if it needs three times that. The retry delay starts where room is expected, between 0.20 and 0.27 of the caller's time, and ends at 0.32 as before. Nothing is predicted while less than a quarter of the memory is requested.

--- a/crates/policy/src/cell/mod.rs
+++ b/crates/policy/src/cell/mod.rs
@@ -9,6 +9,7 @@
 mod answer_lengths;
 mod cost;
 mod engine;
+mod expected_start;
 mod forecast;
 mod migration;
 mod placement;
--- a/crates/policy/src/cell/placement.rs
+++ b/crates/policy/src/cell/placement.rs
@@ -26,6 +26,8 @@
 /// returns once or twice. After a usual Retry-After it would return into the same overload and be
 /// refused again. Callers respect a retry delay of up to a third of their time.
 const RETRY_AFTER_SHARES: std::ops::Range<f32> = 0.20..0.32;
+/// Latest start of that range, if room is expected later. The rest of the range keeps callers apart.
+const MAX_RETRY_FROM_SHARE: f32 = 0.27;
 
 /// A request to place a generation.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -112,12 +114,13 @@
         }
     }
 
-    /// When its caller should retry if there is no room.
-    pub(super) fn retry_after_ms(&self) -> Millis {
+    /// When its caller should retry if there is no room before `room_expected_ms` from now.
+    pub(super) fn retry_after_ms(&self, room_expected_ms: Millis) -> Millis {
+        let expected_share = room_expected_ms as f32 / self.left_ms.max(1) as f32;
+        let from = expected_share.clamp(RETRY_AFTER_SHARES.start, MAX_RETRY_FROM_SHARE);
+        let width = RETRY_AFTER_SHARES.end - from;
         let draw = (self.retry_key % 1_000) as f32 / 1_000.0;
-        let width = RETRY_AFTER_SHARES.end - RETRY_AFTER_SHARES.start;
-        let share = RETRY_AFTER_SHARES.start + width * draw;
-        (self.left_ms as f32 * share) as Millis
+        (self.left_ms as f32 * (from + width * draw)) as Millis
     }
 
     /// Duration of its prefill, without queueing.
--- a/crates/policy/src/cell/selection.rs
+++ b/crates/policy/src/cell/selection.rs
@@ -94,7 +94,7 @@
     /// The cost of starting a generation in this cell now; `None` if there is no room. Nothing is
     /// placed or queued.
     pub fn quote(&mut self, now_ms: Millis, request: &PlacementRequest) -> Option<f32> {
-        match self.select(now_ms, request, |engine| engine.0).1 {
+        match self.select(now_ms, request, |engine| engine.0).2 {
             Selection::Engine(candidate) => Some(candidate.cost_ms),
             Selection::Full | Selection::TooLarge | Selection::NoEngine => None,
         }
@@ -111,7 +111,7 @@
         request: &PlacementRequest,
         max_cost_ms: Option<f32>,
     ) -> Result<Placement, Option<f32>> {
-        match self.select(now_ms, request, |engine| engine.0).1 {
+        match self.select(now_ms, request, |engine| engine.0).2 {
             Selection::Engine(candidate)
                 if max_cost_ms.is_none_or(|max_cost_ms| candidate.cost_ms < max_cost_ms) =>
             {
@@ -128,22 +128,12 @@
         request: &PlacementRequest,
         order: impl Fn(UpstreamKey) -> u64,
     ) -> Placement {
-        let (attempt, selection) = self.select(now_ms, request, order);
+        let (attempt, shares, selection) = self.select(now_ms, request, order);
         match selection {
             Selection::Engine(candidate) => self.start(now_ms, candidate, request),
             Selection::TooLarge => Placement::TooLarge,
             Selection::NoEngine => Placement::NoEngine,
-            Selection::Full => {
-                match request.is_final_attempt {
-                    true => self.waiting.refuse(now_ms, request),
-                    false => self.waiting.enqueue(now_ms, &attempt),
-                }
-                Placement::Full {
-                    retry_after_ms: request.retry_after_ms(),
-                    is_refused: request.is_final_attempt,
-                    lacks_protected_room: attempt.lacks_protected_room,
-                }
-            }
+            Selection::Full => self.queue_or_refuse(now_ms, &shares, &attempt),
         }
     }
 
@@ -153,7 +143,7 @@
         now_ms: Millis,
         request: &'a PlacementRequest,
         order: impl Fn(UpstreamKey) -> u64,
-    ) -> (PlacementAttempt<'a>, Selection) {
+    ) -> (PlacementAttempt<'a>, Shares, Selection) {
         self.waiting.expire(now_ms);
         let demand = request.demand(&self.answer_lengths);
         // If nothing is waiting, there is no order to decide.
@@ -174,10 +164,10 @@
             .iter()
             .map(|engine| engine.entry.capacity.memory_tokens);
         let Some(largest_tokens) = memory_tokens.max() else {
-            return (unprotected, Selection::NoEngine);
+            return (unprotected, shares, Selection::NoEngine);
         };
         if request.prompt_tokens >= largest_tokens {
-            return (unprotected, Selection::TooLarge);
+            return (unprotected, shares, Selection::TooLarge);
         }
         let open_tokens = open
             .iter()
@@ -202,7 +192,7 @@
                 let rate = &self.prefill_rate;
                 cost_ms(now_ms, rate, &forecast, engine, &unprotected).is_some()
             });
-            return (attempt, Selection::Full);
+            return (attempt, shares, Selection::Full);
         };
         let candidate = Candidate {
             engine: engine.entry.key,
@@ -210,7 +200,7 @@
             cost_ms,
             seen: snapshot_of(now_ms, &forecast, engine, &attempt),
         };
-        (attempt, Selection::Engine(candidate))
+        (attempt, shares, Selection::Engine(candidate))
     }
 
     /// Combines a request with its queue order.
--- a/crates/policy/src/cell/waiting.rs
+++ b/crates/policy/src/cell/waiting.rs
@@ -179,6 +179,15 @@
         all.map(|waiting| (waiting.organisation, waiting.demand))
     }
 
+    /// Memory for the prompts of the requests ordered before `order`.
+    pub(super) fn tokens_before(&self, order: QueueOrder, shares: &Shares) -> f32 {
+        let before = self.before(order, shares);
+        before
+            .iter()
+            .map(|(_, waiting)| waiting.demand.held_tokens)
+            .sum()
+    }
+
     /// Requests ordered before `order` by the current shares, since an organisation may have gone
     /// over or below its share after its request was queued.
     fn before(&self, order: QueueOrder, shares: &Shares) -> Vec<(QueueOrder, &Waiting)> {
--- a/crates/policy/tests/cell/main.rs
+++ b/crates/policy/tests/cell/main.rs
@@ -1,6 +1,7 @@
 //! Placement of generations on a cell's engines, queueing, and migration off leaving engines.
 
 mod answer_lengths;
+mod early_refusal;
 mod engines;
 mod evacuated_and_cold;
 mod failing_engines;
