--- a/crates/gateway/src/cells/homes.rs
+++ b/crates/gateway/src/cells/homes.rs
@@ -98,7 +98,11 @@
         if let Placement::On { engine, .. } = placement
             && let Err(retry_after_ms) = self.request_start_if_cold(engine).await
         {
-            return Placement::Full { retry_after_ms };
+            return Placement::Full {
+                retry_after_ms,
+                is_refused: false,
+                lacks_protected_room: false,
+            };
         }
         placement
     }
--- a/crates/policy/src/cell/mod.rs
+++ b/crates/policy/src/cell/mod.rs
@@ -10,6 +10,7 @@
 mod cost;
 mod engine;
 mod exceedances;
+mod expected_start;
 mod forecast;
 mod incoming;
 mod late_risk;
@@ -20,6 +21,7 @@
 mod pauses;
 mod placement;
 mod prefill_rate;
+mod protection;
 mod rebalancing;
 mod resumption;
 mod run;
@@ -42,6 +44,7 @@
 use pace::Pace;
 use pauses::Pauses;
 use prefill_rate::PrefillRate;
+use protection::Protection;
 use run::Run;
 use waiting::WaitingList;
 
@@ -66,6 +69,7 @@
     prefill_rate: PrefillRate,
     pace: Pace,
     pauses: Pauses,
+    protection: Protection,
 }
 
 impl Cell {
--- a/crates/policy/src/cell/overflow.rs
+++ b/crates/policy/src/cell/overflow.rs
@@ -23,14 +23,14 @@
         request: &PlacementRequest,
         max_cost_ms: Option<f32>,
     ) -> Result<Placement, f32> {
-        let (attempt, selection) = self.select(now_ms, request, |engine| engine.0);
+        let (attempt, shares, selection) = self.select(now_ms, request, |engine| engine.0);
         match selection {
             Selection::Engine(candidate)
                 if max_cost_ms.is_some_and(|max_cost_ms| candidate.cost_ms >= max_cost_ms) =>
             {
                 Err(candidate.cost_ms)
             }
-            _ => Ok(self.apply(now_ms, &attempt, selection)),
+            _ => Ok(self.apply(now_ms, &attempt, &shares, selection)),
         }
     }
 
@@ -53,7 +53,7 @@
         max_cost_ms: Option<f32>,
     ) -> Result<(Placement, f32), Option<f32>> {
         self.expire_unconfirmed(now_ms);
-        let (attempt, selection) = self.select(now_ms, request, |engine| engine.0);
+        let (attempt, shares, selection) = self.select(now_ms, request, |engine| engine.0);
         let Selection::Engine(candidate) = selection else {
             return Err(None);
         };
@@ -61,7 +61,7 @@
         if max_cost_ms.is_some_and(|max_cost_ms| cost_ms >= max_cost_ms) {
             return Err(Some(cost_ms));
         }
-        let placement = self.apply(now_ms, &attempt, selection);
+        let placement = self.apply(now_ms, &attempt, &shares, selection);
         if let Some(run) = self.runs.get_mut(&request.run) {
             run.expect_statement(now_ms + UNCONFIRMED_TTL_MS);
         }
--- a/crates/policy/src/cell/placement.rs
+++ b/crates/policy/src/cell/placement.rs
@@ -13,7 +13,7 @@
 ///
 /// Length predictions are learned and leave little variance, so only a small reserve is kept; an
 /// overcommitted engine pauses generations.
-const FULL_SHARE: f32 = 0.98;
+pub(super) const FULL_SHARE: f32 = 0.98;
 /// Like [`FULL_SHARE`], but for requests that cannot be on time or would be late there: they would
 /// delay others that can still be on time, and a late answer has a seventh of the value.
 pub(super) const LATE_FULL_SHARE: f32 = 0.75;
@@ -27,6 +27,8 @@
 /// returns once or twice. After a usual Retry-After it would return into the same overload and be
 /// refused again. Callers respect a retry delay of up to a third of their time.
 const RETRY_AFTER_SHARES: std::ops::Range<f32> = 0.20..0.32;
+/// Latest start of that range, if room is expected later. The rest of the range keeps callers apart.
+const MAX_RETRY_FROM_SHARE: f32 = 0.27;
 
 /// A request to place a generation.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -92,8 +94,13 @@
     },
     /// No engine has room now.
     Full {
-        /// When to retry.
+        /// When its caller should retry, if it is refused.
         retry_after_ms: Millis,
+        /// Whether the home has refused it, so that asking again is of no use. Otherwise the home
+        /// keeps its place in the queue.
+        is_refused: bool,
+        /// Whether an engine has room for it that is kept for more urgent requests.
+        lacks_protected_room: bool,
     },
     /// It exceeds the memory of every engine of the cell.
     TooLarge,
@@ -110,12 +117,13 @@
         }
     }
 
-    /// When its caller should retry if there is no room.
-    pub(super) fn retry_after_ms(&self) -> Millis {
+    /// When its caller should retry if there is no room before `room_expected_ms` from now.
+    pub(super) fn retry_after_ms(&self, room_expected_ms: Millis) -> Millis {
+        let expected_share = room_expected_ms as f32 / self.left_ms.max(1) as f32;
+        let from = expected_share.clamp(RETRY_AFTER_SHARES.start, MAX_RETRY_FROM_SHARE);
+        let width = RETRY_AFTER_SHARES.end - from;
         let draw = (self.retry_key % 1_000) as f32 / 1_000.0;
-        let width = RETRY_AFTER_SHARES.end - RETRY_AFTER_SHARES.start;
-        let share = RETRY_AFTER_SHARES.start + width * draw;
-        (self.left_ms as f32 * share) as Millis
+        (self.left_ms as f32 * (from + width * draw)) as Millis
     }
 
     /// Duration of its prefill, without queueing.
--- a/crates/policy/src/cell/run.rs
+++ b/crates/policy/src/cell/run.rs
@@ -39,6 +39,8 @@
     pub gap_target_ms: Option<Millis>,
     /// Longest pause between two of its events since the previous statement.
     pub longest_pause_ms: Millis,
+    /// Priority of its organisation or route; 0 is the most urgent.
+    pub priority: u8,
 }
 
 /// How a generation ended, as seen by the host that relayed it.
@@ -81,6 +83,8 @@
 pub(super) struct Run {
     host: HostKey,
     pub(super) organisation: OrganisationKey,
+    /// 0 is the most urgent.
+    pub(super) priority: u8,
     engine: UpstreamKey,
     backup: Option<UpstreamKey>,
     /// The destination of a migration in progress.
@@ -131,6 +135,7 @@
         Self {
             host: request.host,
             organisation: request.organisation,
+            priority: request.priority,
             engine,
             backup,
             migrating_to: None,
@@ -165,6 +170,7 @@
         Self {
             host,
             organisation: statement.organisation,
+            priority: statement.priority,
             engine: statement.engine,
             backup: statement.backup,
             migrating_to: None,
@@ -341,6 +347,7 @@
             hint_tokens: self.hint_tokens,
             gap_target_ms: self.gap_target_ms,
             longest_pause_ms: 0,
+            priority: self.priority,
         }
     }
 
--- a/crates/policy/src/cell/selection.rs
+++ b/crates/policy/src/cell/selection.rs
@@ -4,7 +4,7 @@
 use super::engine::Engine;
 use super::forecast::{Forecast, MemoryDemand};
 use super::pace::AnswerTime;
-use super::placement::{EngineSnapshot, LATE_FULL_SHARE, Placement, PlacementRequest};
+use super::placement::{EngineSnapshot, FULL_SHARE, LATE_FULL_SHARE, Placement, PlacementRequest};
 use super::run::{Run, StartedOn};
 use super::shares::Shares;
 use super::waiting::QueueOrder;
@@ -35,13 +35,25 @@
 /// Shorter answers end within an engine's notice period and get no backup copy.
 const MIN_BACKUP_TOKENS: u32 = 160;
 /// A request being placed now.
-#[derive(Debug)]
+#[derive(Debug, Clone, Copy)]
 pub(super) struct PlacementAttempt<'a> {
     pub(super) request: &'a PlacementRequest,
     pub(super) demand: MemoryDemand,
     pub(super) order: QueueOrder,
     /// Maximum share of an engine's memory at which it may start there.
     pub(super) full_share: f32,
+    /// Whether an engine has room for it that is kept for more urgent requests.
+    pub(super) lacks_protected_room: bool,
+}
+
+impl PlacementAttempt<'_> {
+    /// The same request, leaving a share of each engine's memory to more urgent ones.
+    fn protecting(self, protected_share: f32) -> Self {
+        Self {
+            full_share: self.full_share.min(FULL_SHARE - protected_share),
+            ..self
+        }
+    }
 }
 
 /// The engine that a request would start on.
@@ -82,7 +94,7 @@
     /// The cost of starting a generation in this cell now; `None` if there is no room. Nothing is
     /// placed or queued.
     pub fn quote(&mut self, now_ms: Millis, request: &PlacementRequest) -> Option<f32> {
-        match self.select(now_ms, request, |engine| engine.0).1 {
+        match self.select(now_ms, request, |engine| engine.0).2 {
             Selection::Engine(candidate) => Some(candidate.cost_ms),
             Selection::Full | Selection::TooLarge | Selection::NoEngine => None,
         }
@@ -94,15 +106,17 @@
         request: &PlacementRequest,
         order: impl Fn(UpstreamKey) -> u64,
     ) -> Placement {
-        let (attempt, selection) = self.select(now_ms, request, order);
-        self.apply(now_ms, &attempt, selection)
+        let (attempt, shares, selection) = self.select(now_ms, request, order);
+        self.apply(now_ms, &attempt, &shares, selection)
     }
 
-    /// Starts a generation on the engine selected for it, or queues it if there is no room.
+    /// Starts a generation on the engine selected for it, or queues or refuses it if there is no
+    /// room.
     pub(super) fn apply(
         &mut self,
         now_ms: Millis,
         attempt: &PlacementAttempt<'_>,
+        shares: &Shares,
         selection: Selection,
     ) -> Placement {
         let request = attempt.request;
@@ -110,15 +124,7 @@
             Selection::Engine(candidate) => self.start(now_ms, candidate, request),
             Selection::TooLarge => Placement::TooLarge,
             Selection::NoEngine => Placement::NoEngine,
-            Selection::Full => {
-                match request.is_final_attempt {
-                    true => self.waiting.refuse(now_ms, request),
-                    false => self.waiting.enqueue(now_ms, attempt),
-                }
-                Placement::Full {
-                    retry_after_ms: request.retry_after_ms(),
-                }
-            }
+            Selection::Full => self.queue_or_refuse(now_ms, shares, attempt),
         }
     }
 
@@ -128,7 +134,7 @@
         now_ms: Millis,
         request: &'a PlacementRequest,
         order: impl Fn(UpstreamKey) -> u64,
-    ) -> (PlacementAttempt<'a>, Selection) {
+    ) -> (PlacementAttempt<'a>, Shares, Selection) {
         self.waiting.expire(now_ms);
         let demand = request.demand(&self.answer_lengths, &self.pace);
         // If nothing is waiting, there is no order to decide.
@@ -136,8 +142,9 @@
             true => Shares::default(),
             false => self.shares(now_ms, request.organisation, demand),
         };
-        let is_over_share = shares.is_over(request.organisation, demand);
-        let attempt = self.attempt(now_ms, request, demand, is_over_share);
+        let is_over_share = shares.is_over(request.organisation, request.priority, demand);
+        self.sample_classes(now_ms);
+        let unprotected = self.attempt(now_ms, request, demand, is_over_share);
         let open: Vec<&Engine> = self
             .engines
             .values()
@@ -148,13 +155,20 @@
             .iter()
             .map(|engine| engine.entry.capacity.memory_tokens);
         let Some(largest_tokens) = memory_tokens.max() else {
-            return (attempt, Selection::NoEngine);
+            return (unprotected, shares, Selection::NoEngine);
         };
         if request.prompt_tokens >= largest_tokens {
-            return (attempt, Selection::TooLarge);
+            return (unprotected, shares, Selection::TooLarge);
         }
         let answer_time = self.answer_time(request, demand, &open);
         let start_risk = self.start_risk(request, demand);
+        let open_tokens = open
+            .iter()
+            .map(|engine| engine.entry.capacity.memory_tokens as f32);
+        let protected_share = self
+            .protection
+            .protected_share(request.priority, open_tokens.sum());
+        let mut attempt = unprotected.protecting(protected_share);
         let mut forecast = self.forecast(now_ms);
         self.reserve_for_leaving(now_ms, &mut forecast);
         self.reserve_for_waiting(attempt.order, &shares, &mut forecast);
@@ -170,7 +184,10 @@
             a.0.total_cmp(&b.0).then(by_order)
         });
         let Some((cost_ms, engine)) = best else {
-            return (attempt, Selection::Full);
+            attempt.lacks_protected_room = open.iter().any(|engine| {
+                cost_ms(now_ms, &answer_time, &forecast, engine, &unprotected).is_some()
+            });
+            return (attempt, shares, Selection::Full);
         };
         let candidate = Candidate {
             engine: engine.entry.key,
@@ -178,7 +195,7 @@
             cost_ms,
             seen: snapshot_of(now_ms, &forecast, engine, &attempt),
         };
-        (attempt, Selection::Engine(candidate))
+        (attempt, shares, Selection::Engine(candidate))
     }
 
     /// Combines a request with its queue order.
@@ -189,14 +206,20 @@
         demand: MemoryDemand,
         is_over_share: bool,
     ) -> PlacementAttempt<'a> {
-        let order = self
-            .waiting
-            .order(now_ms, &self.prefill_rate, request, demand, is_over_share);
+        let order = self.waiting.order(
+            now_ms,
+            &self.prefill_rate,
+            &mut self.protection,
+            request,
+            demand,
+            is_over_share,
+        );
         PlacementAttempt {
             request,
             demand,
             order,
             full_share: request.full_share(order.is_late),
+            lacks_protected_room: false,
         }
     }
 
--- a/crates/policy/tests/cell/memory.rs
+++ b/crates/policy/tests/cell/memory.rs
@@ -253,6 +253,7 @@
         let run_key = run;
         let run = Run {
             statement: RunStatement {
+                priority: 0,
                 organisation: request.organisation,
                 run: request.run,
                 engine,
