Tell homes the longest pause of an engine that callers don't notice

Homes still took 180 ms for the bound and kept prompts away from engines on which nobody would be late. Requests and statements name the longer pause now.

--- a/crates/gateway/src/relay/stream.rs
+++ b/crates/gateway/src/relay/stream.rs
@@ -5,7 +5,7 @@
 
 use bytes::Bytes;
 use fulmarpath_http::{Reply, full_body, stream_body};
-use fulmarpath_policy::Playout;
+use fulmarpath_policy::{Millis, Playout};
 use hyper::Response;
 
 use crate::forward::into_reply;
@@ -57,6 +57,15 @@
         Some(Playout::new(gap_target_ms, delay_bound_ms))
     }
 
+    /// The longest pause of an engine that is on time for the caller of a stream, if its route bounds
+    /// pauses.
+    pub(crate) fn engine_pause_bound_ms(&self, inbound: &InboundRequest) -> Option<Millis> {
+        match self.playout(inbound) {
+            Some(playout) => Some(playout.max_engine_pause_ms()),
+            None => inbound.route.gap_target_ms,
+        }
+    }
+
     /// Forwards an engine's own error response, which is short and not a stream.
     async fn forward_failure(
         &self,
--- a/crates/gateway/src/start.rs
+++ b/crates/gateway/src/start.rs
@@ -381,7 +381,7 @@
             hint_tokens: generation.length_hint_tokens,
             retry_key: inbound.retry_key(),
             priority: inbound.priority,
-            gap_target_ms: inbound.route.gap_target_ms,
+            gap_target_ms: self.engine_pause_bound_ms(inbound),
             max_wait_ms: inbound.route.target_ms,
             left_ms: inbound.deadline_ms.saturating_sub(self.clock.now_ms()),
             is_final_attempt: false,
@@ -427,7 +427,7 @@
         out_tokens: 0,
         limit_tokens: generation.output_limit_tokens,
         hint_tokens: generation.length_hint_tokens,
-        gap_target_ms: inbound.route.gap_target_ms,
+        gap_target_ms: run_guard.gateway.engine_pause_bound_ms(inbound),
         longest_pause_ms: 0,
         priority: inbound.priority,
     }
--- a/crates/policy/src/playout.rs
+++ b/crates/policy/src/playout.rs
@@ -38,6 +38,11 @@
         }
     }
 
+    /// The longest pause of an engine that is on time for the caller.
+    pub fn max_engine_pause_ms(&self) -> Millis {
+        self.max_pause_ms + self.max_delay_ms
+    }
+
     /// When to pass on an event that arrived at `arrived_ms`; never earlier.
     pub fn release_ms(&mut self, arrived_ms: Millis) -> Millis {
         let release_ms = match self.released_ms {
--- a/crates/policy/tests/playout.rs
+++ b/crates/policy/tests/playout.rs
@@ -74,3 +74,14 @@
             .all(|(arrived_ms, released_ms)| arrived_ms == released_ms)
     );
 }
+
+/// Guards against homes that spare engines whose pauses no caller notices: a single pause of this
+/// length is on time, a longer one is not.
+#[test]
+fn the_longest_pause_of_an_engine_is_on_time() {
+    let bound_ms = Playout::new(GAP_TARGET_MS, DELAY_BOUND_MS).max_engine_pause_ms();
+    let on_time = longest_pause_ms(&play(&[50, 50, bound_ms, 50], GAP_TARGET_MS));
+    let late = longest_pause_ms(&play(&[50, 50, bound_ms + 20, 50], GAP_TARGET_MS));
+    assert!(on_time <= GAP_TARGET_MS, "{on_time}");
+    assert!(late > GAP_TARGET_MS, "{late}");
+}
