--- a/crates/gateway/src/cells/homes.rs
+++ b/crates/gateway/src/cells/homes.rs
@@ -79,6 +79,7 @@
                 Err(error) => warn!("cells: placed without a home: {error}"),
             }
         }
+        let is_final_attempt = request.is_final_attempt;
         let placement = self.place_locally(cell, request);
         // A cell's home counts the generations that start at a cold engine; a host that places in
         // its stead has to request each start from the engine's home.
@@ -88,7 +89,7 @@
         {
             return Placement::Full {
                 retry_after_ms,
-                is_refused: false,
+                is_refused: is_final_attempt,
                 lacks_protected_room: false,
             };
         }
--- a/crates/policy/tests/cell/main.rs
+++ b/crates/policy/tests/cell/main.rs
@@ -12,4 +12,5 @@
 mod prefill_rate;
 mod protection;
 mod queueing;
+mod returning;
 mod urgent_requests;
