--- a/crates/policy/tests/cell/main.rs
+++ b/crates/policy/tests/cell/main.rs
@@ -17,4 +17,5 @@
 mod protection;
 mod queueing;
 mod rebalancing;
+mod returning;
 mod urgent_requests;
