--- a/crates/gateway/src/cells/runs.rs
+++ b/crates/gateway/src/cells/runs.rs
@@ -109,16 +109,18 @@
     }
 
     /// All generations, grouped by the current cell of their engine. A cell of which there are none
-    /// any more is stated once without any, in case the report of the last end was lost.
+    /// any more is stated once without any, in case the report of the last end was lost. Longest
+    /// pauses begin anew.
     pub(crate) fn restatements(
         &self,
         host: HostKey,
         cell_of_engine: impl Fn(UpstreamKey) -> Option<CellKey>,
     ) -> Vec<RelayedRuns> {
         let mut by_cell: HashMap<CellKey, Vec<RunStatement>> = HashMap::new();
-        for entry in self.entries.lock().values() {
+        for entry in self.entries.lock().values_mut() {
             let cell = cell_of_engine(entry.statement.engine).unwrap_or(entry.cell);
             by_cell.entry(cell).or_default().push(entry.statement);
+            entry.statement.longest_pause_ms = 0;
         }
         let stated = by_cell.keys().copied().collect();
         for cell in std::mem::replace(&mut *self.stated.lock(), stated) {
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -36,7 +36,7 @@
 mod tracker;
 mod upstreams;
 
-pub use cells::pool::{CellPools, OtherHomes, Overflow, OwnCell};
+pub use cells::pool::{CellPools, OtherHomes, Overflow, OwnCell, Reservation};
 pub use configuration::{
     ActiveConfiguration, CallerLimits, Configuration, EngineTraits, Organisation, Route, RouteKind,
     Service, Share,
@@ -49,6 +49,7 @@
 };
 pub use problem::Problem;
 pub use record::{Dispatch, REQUEST_PREFIX, RequestRecord, Size};
+pub use relay::stream_buffer::{BufferWriter, CallerGone, Chunk, StreamBuffers};
 pub use roster::Roster;
 pub use roster::directory::{
     Departure, DepartureNotice, Directory, DirectoryChange, DirectoryPart, HostRegistration,
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -174,11 +174,13 @@
     pub(crate) first_byte_ms: Histogram,
     pub(crate) pause_ms: Histogram,
     pub(crate) transfers: Family<TransferLabels, Counter>,
+    pub(crate) engine_speed_ratio_percent: Gauge,
     pub(crate) continuations: Family<ContinuationLabels, Counter>,
     pub(crate) running_copies: Counter,
     pub(crate) stalls: Counter,
     stream_ends: Family<StreamEndLabels, Counter>,
     overflow: Family<OverflowLabels, Counter>,
+    border_transfers: Family<TransferLabels, Counter>,
     /// Attempts to connect to upstreams.
     pub(crate) dials: DialCounts,
     /// Tunnels that this host has carried for others.
@@ -249,6 +251,13 @@
         let transfers = Family::default();
         let help = "Migrations off leaving engines that this host ordered, by outcome";
         registry.register("transfers", help, transfers.clone());
+        let engine_speed_ratio_percent = Gauge::default();
+        let help = "Largest ratio of the slowest to the fastest engine in a cell of this home";
+        registry.register(
+            "engine_speed_ratio_percent",
+            help,
+            engine_speed_ratio_percent.clone(),
+        );
         let continuations = Family::default();
         let help = "Generations that this host asked another engine to resume";
         registry.register("continuations", help, continuations.clone());
@@ -265,6 +274,9 @@
         let overflow = Family::default();
         let help = "Requests between homes of cells of one service, by outcome";
         registry.register("overflow", help, overflow.clone());
+        let border_transfers = Family::default();
+        let help = "Migrations to engines of another cell that this host ordered, by outcome";
+        registry.register("border_transfers", help, border_transfers.clone());
         let crashes = Family::default();
         let help = "Runs that ended because their upstream ended without notice";
         registry.register("crashed_runs", help, crashes.clone());
@@ -340,11 +352,13 @@
         registry.register("retries_left", help, retries_left.clone());
         Self {
             transfers,
+            engine_speed_ratio_percent,
             continuations,
             running_copies,
             stalls,
             stream_ends,
             overflow,
+            border_transfers,
             crashes,
             store_calls,
             peer_messages,
@@ -407,6 +421,12 @@
             .inc();
     }
 
+    /// Counts a migration to an engine of another cell.
+    pub(crate) fn border_transfer(&self, end: &'static str) {
+        let labels = TransferLabels { end };
+        self.border_transfers.get_or_create(&labels).inc();
+    }
+
     /// Counts a run that ended because its upstream did.
     pub(crate) fn crash(&self, is_suspect: bool) {
         let suspect = if is_suspect { "yes" } else { "no" };
--- a/crates/policy/src/cell/migration.rs
+++ b/crates/policy/src/cell/migration.rs
@@ -8,6 +8,8 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
+use serde::{Deserialize, Serialize};
+
 use super::Cell;
 use super::engine::Engine;
 use super::forecast::Forecast;
@@ -15,18 +17,18 @@
 use crate::key::{HostKey, Millis, UpstreamKey};
 
 /// Fixed part of a transfer: two calls to the engine and the start at the destination.
-const SETUP_MS: f32 = 15.0;
+pub(super) const SETUP_MS: f32 = 15.0;
 /// Backoff of a generation whose migration has failed; others are migrated meanwhile.
 const RETRY_BACKOFF_MS: Millis = 150;
 /// Maximum share of a destination's memory that migrations may fill.
-const MAX_MEMORY_SHARE: f32 = 0.97;
+pub(super) const MAX_MEMORY_SHARE: f32 = 0.97;
 /// Like [`MAX_MEMORY_SHARE`], but when little time is left: a full engine pauses a generation
 /// briefly, whereas a leaving engine cuts it permanently.
 const LATE_MAX_MEMORY_SHARE: f32 = 1.05;
 /// Little time is left when it is enough for fewer than this many transfers of a generation within
 /// its data centre: a first attempt and a retry. A larger value would cover most of the notice
 /// period and fill engines without need.
-const LATE_TRANSFERS: f32 = 2.5;
+pub(super) const LATE_TRANSFERS: f32 = 2.5;
 /// A generation is not migrated if the probability that its engine's end cuts it is lower than
 /// this: a migration is cheap, but occupies the link.
 const MIN_LOSS_PROBABILITY: f32 = 0.1;
@@ -45,7 +47,7 @@
 }
 
 /// The outcome of a migration.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub enum MigrationOutcome {
     /// The generation continues on the destination.
     Moved,
@@ -82,8 +84,9 @@
                 self.destination(now_ms, &forecast, &copy_ms, run, left_ms, is_free)?;
             Some((key, to, duration_ms))
         })?;
+        let resume_risk_ms = self.resume_risk_ms(now_ms, &self.runs[&key], to);
         let receiver = self.engines.get_mut(&to)?;
-        receiver.begin_receiving(now_ms, duration_ms);
+        receiver.begin_receiving(now_ms, duration_ms, resume_risk_ms);
         receiver.record_start(now_ms);
         let run = self.runs.get_mut(&key)?;
         run.begin_migration(to);
@@ -118,6 +121,13 @@
         }
         if let Some(run) = self.runs.get_mut(&migration.run) {
             run.finish_migration(outcome == MigrationOutcome::Moved);
+            if outcome == MigrationOutcome::Moved
+                && let Some(to) = self.engines.get(&migration.to)
+            {
+                let is_prefilling = to.is_prefilling_at(now_ms);
+                let event_ms = self.pauses.event_ms(to.pace_factor(), is_prefilling);
+                run.record_resumption(now_ms, event_ms);
+            }
             if matches!(
                 outcome,
                 MigrationOutcome::NotMoved | MigrationOutcome::Orphaned
@@ -133,7 +143,7 @@
     ///
     /// A transfer cut by the end of its engine saves nothing, and its partial copy holds memory on
     /// the destination until it expires, 9 s later with a copy TTL of 5 s.
-    fn destination(
+    pub(super) fn destination(
         &self,
         now_ms: Millis,
         forecast: &Forecast,
@@ -149,6 +159,7 @@
             true => LATE_MAX_MEMORY_SHARE,
             false => MAX_MEMORY_SHARE,
         };
+        let risk = self.migration_risk(run, demand);
         let open = self.engines.values().filter(|engine| is_open(engine));
         let costs = open.filter_map(|engine| {
             let is_local = engine.entry.data_centre == source.entry.data_centre;
@@ -158,13 +169,27 @@
             }
             let share = forecast.peak_share(engine, demand);
             let busy_ms = copy_ms.get(&engine.entry.key).copied().unwrap_or_default();
-            let cost_ms = duration_ms + busy_ms + MEMORY_COST_MS * share;
+            let pace_factor = engine.pace_factor();
+            let is_prefilling = engine.is_prefilling_at(now_ms + duration_ms as Millis);
+            let risk_ms = risk.migration_cost_ms(pace_factor, is_prefilling);
+            let cost_ms = duration_ms + busy_ms + MEMORY_COST_MS * share + risk_ms;
             (share <= max_share).then_some((cost_ms, engine.entry.key, duration_ms as Millis))
         });
         let best = costs.min_by(|a, b| a.0.total_cmp(&b.0).then(a.1.cmp(&b.1)));
         best.map(|(_, key, duration_ms)| (key, duration_ms))
     }
 
+    /// What it costs if a prompt is prefilled on an engine when a generation resumes there.
+    pub(super) fn resume_risk_ms(&self, now_ms: Millis, run: &Run, to: UpstreamKey) -> f32 {
+        let Some(to) = self.engines.get(&to) else {
+            return 0.0;
+        };
+        let demand = run.demand(now_ms, &self.answer_lengths);
+        let risk = self.migration_risk(run, demand);
+        let pace_factor = to.pace_factor();
+        risk.migration_cost_ms(pace_factor, true) - risk.migration_cost_ms(pace_factor, false)
+    }
+
     /// How long the links of engines are occupied by backup copies that have just started and
     /// include the whole prompt.
     fn initial_copies_ms(&self, now_ms: Millis) -> BTreeMap<UpstreamKey, f32> {
@@ -208,7 +233,12 @@
     }
 
     /// The generations that may leave an engine now, largest loss rate first.
-    fn by_loss_rate(&self, now_ms: Millis, engine: &Engine, left_ms: f32) -> Vec<(f32, RunKey)> {
+    pub(super) fn by_loss_rate(
+        &self,
+        now_ms: Millis,
+        engine: &Engine,
+        left_ms: f32,
+    ) -> Vec<(f32, RunKey)> {
         let movable = self.runs.iter().filter(|(_, run)| {
             run.is_on(engine.entry.key)
                 && !run.is_migrating()
@@ -229,7 +259,7 @@
 }
 
 /// Cost of a full destination against an empty one: about one transfer between data centres.
-const MEMORY_COST_MS: f32 = 300.0;
+pub(super) const MEMORY_COST_MS: f32 = 300.0;
 
 /// Expected loss of computed tokens if a generation stays, per millisecond of link time.
 fn loss_rate(run: &Run, engine: &Engine, loss_probability: f32, now_ms: Millis) -> f32 {
--- a/crates/policy/src/cell/placement.rs
+++ b/crates/policy/src/cell/placement.rs
@@ -4,6 +4,7 @@
 
 use super::answer_lengths::{AnswerLengths, StatedLength};
 use super::forecast::MemoryDemand;
+use super::pace::Pace;
 use super::prefill_rate::PrefillRate;
 use super::run::RunKey;
 use crate::key::{HostKey, Millis, OrganisationKey, UpstreamKey};
@@ -49,6 +50,8 @@
     pub retry_key: u64,
     /// Priority of its organisation or route; 0 is the most urgent.
     pub priority: u8,
+    /// Bound on the pauses between its events, if it has one.
+    pub gap_target_ms: Option<Millis>,
     /// How long its first event may still take to be on time.
     #[serde(rename = "patience_ms")]
     pub max_wait_ms: Millis,
@@ -133,10 +136,11 @@
         }
     }
 
-    pub(super) fn demand(&self, answer_lengths: &AnswerLengths) -> MemoryDemand {
+    pub(super) fn demand(&self, answer_lengths: &AnswerLengths, pace: &Pace) -> MemoryDemand {
         MemoryDemand {
             held_tokens: self.prompt_tokens as f32,
             remaining_tokens: answer_lengths.remaining_tokens(self.stated_length(), 0.0),
+            token_ms: pace.token_ms(),
         }
     }
 }
--- a/crates/policy/src/cell/run.rs
+++ b/crates/policy/src/cell/run.rs
@@ -3,7 +3,7 @@
 use serde::{Deserialize, Serialize};
 
 use super::answer_lengths::{AnswerLengths, StatedLength};
-use super::engine::TOKEN_MS;
+use super::measurement::Measurement;
 use super::placement::PlacementRequest;
 use crate::key::{HostKey, Millis, OrganisationKey, UpstreamKey};
 
@@ -15,6 +15,9 @@
 /// before it.
 const RECENT_MS: Millis = 1_500;
 
+/// A statement this long after a migration includes its pause.
+const RESUMPTION_STATED_MS: Millis = 400;
+
 /// A generation as stated by the host that relays it.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct RunStatement {
@@ -34,6 +37,10 @@
     pub limit_tokens: u32,
     /// The caller's estimate of the length.
     pub hint_tokens: Option<u32>,
+    /// Bound on the pauses between its events, if it has one.
+    pub gap_target_ms: Option<Millis>,
+    /// Longest pause between two of its events since the previous statement.
+    pub longest_pause_ms: Millis,
 }
 
 /// How a generation ended, as seen by the host that relayed it.
@@ -48,6 +55,40 @@
     pub first_ms: Option<Millis>,
 }
 
+/// The first token as expected when its generation was placed.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct ExpectedFirst {
+    /// Time from the placement to the token.
+    pub(super) after_ms: Millis,
+    /// The factor that was assumed for the engine.
+    pub(super) pace_factor: f32,
+}
+
+/// A generation that has just resumed after a migration.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct Resumption {
+    at_ms: Millis,
+    /// Expected time to the next event.
+    pub(super) event_ms: f32,
+    /// Longest pause that was stated since.
+    pub(super) longest_pause_ms: Millis,
+}
+
+/// Where a generation starts, and what is expected of its engine.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct StartedOn {
+    pub(super) engine: UpstreamKey,
+    pub(super) backup: Option<UpstreamKey>,
+    /// When its first token is expected.
+    pub(super) first_token_ms: Millis,
+    /// Expected time per token.
+    pub(super) token_ms: f32,
+    /// The engine's speed.
+    pub(super) pace_factor: f32,
+    /// What it costs in a second of prefill beside it that it may become late.
+    pub(super) prefill_risk_per_s: f32,
+}
+
 #[derive(Debug, Clone)]
 pub(super) struct Run {
     host: HostKey,
@@ -63,8 +104,20 @@
     /// When `out_tokens` was reached; in the future while the prompt is being prefilled.
     out_tokens_at_ms: Millis,
     placed_ms: Millis,
-    /// Expected time from placement to the first token; `None` if another home placed it.
-    expected_first_ms: Option<Millis>,
+    /// `None` if another home placed it.
+    expected_first: Option<ExpectedFirst>,
+    /// Time per token on its engine.
+    token_ms: f32,
+    /// Bound on its pauses.
+    pub(super) gap_target_ms: Option<Millis>,
+    /// Whether a pause has exceeded the bound.
+    pub(super) is_late: bool,
+    /// What it costs in a second of prefill beside it that it may become late.
+    pub(super) prefill_risk_per_s: f32,
+    /// Set for a moment after a migration.
+    resumption: Option<Resumption>,
+    /// Measures the speed of its engine by its progress.
+    pub(super) measurement: Measurement,
     /// No migration is attempted before this time, because one has failed.
     pub(super) backoff_until_ms: Millis,
     /// It is counted only until then if its host does not state it; `None` once it has.
@@ -74,11 +127,17 @@
 impl Run {
     pub(super) fn placed(
         now_ms: Millis,
-        first_token_ms: Millis,
-        engine: UpstreamKey,
-        backup: Option<UpstreamKey>,
+        started_on: StartedOn,
         request: &PlacementRequest,
     ) -> Self {
+        let StartedOn {
+            engine,
+            backup,
+            first_token_ms,
+            token_ms,
+            pace_factor,
+            prefill_risk_per_s,
+        } = started_on;
         Self {
             host: request.host,
             organisation: request.organisation,
@@ -91,13 +150,27 @@
             out_tokens: 0,
             out_tokens_at_ms: first_token_ms,
             placed_ms: now_ms,
-            expected_first_ms: Some(first_token_ms.saturating_sub(now_ms)),
+            expected_first: Some(ExpectedFirst {
+                after_ms: first_token_ms.saturating_sub(now_ms),
+                pace_factor,
+            }),
+            token_ms,
+            gap_target_ms: request.gap_target_ms,
+            is_late: false,
+            prefill_risk_per_s,
+            resumption: None,
+            measurement: Measurement::default(),
             backoff_until_ms: 0,
             unconfirmed_until_ms: None,
         }
     }
 
-    pub(super) fn restored(now_ms: Millis, host: HostKey, statement: &RunStatement) -> Self {
+    pub(super) fn restored(
+        now_ms: Millis,
+        host: HostKey,
+        token_ms: f32,
+        statement: &RunStatement,
+    ) -> Self {
         Self {
             host,
             organisation: statement.organisation,
@@ -110,24 +183,46 @@
             out_tokens: statement.out_tokens,
             out_tokens_at_ms: now_ms,
             placed_ms: now_ms,
-            expected_first_ms: None,
+            expected_first: None,
+            token_ms,
+            gap_target_ms: statement.gap_target_ms,
+            is_late: false,
+            prefill_risk_per_s: 0.0,
+            resumption: None,
+            measurement: Measurement::default(),
             backoff_until_ms: 0,
             unconfirmed_until_ms: None,
         }
     }
 
-    pub(super) fn restate(&mut self, now_ms: Millis, statement: &RunStatement) {
+    pub(super) fn restate(&mut self, now_ms: Millis, token_ms: f32, statement: &RunStatement) {
         self.unconfirmed_until_ms = None;
+        if self.engine != statement.engine || self.is_migrating() {
+            self.measurement.interrupt();
+        }
         self.engine = statement.engine;
         self.backup = statement.backup;
+        self.token_ms = token_ms;
+        let is_over = |bound_ms| statement.longest_pause_ms > bound_ms;
+        self.is_late |= self.gap_target_ms.is_some_and(is_over);
         if statement.out_tokens > 0 {
             self.out_tokens = statement.out_tokens;
             self.out_tokens_at_ms = now_ms;
         }
     }
 
-    pub(super) fn expected_first_ms(&self) -> Option<Millis> {
-        self.expected_first_ms
+    /// Time per token on its engine.
+    pub(super) fn token_ms(&self) -> f32 {
+        self.token_ms
+    }
+
+    /// When it was placed.
+    pub(super) fn placed_ms(&self) -> Millis {
+        self.placed_ms
+    }
+
+    pub(super) fn expected_first(&self) -> Option<ExpectedFirst> {
+        self.expected_first
     }
 
     pub(super) fn host(&self) -> HostKey {
@@ -140,10 +235,12 @@
 
     pub(super) fn begin_migration(&mut self, to: UpstreamKey) {
         self.migrating_to = Some(to);
+        self.measurement.interrupt();
     }
 
     /// Records the end of a migration, whether it succeeded or not.
     pub(super) fn finish_migration(&mut self, has_migrated: bool) {
+        self.measurement.interrupt();
         if let Some(to) = self.migrating_to.take()
             && has_migrated
         {
@@ -151,6 +248,27 @@
         }
     }
 
+    /// Records that it has resumed on another engine, where an event was expected within `event_ms`.
+    pub(super) fn record_resumption(&mut self, now_ms: Millis, event_ms: f32) {
+        self.resumption = Some(Resumption {
+            at_ms: now_ms,
+            event_ms,
+            longest_pause_ms: 0,
+        });
+    }
+
+    /// The pause of its migration, once it has been stated.
+    pub(super) fn take_resumption(
+        &mut self,
+        now_ms: Millis,
+        longest_pause_ms: Millis,
+    ) -> Option<Resumption> {
+        let resumption = self.resumption.as_mut()?;
+        resumption.longest_pause_ms = resumption.longest_pause_ms.max(longest_pause_ms);
+        let is_stated = now_ms >= resumption.at_ms + RESUMPTION_STATED_MS;
+        self.resumption.take_if(|_| is_stated)
+    }
+
     /// Forgets the copies on an engine that has lost them.
     pub(super) fn forget_copies(&mut self, lost: UpstreamKey) {
         self.backup = self.backup.filter(|backup| *backup != lost);
@@ -191,7 +309,7 @@
     /// Estimated output tokens: the last stated number and what was decoded since.
     pub(super) fn out_tokens(&self, now_ms: Millis) -> f32 {
         let since_ms = now_ms.saturating_sub(self.out_tokens_at_ms) as f32;
-        (self.out_tokens as f32 + since_ms / TOKEN_MS).min(self.limit_tokens as f32)
+        (self.out_tokens as f32 + since_ms / self.token_ms).min(self.limit_tokens as f32)
     }
 
     /// Output tokens last stated by its host.
@@ -220,7 +338,27 @@
         answer_lengths: &AnswerLengths,
     ) -> f32 {
         let out_tokens = self.out_tokens(now_ms);
-        answer_lengths.running_probability(self.stated_length(), out_tokens, ahead_ms / TOKEN_MS)
+        answer_lengths.running_probability(
+            self.stated_length(),
+            out_tokens,
+            ahead_ms / self.token_ms,
+        )
+    }
+
+    /// What its host would state now.
+    pub(super) fn statement(&self, now_ms: Millis, run: RunKey) -> RunStatement {
+        RunStatement {
+            run,
+            organisation: self.organisation,
+            engine: self.engine,
+            backup: self.backup,
+            prompt_tokens: self.prompt_tokens,
+            out_tokens: self.out_tokens(now_ms) as u32,
+            limit_tokens: self.limit_tokens,
+            hint_tokens: self.hint_tokens,
+            gap_target_ms: self.gap_target_ms,
+            longest_pause_ms: 0,
+        }
     }
 
     /// Memory held now.
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -43,6 +43,7 @@
 mod retry;
 mod retry_window;
 mod revision;
+mod slowdown;
 mod stop_moment;
 mod store_access;
 mod surge;
@@ -57,8 +58,8 @@
 pub use brittle::BrittleStarts;
 pub use broadcast::{Recipient, broadcast_branches, split_branch};
 pub use cell::{
-    Cell, CellEngine, EngineCapacity, EngineSnapshot, Migration, MigrationOutcome, Placement,
-    PlacementRequest, RunEnd, RunKey, RunStatement,
+    Cell, CellEngine, EngineCapacity, EngineSnapshot, IncomingMigration, Migration,
+    MigrationOutcome, Placement, PlacementRequest, RunEnd, RunKey, RunStatement,
 };
 pub use cell_partitioning::CellPartitioning;
 pub use choose::{Choice, Draws, choose};
@@ -93,6 +94,7 @@
 pub use retry::RetryBudget;
 pub use retry_window::{RetryBound, RetryWindow};
 pub use revision::Revision;
+pub use slowdown::spare_share;
 pub use stop_moment::{EventIntervals, StopMoment};
 pub use store_access::StoreAccess;
 pub use surge::{DELAY_PERIOD_MS, Surge};
