--- a/crates/bench/src/cmd/decide.rs
+++ b/crates/bench/src/cmd/decide.rs
@@ -216,6 +216,7 @@
         hint_tokens: Some(500),
         gap_target_ms: Some(180),
         longest_pause_ms: 40,
+        priority: 0,
     }
 }
 
--- a/crates/bench/src/reclaim/host.rs
+++ b/crates/bench/src/reclaim/host.rs
@@ -89,6 +89,7 @@
             hint_tokens: Some(self.hint(caller_request)),
             gap_target_ms: self.gap_target_ms(caller_request),
             longest_pause_ms: attempt.unstated_pause_ms as Millis,
+            priority: caller_request.priority,
         }
     }
 }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -48,7 +48,7 @@
     ResponseHead,
 };
 pub use problem::Problem;
-pub use record::{Dispatch, REQUEST_PREFIX, RequestRecord, Size};
+pub use record::{Dispatch, REQUEST_PREFIX, RequestRecord, Shortage, Size};
 pub use relay::stream_buffer::{BufferWriter, CallerGone, Chunk, StreamBuffers};
 pub use roster::Roster;
 pub use roster::directory::{
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -174,6 +174,7 @@
     pub(crate) first_byte_ms: Histogram,
     pub(crate) pause_ms: Histogram,
     pub(crate) transfers: Family<TransferLabels, Counter>,
+    pub(crate) rebalanced: Family<TransferLabels, Counter>,
     pub(crate) engine_speed_ratio_percent: Gauge,
     pub(crate) continuations: Family<ContinuationLabels, Counter>,
     pub(crate) running_copies: Counter,
@@ -188,6 +189,8 @@
     pub(crate) cold_waits: Counter,
     pub(crate) limit_waits: Counter,
     pub(crate) brittle_waits: Counter,
+    pub(crate) protected_room_waits: Counter,
+    pub(crate) early_refusals: Counter,
     crashes: Family<CrashLabels, Counter>,
     peer_messages: Family<MessageLabels, Counter>,
     peer_bytes: Family<DirectionLabels, Gauge>,
@@ -251,6 +254,9 @@
         let transfers = Family::default();
         let help = "Migrations off leaving engines that this host ordered, by outcome";
         registry.register("transfers", help, transfers.clone());
+        let rebalanced = Family::default();
+        let help = "Migrations between engines that stay that this host ordered, by outcome";
+        registry.register("rebalanced_generations", help, rebalanced.clone());
         let engine_speed_ratio_percent = Gauge::default();
         let help = "Largest ratio of the slowest to the fastest engine in a cell of this home";
         registry.register(
@@ -347,11 +353,18 @@
         let brittle_waits = Counter::default();
         let help = "Deferred start requests at brittle upstreams";
         registry.register("brittle_waits", help, brittle_waits.clone());
+        let protected_room_waits = Counter::default();
+        let help = "Generations that lacked only room kept for more urgent ones";
+        registry.register("protected_room_waits", help, protected_room_waits.clone());
+        let early_refusals = Counter::default();
+        let help = "Generations refused at once because they could not start in time";
+        registry.register("early_refusals", help, early_refusals.clone());
         let retries_left = Family::default();
         let help = "Remaining retry budget of this host for a service";
         registry.register("retries_left", help, retries_left.clone());
         Self {
             transfers,
+            rebalanced,
             engine_speed_ratio_percent,
             continuations,
             running_copies,
@@ -385,6 +398,8 @@
             cold_waits,
             limit_waits,
             brittle_waits,
+            protected_room_waits,
+            early_refusals,
             retries_left,
             requests,
             retries,
--- a/crates/gateway/src/tracker.rs
+++ b/crates/gateway/src/tracker.rs
@@ -12,7 +12,7 @@
 use crate::key::run_key;
 use crate::metrics::EndLabels;
 use crate::problem::Problem;
-use crate::record::{Dispatch, REQUEST_PREFIX, RequestRecord, Size};
+use crate::record::{Dispatch, REQUEST_PREFIX, RequestRecord, Shortage, Size};
 use crate::relay::framing::Framing;
 use crate::upstreams::instance::ChosenUpstream;
 
@@ -55,6 +55,8 @@
     engine_snapshot: Option<EngineSnapshot>,
     /// The cell that has taken it from the one in which it arrived.
     taken_by: Option<CellKey>,
+    /// Why it found no room, if it didn't at once.
+    shortages: Vec<Shortage>,
     first_event_ms: Option<Millis>,
     longest_pause_ms: Millis,
     event_at_ms: Millis,
@@ -80,6 +82,7 @@
             parts: Vec::new(),
             engine_snapshot: None,
             taken_by: None,
+            shortages: Vec::new(),
             first_event_ms: None,
             longest_pause_ms: 0,
             event_at_ms: 0,
@@ -122,6 +125,13 @@
         self.taken_by = cell;
     }
 
+    /// Records why it found no room; true if that is new.
+    pub(crate) fn add_shortage(&mut self, shortage: Shortage) -> bool {
+        let is_new = !self.shortages.contains(&shortage);
+        self.shortages.extend(is_new.then_some(shortage));
+        is_new
+    }
+
     /// Records when an upstream was first selected for the request.
     pub(crate) fn mark_placed(&mut self, now_ms: Millis) {
         let since_ms = now_ms.saturating_sub(self.arrived_ms);
@@ -235,6 +245,7 @@
             parts: self.parts.clone(),
             taken_by: self.taken_by.map(|cell| format!("{:016x}", cell.0)),
             seen: self.engine_snapshot,
+            shortages: self.shortages.clone(),
             first_event_ms: self.first_event_ms,
             longest_pause_ms: self.longest_pause_ms,
             events: self.events,
--- a/crates/gateway/tests/cell_pool.rs
+++ b/crates/gateway/tests/cell_pool.rs
@@ -20,6 +20,8 @@
 
 const FULL: Placement = Placement::Full {
     retry_after_ms: 900,
+    is_refused: false,
+    lacks_protected_room: false,
 };
 
 const fn on(engine: u64) -> Placement {
@@ -405,6 +407,7 @@
             hint_tokens: None,
             gap_target_ms: None,
             longest_pause_ms: 0,
+            priority: 0,
         },
         host: HostKey(7),
         data_centre: 1,
--- a/crates/policy/src/cell/engine.rs
+++ b/crates/policy/src/cell/engine.rs
@@ -1,6 +1,7 @@
 //! One engine of a cell.
 
 use super::pace::EnginePace;
+use super::run::RunKey;
 use crate::cold::{Cold, ColdStarts};
 use crate::failures::Failures;
 use crate::key::{Millis, UpstreamKey};
@@ -69,6 +70,8 @@
     /// What it costs if a prompt is prefilled here when the generation of the incoming transfer
     /// resumes.
     resume_risk_ms: f32,
+    /// The latest time until which a transfer from this engine blocks others.
+    sending_until_ms: Millis,
     /// No transfer is sent here before this time, because the engine had no room for one.
     refused_until_ms: Millis,
     orphaned_copies: Vec<OrphanedCopy>,
@@ -86,6 +89,8 @@
 /// A copy that can be neither used nor released: its transfer was cut, so its id is unknown.
 #[derive(Debug, Clone, Copy)]
 struct OrphanedCopy {
+    /// Set while its host may still discard it: its generation has ended during the transfer.
+    ended_run: Option<RunKey>,
     tokens: f32,
     until_ms: Millis,
 }
@@ -99,6 +104,7 @@
             pace: EnginePace::default(),
             receiving_until_ms: 0,
             resume_risk_ms: 0.0,
+            sending_until_ms: 0,
             refused_until_ms: 0,
             orphaned_copies: Vec::new(),
             failures: Failures::default(),
@@ -191,6 +197,21 @@
         }
     }
 
+    /// Records the start of a transfer from this engine and its expected duration.
+    pub(super) fn begin_sending(&mut self, now_ms: Millis, duration_ms: Millis) {
+        self.sending_until_ms = now_ms + duration_ms * OVERDUE_FACTOR;
+    }
+
+    /// Records the end of a transfer from this engine.
+    pub(super) fn finish_sending(&mut self) {
+        self.sending_until_ms = 0;
+    }
+
+    /// Whether no transfer uses its link, either way.
+    pub(super) fn has_free_link(&self, now_ms: Millis) -> bool {
+        now_ms >= self.sending_until_ms.max(self.receiving_until_ms)
+    }
+
     /// Records that it had no room for a transfer.
     pub(super) fn refuse_transfers(&mut self, now_ms: Millis) {
         self.refused_until_ms = now_ms + REFUSAL_BACKOFF_MS;
@@ -200,7 +221,8 @@
     pub(super) fn can_receive(&self, now_ms: Millis) -> bool {
         self.is_open()
             && self.may_start(now_ms)
-            && now_ms >= self.receiving_until_ms.max(self.refused_until_ms)
+            && self.has_free_link(now_ms)
+            && now_ms >= self.refused_until_ms
     }
 
     /// Records that a transfer was cut and its partial copy remains here.
@@ -208,14 +230,31 @@
     /// If it were not counted, the home would place generations on engines that hold such a copy,
     /// where they would wait in the engine's queue until the copy expires.
     pub(super) fn add_orphaned_copy(&mut self, now_ms: Millis, tokens: f32) {
+        self.add_copy(now_ms, None, tokens);
+    }
+
+    /// Records that a generation has ended during its transfer to this engine. The copy counts until
+    /// its host has discarded it.
+    pub(super) fn add_ended_copy(&mut self, now_ms: Millis, run: RunKey, tokens: f32) {
+        self.add_copy(now_ms, Some(run), tokens);
+    }
+
+    fn add_copy(&mut self, now_ms: Millis, ended_run: Option<RunKey>, tokens: f32) {
         let lifetime_ms = self.entry.capacity.copy_ttl_ms as f32 * ORPHANED_COPY_TTL_FACTOR;
         self.orphaned_copies.retain(|copy| copy.until_ms > now_ms);
         self.orphaned_copies.push(OrphanedCopy {
+            ended_run,
             tokens,
             until_ms: now_ms + lifetime_ms as Millis,
         });
     }
 
+    /// Records that the copy of a generation that had ended has been discarded.
+    pub(super) fn release_ended_copy(&mut self, run: RunKey) {
+        self.orphaned_copies
+            .retain(|copy| copy.ended_run != Some(run));
+    }
+
     /// Memory held by orphaned copies.
     pub(super) fn orphaned_tokens(&self, now_ms: Millis) -> f32 {
         let live = self
--- a/crates/policy/src/cell/mod.rs
+++ b/crates/policy/src/cell/mod.rs
@@ -10,6 +10,7 @@
 mod cost;
 mod engine;
 mod exceedances;
+mod expected_start;
 mod forecast;
 mod incoming;
 mod late_risk;
@@ -20,6 +21,9 @@
 mod pauses;
 mod placement;
 mod prefill_rate;
+mod protection;
+mod rebalancing;
+mod resumption;
 mod run;
 mod selection;
 mod shares;
@@ -40,6 +44,7 @@
 use pace::Pace;
 use pauses::Pauses;
 use prefill_rate::PrefillRate;
+use protection::Protection;
 use run::Run;
 use waiting::WaitingList;
 
@@ -64,6 +69,7 @@
     prefill_rate: PrefillRate,
     pace: Pace,
     pauses: Pauses,
+    protection: Protection,
 }
 
 impl Cell {
@@ -205,7 +211,7 @@
     /// Removes a generation that has ended, and records its prefill time and length.
     pub fn end(&mut self, now_ms: Millis, run: RunKey, end: RunEnd) {
         self.waiting.remove(run);
-        let Some(run) = self.runs.remove(&run) else {
+        let Some(run) = self.remove_run(now_ms, run) else {
             return;
         };
         if let Some(first_ms) = end.first_ms {
@@ -225,11 +231,15 @@
     /// relays. Generations that it does not state are removed, because the message of their end may
     /// be lost.
     pub fn restate(&mut self, now_ms: Millis, host: HostKey, statements: &[RunStatement]) {
-        self.runs.retain(|key, run| {
-            run.host() != host
-                || run.is_recent(now_ms)
-                || statements.iter().any(|statement| statement.run == *key)
-        });
+        let is_stated = |key| statements.iter().any(|statement| statement.run == key);
+        let ended = self
+            .runs
+            .iter()
+            .filter(|(key, run)| run.host() == host && !run.is_recent(now_ms) && !is_stated(**key));
+        let ended: Vec<RunKey> = ended.map(|(key, _)| *key).collect();
+        for run in ended {
+            self.remove_run(now_ms, run);
+        }
         for statement in statements {
             self.restate_run(now_ms, host, statement);
         }
@@ -272,6 +282,17 @@
         );
     }
 
+    /// Removes a generation that has ended. Its copy at the destination of a migration in progress is
+    /// counted until the outcome is known: the host discards it only then.
+    fn remove_run(&mut self, now_ms: Millis, key: RunKey) -> Option<Run> {
+        let run = self.runs.remove(&key)?;
+        let to = run.migrating_to();
+        if let Some(to) = to.and_then(|to| self.engines.get_mut(&to)) {
+            to.add_ended_copy(now_ms, key, run.held_tokens(now_ms));
+        }
+        Some(run)
+    }
+
     /// Removes the generations of hosts that are gone, whose connections to callers are lost.
     pub fn retain_hosts(&mut self, is_present: impl Fn(HostKey) -> bool) {
         self.runs.retain(|_, run| is_present(run.host()));
--- a/crates/policy/src/cell/run.rs
+++ b/crates/policy/src/cell/run.rs
@@ -5,6 +5,7 @@
 use super::answer_lengths::{AnswerLengths, StatedLength};
 use super::measurement::Measurement;
 use super::placement::PlacementRequest;
+use super::resumption::Resumption;
 use crate::key::{HostKey, Millis, OrganisationKey, UpstreamKey};
 
 /// A generation's key: a hash of its caller's request, the same on every host.
@@ -15,9 +16,6 @@
 /// before it.
 const RECENT_MS: Millis = 1_500;
 
-/// A statement this long after a migration includes its pause.
-const RESUMPTION_STATED_MS: Millis = 400;
-
 /// A generation as stated by the host that relays it.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct RunStatement {
@@ -41,6 +39,8 @@
     pub gap_target_ms: Option<Millis>,
     /// Longest pause between two of its events since the previous statement.
     pub longest_pause_ms: Millis,
+    /// Priority of its organisation or route; 0 is the most urgent.
+    pub priority: u8,
 }
 
 /// How a generation ended, as seen by the host that relayed it.
@@ -64,16 +64,6 @@
     pub(super) pace_factor: f32,
 }
 
-/// A generation that has just resumed after a migration.
-#[derive(Debug, Clone, Copy)]
-pub(super) struct Resumption {
-    at_ms: Millis,
-    /// Expected time to the next event.
-    pub(super) event_ms: f32,
-    /// Longest pause that was stated since.
-    pub(super) longest_pause_ms: Millis,
-}
-
 /// Where a generation starts, and what is expected of its engine.
 #[derive(Debug, Clone, Copy)]
 pub(super) struct StartedOn {
@@ -93,6 +83,8 @@
 pub(super) struct Run {
     host: HostKey,
     pub(super) organisation: OrganisationKey,
+    /// 0 is the most urgent.
+    pub(super) priority: u8,
     engine: UpstreamKey,
     backup: Option<UpstreamKey>,
     /// The destination of a migration in progress.
@@ -115,9 +107,11 @@
     /// What it costs in a second of prefill beside it that it may become late.
     pub(super) prefill_risk_per_s: f32,
     /// Set for a moment after a migration.
-    resumption: Option<Resumption>,
+    pub(super) resumption: Option<Resumption>,
     /// Measures the speed of its engine by its progress.
     pub(super) measurement: Measurement,
+    /// The engine that it was migrated from, and when.
+    moved_from: Option<(UpstreamKey, Millis)>,
     /// No migration is attempted before this time, because one has failed.
     pub(super) backoff_until_ms: Millis,
     /// It is counted only until then if its host does not state it; `None` once it has.
@@ -141,6 +135,7 @@
         Self {
             host: request.host,
             organisation: request.organisation,
+            priority: request.priority,
             engine,
             backup,
             migrating_to: None,
@@ -160,6 +155,7 @@
             prefill_risk_per_s,
             resumption: None,
             measurement: Measurement::default(),
+            moved_from: None,
             backoff_until_ms: 0,
             unconfirmed_until_ms: None,
         }
@@ -174,6 +170,7 @@
         Self {
             host,
             organisation: statement.organisation,
+            priority: statement.priority,
             engine: statement.engine,
             backup: statement.backup,
             migrating_to: None,
@@ -190,6 +187,7 @@
             prefill_risk_per_s: 0.0,
             resumption: None,
             measurement: Measurement::default(),
+            moved_from: None,
             backoff_until_ms: 0,
             unconfirmed_until_ms: None,
         }
@@ -197,10 +195,16 @@
 
     pub(super) fn restate(&mut self, now_ms: Millis, token_ms: f32, statement: &RunStatement) {
         self.unconfirmed_until_ms = None;
-        if self.engine != statement.engine || self.is_migrating() {
+        // The statement may have been sent before the outcome of the migration.
+        let is_earlier = self.moved_from.is_some_and(|(from, moved_ms)| {
+            from == statement.engine && now_ms.saturating_sub(moved_ms) < RECENT_MS
+        });
+        if self.is_migrating() || is_earlier || self.engine != statement.engine {
             self.measurement.interrupt();
         }
-        self.engine = statement.engine;
+        if !is_earlier {
+            self.engine = statement.engine;
+        }
         self.backup = statement.backup;
         self.token_ms = token_ms;
         let is_over = |bound_ms| statement.longest_pause_ms > bound_ms;
@@ -233,42 +237,27 @@
         self.migrating_to.is_some()
     }
 
+    /// The destination of a migration in progress.
+    pub(super) fn migrating_to(&self) -> Option<UpstreamKey> {
+        self.migrating_to
+    }
+
     pub(super) fn begin_migration(&mut self, to: UpstreamKey) {
         self.migrating_to = Some(to);
         self.measurement.interrupt();
     }
 
     /// Records the end of a migration, whether it succeeded or not.
-    pub(super) fn finish_migration(&mut self, has_migrated: bool) {
+    pub(super) fn finish_migration(&mut self, now_ms: Millis, has_migrated: bool) {
         self.measurement.interrupt();
         if let Some(to) = self.migrating_to.take()
             && has_migrated
         {
+            self.moved_from = Some((self.engine, now_ms));
             self.engine = to;
         }
     }
 
-    /// Records that it has resumed on another engine, where an event was expected within `event_ms`.
-    pub(super) fn record_resumption(&mut self, now_ms: Millis, event_ms: f32) {
-        self.resumption = Some(Resumption {
-            at_ms: now_ms,
-            event_ms,
-            longest_pause_ms: 0,
-        });
-    }
-
-    /// The pause of its migration, once it has been stated.
-    pub(super) fn take_resumption(
-        &mut self,
-        now_ms: Millis,
-        longest_pause_ms: Millis,
-    ) -> Option<Resumption> {
-        let resumption = self.resumption.as_mut()?;
-        resumption.longest_pause_ms = resumption.longest_pause_ms.max(longest_pause_ms);
-        let is_stated = now_ms >= resumption.at_ms + RESUMPTION_STATED_MS;
-        self.resumption.take_if(|_| is_stated)
-    }
-
     /// Forgets the copies on an engine that has lost them.
     pub(super) fn forget_copies(&mut self, lost: UpstreamKey) {
         self.backup = self.backup.filter(|backup| *backup != lost);
@@ -358,6 +347,7 @@
             hint_tokens: self.hint_tokens,
             gap_target_ms: self.gap_target_ms,
             longest_pause_ms: 0,
+            priority: self.priority,
         }
     }
 
--- a/crates/policy/src/cell/waiting.rs
+++ b/crates/policy/src/cell/waiting.rs
@@ -12,6 +12,7 @@
 use super::forecast::{Forecast, MemoryDemand};
 use super::placement::PlacementRequest;
 use super::prefill_rate::PrefillRate;
+use super::protection::Protection;
 use super::run::RunKey;
 use super::selection::PlacementAttempt;
 use super::shares::Shares;
@@ -34,9 +35,11 @@
 /// organisations below their share, then the more urgent, then those with the earliest latest start
 /// (least laxity), delayed by their cost to others.
 ///
-/// The share precedes the priority, which organisations assign to their own requests. Otherwise a
-/// flood of urgent requests would block all other organisations as long as it lasts. Lateness
-/// precedes the share, because a late answer has little value for any caller.
+/// The share precedes the priority. Otherwise a flood of urgent requests would block all other
+/// organisations as long as it lasts. The urgent requests of an organisation above its share are not
+/// counted as above it while they are few, see [`Shares::is_over`]: behind the long requests of all
+/// others, short ones would be late although they take next to nothing. Lateness precedes the share,
+/// because a late answer has little value for any caller.
 ///
 /// Ordered by arrival alone, large requests wait as long as small ones and then have longer prompts
 /// to prefill. Cheap requests fit where expensive ones do not, and end sooner: see
@@ -96,6 +99,7 @@
         &mut self,
         now_ms: Millis,
         prefill_rate: &PrefillRate,
+        protection: &mut Protection,
         request: &PlacementRequest,
         demand: MemoryDemand,
         is_over_share: bool,
@@ -108,9 +112,9 @@
         }
         let trying_ms = self.refused.get(&request.retry_key);
         let trying_ms = trying_ms.map_or(0, |refused| now_ms.saturating_sub(refused.first_ms));
-        let delay_ms = request.max_wait_ms as f32
-            * COST_DELAY_SHARE
-            * self.average_cost.record_and_compare(prefill_rate, demand);
+        let cost = self.average_cost.record_and_compare(prefill_rate, demand);
+        protection.record_request(now_ms, request.priority, cost);
+        let delay_ms = request.max_wait_ms as f32 * COST_DELAY_SHARE * cost;
         QueueOrder {
             is_late: trying_ms >= request.max_wait_ms,
             is_over_share,
@@ -181,11 +185,21 @@
         all.map(|waiting| (waiting.organisation, waiting.demand))
     }
 
+    /// Memory for the prompts of the requests ordered before `order`.
+    pub(super) fn tokens_before(&self, order: QueueOrder, shares: &Shares) -> f32 {
+        let before = self.before(order, shares);
+        before
+            .iter()
+            .map(|(_, waiting)| waiting.demand.held_tokens)
+            .sum()
+    }
+
     /// Requests ordered before `order` by the current shares, since an organisation may have gone
     /// over or below its share after its request was queued.
     fn before(&self, order: QueueOrder, shares: &Shares) -> Vec<(QueueOrder, &Waiting)> {
         let all = self.requests.values().map(|waiting| {
-            let is_over_share = shares.is_over(waiting.organisation, waiting.demand);
+            let is_over_share =
+                shares.is_over(waiting.organisation, waiting.order.priority, waiting.demand);
             let order = QueueOrder {
                 is_over_share,
                 ..waiting.order
--- a/crates/policy/tests/cell/fixtures.rs
+++ b/crates/policy/tests/cell/fixtures.rs
@@ -71,6 +71,7 @@
         hint_tokens: Some(limit_tokens),
         gap_target_ms: None,
         longest_pause_ms: 0,
+        priority: 0,
     }
 }
 
