Count the pauses that held events hide from callers

An operator could not see how much held events do: the pauses in logs and metrics are those that hosts receive. A counter has the pauses that were too long at the engine and on time for the caller. The metric is hidden_pauses; tables in policy/tests/playout.rs.

--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -136,7 +136,7 @@
             clock,
             cells: Cells::default(),
             runs: Runs::default(),
-            stream_buffers: StreamBuffers::new(clock),
+            stream_buffers: StreamBuffers::new(clock, metrics.hidden_pauses.clone()),
             cell_duties: CellDuties::default(),
             probe_times: ProbeTimes::default(),
             dissemination: Dissemination::default(),
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -179,6 +179,8 @@
     pub(crate) continuations: Family<ContinuationLabels, Counter>,
     pub(crate) running_copies: Counter,
     pub(crate) stalls: Counter,
+    /// Pauses that were too long at the engine and on time for the caller, as events were held.
+    pub(crate) hidden_pauses: Counter,
     stream_ends: Family<StreamEndLabels, Counter>,
     overflow: Family<OverflowLabels, Counter>,
     border_transfers: Family<TransferLabels, Counter>,
@@ -274,6 +276,9 @@
         let help =
             "Pauses over the route's target on one engine, caused by preemption or by its link";
         registry.register("stalls", help, stalls.clone());
+        let hidden_pauses = Counter::default();
+        let help = "Pauses over the route's target that held events have shortened to within it";
+        registry.register("hidden_pauses", help, hidden_pauses.clone());
         let stream_ends = Family::default();
         let help = "Streams that their engines ended, by framing and by how they ended";
         registry.register("stream_ends", help, stream_ends.clone());
@@ -369,6 +374,7 @@
             continuations,
             running_copies,
             stalls,
+            hidden_pauses,
             stream_ends,
             overflow,
             border_transfers,
--- a/crates/gateway/src/relay/stream_buffer.rs
+++ b/crates/gateway/src/relay/stream_buffer.rs
@@ -17,6 +17,7 @@
 use fulmarpath_policy::{Millis, Playout};
 use futures::Stream;
 use futures::stream::unfold;
+use prometheus_client::metrics::counter::Counter;
 use tokio::sync::{OwnedSemaphorePermit, Semaphore, mpsc};
 use tokio::time::sleep;
 
@@ -48,14 +49,17 @@
 pub struct StreamBuffers {
     host: Arc<Semaphore>,
     clock: Clock,
+    hidden_pauses: Counter,
 }
 
 impl StreamBuffers {
-    /// Creates the buffers of a host.
-    pub fn new(clock: Clock) -> Self {
+    /// Creates the buffers of a host. `hidden_pauses` counts the pauses that were too long at the
+    /// engine and on time for the caller.
+    pub fn new(clock: Clock, hidden_pauses: Counter) -> Self {
         Self {
             host: Arc::new(Semaphore::new(MAX_HOST_BYTES)),
             clock,
+            hidden_pauses,
         }
     }
 
@@ -75,6 +79,7 @@
         let reader = BufferReader {
             received,
             clock: self.clock,
+            hidden_pauses: self.hidden_pauses.clone(),
             playout,
         };
         let chunks = unfold(reader, |mut reader| async {
@@ -89,6 +94,7 @@
 struct BufferReader {
     received: mpsc::UnboundedReceiver<Buffered>,
     clock: Clock,
+    hidden_pauses: Counter,
     playout: Option<Playout>,
 }
 
@@ -103,10 +109,13 @@
             sleep(WRITE_TIME).await;
             return Some(buffered.chunk);
         }
-        let release_ms = playout.release_ms(buffered.arrived_ms);
+        let release = playout.release(buffered.arrived_ms);
+        if release.hides_pause {
+            self.hidden_pauses.inc();
+        }
         let is_last = self.received.is_closed() && self.received.is_empty();
         if !is_last {
-            let held_ms = release_ms.saturating_sub(self.clock.now_ms());
+            let held_ms = release.at_ms.saturating_sub(self.clock.now_ms());
             sleep(Duration::from_millis(held_ms)).await;
         }
         Some(buffered.chunk)
--- a/crates/gateway/tests/stream_buffers.rs
+++ b/crates/gateway/tests/stream_buffers.rs
@@ -4,6 +4,7 @@
 use fulmarpath_cluster::Clock;
 use fulmarpath_gateway::{BufferWriter, Chunk, StreamBuffers};
 use futures::{FutureExt, Stream, StreamExt};
+use prometheus_client::metrics::counter::Counter;
 use rstest::rstest;
 
 /// Bytes that one stream may be ahead of its caller.
@@ -49,7 +50,7 @@
 #[case::very_many(Unread { streams: 2_000, chunk_bytes: 400 })]
 #[case::large_pieces(Unread { streams: 100, chunk_bytes: 100_000 })]
 fn unread_answers_are_bounded(#[case] case: Unread) {
-    let buffers = StreamBuffers::new(Clock::start());
+    let buffers = StreamBuffers::new(Clock::start(), Counter::default());
     let mut opened = Vec::new();
     for _ in 0..case.streams {
         let (writer, chunks) = buffers.open(None);
@@ -84,7 +85,7 @@
 /// other streams.
 #[test]
 fn a_caller_that_leaves_frees_its_share() {
-    let buffers = StreamBuffers::new(Clock::start());
+    let buffers = StreamBuffers::new(Clock::start(), Counter::default());
     let fill_all = || {
         let opened: Vec<_> = (0..64).map(|_| buffers.open(None)).collect();
         let accepted = opened.iter().map(|(writer, _)| fill(writer, 4_096));
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -87,7 +87,7 @@
 pub use paths::{LinksChange, Path, Paths};
 pub use permit_request::{EnginePermitRequest, Outcome, PermitKey, PermitRequestId, RefusalReason};
 pub use pick::{Candidate, Pick, pick};
-pub use playout::Playout;
+pub use playout::{Playout, Release};
 pub use pool::{Ask, OtherCells, Pool, PoolAnswer};
 pub use queue::OrderRule;
 pub use rendezvous::{highest, rank};
--- a/crates/policy/src/playout.rs
+++ b/crates/policy/src/playout.rs
@@ -20,9 +20,20 @@
 /// The playout of one stream.
 #[derive(Debug, Clone, Copy)]
 pub struct Playout {
+    gap_target_ms: Millis,
     max_delay_ms: Millis,
     max_pause_ms: Millis,
-    released_ms: Option<Millis>,
+    /// When the last event arrived and was passed on.
+    last: Option<(Millis, Millis)>,
+}
+
+/// When an event is passed on.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Release {
+    /// The time, in milliseconds of the stream's clock.
+    pub at_ms: Millis,
+    /// The pause before it was too long at the engine and is on time for the caller.
+    pub hides_pause: bool,
 }
 
 impl Playout {
@@ -32,9 +43,10 @@
         let bound_ms = delay_bound_ms as f32 * DELAY_SHARE;
         let of_pause_ms = gap_target_ms as f32 * MAX_DELAY_OF_PAUSE;
         Self {
+            gap_target_ms,
             max_delay_ms: bound_ms.min(of_pause_ms) as Millis,
             max_pause_ms: (gap_target_ms as f32 * PAUSE_SHARE) as Millis,
-            released_ms: None,
+            last: None,
         }
     }
 
@@ -44,14 +56,23 @@
     }
 
     /// When to pass on an event that arrived at `arrived_ms`; never earlier.
-    pub fn release_ms(&mut self, arrived_ms: Millis) -> Millis {
-        let release_ms = match self.released_ms {
-            None => arrived_ms,
-            Some(released_ms) => (arrived_ms + self.max_delay_ms)
-                .min(released_ms + self.max_pause_ms)
-                .max(arrived_ms),
+    pub fn release(&mut self, arrived_ms: Millis) -> Release {
+        let Some((last_arrived_ms, last_released_ms)) = self.last else {
+            self.last = Some((arrived_ms, arrived_ms));
+            return Release {
+                at_ms: arrived_ms,
+                hides_pause: false,
+            };
         };
-        self.released_ms = Some(release_ms);
-        release_ms
+        let at_ms = (arrived_ms + self.max_delay_ms)
+            .min(last_released_ms + self.max_pause_ms)
+            .max(arrived_ms);
+        self.last = Some((arrived_ms, at_ms));
+        let is_too_long = arrived_ms.saturating_sub(last_arrived_ms) > self.gap_target_ms;
+        let is_on_time = at_ms.saturating_sub(last_released_ms) <= self.gap_target_ms;
+        Release {
+            at_ms,
+            hides_pause: is_too_long && is_on_time,
+        }
     }
 }
--- a/crates/policy/tests/playout.rs
+++ b/crates/policy/tests/playout.rs
@@ -17,10 +17,10 @@
 fn play(pauses_ms: &[Millis], gap_target_ms: Millis) -> Vec<(Millis, Millis)> {
     let mut playout = Playout::new(gap_target_ms, DELAY_BOUND_MS);
     let mut arrived_ms = 1_000;
-    let mut events = vec![(arrived_ms, playout.release_ms(arrived_ms))];
+    let mut events = vec![(arrived_ms, playout.release(arrived_ms).at_ms)];
     for pause_ms in pauses_ms {
         arrived_ms += pause_ms;
-        events.push((arrived_ms, playout.release_ms(arrived_ms)));
+        events.push((arrived_ms, playout.release(arrived_ms).at_ms));
     }
     events
 }
@@ -85,3 +85,23 @@
     assert!(on_time <= GAP_TARGET_MS, "{on_time}");
     assert!(late > GAP_TARGET_MS, "{late}");
 }
+
+/// Guards against a count of hidden pauses that an operator can't rely on: pauses that are on time
+/// anyway, or too long for the caller as well, don't count.
+#[rstest]
+#[case::on_time(&[50, 50, 170, 50], 0)]
+#[case::hidden(&[50, 50, 190, 50, 50, 190], 2)]
+#[case::too_long(&[50, 50, 900, 50], 0)]
+fn hidden_pauses_are_counted(#[case] pauses_ms: &[Millis], #[case] hidden: usize) {
+    let mut playout = Playout::new(GAP_TARGET_MS, DELAY_BOUND_MS);
+    let mut arrived_ms = 1_000;
+    playout.release(arrived_ms);
+    let releases = pauses_ms.iter().map(|pause_ms| {
+        arrived_ms += pause_ms;
+        playout.release(arrived_ms)
+    });
+    assert_eq!(
+        releases.filter(|release| release.hides_pause).count(),
+        hidden
+    );
+}
