Take back the turn of callers that return after a refusal

Refused callers that returned waited at their home for up to 0.3 of their time. First events came after up to 22 s.

--- a/crates/gateway/src/cells/homes.rs
+++ b/crates/gateway/src/cells/homes.rs
@@ -92,7 +92,6 @@
         }
         let request = self.without_uncounted_starts(request);
         let now_ms = self.clock.now_ms();
-        let is_final_attempt = request.is_final_attempt;
         let placement = self.cells.place(now_ms, cell, &request, false);
         // A cell's home counts the generations that start at a cold engine; a host that places in
         // its stead has to request each start from the engine's home.
@@ -101,7 +100,7 @@
         {
             return Placement::Full {
                 retry_after_ms,
-                is_refused: is_final_attempt,
+                is_refused: false,
                 lacks_protected_room: false,
             };
         }
--- a/crates/gateway/src/start.rs
+++ b/crates/gateway/src/start.rs
@@ -322,7 +322,7 @@
                 } => {
                     let is_early = is_refused && !is_final_attempt;
                     self.record_shortage(tracker, is_early, lacks_protected_room);
-                    if is_refused || requested_ms >= inbound.deadline_ms {
+                    if is_refused || is_final_attempt {
                         return Err(Problem::Full { retry_after_ms });
                     }
                     sleep(PLACEMENT_RETRY_INTERVAL).await;
--- a/crates/policy/src/cell/expected_start.rs
+++ b/crates/policy/src/cell/expected_start.rs
@@ -21,9 +21,6 @@
 /// Nothing is refused at once while less than this share of the open engines' memory is requested
 /// before it. Polls of a queue of usual length don't pay for the prediction.
 const MIN_DEMAND_SHARE: f32 = 0.25;
-/// A request that returned after a refusal waits for up to this share of its caller's remaining
-/// time. It is late in any case, and its caller may not return a second time.
-const MAX_LATE_WAIT_SHARE: f32 = 0.3;
 /// Times from now at which free memory is compared with the demand, for a retry delay. No caller
 /// returns later.
 const HORIZONS_MS: [Millis; 6] = [500, 1_000, 2_000, 4_000, 8_000, 16_000];
@@ -57,8 +54,7 @@
         attempt: &PlacementAttempt<'_>,
     ) -> Placement {
         let request = attempt.request;
-        let cannot_start = request.is_final_attempt || self.is_hopeless(now_ms, shares, attempt);
-        let is_refused = cannot_start && !self.may_wait_late(now_ms, attempt);
+        let is_refused = request.is_final_attempt || self.is_hopeless(now_ms, shares, attempt);
         let room_expected_ms = match is_refused {
             true => self.room_expected_ms(now_ms, shares, attempt),
             false => 0,
@@ -74,14 +70,6 @@
         }
     }
 
-    /// Whether a request that returned after a refusal may go on waiting for its turn.
-    fn may_wait_late(&self, now_ms: Millis, attempt: &PlacementAttempt<'_>) -> bool {
-        let request = attempt.request;
-        let waited_ms = self.waiting.waited_ms(now_ms, request.run);
-        let max_wait_ms = request.left_ms as f32 * MAX_LATE_WAIT_SHARE;
-        attempt.order.is_late && (waited_ms as f32) < max_wait_ms
-    }
-
     /// Whether a request cannot start in time, even if much more memory than expected becomes free.
     fn is_hopeless(&self, now_ms: Millis, shares: &Shares, attempt: &PlacementAttempt<'_>) -> bool {
         let needed = self.needed_tokens(shares, attempt);
--- a/crates/policy/src/cell/placement.rs
+++ b/crates/policy/src/cell/placement.rs
@@ -17,11 +17,8 @@
 /// Like [`FULL_SHARE`], but for requests that cannot be on time or would be late there: they would
 /// delay others that can still be on time, and a late answer has a seventh of the value.
 pub(super) const LATE_FULL_SHARE: f32 = 0.75;
-/// Like [`LATE_FULL_SHARE`], but for requests that returned after a refusal. They wait for their turn,
-/// and if they filled engines that have just started, requests that are on time would find none.
-const RETURNED_FULL_SHARE: f32 = 0.6;
 /// A late retry of a generation of at most this many tokens, which takes about a second, is exempt
-/// from [`RETURNED_FULL_SHARE`], unless its prefill would end too late on the engine.
+/// from [`LATE_FULL_SHARE`], unless its prefill would end too late on the engine.
 const BRIEF_TOKENS: u32 = 64;
 /// Retry delay when every engine is full, as a share of the caller's remaining time. The delay is
 /// spread over this range, which prevents callers refused together from returning together.
@@ -115,7 +112,7 @@
     /// Maximum share of an engine's memory at which it may start there.
     pub(super) fn full_share(&self, is_late: bool) -> f32 {
         match is_late && self.limit_tokens > BRIEF_TOKENS {
-            true => RETURNED_FULL_SHARE,
+            true => LATE_FULL_SHARE,
             false => FULL_SHARE,
         }
     }
--- a/crates/policy/src/cell/waiting.rs
+++ b/crates/policy/src/cell/waiting.rs
@@ -130,11 +130,6 @@
             .map_or(now_ms, |waiting| waiting.since_ms)
     }
 
-    /// How long a request has waited.
-    pub(super) fn waited_ms(&self, now_ms: Millis, run: RunKey) -> Millis {
-        now_ms.saturating_sub(self.since_ms(now_ms, run))
-    }
-
     /// Queues a request that found no room and will be repeated.
     pub(super) fn enqueue(&mut self, now_ms: Millis, attempt: &PlacementAttempt<'_>) {
         let request = attempt.request;
