Compare a lone measured engine with itself rather than with the initial estimate

The usual time per token of a cell began with an estimate of 11 ms that weighed as much as 200 tokens. Where engines are faster, the first engine that was measured looked faster than those without any work (factor 0.62 after two seconds at a quarter of the time, 1.43 at 2.5 times), and new generations joined it although others were empty. The estimate now weighs 20 tokens, less than one interval: the factors differ by less than a tenth in both cases. Found by the platform test a_generation_queued_in_an_engine_is_counted, where the third of three generations was sent to the busy engine instead of the empty one.

--- a/crates/policy/src/cell/pace.rs
+++ b/crates/policy/src/cell/pace.rs
@@ -17,8 +17,9 @@
 /// Initial estimate of the time per output token: a decode step, a small share for each generation
 /// in the batch, and an occasional chunk of a prefill.
 const INITIAL_TOKEN_MS: f32 = 11.0;
-/// Weight of the initial estimate. A generation produces as many tokens in two to three seconds.
-const INITIAL_TOKENS: f32 = 200.0;
+/// Weight of the initial estimate. One generation exceeds it with its first interval, so an engine
+/// that alone has been measured is compared with itself rather than with the estimate.
+const INITIAL_TOKENS: f32 = 20.0;
 /// Weight above which the cell's own history decays. One engine of a small cell produces as many
 /// tokens in a few seconds.
 const MIN_CELL_TOKENS: f32 = 4_000.0;
--- a/crates/policy/tests/cell/pace.rs
+++ b/crates/policy/tests/cell/pace.rs
@@ -135,6 +135,21 @@
     assert!(case.expected.contains(&ratio), "ratio {ratio}");
 }
 
+/// Guards against generations that gather on the only engine that has been measured: where all
+/// engines are faster than initially assumed, it would look faster than those without any work.
+#[rstest]
+#[case::faster_than_assumed(0.25)]
+#[case::slower_than_assumed(2.5)]
+fn the_only_measured_engine_is_a_usual_one(#[case] factor: f64) {
+    let mut cell = cell(&[engine(1, LOCAL, false), engine(2, LOCAL, false)]);
+    for now_ms in EACH_SECOND {
+        let tokens = out_tokens(factor, Phase::NONE, now_ms);
+        cell.restate(now_ms, HOST, &[statement(1, 1, tokens, 4_000)]);
+    }
+    let ratio = factor_of(&cell, 1) / factor_of(&cell, 2);
+    assert!((0.9..=1.1).contains(&ratio), "ratio {ratio}");
+}
+
 /// Guards against the factor of a previous process on a machine that a new process has not used.
 #[test]
 fn restart_begins_anew() {
