--- a/crates/bench/src/cmd/soak.rs
+++ b/crates/bench/src/cmd/soak.rs
@@ -51,6 +51,10 @@
     /// place of most expiries
     #[bpaf(long)]
     framings: bool,
+    /// As --framings, with surges of drafts and engines that slow down in place of most engines that
+    /// end
+    #[bpaf(long)]
+    load: bool,
     /// Add a caller that repeats a request which crashes each plain upstream that starts it
     #[bpaf(long)]
     ending: bool,
@@ -79,6 +83,7 @@
 
     fn fault_set(&self) -> FaultSet {
         let flags = [
+            (self.load, FaultSet::WithLoad),
             (self.framings, FaultSet::WithFramings),
             (self.expiry, FaultSet::WithExpiry),
             (self.copies, FaultSet::WithRestores),
--- a/crates/bench/src/soak/fault.rs
+++ b/crates/bench/src/soak/fault.rs
@@ -2,15 +2,18 @@
 
 use std::time::{Duration, Instant};
 
-use fulmarpath_platform_standin::{PlainBehaviour, ResponseSignals, StoreMode, StreamFraming};
+use fulmarpath_platform_standin::{
+    EngineBehaviour, HOST, PlainBehaviour, RequestKind, ResponseSignals, StoreMode, StreamFraming,
+    exchange, sample_request,
+};
 use rand::Rng;
 use rand_chacha::ChaCha8Rng;
 use tokio::time::sleep;
 
-use super::SoakError;
-use super::deployment::{COLD_MS, DATA_CENTRES, Deployment};
+use super::deployment::{COLD_MS, DATA_CENTRES, Deployment, FIRST_KEY};
 use super::proxy::LinkMode;
 use super::store_fault::{EntryExpiry, StoreRestore, expire_entries, restore_store};
+use super::{CALL_TIMEOUT, SoakError};
 
 /// Time within which an evacuation is complete, as in the hosts' settings.
 const EVACUATION_BOUND: Duration = Duration::from_millis(4_000);
@@ -36,7 +39,12 @@
 /// Time within which nearly every host has had a response of each plain upstream.
 const NOTIFICATION_BOUND: Duration = Duration::from_millis(1_500);
 
-/// Share of the fault that a set adds among those drawn from the sets with restores and expiry.
+/// Factor by which an engine slows down.
+const ENGINE_SLOWDOWN: u32 = 3;
+/// Drafts of a surge: more than the 96 slots of the four engines.
+const SURGE_REQUESTS: usize = 130;
+
+/// Share of the faults that a set adds among those drawn from the sets with restores and expiry.
 const ADDED_SHARE: f64 = 0.35;
 
 /// One fault, with its own duration. Verdicts and tests contain the names.
@@ -81,6 +89,10 @@
     EntriesExpire,
     /// The process of an engine ends and closes its connections in order.
     EngineEnds,
+    /// An engine takes several times its usual time.
+    EngineSlows,
+    /// More drafts arrive at once than the engines have slots.
+    Surge,
 }
 
 /// The set of faults that a seed draws from. Each set extends the previous one, so that a seed
@@ -102,6 +114,8 @@
     /// Adds engines that end in order, as [`ADDED_SHARE`] of the draws, and streams that engines
     /// frame in each way.
     WithFramings,
+    /// Adds engines that slow down, and surges, as [`ADDED_SHARE`] of the draws.
+    WithLoad,
 }
 
 impl FaultSet {
@@ -113,14 +127,15 @@
             Self::WithBackpressure => 24,
             Self::WithRestores => 25,
             Self::WithExpiry => 26,
-            Self::WithFramings => Fault::ALL.len(),
+            Self::WithFramings => 27,
+            Self::WithLoad => Fault::ALL.len(),
         }
     }
 
     /// How engines frame their streams, in turn.
     pub(crate) fn framings(self) -> &'static [StreamFraming] {
         match self {
-            Self::WithFramings => &[
+            Self::WithFramings | Self::WithLoad => &[
                 StreamFraming::Close,
                 StreamFraming::Chunked,
                 StreamFraming::Length,
@@ -129,19 +144,20 @@
         }
     }
 
-    /// The fault that makes up [`ADDED_SHARE`] of the draws.
-    fn frequent(self) -> Option<Fault> {
+    /// The faults that make up [`ADDED_SHARE`] of the draws.
+    fn frequent(self) -> &'static [Fault] {
         match self {
-            Self::WithRestores => Some(Fault::StoreReturnsFromCopy),
-            Self::WithExpiry => Some(Fault::EntriesExpire),
-            Self::WithFramings => Some(Fault::EngineEnds),
-            _ => None,
+            Self::WithRestores => &[Fault::StoreReturnsFromCopy],
+            Self::WithExpiry => &[Fault::EntriesExpire],
+            Self::WithFramings => &[Fault::EngineEnds],
+            Self::WithLoad => &[Fault::Surge, Fault::EngineSlows],
+            _ => &[],
         }
     }
 }
 
 impl Fault {
-    const ALL: [Self; 27] = [
+    const ALL: [Self; 29] = [
         Self::HostKilled,
         Self::HostPaused,
         Self::HostStopped,
@@ -169,13 +185,18 @@
         Self::StoreReturnsFromCopy,
         Self::EntriesExpire,
         Self::EngineEnds,
+        Self::EngineSlows,
+        Self::Surge,
     ];
 
     pub(crate) fn draw(rng: &mut ChaCha8Rng, fault_set: FaultSet) -> Self {
-        if let Some(frequent) = fault_set.frequent()
-            && rng.random_bool(ADDED_SHARE)
-        {
-            return frequent;
+        let frequent = fault_set.frequent();
+        if !frequent.is_empty() && rng.random_bool(ADDED_SHARE) {
+            // One fault is not drawn, so that the seeds of earlier sets keep their sequences.
+            return match frequent {
+                [only] => *only,
+                several => several[rng.random_range(0..several.len())],
+            };
         }
         Self::ALL[rng.random_range(0..fault_set.count())]
     }
@@ -201,6 +222,8 @@
                 | Self::PlainSaysItLeaves
                 | Self::PlainAsksForRest
                 | Self::EntriesExpire
+                | Self::EngineSlows
+                | Self::Surge
         )
     }
 
@@ -248,6 +271,8 @@
                 sleep(Duration::from_millis(1_500)).await;
                 deployment.replace_engine(engine).await?;
             }
+            Self::EngineSlows => slow_engine(deployment, engine, duration).await,
+            Self::Surge => send_surge(deployment, rng, host).await,
             Self::EngineLinkReset => deployment.engine_links[engine].set(LinkMode::Reset),
             Self::EngineLinkSilent => {
                 deployment.engine_links[engine].set(LinkMode::BlackholeResponses)
@@ -329,6 +354,32 @@
     host.start()
 }
 
+/// Slows an engine down for some seconds, then returns it to its usual pace.
+async fn slow_engine(deployment: &Deployment, index: usize, duration: Duration) {
+    let engine = deployment.engines[index].clone();
+    let usual = engine.behaviour();
+    engine.set_behaviour(EngineBehaviour {
+        event_interval: usual.event_interval * ENGINE_SLOWDOWN,
+        first_event_delay: usual.first_event_delay * ENGINE_SLOWDOWN,
+        ..usual
+    });
+    sleep(duration).await;
+    engine.set_behaviour(usual);
+}
+
+/// Sends drafts to one host at once, and waits for their responses.
+async fn send_surge(deployment: &mut Deployment, rng: &mut ChaCha8Rng, host: usize) {
+    let address = deployment.hosts[host].caller_address();
+    let number: u32 = rng.random();
+    let calls = (0..SURGE_REQUESTS).map(|index| async move {
+        let id = format!("surge-{number:x}-{index}");
+        let request = sample_request(RequestKind::Draft, &id, FIRST_KEY, HOST);
+        (id, exchange(address, request, CALL_TIMEOUT).await)
+    });
+    let responses = futures::future::join_all(calls).await;
+    deployment.surge_responses.extend(responses);
+}
+
 async fn apply_store_mode(deployment: &Deployment, mode: StoreMode, duration: Duration) {
     deployment.store.set_mode(mode);
     sleep(duration).await;
--- a/crates/bench/src/soak/mod.rs
+++ b/crates/bench/src/soak/mod.rs
@@ -5,6 +5,7 @@
 mod crashing_caller;
 mod deployment;
 mod fault;
+mod host_process;
 mod proxy;
 mod store_fault;
 mod verdict;
@@ -27,6 +28,7 @@
 use self::deployment::{Deployment, FIRST_KEY, cold_start_configuration};
 use self::fault::Fault;
 pub(crate) use self::fault::FaultSet;
+use self::host_process::HostProcess;
 pub(crate) use self::verdict::Verdict;
 use self::verdict::{Outcome, count_starts};
 
@@ -95,7 +97,7 @@
         addresses: deployment
             .hosts
             .iter()
-            .map(deployment::HostProcess::caller_address)
+            .map(HostProcess::caller_address)
             .collect(),
         is_over: AtomicBool::new(false),
         next_number: AtomicU32::new(0),
@@ -166,6 +168,13 @@
     verdict.ended_upstreams = deployment.crashed_plains.len() as u32 + deployment.crashed_engines;
     let starts = count_starts(engines.chain(plains));
     let mut outcomes = std::mem::take(&mut *shared.outcomes.lock());
+    let surges = deployment.surge_responses.drain(..);
+    outcomes.extend(surges.map(|(id, response)| Outcome {
+        id,
+        kind: RequestKind::Draft,
+        response,
+        may_be_interrupted: shared.may_be_interrupted,
+    }));
     if let Some(corruption) = settings.corruption {
         corruption.apply(&mut outcomes);
     }
--- a/crates/bench/tests/soak.rs
+++ b/crates/bench/tests/soak.rs
@@ -210,3 +210,15 @@
     let line = "host-0 exited without being stopped";
     assert!(log.contains(line) || text.contains(line), "{text}{log}");
 }
+
+/// Guards against lost, duplicated or mixed-up responses, and against callers without a response,
+/// when more drafts arrive at once than the engines have slots and an engine slows down.
+#[rstest]
+#[case::surge("7305", "Surge")]
+#[case::slow_engine("7302", "EngineSlows")]
+fn surges_and_slow_engines_cause_no_violations(#[case] seed: &str, #[case] fault: &str) {
+    let args = ["--seed", seed, "--seeds", "1", "--faults", "3", "--load"];
+    let (passed, verdict, text) = soak(&args);
+    assert!(passed, "{text}");
+    assert!(verdict["faults"].to_string().contains(fault), "{text}");
+}
