--- a/crates/policy/src/cell/exceedances.rs
+++ b/crates/policy/src/cell/exceedances.rs
@@ -8,6 +8,7 @@
 /// Time that is assumed without any long pause, so that a single one in the first seconds of a home
 /// doesn't count as usual.
 const INITIAL_EXPOSURE_S: f32 = 20.0;
+
 /// How often pauses longer than a given length occur, for each second in which they may.
 #[derive(Debug)]
 pub(super) struct Exceedances {
--- a/crates/policy/src/cell/measurement.rs
+++ b/crates/policy/src/cell/measurement.rs
@@ -5,6 +5,7 @@
 /// Shorter intervals between two statements are joined with the next one: tokens arrive in events
 /// of several, so a few events measure nothing.
 const MIN_INTERVAL_MS: Millis = 400;
+
 /// What an engine did between two statements of one of its generations.
 #[derive(Debug, Clone, Copy)]
 pub(super) struct Interval {
--- a/crates/policy/src/cell/pauses.rs
+++ b/crates/policy/src/cell/pauses.rs
@@ -17,7 +17,6 @@
 const TIME_CONSTANT_MS: f32 = 10_000.0;
 /// An interval with less prefill than this share of its time shows pauses without prefills.
 const QUIET_PREFILL_SHARE: f32 = 0.05;
-
 /// Weight of one interval in the mean share of time with a prefill: the last thousand count.
 const PREFILL_SHARE_GAIN: f32 = 0.001;
 
