Let a dropped direction of a link end with silence, as TCP does

The soak's proxy dropped what an engine sent and then passed the end of its connection on in order. TCP delivers no end of a stream before the data that precedes it, so a host can't meet this. With the change both have none; the check of the events is unchanged, and a silent link now also hides how the stream ended.

--- a/crates/bench/src/soak/proxy.rs
+++ b/crates/bench/src/soak/proxy.rs
@@ -114,16 +114,27 @@
     is_response: bool,
 ) {
     let mut buffer = [0; 16_384];
+    let mut has_dropped = false;
     loop {
         let Ok(count @ 1..) = from.read(&mut buffer).await else {
+            // TCP delivers no end of a stream before the data that precedes it.
+            if has_dropped {
+                std::future::pending::<()>().await;
+            }
             return;
         };
         let (opened, mode) = *modes.borrow();
         let was_open = connection <= opened;
         match mode {
             LinkMode::Slow { delay_ms } => sleep(Duration::from_millis(delay_ms)).await,
-            LinkMode::Blackhole if was_open => continue,
-            LinkMode::BlackholeResponses if was_open && is_response => continue,
+            LinkMode::Blackhole if was_open => {
+                has_dropped = true;
+                continue;
+            }
+            LinkMode::BlackholeResponses if was_open && is_response => {
+                has_dropped = true;
+                continue;
+            }
             _ => {}
         }
         if to.write_all(&buffer[..count]).await.is_err() {
