--- a/review/standins/deployment.py
+++ b/review/standins/deployment.py
@@ -79,7 +79,7 @@
   retry-budget-ratio: 0.2
   budget-window-s: 10
   retry-budget-extra: 58
-  recovery-s: 12
+{bounds}  recovery-s: 12
   event-delay-ms: 120
   reuse-window-s: 4.6
 platform:
@@ -97,8 +97,12 @@
     """The deployment could not be set up, so the case shows nothing."""
 
 
-def configuration(version, routes=("poll", "check", "draft"), keys=(KEY,)):
-    """The operator's configuration; `routes` and `keys` are those it holds."""
+def configuration(version, routes=("poll", "check", "draft"), keys=(KEY,), cold=None):
+    """The operator's configuration; `routes` and `keys` are those it holds.
+
+    `cold` is how long the model's replicas are cold, in seconds, and their cold rate.
+    """
+    cold_s, cold_per_s = cold or (0.0, 0.0)
     all_routes = {
         "poll": {
             "name": "r-poll", "host": CALLED_HOST, "path-prefix": "/pule252/",
@@ -125,7 +129,7 @@
         "services": [
             {
                 "name": MODEL, "health-path": "/healthz", "max-connections": 252,
-                "protocol": "h1", "tls": False,
+                "protocol": "h1", "tls": False, "cold-s": cold_s, "cold-per-s": cold_per_s,
                 "engine": {
                     "slots": 24, "kv-capacity": 34365, "kv-token-bytes": 18432,
                     "link-mbps": 2700.0, "moves": True, "backups": True, "stride": 4,
@@ -149,7 +153,7 @@
 class Deployment:
     """The store, the gateways and the replicas of one case."""
 
-    def __init__(self, case_folder, hosts):
+    def __init__(self, case_folder, hosts, bounds):
         self.folder = tempfile.mkdtemp(prefix="review-")
         self.record_file = open(os.path.join(case_folder, "record.txt"), "w")
         self.started = time.monotonic()
@@ -158,6 +162,8 @@
         self.store = f"{self.net}.1"
         self.hosts = [f"{self.net}.{10 + number}" for number in range(hosts)]
         self.replicas = 0
+        self.store_addresses = [self.store] * hosts
+        self.bounds = "".join(f"  {name}: {value}\n" for name, value in bounds.items())
 
     def now_ms(self):
         return (time.monotonic() - self.started) * 1000
@@ -167,7 +173,7 @@
         print(line, file=self.record_file, flush=True)
 
     def start(self, name, words, env=None):
-        log = open(os.path.join(self.folder, f"{name}.log"), "wb")
+        log = open(os.path.join(self.folder, f"{name}.log"), "ab")
         try:
             process = subprocess.Popen(
                 words, cwd=ROOT, env=env, stdin=subprocess.DEVNULL, stdout=log, stderr=log
@@ -187,19 +193,25 @@
         self.wait_for("the store", lambda: is_open(self.store, 8742))
         self.put("config", "main", config)
 
-    def start_hosts(self):
+    def start_host(self, number):
         with open(os.path.join(ROOT, "deploy", "system.toml"), "rb") as file:
             command = shlex.split(tomllib.load(file)["roles"]["gateway"]["run"])
         seeds = json.dumps([f"{ip}:8748" for ip in self.hosts[:3]])
-        for number, ip in enumerate(self.hosts):
-            path = os.path.join(self.folder, f"front-{number}.yaml")
-            with open(path, "w") as file:
-                file.write(
-                    SETTINGS.format(number=number, ip=ip, seeds=seeds, store=f"{self.store}:8742")
+        path = os.path.join(self.folder, f"front-{number}.yaml")
+        with open(path, "w") as file:
+            file.write(
+                SETTINGS.format(
+                    number=number, ip=self.hosts[number], seeds=seeds,
+                    store=f"{self.store_addresses[number]}:8742", bounds=self.bounds,
                 )
-            env = {key: os.environ[key] for key in ("PATH", "HOME", "LANG") if key in os.environ}
-            env["FULMARPATH_NODE_FILE"] = path
-            self.start(f"front-{number}", command, env)
+            )
+        env = {key: os.environ[key] for key in ("PATH", "HOME", "LANG") if key in os.environ}
+        env["FULMARPATH_NODE_FILE"] = path
+        self.start(f"front-{number}", command, env)
+
+    def start_hosts(self):
+        for number in range(len(self.hosts)):
+            self.start_host(number)
         for ip in self.hosts:
             self.wait_for(f"{ip} to be ready", lambda ip=ip: is_ready(ip))
 
@@ -376,10 +388,10 @@
         return Answer(0, {}, b"", False)
 
 
-def run_case(case_folder, case, hosts=3):
+def run_case(case_folder, case, hosts=3, bounds={}):
     """Runs `case(deployment, has_trouble)`, which returns what broke the rule, and exits."""
     has_trouble = os.environ.get("TROUBLE", "1") != "0"
-    deployment = Deployment(case_folder, hosts)
+    deployment = Deployment(case_folder, hosts, bounds)
     for number in (signal.SIGTERM, signal.SIGINT, signal.SIGALRM):
         signal.signal(number, lambda *_: sys.exit(2))
     signal.alarm(110)
--- a/review/standins/replica.py
+++ b/review/standins/replica.py
@@ -1,6 +1,7 @@
 """Stand-in for a replica of the platform.
 
-Usage: replica.py ID IP:PORT STORE SERVICE EVENTS [--unframed] [--pause MS] [--work MS] [--engine]
+Usage: replica.py ID IP:PORT STORE SERVICE EVENTS [--unframed] [--pause MS] [--work MS]
+                  [--engine] [--cold MS]
 
 Registers itself, writes its entry again every heartbeat, and answers requests. EVENTS is the file
 to which it appends what it does, one line each with the steady clock's time in seconds.
@@ -27,11 +28,12 @@
 parser.add_argument("--work", type=int, default=30, help="ms of work on a request")
 parser.add_argument("--engine", action="store_true", help="makes streams of events")
 parser.add_argument("--length", type=int, default=800, help="bytes of an answer's body")
+parser.add_argument("--cold", type=int, default=0, help="ms for which it is cold after its start")
 options = parser.parse_args()
 
 LOCK = threading.Lock()
 LOG = open(options.events, "a")
-BORN = int(time.time() * 1000)
+STARTED = time.monotonic()
 
 
 def note(text):
@@ -40,9 +42,10 @@
 
 
 def entry(sequence, state="ready"):
+    cold_ms = max(0, options.cold - int((time.monotonic() - STARTED) * 1000))
     return {
         "service": options.service, "address": options.address, "zone": "zrh-a", "version": "v1",
-        "slots": 24 if options.engine else 6, "state": state, "cold-remaining-ms": 0,
+        "slots": 24 if options.engine else 6, "state": state, "cold-remaining-ms": cold_ms,
         "stage": "hybrid", "models": [{"name": "m", "version": 1, "adapters": []}],
         "sequence": sequence,
     }
@@ -123,6 +126,8 @@
         refuse(sock, 400)
         return True
     note(f"runs {request_id} ({method} {path}), tenant {headers.get('fulmarpath-tenant')}")
+    if options.engine:
+        return stream(sock, request_id)
     time.sleep(options.work / 1000)
     body = whole_body(request_id)
     framing = "Connection: close" if options.unframed else f"Content-Length: {len(body)}"
@@ -139,6 +144,21 @@
     return not options.unframed
 
 
+def stream(sock, request_id):
+    """Answers with a short stream of events."""
+    sock.sendall(
+        f"HTTP/1.1 200 OK\r\nFulmarpath-Request-Id: {request_id}\r\n"
+        f"Fulmarpath-Response-Signature: sig.{request_id}\r\n"
+        "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n".encode()
+    )
+    for number in range(1, 4):
+        time.sleep(options.work / 1000)
+        event = f"id: {number}\ndata: {request_id}.{number}\n\n".encode()
+        sock.sendall(f"{len(event):x}\r\n".encode() + event + b"\r\n")
+    sock.sendall(b"0\r\n\r\n")
+    return True
+
+
 def serve(sock):
     file = sock.makefile("rb")
     try:
