--- a/review/3/case.py
+++ b/review/3/case.py
@@ -1,7 +1,6 @@
 """The two hosts that watch the store lose power at once, and a key is taken away just after."""
 
 import os
-import re
 import signal
 import sys
 import threading
--- a/review/standins/deployment.py
+++ b/review/standins/deployment.py
@@ -4,7 +4,6 @@
 import json
 import os
 import random
-import re
 import shlex
 import signal
 import socket
@@ -21,9 +20,7 @@
 CALLED_HOST = "ficu95.example"
 PLAIN = "wuno96b"
 MODEL = "huvo11a"
-DRAIN_MS = 2000
 CONFIG_APPLY_MS = 2000
-GRACE_S = 8
 
 SETTINGS = """node: "front-{number}"
 role: "gateway"
--- a/review/standins/replica.py
+++ b/review/standins/replica.py
@@ -10,7 +10,6 @@
 import argparse
 import http.client
 import json
-import os
 import socket
 import threading
 import time
