--- a/review/standins-2/deployment.py
+++ b/review/standins-2/deployment.py
@@ -102,6 +102,16 @@
             raise CannotRun("replica %s did not start" % instance)
         return process
 
+    def start_engines(self, *arguments):
+        """Starts a process with the model replicas; returns the address of each."""
+        command = [sys.executable, "-B", str(STANDINS / "engine.py"), "--ip", self.net + ".201"]
+        process = subprocess.Popen([*command, *arguments], stdout=subprocess.PIPE, text=True)
+        self.processes.append(process)
+        addresses = process.stdout.readline().split()
+        if not addresses:
+            raise CannotRun("the engines did not start")
+        return addresses
+
     def register(self, instance, address, service, state="ready", born=None, sequence=1):
         spec = {
             "service": service,
