Stop a generation on the engine that was abandoned for another one

Cause: the recovery after a broken stream, the failover from a silent engine and the resumption after a stop whose outcome is unknown relied on the closed connection to cancel the generation. So did a resumption that timed out, for its destination, and a request that went to another engine after its first response was broken. The protocol says that most engines cancel a request with its connection, not that all do. Ruled out: a stop that is asked for and fails or comes too late; the engine log of the case shows none.

Change: whoever may still work on a generation is asked to stop it until it says that it has or doesn't run it, or can't be reached; beside the resumption from a running copy, which doesn't wait. The copy that stopping makes is discarded, or used if no other copy resumes. Attempts end when the generation resumes on the same engine. It holds because every switch to another engine goes through these paths, and because the call that stops a generation doesn't depend on the connection that was lost.

--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -40,6 +40,12 @@
     pub(crate) went_on: &'static str,
 }
 
+/// The outcome of stopping a generation on an engine that was abandoned.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct AbandonedRunLabels {
+    outcome: &'static str,
+}
+
 /// How an upstream ended a stream.
 #[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
 struct StreamEndLabels {
@@ -177,6 +183,7 @@
     pub(crate) rebalanced: Family<TransferLabels, Counter>,
     pub(crate) engine_speed_ratio_percent: Gauge,
     pub(crate) continuations: Family<ContinuationLabels, Counter>,
+    abandoned_runs: Family<AbandonedRunLabels, Counter>,
     pub(crate) running_copies: Counter,
     pub(crate) stalls: Counter,
     /// Pauses that were too long at the engine and on time for the caller, as events were held.
@@ -269,6 +276,9 @@
         let continuations = Family::default();
         let help = "Generations that this host asked another engine to resume";
         registry.register("continuations", help, continuations.clone());
+        let abandoned_runs = Family::default();
+        let help = "Generations that engines were asked to stop after they were abandoned";
+        registry.register("abandoned_runs", help, abandoned_runs.clone());
         let running_copies = Counter::default();
         let help = "Generations that started with a running copy";
         registry.register("running_copies", help, running_copies.clone());
@@ -372,6 +382,7 @@
             rebalanced,
             engine_speed_ratio_percent,
             continuations,
+            abandoned_runs,
             running_copies,
             stalls,
             hidden_pauses,
@@ -428,6 +439,13 @@
         self.continuations.get_or_create(&labels).inc();
     }
 
+    /// Counts a generation that an engine was asked to stop after it was abandoned.
+    pub(crate) fn abandoned_run(&self, outcome: &'static str) {
+        self.abandoned_runs
+            .get_or_create(&AbandonedRunLabels { outcome })
+            .inc();
+    }
+
     /// Counts a stream that its engine ended.
     pub(crate) fn stream_end(&self, framing: &str, end: &'static str) {
         let framing = framing.to_owned();
--- a/crates/gateway/src/relay/migrate.rs
+++ b/crates/gateway/src/relay/migrate.rs
@@ -103,7 +103,11 @@
             migration.times.stopped_ms = now_ms;
             self.pause = Some(Pause::new(migration.times));
         }
-        self.stopped = Some(StoppedGeneration::new(to, copy_id, events));
+        let is_unconfirmed = to.is_some() && events.is_none();
+        self.stopped = Some(StoppedGeneration {
+            is_unconfirmed,
+            ..StoppedGeneration::new(to, copy_id, events)
+        });
         self.handover.advance_migration(MigrationStep::Stopped)
     }
 
--- a/crates/gateway/src/relay/mod.rs
+++ b/crates/gateway/src/relay/mod.rs
@@ -1,5 +1,6 @@
 //! Relays one generation to its caller, across migrations and failovers between engines.
 
+mod abandoned_run;
 pub(crate) mod early_dial;
 pub(crate) mod engine_stream;
 pub(crate) mod events;
@@ -26,6 +27,7 @@
 use crate::cells::runs::MigrationOrder;
 use crate::gateway::Gateway;
 use crate::inbound::InboundRequest;
+use crate::relay::abandoned_run::StopHandle;
 use crate::relay::engine_stream::{EngineStream, StreamRead};
 use crate::relay::events::{EventBuffer, split_events};
 use crate::relay::migration::Migration;
@@ -70,6 +72,8 @@
     pub(crate) copy_id: String,
     /// Events that the generation had produced; `None` if that is not known.
     pub(crate) events: Option<u64>,
+    /// The engine has not confirmed that it has stopped the generation.
+    pub(crate) is_unconfirmed: bool,
     /// Whether what was in transit on its stream has been read.
     pub(crate) is_drained: bool,
 }
@@ -80,6 +84,7 @@
             to,
             copy_id,
             events,
+            is_unconfirmed: false,
             is_drained: false,
         }
     }
@@ -108,6 +113,8 @@
     pub(crate) pause: Option<Pause>,
     pub(crate) backup: Option<Destination>,
     pub(crate) recoveries: u32,
+    /// Engines that were abandoned and are asked to stop the generation.
+    stops: Vec<StopHandle>,
     /// When the link to the engine was last checked because the engine was silent.
     pub(crate) link_checked_ms: Millis,
     /// The next event is the first from a different engine.
@@ -143,6 +150,7 @@
             stopped: None,
             pause: None,
             recoveries: 0,
+            stops: Vec::new(),
             link_checked_ms: 0,
             has_just_switched: false,
             is_proved_sound: false,
--- a/crates/gateway/src/relay/recovery.rs
+++ b/crates/gateway/src/relay/recovery.rs
@@ -9,6 +9,7 @@
 use crate::attempt::{DispatchOptions, UpstreamResponse};
 use crate::crashes::InterruptedRun;
 use crate::head::Continuation;
+use crate::relay::abandoned_run::{AbandonedRun, StopHandle};
 use crate::relay::engine_stream::{EngineStream, StreamRead};
 use crate::relay::migration::Migration;
 use crate::relay::{Relay, StoppedGeneration};
@@ -43,6 +44,9 @@
         let lost = self.stream.engine();
         self.gateway
             .report_engine_failure(self.run_guard.cell, lost.upstream, Verdict::Failed);
+        let copied = self.migration.as_ref().and_then(Migration::copied);
+        let to = copied.map(|(to, _)| to).or_else(|| self.backup.clone());
+        let abandoned = self.abandon(lost.clone(), to);
         if let Some(migration) = self.migration.take() {
             let has_resumed = match migration.copied() {
                 Some((to, copy_id)) => self.resume_at(&to, lost.address, &copy_id).await,
@@ -60,7 +64,20 @@
                 return true;
             }
         }
-        self.regenerate().await
+        self.stopped = match abandoned {
+            Some(abandoned) => abandoned.take_copy().await,
+            None => None,
+        };
+        self.resume_after_stop().await || self.regenerate().await
+    }
+
+    /// Begins to stop the generation on an engine that was abandoned, or may have begun to resume
+    /// it. `to` is a suitable engine for the copy that this makes.
+    fn abandon(&mut self, engine: Destination, to: Option<Destination>) -> Option<AbandonedRun> {
+        let (service, id) = (&self.inbound.service, &self.tracker.id);
+        let abandoned = self.gateway.stop_abandoned(service, id, engine, to)?;
+        self.stops.push(abandoned.attempts.clone());
+        Some(abandoned)
     }
 
     /// Describes the run that the engine broke off.
@@ -75,8 +92,8 @@
     ///
     /// An engine that loses its network resets no connection, and an engine that preempts a
     /// generation does not report it: the caller sees a stalled stream and disconnects after
-    /// seconds although the copy exists. The connection to the silent engine is closed as soon as
-    /// the other engine resumes, so both work on the generation for a few ms at most.
+    /// seconds although the copy exists. The silent engine is stopped as soon as the other engine
+    /// resumes, so both work on the generation for a few ms at most.
     pub(crate) async fn fail_over_from_silent_engine(&mut self) {
         let Some(backup) = self.backup.take() else {
             return;
@@ -89,6 +106,7 @@
             .resume_before(until_ms, &backup, backup.address, &id)
             .await
         {
+            self.abandon(silent.clone(), Some(backup));
             self.gateway.metrics.continuation("left_silent");
             self.gateway.report_engine_failure(
                 self.run_guard.cell,
@@ -169,14 +187,18 @@
     /// Resumes a generation that was stopped: at the destination, or at the source, which still has
     /// its KV cache.
     pub(crate) async fn resume_after_stop(&mut self) -> bool {
-        let Some(StoppedGeneration { to, copy_id, .. }) = self.stopped.take() else {
+        let Some(stopped) = self.stopped.take() else {
             return false;
         };
+        let StoppedGeneration { to, copy_id, .. } = stopped;
         let source = self.stream.engine();
-        let has_migrated = match to {
-            Some(to) => self.resume_at(&to, source.address, &copy_id).await,
+        let has_migrated = match &to {
+            Some(to) => self.resume_at(to, source.address, &copy_id).await,
             None => false,
         };
+        if has_migrated && stopped.is_unconfirmed {
+            self.abandon(source.clone(), to);
+        }
         let continues = has_migrated || self.resume_at(&source, source.address, &copy_id).await;
         self.end_migration(match has_migrated {
             true => MigrationAnswer::Moved,
@@ -230,11 +252,18 @@
                 .and_then(Migration::take_destination_dial),
         };
         let gateway = self.gateway.clone();
+        let here = |stop: &StopHandle| stop.engine == destination.upstream;
+        self.stops
+            .extract_if(.., |stop| here(stop))
+            .for_each(|stop| stop.cancel());
         let sent = gateway.dispatch(&self.inbound, &mut self.tracker, chosen, options);
         let response = match sent.await {
             Ok(response) if response.http.status().is_success() => response,
-            Ok(_) | Err(_) => {
+            failed => {
                 gateway.metrics.continuation("no");
+                if failed.is_err_and(|failure| !failure.is_not_run()) {
+                    self.abandon(destination.clone(), None);
+                }
                 return false;
             }
         };
--- a/crates/gateway/src/start.rs
+++ b/crates/gateway/src/start.rs
@@ -182,6 +182,12 @@
             if is_last {
                 break;
             }
+            if failure == Failure::Unknown
+                && let Some(tried) = attempts.tried.last()
+            {
+                let engine = tried.destination();
+                self.stop_abandoned(&inbound.service, &tracker.id, engine, None);
+            }
         }
         Err(problem)
     }
