Watch the store in place of watchers that were lost in silence

Cause: who watches follows from the members alone, and these keep a silent host until a ping has timed out and the suspicion has run out. That takes longer than the bound that the duty protects. Ruled out: a slow first read, and a change that is passed on late; it reached the others 2 ms after the first host had read it, and nothing was read before. The same delays the departure of an upstream (2.63 s) and an evacuation (2.33 s).

Change: pings carry how long ago a watcher that can read the store was known to work. A host that has heard of none for half of the bound watches itself, in the order of the ranks, 60 ms apart, and says so once it has read. If five hosts of the area can't read the store, nobody begins, as before. It holds because a word of the watchers travels with the versions of what they have read: a host either has a recent state or reads the store itself. No message is added, and no host calls the store while the watchers work.

The tests of the gateway and the platform pass.

Hosts of earlier versions can't read the pings, and the other way round.

--- a/crates/gateway/src/dissemination.rs
+++ b/crates/gateway/src/dissemination.rs
@@ -15,10 +15,12 @@
 
 use fulmarpath_cluster::Members;
 use fulmarpath_policy::{
-    HostKey, Millis, Recipient, Revision, StoreAccess, WatchArea, WatchCandidate,
-    broadcast_branches, split_branch,
+    HostKey, Millis, Recipient, Revision, StoreAccess, Substitution, WatchArea, WatchCandidate,
+    WatcherLiveness, broadcast_branches, split_branch,
+};
+use fulmarpath_wire::{
+    Announcement, CellKey, GatewayPeerClient, ReplicatedState, Rumour, WatcherAge,
 };
-use fulmarpath_wire::{Announcement, CellKey, GatewayPeerClient, ReplicatedState, Rumour};
 use parking_lot::Mutex;
 use serde::{Deserialize, Serialize};
 use spdlog::{info, warn};
@@ -59,6 +61,8 @@
     area: WatchArea,
     /// The first hosts of the area that rank higher than this one.
     higher_ranked: Vec<HostKey>,
+    /// Number of all hosts of the area that rank higher.
+    higher_ranked_count: usize,
 }
 
 /// What this host has announced, and what other hosts have announced about their store access.
@@ -72,6 +76,8 @@
     unreadable_announced_ms: Mutex<Millis>,
     readable_announced_ms: Mutex<Millis>,
     duty: Mutex<WatchDuty>,
+    /// When a watcher was last known to work.
+    liveness: Mutex<WatcherLiveness>,
     /// Whether an announcement of the upstreams is scheduled.
     is_announcing: AtomicBool,
 }
@@ -109,6 +115,11 @@
 
     /// Whether this host watches for its area.
     pub fn is_watcher(&self) -> bool {
+        self.may_watch() && (self.is_elected_watcher() || self.substitutes_watchers())
+    }
+
+    /// Whether this host watches by its rank among the present hosts of its area.
+    pub(crate) fn is_elected_watcher(&self) -> bool {
         if !self.may_watch() {
             return false;
         }
@@ -124,6 +135,51 @@
         })
     }
 
+    /// Whether this host watches because no watcher has been heard of.
+    fn substitutes_watchers(&self) -> bool {
+        let now_ms = self.clock.now_ms();
+        let higher_ranked = self.with_watch_duty(|duty| duty.higher_ranked_count);
+        let unreadable = {
+            let access = self.dissemination.store_access.lock();
+            access.unreadable_count(now_ms)
+        };
+        let mut liveness = self.dissemination.liveness.lock();
+        if WatchArea::is_store_unavailable(unreadable) {
+            liveness.end_substitution(now_ms);
+            return false;
+        }
+        match liveness.substitution(now_ms, self.settings.change_bound_ms, higher_ranked) {
+            Substitution::No => false,
+            Substitution::Continues => true,
+            Substitution::Begins { silent_ms } => {
+                self.metrics.watch_substitutions.inc();
+                info!("store: no watcher was heard of for {silent_ms} ms, so this host watches");
+                true
+            }
+        }
+    }
+
+    /// Time since a watcher that can read the store is known to have worked, in ms.
+    pub(crate) fn watcher_age(&self) -> WatcherAge {
+        let now_ms = self.clock.now_ms();
+        let is_working = self.is_watcher() && self.roster.lock().store_failing_ms(now_ms) == 0;
+        let mut liveness = self.dissemination.liveness.lock();
+        if is_working {
+            liveness.record(now_ms, 0);
+        }
+        WatcherAge(liveness.age_ms(now_ms))
+    }
+
+    /// Records how long ago a watcher worked as far as a peer knows, which said so `elapsed_ms` ago
+    /// at most.
+    pub(crate) fn record_watcher_age(&self, age: WatcherAge, elapsed_ms: Millis) {
+        if let WatcherAge(Some(age_ms)) = age {
+            let now_ms = self.clock.now_ms();
+            let mut liveness = self.dissemination.liveness.lock();
+            liveness.record(now_ms, age_ms + elapsed_ms);
+        }
+    }
+
     /// The data centres with which this host exchanges updates.
     fn area(&self) -> WatchArea {
         self.with_watch_duty(|duty| duty.area.clone())
@@ -170,9 +226,10 @@
     /// one can't.
     pub(crate) fn announce_store_readable(self: &Arc<Self>) {
         let now_ms = self.clock.now_ms();
+        let is_substitute = self.is_watcher() && !self.is_elected_watcher();
         let mut access = self.dissemination.store_access.lock();
         access.record_readable(now_ms);
-        let is_needed = access.is_unreadable(now_ms);
+        let is_needed = is_substitute || access.is_unreadable(now_ms);
         drop(access);
         if is_needed && is_due(now_ms, &self.dissemination.readable_announced_ms) {
             let area = self.area_branches();
@@ -184,6 +241,8 @@
         let now_ms = self.clock.now_ms();
         let mut access = self.dissemination.store_access.lock();
         access.record_readable(now_ms);
+        drop(access);
+        self.dissemination.liveness.lock().record(now_ms, 0);
         Ok(())
     }
 
@@ -469,12 +528,14 @@
         .homes()
         .filter(|(key, member)| key.0 > own_key.0 && area.contains(&member.data_centre));
     let mut higher_ranked: Vec<HostKey> = in_area.map(|(key, _)| key).collect();
+    let higher_ranked_count = higher_ranked.len();
     higher_ranked.sort_unstable_by_key(|key| std::cmp::Reverse(key.0));
     higher_ranked.truncate(WatchArea::MAX_CANDIDATES);
     WatchDuty {
         members_version: Some(members.homes_version()),
         area,
         higher_ranked,
+        higher_ranked_count,
     }
 }
 
--- a/crates/gateway/src/fleet.rs
+++ b/crates/gateway/src/fleet.rs
@@ -243,10 +243,14 @@
         ping: Ping,
         digest: MembersDigest,
     ) -> Option<(Pong, MembersDigest)> {
+        let watcher = self.watcher_age();
+        let sent_ms = self.clock.now_ms();
         let call = |client: GatewayPeerClient, context| async move {
-            client.ping(context, ping, digest).await
+            client.ping(context, ping, digest, watcher).await
         };
-        self.fleet.peers.call(address, call).await.ok()
+        let (pong, members, watcher) = self.fleet.peers.call(address, call).await.ok()?;
+        self.record_watcher_age(watcher, self.clock.now_ms().saturating_sub(sent_ms));
+        Some((pong, members))
     }
 
     async fn handle_pong(self: &Arc<Self>, pong: Pong, theirs: MembersDigest) {
--- a/crates/gateway/src/join.rs
+++ b/crates/gateway/src/join.rs
@@ -233,7 +233,7 @@
         let mut unresponsive = UnresponsiveHosts::default();
         loop {
             sleep(ENTRY_CHECK_PERIOD).await;
-            if self.is_watcher() {
+            if self.is_elected_watcher() {
                 self.check_entries(&mut unresponsive).await;
             } else {
                 unresponsive = UnresponsiveHosts::default();
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -175,6 +175,7 @@
     /// New connections that were closed unread.
     pub(crate) turned_away_connections: Counter,
     pub(crate) store_failures: Counter,
+    pub(crate) watch_substitutions: Counter,
     pub(crate) configuration_version: Gauge,
     pub(crate) store_era: Gauge,
     pub(crate) first_byte_ms: Histogram,
@@ -232,6 +233,7 @@
         let requests = Family::default();
         let retries = Counter::default();
         let store_failures = Counter::default();
+        let watch_substitutions = Counter::default();
         let configuration_version = Gauge::default();
         let store_era = Gauge::default();
         let first_byte_ms = Histogram::new(LATENCY_BUCKETS_MS);
@@ -251,6 +253,8 @@
         );
         let help = "Failed calls to the store";
         registry.register("store_failures", help, store_failures.clone());
+        let help = "Times that this host began to watch the store because no watcher was heard of";
+        registry.register("watch_substitutions", help, watch_substitutions.clone());
         let help = "Version of the active configuration";
         registry.register("configuration_version", help, configuration_version.clone());
         let help =
@@ -423,6 +427,7 @@
             unsent,
             turned_away_connections,
             store_failures,
+            watch_substitutions,
             configuration_version,
             store_era,
             first_byte_ms,
--- a/crates/gateway/src/peer.rs
+++ b/crates/gateway/src/peer.rs
@@ -13,7 +13,7 @@
 use fulmarpath_wire::{
     Announcement, BrittleLoad, CellKey, Counted, GatewayPeer, GatewayPeerClient, MembersDigest,
     MigrationAnswer, OverflowAnswer, Ping, Pong, RelayedRuns, ReplicatedState, Rumour, StartAnswer,
-    StartRequest, Traffic, framed,
+    StartRequest, Traffic, WatcherAge, framed,
 };
 use futures::StreamExt;
 use tarpc::client::Config;
@@ -98,9 +98,17 @@
 }
 
 impl GatewayPeer for Server {
-    async fn ping(self, _: Context, ping: Ping, members: MembersDigest) -> (Pong, MembersDigest) {
+    async fn ping(
+        self,
+        _: Context,
+        ping: Ping,
+        members: MembersDigest,
+        watcher: WatcherAge,
+    ) -> (Pong, MembersDigest, WatcherAge) {
         self.count("ping");
-        self.gateway.handle_ping(ping, members)
+        self.gateway.record_watcher_age(watcher, 0);
+        let (pong, members) = self.gateway.handle_ping(ping, members);
+        (pong, members, self.gateway.watcher_age())
     }
 
     async fn join(self, _: Context, joining_host: Rumour) -> Vec<Rumour> {
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -52,6 +52,7 @@
 mod unaccounted_memory;
 mod unresponsive_hosts;
 mod upstream_stats;
+mod watcher_liveness;
 mod watchers;
 mod weights;
 
@@ -103,5 +104,6 @@
 pub use tunnel_hosts::TunnelHosts;
 pub use unresponsive_hosts::UnresponsiveHosts;
 pub use upstream_stats::{InFlightId, ReportedLoad, UpstreamStats, Verdict};
+pub use watcher_liveness::{Substitution, WatcherLiveness};
 pub use watchers::{WatchArea, WatchCandidate};
 pub use weights::Weights;
--- a/crates/policy/src/store_access.rs
+++ b/crates/policy/src/store_access.rs
@@ -56,6 +56,12 @@
         known.any(|known| now_ms < known.until_ms)
     }
 
+    /// Number of hosts that can't read the store.
+    pub fn unreadable_count(&self, now_ms: Millis) -> usize {
+        let known = self.unreadable.values();
+        known.filter(|known| now_ms < known.until_ms).count()
+    }
+
     /// Whether it is unknown if any host of the area reads the store. `own_failing_ms` is how long
     /// the calls of this host have failed; 0 if they don't.
     ///
--- a/crates/policy/src/watchers.rs
+++ b/crates/policy/src/watchers.rs
@@ -86,7 +86,12 @@
             true => self.watchers,
             false => SUBSTITUTES,
         };
-        readable.len() < wanted && unreadable.len() < MAX_STORE_UNREADABLE
+        readable.len() < wanted && !Self::is_store_unavailable(unreadable.len())
+    }
+
+    /// Whether the store counts as unavailable to all if it is to this many hosts of an area.
+    pub fn is_store_unavailable(unreadable: usize) -> bool {
+        unreadable >= MAX_STORE_UNREADABLE
     }
 }
 
--- a/crates/wire/src/gateway.rs
+++ b/crates/wire/src/gateway.rs
@@ -41,6 +41,11 @@
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct MembersDigest(pub u64);
 
+/// Time since a host that watches the store, and can read it, is known to have worked, in ms; `None`
+/// if none is known.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct WatcherAge(pub Option<Millis>);
+
 /// Key of a cell: a hash of its name. A cell is the engines of one service on which one host places
 /// generations.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
@@ -146,9 +151,13 @@
 /// The calls that a gateway answers.
 #[tarpc::service]
 pub trait GatewayPeer {
-    /// Probes liveness, and exchanges rumours of other members and the versions held; `root` is the
-    /// version of the configuration.
-    async fn ping(ping: Ping, members: MembersDigest) -> (Pong, MembersDigest);
+    /// Probes liveness, and exchanges rumours of other members, the versions held and what is known
+    /// of the watchers; `root` is the version of the configuration.
+    async fn ping(
+        ping: Ping,
+        members: MembersDigest,
+        watcher: WatcherAge,
+    ) -> (Pong, MembersDigest, WatcherAge);
     /// Announces a host that has just started. The answer is a random sample of members from which
     /// the host can fetch all other state.
     async fn join(joining: Rumour) -> Vec<Rumour>;
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -14,7 +14,7 @@
 pub use gateway::{
     AdvertisedLimit, Announcement, BrittleLoad, CellKey, GatewayPeer, GatewayPeerClient,
     MembersDigest, MigrationAnswer, OverflowAnswer, RelayedRuns, ReplicatedState, StartAnswer,
-    StartRequest,
+    StartRequest, WatcherAge,
 };
 pub use message::{
     ClaimAnswer, ClaimRequest, Document, FetchAnswer, GenerationEnd, LimitAnswer, MemberInfo,
