Keep the watch duty in a file of its own, and read a confirmed stop in one place

Nothing changes for callers. What an engine's answer to a stop means was written twice, for a lost link and for an abandoned engine.

--- a/crates/gateway/src/dissemination.rs
+++ b/crates/gateway/src/dissemination.rs
@@ -7,20 +7,17 @@
 //! an update because of a dead host in the tree detect it by the versions in the next pings. A
 //! watch on every host would cost one waiting call per host, and another one for each change.
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
-use fulmarpath_cluster::Members;
 use fulmarpath_policy::{
-    HostKey, Millis, Recipient, Revision, StoreAccess, Substitution, WatchArea, WatchCandidate,
-    WatcherLiveness, broadcast_branches, split_branch,
-};
-use fulmarpath_wire::{
-    Announcement, CellKey, GatewayPeerClient, ReplicatedState, Rumour, WatcherAge,
+    HostKey, Millis, Recipient, Revision, StoreAccess, WatcherLiveness, broadcast_branches,
+    split_branch,
 };
+use fulmarpath_wire::{Announcement, CellKey, GatewayPeerClient, ReplicatedState, Rumour};
 use parking_lot::Mutex;
 use serde::{Deserialize, Serialize};
 use spdlog::{info, warn};
@@ -31,6 +28,7 @@
 use crate::roster::directory::{DepartureNotice, DirectoryChange, ListedPage, Registration};
 use crate::store::metadata::ReadPage;
 use crate::store::sync::{log_decisions, log_store_restored};
+use crate::store::watch_duty::WatchDuty;
 
 /// Minimum time between two announcements of one host on its access to the store.
 const STORE_ACCESS_INTERVAL_MS: Millis = 400;
@@ -53,31 +51,19 @@
     failing_ms: Millis,
 }
 
-/// The hosts on which it depends whether this host watches, by the present members.
-#[derive(Debug, Default)]
-struct WatchDuty {
-    /// The version of the members from which it was derived.
-    members_version: Option<u64>,
-    area: WatchArea,
-    /// The first hosts of the area that rank higher than this one.
-    higher_ranked: Vec<HostKey>,
-    /// Number of all hosts of the area that rank higher.
-    higher_ranked_count: usize,
-}
-
 /// What this host has announced, and what other hosts have announced about their store access.
 #[derive(Debug, Default)]
 pub(crate) struct Dissemination {
     /// The revision up to which this host has announced the upstreams.
     announced: Mutex<Revision>,
     /// The access of this area's hosts to the store.
-    store_access: Mutex<StoreAccess>,
+    pub(crate) store_access: Mutex<StoreAccess>,
     /// When this host last announced that it can't read the store, and that it does.
     unreadable_announced_ms: Mutex<Millis>,
     readable_announced_ms: Mutex<Millis>,
-    duty: Mutex<WatchDuty>,
+    pub(crate) duty: Mutex<WatchDuty>,
     /// When a watcher was last known to work.
-    liveness: Mutex<WatcherLiveness>,
+    pub(crate) liveness: Mutex<WatcherLiveness>,
     /// Whether an announcement of the upstreams is scheduled.
     is_announcing: AtomicBool,
 }
@@ -107,96 +93,6 @@
         self.cells.count() <= MAX_WATCHED_CELLS
     }
 
-    /// Whether this host knows enough of the others to determine the watchers.
-    fn may_watch(&self) -> bool {
-        let now_ms = self.clock.now_ms();
-        self.fleet.join.lock().may_watch_store(now_ms)
-    }
-
-    /// Whether this host watches for its area.
-    pub fn is_watcher(&self) -> bool {
-        self.may_watch() && (self.is_elected_watcher() || self.substitutes_watchers())
-    }
-
-    /// Whether this host watches by its rank among the present hosts of its area.
-    pub(crate) fn is_elected_watcher(&self) -> bool {
-        if !self.may_watch() {
-            return false;
-        }
-        let now_ms = self.clock.now_ms();
-        let own_key = self.host_key();
-        self.with_watch_duty(|duty| {
-            let access = self.dissemination.store_access.lock();
-            let others = duty.higher_ranked.iter().map(|key| WatchCandidate {
-                rank: key.0,
-                store_unreadable: access.is_unreadable_to(now_ms, *key),
-            });
-            duty.area.is_watcher(own_key.0, others)
-        })
-    }
-
-    /// Whether this host watches because no watcher has been heard of.
-    fn substitutes_watchers(&self) -> bool {
-        let now_ms = self.clock.now_ms();
-        let higher_ranked = self.with_watch_duty(|duty| duty.higher_ranked_count);
-        let unreadable = {
-            let access = self.dissemination.store_access.lock();
-            access.unreadable_count(now_ms)
-        };
-        let mut liveness = self.dissemination.liveness.lock();
-        if WatchArea::is_store_unavailable(unreadable) {
-            liveness.end_substitution(now_ms);
-            return false;
-        }
-        match liveness.substitution(now_ms, self.settings.change_bound_ms, higher_ranked) {
-            Substitution::No => false,
-            Substitution::Continues => true,
-            Substitution::Begins { silent_ms } => {
-                self.metrics.watch_substitutions.inc();
-                info!("store: no watcher was heard of for {silent_ms} ms, so this host watches");
-                true
-            }
-        }
-    }
-
-    /// Time since a watcher that can read the store is known to have worked, in ms.
-    pub(crate) fn watcher_age(&self) -> WatcherAge {
-        let now_ms = self.clock.now_ms();
-        let is_working = self.is_watcher() && self.roster.lock().store_failing_ms(now_ms) == 0;
-        let mut liveness = self.dissemination.liveness.lock();
-        if is_working {
-            liveness.record(now_ms, 0);
-        }
-        WatcherAge(liveness.age_ms(now_ms))
-    }
-
-    /// Records how long ago a watcher worked as far as a peer knows, which said so `elapsed_ms` ago
-    /// at most.
-    pub(crate) fn record_watcher_age(&self, age: WatcherAge, elapsed_ms: Millis) {
-        if let WatcherAge(Some(age_ms)) = age {
-            let now_ms = self.clock.now_ms();
-            let mut liveness = self.dissemination.liveness.lock();
-            liveness.record(now_ms, age_ms + elapsed_ms);
-        }
-    }
-
-    /// The data centres with which this host exchanges updates.
-    fn area(&self) -> WatchArea {
-        self.with_watch_duty(|duty| duty.area.clone())
-    }
-
-    /// Reads the watch duty, which is derived anew only after a change of the members.
-    fn with_watch_duty<T>(&self, read: impl FnOnce(&WatchDuty) -> T) -> T {
-        let members = self.fleet.members.lock();
-        let mut duty = self.dissemination.duty.lock();
-        let version = members.homes_version();
-        if duty.members_version != Some(version) {
-            *duty = watch_duty(&self.settings.host.data_centre, &members);
-        }
-        drop(members);
-        read(&duty)
-    }
-
     /// Announces to this area that this host can't read the store.
     pub(crate) fn announce_store_unreadable(self: &Arc<Self>) {
         let now_ms = self.clock.now_ms();
@@ -512,33 +408,6 @@
     }
 }
 
-fn watch_duty(data_centre: &str, members: &Members) -> WatchDuty {
-    let mut hosts: BTreeMap<String, usize> = BTreeMap::new();
-    for (_, member) in members.homes() {
-        match hosts.get_mut(&member.data_centre) {
-            Some(count) => *count += 1,
-            None => {
-                hosts.insert(member.data_centre.clone(), 1);
-            }
-        }
-    }
-    let area = WatchArea::of(data_centre, &hosts);
-    let own_key = members.own_key();
-    let in_area = members
-        .homes()
-        .filter(|(key, member)| key.0 > own_key.0 && area.contains(&member.data_centre));
-    let mut higher_ranked: Vec<HostKey> = in_area.map(|(key, _)| key).collect();
-    let higher_ranked_count = higher_ranked.len();
-    higher_ranked.sort_unstable_by_key(|key| std::cmp::Reverse(key.0));
-    higher_ranked.truncate(WatchArea::MAX_CANDIDATES);
-    WatchDuty {
-        members_version: Some(members.homes_version()),
-        area,
-        higher_ranked,
-        higher_ranked_count,
-    }
-}
-
 /// Whether an announcement is due; if so, the next one is due an interval later.
 fn is_due(now_ms: Millis, announced_ms: &Mutex<Millis>) -> bool {
     let mut announced_ms = announced_ms.lock();
--- a/crates/gateway/src/relay/abandoned_run.rs
+++ b/crates/gateway/src/relay/abandoned_run.rs
@@ -138,15 +138,7 @@
                 engine.address,
                 outcome(reply)
             );
-            return match result {
-                Ok(CompletedCopy { copy_id, events }) => {
-                    Some(StoppedGeneration::new(Some(to), copy_id, Some(events)))
-                }
-                Err(CopyError::NoRoom {
-                    copy_id: Some(copy_id),
-                }) => Some(StoppedGeneration::new(None, copy_id, None)),
-                Err(_) => None,
-            };
+            return StoppedGeneration::confirmed(result, to);
         }
     }
 }
--- a/crates/gateway/src/relay/mod.rs
+++ b/crates/gateway/src/relay/mod.rs
@@ -25,6 +25,7 @@
 use tokio::time::sleep;
 
 use crate::cells::runs::MigrationOrder;
+use crate::control::{CompletedCopy, CopyError};
 use crate::gateway::Gateway;
 use crate::inbound::InboundRequest;
 use crate::relay::abandoned_run::StopHandle;
@@ -88,6 +89,22 @@
             is_drained: false,
         }
     }
+
+    /// The generation if the engine has confirmed that it stopped it for a copy to `to`.
+    pub(crate) fn confirmed(
+        result: Result<CompletedCopy, CopyError>,
+        to: Destination,
+    ) -> Option<Self> {
+        match result {
+            Ok(CompletedCopy { copy_id, events }) => {
+                Some(Self::new(Some(to), copy_id, Some(events)))
+            }
+            Err(CopyError::NoRoom {
+                copy_id: Some(copy_id),
+            }) => Some(Self::new(None, copy_id, None)),
+            Err(_) => None,
+        }
+    }
 }
 
 /// One generation that is relayed to its caller.
--- a/crates/gateway/src/relay/recovery.rs
+++ b/crates/gateway/src/relay/recovery.rs
@@ -25,8 +25,9 @@
 const MAX_RECOVERIES: u32 = 3;
 
 impl Relay {
-    /// Resumes after an engine was lost: from the copy that a migration has made so far, or else
-    /// from the running copy of the KV cache, or else by regenerating the rest.
+    /// Resumes after an engine or the connection to it was lost: from the copy that a migration has
+    /// made so far, or else from the running copy of the KV cache, or else from the engine's own KV
+    /// cache if it stops the generation, or else by regenerating the rest.
     pub(crate) async fn recover(&mut self) -> bool {
         self.stream.in_flight.set_verdict(Verdict::Failed);
         let interrupted = self.interrupted_run();
--- a/crates/gateway/src/store/mod.rs
+++ b/crates/gateway/src/store/mod.rs
@@ -7,3 +7,4 @@
 pub(crate) mod stored_circuits;
 pub(crate) mod sync;
 pub(crate) mod unusable_entries;
+pub(crate) mod watch_duty;
--- a/crates/gateway/src/upstreams/lost_link.rs
+++ b/crates/gateway/src/upstreams/lost_link.rs
@@ -9,7 +9,6 @@
 use fulmarpath_policy::Millis;
 use spdlog::info;
 
-use crate::control::CopyError;
 use crate::relay::{Relay, StoppedGeneration};
 use crate::upstreams::instance::Destination;
 
@@ -57,17 +56,7 @@
                 "not copied"
             }
         );
-        self.stopped = match stopped {
-            Ok(copied) => Some(StoppedGeneration::new(
-                Some(to),
-                copied.copy_id,
-                Some(copied.events),
-            )),
-            Err(CopyError::NoRoom {
-                copy_id: Some(copy_id),
-            }) => Some(StoppedGeneration::new(None, copy_id, None)),
-            Err(_) => None,
-        };
+        self.stopped = StoppedGeneration::confirmed(stopped, to);
         self.stopped.is_some()
     }
 
