Report what a host holds of its memory, its descriptors and its workers

A process that exceeded its memory ended with one line on standard error; no log line or metric told what held it, whether a worker was busy, or how many descriptors were open, so the hypotheses of the incident could not be told apart.

New gauges: held_bytes by kind of buffer, resident_bytes, open_descriptors and worker_delay_ms, the longest delay of a timer since the last scrape. The settings' memory and descriptor limits are read for it.

--- a/crates/bench/src/fleet/gateway_host.rs
+++ b/crates/bench/src/fleet/gateway_host.rs
@@ -4,7 +4,7 @@
 use std::sync::{Arc, mpsc};
 use std::thread::JoinHandle;
 
-use fulmarpath_gateway::{Gateway, GatewaySettings, HostRegistration, Listen};
+use fulmarpath_gateway::{Gateway, GatewaySettings, HostLimits, HostRegistration, Listen};
 use fulmarpath_platform::{EngineClient, HeaderDialect, metadata};
 use fulmarpath_policy::RetryBound;
 use tokio::sync::oneshot;
@@ -136,6 +136,7 @@
         evacuation_bound_ms: None,
         cold_bound: None,
         event_delay_bound_ms: None,
+        limits: HostLimits::default(),
     };
     let (dialect, control) = (Arc::new(HeaderDialect), Arc::new(EngineClient));
     let gateway = Arc::new(Gateway::new(settings, dialect, control, metadata(store)));
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -25,6 +25,7 @@
 use crate::log_throttle::LogThrottle;
 use crate::metrics::{Metrics, PeerBytes, Readings};
 use crate::relay::stream_buffer::StreamBuffers;
+use crate::resources::{HostLimits, Resources};
 use crate::roster::Roster;
 use crate::roster::directory::{HostRegistration, RegistrationChange};
 use crate::store::era::StoreEra;
@@ -60,6 +61,8 @@
     pub event_delay_bound_ms: Option<Millis>,
     /// Time between a stop signal and the end of the process.
     pub grace_ms: Millis,
+    /// Limits of this host's process.
+    pub limits: HostLimits,
 }
 
 /// What the control work of a host has cost since its start.
@@ -92,6 +95,7 @@
     pub(crate) cells: Cells,
     pub(crate) runs: Runs,
     pub(crate) stream_buffers: StreamBuffers,
+    pub(crate) resources: Resources,
     pub(crate) cell_duties: CellDuties,
     pub(crate) probe_times: ProbeTimes,
     pub(crate) dissemination: Dissemination,
@@ -137,6 +141,7 @@
             cells: Cells::default(),
             runs: Runs::default(),
             stream_buffers: StreamBuffers::new(clock, metrics.hidden_pauses.clone()),
+            resources: Resources::new(settings.limits),
             cell_duties: CellDuties::default(),
             probe_times: ProbeTimes::default(),
             dissemination: Dissemination::default(),
@@ -404,6 +409,7 @@
             tunnelled: self.dial.tunnelled_count() as i64,
             backing_off: self.instances.backing_off_count(now_ms) as i64,
             retries_left: left.collect(),
+            usage: self.usage(),
         }
     }
 
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -1,7 +1,9 @@
 //! Metrics of one host.
 
 use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
 
+use fulmarpath_policy::Millis;
 use prometheus_client::encoding::EncodeLabelSet;
 use prometheus_client::encoding::text::encode;
 use prometheus_client::metrics::counter::Counter;
@@ -10,6 +12,8 @@
 use prometheus_client::metrics::histogram::Histogram;
 use prometheus_client::registry::Registry;
 
+use crate::resources::Usage;
+
 /// Upper bounds of the latency histogram buckets: from the response of a nearby upstream to a
 /// caller's timeout.
 const LATENCY_BUCKETS_MS: [f64; 12] = [
@@ -123,6 +127,12 @@
     }
 }
 
+/// A kind of buffer.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct BufferLabels {
+    of: &'static str,
+}
+
 /// The direction of bytes between hosts.
 #[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
 struct DirectionLabels {
@@ -164,6 +174,7 @@
     pub(crate) tunnelled: i64,
     pub(crate) backing_off: i64,
     pub(crate) retries_left: Vec<(String, i64)>,
+    pub(crate) usage: Usage,
 }
 
 /// All metrics of one host.
@@ -225,6 +236,12 @@
     tunnelled: Gauge,
     backing_off: Gauge,
     retries_left: Family<ServiceLabels, Gauge>,
+    held_bytes: Family<BufferLabels, Gauge>,
+    resident_bytes: Gauge,
+    open_descriptors: Gauge,
+    worker_delay_ms: Gauge,
+    /// Longest delay of a timer since the last scrape.
+    longest_delay_ms: AtomicU64,
     registry: Arc<Registry>,
 }
 
@@ -381,6 +398,18 @@
         let retries_left = Family::default();
         let help = "Remaining retry budget of this host for a service";
         registry.register("retries_left", help, retries_left.clone());
+        let held_bytes = Family::default();
+        let help = "Bytes that the buffers of a kind hold";
+        registry.register("held_bytes", help, held_bytes.clone());
+        let resident_bytes = Gauge::default();
+        let help = "Memory that the process has resident";
+        registry.register("resident_bytes", help, resident_bytes.clone());
+        let open_descriptors = Gauge::default();
+        let help = "Descriptors that the process has open";
+        registry.register("open_descriptors", help, open_descriptors.clone());
+        let worker_delay_ms = Gauge::default();
+        let help = "Longest delay of a timer since the last scrape, in ms";
+        registry.register("worker_delay_ms", help, worker_delay_ms.clone());
         Self {
             transfers,
             rebalanced,
@@ -422,6 +451,11 @@
             protected_room_waits,
             early_refusals,
             retries_left,
+            held_bytes,
+            resident_bytes,
+            open_descriptors,
+            worker_delay_ms,
+            longest_delay_ms: AtomicU64::new(0),
             requests,
             retries,
             unsent,
@@ -503,6 +537,27 @@
         self.dropped_answers.get_or_create(&labels).inc();
     }
 
+    /// Records how late a timer fired.
+    pub(crate) fn record_worker_delay(&self, delay_ms: Millis) {
+        self.longest_delay_ms.fetch_max(delay_ms, Ordering::Relaxed);
+    }
+
+    fn set_usage(&self, usage: Usage) {
+        let held = [
+            ("request_bodies", usage.request_body_bytes),
+            ("response_bodies", usage.response_body_bytes),
+            ("streams", usage.stream_bytes),
+        ];
+        for (of, bytes) in held {
+            let gauge = self.held_bytes.get_or_create(&BufferLabels { of });
+            gauge.set(bytes as i64);
+        }
+        self.resident_bytes.set(usage.resident_bytes as i64);
+        self.open_descriptors.set(usage.open_descriptors as i64);
+        let delay_ms = self.longest_delay_ms.swap(0, Ordering::Relaxed);
+        self.worker_delay_ms.set(delay_ms as i64);
+    }
+
     /// The metrics page in text format.
     pub(crate) fn page(&self, readings: &Readings) -> String {
         self.configuration_age_ms.set(readings.configuration_age_ms);
@@ -524,6 +579,7 @@
             let labels = ServiceLabels { service };
             self.retries_left.get_or_create(&labels).set(*left);
         }
+        self.set_usage(readings.usage);
         let mut page = String::new();
         if encode(&mut page, &self.registry).is_err() {
             spdlog::warn!("metrics: could not write the page");
--- a/crates/gateway/src/relay/stream_buffer.rs
+++ b/crates/gateway/src/relay/stream_buffer.rs
@@ -63,6 +63,11 @@
         }
     }
 
+    /// Bytes that the host's streams are ahead of their callers.
+    pub(crate) fn held_bytes(&self) -> usize {
+        MAX_HOST_BYTES - self.host.available_permits()
+    }
+
     /// Opens a buffer; the stream ends when the writer is dropped. Events are passed on as `playout`
     /// decides, or as they come.
     pub fn open(
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -95,6 +95,8 @@
         tokio::spawn(self.clone().expire_unconfirmed());
         let gateway = self.clone();
         tokio::spawn(async move { gateway.surge.measure(gateway.clock).await });
+        let gateway = self.clone();
+        tokio::spawn(async move { gateway.measure_resources().await });
         tokio::spawn(self.clone().restate_runs());
         tokio::spawn(self.clone().migrate_off_leaving());
         tokio::spawn(self.clone().rebalance());
--- a/tests/log_lines.rs
+++ b/tests/log_lines.rs
@@ -6,7 +6,7 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use fulmarpath::gateway::{Gateway, GatewaySettings, HostRegistration, Listen};
+use fulmarpath::gateway::{Gateway, GatewaySettings, HostLimits, HostRegistration, Listen};
 use fulmarpath::platform::{EngineClient, HeaderDialect, metadata};
 use fulmarpath_platform_standin::{
     EngineBehaviour, HOST, RequestKind, StandInEngine, StandInStore, StoreMode, configuration,
@@ -102,6 +102,7 @@
         evacuation_bound_ms: None,
         cold_bound: None,
         event_delay_bound_ms: None,
+        limits: HostLimits::default(),
     };
     let (dialect, control) = (Arc::new(HeaderDialect), Arc::new(EngineClient));
     let gateway = Gateway::new(settings, dialect, control, metadata(store.address));
