Handle signals from the first instruction of main on

Operators saw processes end by themselves: a SIGHUP or SIGTERM within a few milliseconds of the start killed the process, as the handlers were installed after the settings, the log and the runtime. SIGINT always killed it.

The gateway command now registers its handlers before anything else and keeps what arrived in flags, which the start asks before it serves. A stop during the start ends with 0; SIGHUP leads to a reload once the runtime listens. Other commands keep the default actions.

Handlers before main would need unsafe code.

--- a/src/cmd/gateway.rs
+++ b/src/cmd/gateway.rs
@@ -14,6 +14,7 @@
 
 use super::Run;
 use crate::error::CommandError;
+use crate::signals;
 
 /// Stack size of a worker thread. Decoding a configuration needs the deepest stack.
 const STACK_BYTES: usize = 512 * 1024;
@@ -42,6 +43,10 @@
             .ok_or(CommandError::NoSettings)?;
         let settings = NodeFile::read(&file)?;
         init_gateway_log()?;
+        if signals::has_stop() {
+            info!("host: stopped before its start");
+            return Ok(());
+        }
         let runtime = Builder::new_multi_thread()
             .worker_threads(settings.workers())
             .max_blocking_threads(BLOCKING_THREADS)
@@ -57,7 +62,17 @@
 
 async fn run_host(file: &Path, settings: &NodeFile) -> Result<(), CommandError> {
     let mut terminate = listen(SignalKind::terminate())?;
+    let mut interrupt = listen(SignalKind::interrupt())?;
     let hang_up = listen(SignalKind::hangup())?;
+    let stopped = async move {
+        // Asked only now, as the signals before were not for the runtime.
+        if !signals::has_stop() {
+            tokio::select! {
+                _ = terminate.recv() => {}
+                _ = interrupt.recv() => {}
+            }
+        }
+    };
     let store = metadata(settings.store_address());
     let (dialect, control) = (Arc::new(HeaderDialect), Arc::new(EngineClient));
     let gateway = Arc::new(Gateway::new(
@@ -68,17 +83,22 @@
     ));
     tokio::spawn(reload(file.to_owned(), gateway.clone(), hang_up));
     tokio::spawn(report_dropped_lines());
-    let stopped = async {
-        let _ = terminate.recv().await;
-    };
     let listeners = settings.listen().bind().await?;
+    if signals::has_stop() {
+        info!("host: stopped before its start");
+        return Ok(());
+    }
     gateway.run(listeners, stopped).await;
     Ok(())
 }
 
 /// Reads the settings again on SIGHUP and applies those that may change at run time.
 async fn reload(file: PathBuf, gateway: Arc<Gateway>, mut hang_up: Signal) {
-    while hang_up.recv().await.is_some() {
+    loop {
+        if !signals::take_reload() {
+            let _ = hang_up.recv().await;
+            signals::take_reload();
+        }
         match NodeFile::read(&file) {
             Ok(settings) => {
                 info!("settings: reloaded from {}", file.display());
