Wait for a settings file that is being written

Operators saw starts end at once with exit code 1 when the settings file was missing, empty or half written for a moment, and hosts that kept old settings for good when SIGHUP met a half-written file: the file was read exactly once.

The start now reads the file again for up to 10 s with one log line, then ends with the error that it had before; SIGTERM meanwhile ends with 0 and SIGHUP reads at once. A reload does the same and then keeps the old settings. A text that does not end with a line break is used after it has stayed the same for 0.1 s, as it may be cut within its last value. A file that has changed 1 s after it was used is read once more, which covers a signal that arrives before the file.

--- a/src/cmd/gateway.rs
+++ b/src/cmd/gateway.rs
@@ -1,6 +1,6 @@
 //! `fulmarpath gateway`: one gateway host on the platform.
 
-use std::path::{Path, PathBuf};
+use std::path::PathBuf;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -14,6 +14,7 @@
 
 use super::Run;
 use crate::error::CommandError;
+use crate::settings_file::{self, ReadSettings};
 use crate::signals;
 
 /// Stack size of a worker thread. Decoding a configuration needs the deepest stack.
@@ -41,12 +42,12 @@
             .clone()
             .or(from_environment)
             .ok_or(CommandError::NoSettings)?;
-        let settings = NodeFile::read(&file)?;
         init_gateway_log()?;
-        if signals::has_stop() {
+        let Some(read) = settings_file::read_at_start(&file)? else {
             info!("host: stopped before its start");
             return Ok(());
-        }
+        };
+        let settings = &read.settings;
         let runtime = Builder::new_multi_thread()
             .worker_threads(settings.workers())
             .max_blocking_threads(BLOCKING_THREADS)
@@ -54,13 +55,13 @@
             .enable_all()
             .build()
             .map_err(CommandError::Runtime)?;
-        let result = runtime.block_on(run_host(&file, &settings));
+        let result = runtime.block_on(run_host(file, read));
         runtime.shutdown_background();
         result
     }
 }
 
-async fn run_host(file: &Path, settings: &NodeFile) -> Result<(), CommandError> {
+async fn run_host(file: PathBuf, read: ReadSettings) -> Result<(), CommandError> {
     let mut terminate = listen(SignalKind::terminate())?;
     let mut interrupt = listen(SignalKind::interrupt())?;
     let hang_up = listen(SignalKind::hangup())?;
@@ -73,6 +74,7 @@
             }
         }
     };
+    let settings = read.settings.clone();
     let store = metadata(settings.store_address());
     let (dialect, control) = (Arc::new(HeaderDialect), Arc::new(EngineClient));
     let gateway = Arc::new(Gateway::new(
@@ -81,7 +83,9 @@
         control,
         store,
     ));
-    tokio::spawn(reload(file.to_owned(), gateway.clone(), hang_up));
+    let reloaded = gateway.clone();
+    let reload = move |settings: &NodeFile| reloaded.reload(settings.gateway_settings());
+    tokio::spawn(settings_file::follow(file, read, hang_up, reload));
     tokio::spawn(report_dropped_lines());
     let listeners = settings.listen().bind().await?;
     if signals::has_stop() {
@@ -92,23 +96,6 @@
     Ok(())
 }
 
-/// Reads the settings again on SIGHUP and applies those that may change at run time.
-async fn reload(file: PathBuf, gateway: Arc<Gateway>, mut hang_up: Signal) {
-    loop {
-        if !signals::take_reload() {
-            let _ = hang_up.recv().await;
-            signals::take_reload();
-        }
-        match NodeFile::read(&file) {
-            Ok(settings) => {
-                info!("settings: reloaded from {}", file.display());
-                gateway.reload(settings.gateway_settings());
-            }
-            Err(error) => warn!("settings: reload failed, keeping the previous ones: {error}"),
-        }
-    }
-}
-
 /// Logs how many log lines were dropped since the last report.
 async fn report_dropped_lines() {
     let mut reported = 0;
--- a/src/main.rs
+++ b/src/main.rs
@@ -3,6 +3,7 @@
 mod client;
 mod cmd;
 mod error;
+mod settings_file;
 mod signals;
 
 use cmd::Run;
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -125,10 +125,16 @@
 
     /// Waits until its log has this text.
     pub(crate) async fn logged(&self, text: &str) {
+        self.output_where(text, |output| output.contains(text))
+            .await;
+    }
+
+    /// Waits for output of this kind.
+    pub(crate) async fn output_where(&self, what: &str, is_wanted: impl Fn(&str) -> bool) {
         let started = Instant::now();
-        while !self.output().contains(text) {
+        while !is_wanted(&self.output()) {
             let output = self.output();
-            assert!(started.elapsed() < TEST_TIMEOUT, "{text}: not in {output}");
+            assert!(started.elapsed() < TEST_TIMEOUT, "{what}: not in {output}");
             sleep(POLL_PERIOD).await;
         }
     }
--- a/tests/gateway_processes.rs
+++ b/tests/gateway_processes.rs
@@ -79,3 +79,97 @@
     assert_eq!((status.signal(), status.code()), (None, Some(0)));
     host.logged("stopped, all is answered").await;
 }
+
+/// What a process finds at the place of its settings file when it reads it first.
+enum FirstText {
+    Missing,
+    Empty,
+    /// This fraction of the whole text.
+    Cut(f64),
+}
+
+impl FirstText {
+    fn write(&self, file: &Path, whole: &str) {
+        let written = match self {
+            Self::Missing => return,
+            Self::Empty => "",
+            Self::Cut(fraction) => &whole[..(whole.len() as f64 * fraction) as usize],
+        };
+        std::fs::write(file, written).expect("it is written");
+    }
+}
+
+/// A settings file that is written while the process starts must be waited for.
+#[rstest]
+#[case::missing(FirstText::Missing, 11)]
+#[case::empty(FirstText::Empty, 12)]
+#[case::cut_at_a_third(FirstText::Cut(0.33), 13)]
+#[case::cut_near_the_end(FirstText::Cut(0.98), 14)]
+#[tokio::test]
+async fn unfinished_settings_are_waited_for(#[case] first: FirstText, #[case] number: u8) {
+    let (store, _plain) = store_with_upstream().await;
+    let mut host = GatewayProcess::new("unfinished", number);
+    let whole = host.settings_text(store.address, &[]);
+    first.write(&host.settings, &whole);
+    host.start();
+    host.logged("settings: read again for up to").await;
+    std::fs::write(&host.settings, &whole).expect("it is written");
+    host.ready().await;
+}
+
+/// A stop signal while the settings are waited for must end the process with 0.
+#[tokio::test]
+async fn stop_signal_while_waiting_for_settings_ends_with_success() {
+    let mut host = GatewayProcess::new("unfinished-stop", 15);
+    host.start();
+    host.logged("settings: read again for up to").await;
+    host.signal("TERM");
+    let status = host.end().await;
+    assert_eq!((status.signal(), status.code()), (None, Some(0)));
+}
+
+/// Settings that stay unusable must end the process with their error.
+#[tokio::test]
+async fn unusable_settings_end_the_start_with_their_error() {
+    let mut host = GatewayProcess::new("unusable", 16);
+    std::fs::write(&host.settings, "node: \"host-a\"\n").expect("it is written");
+    host.start();
+    let status = host.end().await;
+    assert_eq!((status.signal(), status.code()), (None, Some(1)));
+    host.logged("could not parse").await;
+}
+
+/// A reload that finds a file half written must read it again once it is whole.
+#[rstest]
+#[case::missing(FirstText::Missing, 17)]
+#[case::empty(FirstText::Empty, 18)]
+#[case::cut(FirstText::Cut(0.5), 19)]
+#[tokio::test]
+async fn reload_of_an_unfinished_file_is_repeated(#[case] first: FirstText, #[case] number: u8) {
+    let (store, _plain) = store_with_upstream().await;
+    let mut host = GatewayProcess::new("unfinished-reload", number);
+    host.start_with(store.address, &[]);
+    host.ready().await;
+    let whole = host.settings_text(store.address, &[]);
+    std::fs::remove_file(&host.settings).expect("it is removed");
+    first.write(&host.settings, &whole);
+    host.signal("HUP");
+    host.logged("settings: re").await;
+    std::fs::write(&host.settings, &whole).expect("it is written");
+    host.logged("settings: reloaded").await;
+}
+
+/// Settings that are written just after SIGHUP must be used.
+#[tokio::test]
+async fn settings_written_just_after_a_reload_are_used() {
+    let (store, _plain) = store_with_upstream().await;
+    let mut host = GatewayProcess::new("late-reload", 20);
+    host.start_with(store.address, &[]);
+    host.ready().await;
+    host.signal("HUP");
+    host.logged("settings: reloaded").await;
+    let text = host.settings_text(store.address, &[]);
+    std::fs::write(&host.settings, format!("{text}# changed\n")).expect("it is written");
+    let has_two = |output: &str| output.matches("settings: reloaded").count() == 2;
+    host.output_where("a second reload", has_two).await;
+}
