Wait for an address that another process still holds

Operators saw a host's process exit with 1 at once when one of its ports was held, as by the process before it that still finished its requests, or by another process on the metrics port that both roles of a machine share.

The addresses for callers, hosts and the readiness probe are now waited for, for the grace period and 2 s, with one log line; then the start ends with the error that it had before. SIGTERM meanwhile ends with 0. The host's clock starts once it has its addresses. The metrics address keeps no host from serving: it is bound as soon as it is free.

--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -1,13 +1,14 @@
 //! Runs a host's gateway from start to shutdown.
 
+use std::io::ErrorKind;
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use fulmarpath_http::{Reply, empty, full, serve, serve_with_limits};
 use fulmarpath_policy::Millis;
 use hyper::StatusCode;
-use spdlog::info;
+use spdlog::{info, warn};
 use tokio::net::TcpListener;
 use tokio::sync::watch;
 use tokio::time::{sleep, timeout};
@@ -34,23 +35,39 @@
     pub callers: TcpListener,
     /// For the load balancer's readiness probe.
     pub readiness: TcpListener,
-    /// For the metrics scraper.
-    pub metrics: TcpListener,
+    /// For the metrics scraper; `None` while its address can't be bound.
+    pub metrics: Option<TcpListener>,
+    /// The address for the metrics scraper.
+    pub metrics_address: SocketAddr,
     /// For the other hosts.
     pub peers: TcpListener,
 }
 
+/// How often an address that can't be bound is tried again.
+const BIND_RETRY_PERIOD: Duration = Duration::from_millis(50);
+
 impl Listen {
     /// Opens the listeners.
     ///
     /// # Errors
     /// [`ListenError`]
     pub async fn bind(self) -> Result<Listeners, ListenError> {
+        self.bind_within(Duration::ZERO).await
+    }
+
+    /// Opens the listeners. Waits up to a limit for addresses that another process holds, such as
+    /// the one before while it stops, or that the system does not have yet.
+    ///
+    /// # Errors
+    /// [`ListenError`]
+    pub async fn bind_within(self, limit: Duration) -> Result<Listeners, ListenError> {
+        let until = Instant::now() + limit;
         Ok(Listeners {
-            callers: bind(self.callers).await?,
-            readiness: bind(self.readiness).await?,
-            metrics: bind(self.metrics).await?,
-            peers: bind(self.peers).await?,
+            callers: bind(self.callers, until).await?,
+            peers: bind(self.peers, until).await?,
+            readiness: bind(self.readiness, until).await?,
+            metrics: TcpListener::bind(self.metrics).await.ok(),
+            metrics_address: self.metrics,
         })
     }
 }
@@ -80,12 +97,13 @@
             callers,
             readiness,
             metrics,
+            metrics_address,
             peers,
         } = listeners;
         let (stop, stops) = watch::channel(false);
         let (_never_stop, never) = watch::channel(false);
         tokio::spawn(self.clone().answer_readiness(readiness, never.clone()));
-        tokio::spawn(self.clone().answer_metrics(metrics, never));
+        tokio::spawn(self.clone().answer_metrics(metrics, metrics_address, never));
         tokio::spawn(self.clone().serve_peers(peers));
         tokio::spawn(self.clone().sync_configuration());
         tokio::spawn(self.clone().sync_registrations());
@@ -136,7 +154,16 @@
         serve(listener, PROBE_HEADER_BYTES, stop, handler).await;
     }
 
-    async fn answer_metrics(self: Arc<Self>, listener: TcpListener, stop: watch::Receiver<bool>) {
+    async fn answer_metrics(
+        self: Arc<Self>,
+        listener: Option<TcpListener>,
+        address: SocketAddr,
+        stop: watch::Receiver<bool>,
+    ) {
+        let listener = match listener {
+            Some(listener) => listener,
+            None => bind_metrics(address).await,
+        };
         let handler = move |_| {
             let page = self.metrics.page(&self.readings());
             async move { full(StatusCode::OK, "text/plain; version=0.0.4", page) }
@@ -156,7 +183,53 @@
     })
 }
 
-async fn bind(address: SocketAddr) -> Result<TcpListener, ListenError> {
-    let listener = TcpListener::bind(address).await;
-    listener.map_err(|source| ListenError { address, source })
+async fn bind(address: SocketAddr, until: Instant) -> Result<TcpListener, ListenError> {
+    let started = Instant::now();
+    let mut has_logged = false;
+    loop {
+        let source = match TcpListener::bind(address).await {
+            Ok(listener) => {
+                if has_logged {
+                    let waited_ms = started.elapsed().as_millis();
+                    info!("host: listens on {address} after {waited_ms} ms");
+                }
+                return Ok(listener);
+            }
+            Err(source) => source,
+        };
+        if !is_temporary(&source) || Instant::now() >= until {
+            return Err(ListenError { address, source });
+        }
+        if !std::mem::replace(&mut has_logged, true) {
+            let left_ms = until.duration_since(started).as_millis();
+            warn!("host: waits up to {left_ms} ms for {address}: {source}");
+        }
+        sleep(BIND_RETRY_PERIOD).await;
+    }
+}
+
+/// Whether the address may become free without a change of the settings.
+fn is_temporary(error: &std::io::Error) -> bool {
+    matches!(
+        error.kind(),
+        ErrorKind::AddrInUse | ErrorKind::AddrNotAvailable
+    )
+}
+
+/// Binds the address for the metrics scraper as soon as that is possible.
+async fn bind_metrics(address: SocketAddr) -> TcpListener {
+    let mut has_logged = false;
+    loop {
+        match TcpListener::bind(address).await {
+            Ok(listener) => {
+                info!("host: listens on {address} for metrics");
+                return listener;
+            }
+            Err(error) if !std::mem::replace(&mut has_logged, true) => {
+                warn!("host: serves without metrics while {address} can't be bound: {error}");
+            }
+            Err(_) => {}
+        }
+        sleep(BIND_RETRY_PERIOD).await;
+    }
 }
--- a/src/cmd/gateway.rs
+++ b/src/cmd/gateway.rs
@@ -1,6 +1,7 @@
 //! `fulmarpath gateway`: one gateway host on the platform.
 
 use std::path::PathBuf;
+use std::pin::pin;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -22,6 +23,9 @@
 /// Threads for blocking calls, of which there are few.
 const BLOCKING_THREADS: usize = 2;
 
+/// Added to the grace period, within which a process before this one frees its addresses.
+const BIND_MARGIN: Duration = Duration::from_secs(2);
+
 /// Interval between reports of dropped log lines.
 const DROPPED_LINES_PERIOD: Duration = Duration::from_secs(2);
 
@@ -65,7 +69,7 @@
     let mut terminate = listen(SignalKind::terminate())?;
     let mut interrupt = listen(SignalKind::interrupt())?;
     let hang_up = listen(SignalKind::hangup())?;
-    let stopped = async move {
+    let mut stopped = pin!(async move {
         // Asked only now, as the signals before were not for the runtime.
         if !signals::has_stop() {
             tokio::select! {
@@ -73,25 +77,24 @@
                 _ = interrupt.recv() => {}
             }
         }
-    };
+    });
     let settings = read.settings.clone();
+    let host_settings = settings.gateway_settings();
+    let bind_limit = Duration::from_millis(host_settings.grace_ms) + BIND_MARGIN;
+    let listeners = tokio::select! {
+        listeners = settings.listen().bind_within(bind_limit) => listeners?,
+        () = &mut stopped => {
+            info!("host: stopped before its start");
+            return Ok(());
+        }
+    };
     let store = metadata(settings.store_address());
     let (dialect, control) = (Arc::new(HeaderDialect), Arc::new(EngineClient));
-    let gateway = Arc::new(Gateway::new(
-        settings.gateway_settings(),
-        dialect,
-        control,
-        store,
-    ));
+    let gateway = Arc::new(Gateway::new(host_settings, dialect, control, store));
     let reloaded = gateway.clone();
     let reload = move |settings: &NodeFile| reloaded.reload(settings.gateway_settings());
     tokio::spawn(settings_file::follow(file, read, hang_up, reload));
     tokio::spawn(report_dropped_lines());
-    let listeners = settings.listen().bind().await?;
-    if signals::has_stop() {
-        info!("host: stopped before its start");
-        return Ok(());
-    }
     gateway.run(listeners, stopped).await;
     Ok(())
 }
--- a/tests/gateway_processes.rs
+++ b/tests/gateway_processes.rs
@@ -4,11 +4,16 @@
 
 use std::fs::{File, OpenOptions};
 use std::io::Write;
+use std::net::TcpListener;
 use std::os::unix::process::ExitStatusExt;
 use std::path::Path;
 use std::process::Command;
 
-use common::{GatewayProcess, TEST_TIMEOUT, store_with_upstream};
+use common::{
+    CALLER_PORT, GatewayProcess, METRICS_PORT, PEER_PORT, READY_PORT, TEST_TIMEOUT,
+    store_with_upstream,
+};
+use fulmarpath_platform_standin::RequestKind;
 use rstest::rstest;
 use tokio::time::timeout;
 
@@ -173,3 +178,76 @@
     let has_two = |output: &str| output.matches("settings: reloaded").count() == 2;
     host.output_where("a second reload", has_two).await;
 }
+
+/// An address that another process holds for a moment must be waited for.
+#[rstest]
+#[case::callers(CALLER_PORT, 31)]
+#[case::readiness(READY_PORT, 32)]
+#[case::peers(PEER_PORT, 33)]
+#[tokio::test]
+async fn held_address_is_waited_for(#[case] port: u16, #[case] number: u8) {
+    let (store, _plain) = store_with_upstream().await;
+    let mut host = GatewayProcess::new("held", number);
+    let held = TcpListener::bind(host.address(port)).expect("a free port");
+    host.start_with(store.address, &[]);
+    host.logged("host: waits up to").await;
+    drop(held);
+    host.ready().await;
+}
+
+/// A process that starts while the one before stops must take over its addresses.
+#[tokio::test]
+async fn process_takes_over_from_one_that_stops() {
+    let (store, _plain) = store_with_upstream().await;
+    let mut before = GatewayProcess::new("before", 34);
+    before.start_with(store.address, &[]);
+    before.ready().await;
+    before.signal("TERM");
+    let mut after = GatewayProcess::new("after", 34);
+    after.start_with(store.address, &[]);
+    assert_eq!(before.end().await.code(), Some(0));
+    after.ready().await;
+    let response = after.call(RequestKind::Poll).await;
+    assert_eq!((response.status, response.is_complete), (200, true));
+}
+
+/// A stop signal while an address is waited for must end the process with 0.
+#[tokio::test]
+async fn stop_signal_while_waiting_for_an_address_ends_with_success() {
+    let (store, _plain) = store_with_upstream().await;
+    let mut host = GatewayProcess::new("held-stop", 35);
+    let _held = TcpListener::bind(host.address(CALLER_PORT)).expect("a free port");
+    host.start_with(store.address, &[]);
+    host.logged("host: waits up to").await;
+    host.signal("TERM");
+    let status = host.end().await;
+    assert_eq!((status.signal(), status.code()), (None, Some(0)));
+}
+
+/// An address that stays held must end the process with its error.
+#[tokio::test]
+async fn address_that_stays_held_ends_the_start_with_its_error() {
+    let (store, _plain) = store_with_upstream().await;
+    let mut host = GatewayProcess::new("held-for-good", 36);
+    let _held = TcpListener::bind(host.address(CALLER_PORT)).expect("a free port");
+    host.start_with(store.address, &[]);
+    let status = host.end().await;
+    assert_eq!((status.signal(), status.code()), (None, Some(1)));
+    host.logged("could not listen on").await;
+}
+
+/// A held address of the metrics must not keep the host from serving.
+#[tokio::test]
+async fn held_metrics_address_does_not_keep_a_host_from_serving() {
+    let (store, _plain) = store_with_upstream().await;
+    let mut host = GatewayProcess::new("held-metrics", 37);
+    let metrics = host.address(METRICS_PORT);
+    let held = TcpListener::bind(metrics).expect("a free port");
+    host.start_with(store.address, &[]);
+    host.ready().await;
+    host.logged("host: serves without metrics").await;
+    drop(held);
+    host.logged("for metrics").await;
+    let page = fulmarpath_http::get(metrics, "/metrics", TEST_TIMEOUT).await;
+    assert_eq!(page.expect("a page").status(), 200);
+}
