Start background tasks again after a panic, and log and count panics

A panic in a task that follows the store or the peers ended it unseen: the host went on with the configuration or the upstreams that it had, for good, and nothing but a line on standard error told so.

Each panic is on an error line of the log with its thread and place, and counted: panics_total and task_restarts_total by task.

join_fleet no longer spawns the pings, since a second start would run them twice.

--- a/crates/gateway/src/join.rs
+++ b/crates/gateway/src/join.rs
@@ -54,7 +54,6 @@
 impl Gateway {
     /// Contacts the other hosts, and from then on keeps the hosts' entries in the store up to date.
     pub(crate) async fn join_fleet(self: Arc<Self>, seeds: Vec<SocketAddr>) {
-        tokio::spawn(self.clone().ping_members());
         let own = self.settings.host.address;
         let seeds: Vec<SocketAddr> = seeds.into_iter().filter(|seed| *seed != own).collect();
         while !self.contact_any(&seeds).await {
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -33,6 +33,7 @@
 mod serve;
 mod start;
 mod store;
+mod supervision;
 mod surge_guard;
 mod tracker;
 mod upstreams;
@@ -65,3 +66,4 @@
     Change, Changes, CircuitRegistry, Collection, Freshness, HostRegistry, ListPage, Metadata,
     Snapshot, StoreError, StoredCircuit, UnusableEntry,
 };
+pub use supervision::log_panics;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -13,6 +13,7 @@
 use prometheus_client::registry::Registry;
 
 use crate::resources::Usage;
+use crate::supervision::panic_count;
 
 /// Upper bounds of the latency histogram buckets: from the response of a nearby upstream to a
 /// caller's timeout.
@@ -78,6 +79,12 @@
     pub(crate) what: &'static str,
 }
 
+/// A task that runs as long as the host.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub(crate) struct TaskLabels {
+    task: &'static str,
+}
+
 /// Whether a run is suspected of having crashed its upstream.
 #[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
 pub(crate) struct CrashLabels {
@@ -222,6 +229,8 @@
     pub(crate) store_calls: Family<StoreLabels, Counter>,
     skipped_entries: Family<EntryLabels, Counter>,
     dropped_answers: Family<EntryLabels, Counter>,
+    panics: Counter,
+    task_restarts: Family<TaskLabels, Counter>,
     configuration_age_ms: Gauge,
     upstreams_age_ms: Gauge,
     upstreams: Gauge,
@@ -328,6 +337,11 @@
         let dropped_answers = Family::default();
         let help = "Responses of the store that were older than the known state";
         registry.register("dropped_answers", help, dropped_answers.clone());
+        let panics = Counter::default();
+        registry.register("panics", "Panics of the process", panics.clone());
+        let task_restarts = Family::default();
+        let help = "Background tasks that were started again after a panic";
+        registry.register("task_restarts", help, task_restarts.clone());
         let store_calls = Family::default();
         let help = "Calls to the store by purpose and outcome";
         registry.register("store_calls", help, store_calls.clone());
@@ -430,6 +444,8 @@
             all_store_calls: Counter::default(),
             skipped_entries,
             dropped_answers,
+            panics,
+            task_restarts,
             configuration_age_ms,
             upstreams_age_ms,
             upstreams,
@@ -537,6 +553,12 @@
         self.dropped_answers.get_or_create(&labels).inc();
     }
 
+    /// Counts a background task that is started again after a panic.
+    pub(crate) fn task_restart(&self, task: &'static str) {
+        let labels = TaskLabels { task };
+        self.task_restarts.get_or_create(&labels).inc();
+    }
+
     /// Records how late a timer fired.
     pub(crate) fn record_worker_delay(&self, delay_ms: Millis) {
         self.longest_delay_ms.fetch_max(delay_ms, Ordering::Relaxed);
@@ -580,6 +602,7 @@
             self.retries_left.get_or_create(&labels).set(*left);
         }
         self.set_usage(readings.usage);
+        self.panics.inner().store(panic_count(), Ordering::Relaxed);
         let mut page = String::new();
         if encode(&mut page, &self.registry).is_err() {
             spdlog::warn!("metrics: could not write the page");
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -11,6 +11,7 @@
 use spdlog::{info, warn};
 use tokio::net::TcpListener;
 use tokio::sync::watch;
+use tokio::task::JoinHandle;
 use tokio::time::{sleep, timeout};
 
 use crate::gateway::Gateway;
@@ -102,27 +103,24 @@
         } = listeners;
         let (stop, stops) = watch::channel(false);
         let (_never_stop, never) = watch::channel(false);
-        tokio::spawn(self.clone().answer_readiness(readiness, never.clone()));
-        tokio::spawn(self.clone().answer_metrics(metrics, metrics_address, never));
-        tokio::spawn(self.clone().serve_peers(peers));
-        tokio::spawn(self.clone().sync_configuration());
-        tokio::spawn(self.clone().sync_registrations());
-        if let Some(bound_ms) = self.settings.evacuation_bound_ms {
-            tokio::spawn(self.clone().sync_evacuations(bound_ms));
-        }
-        tokio::spawn(self.clone().expire_unconfirmed());
-        let gateway = self.clone();
-        tokio::spawn(async move { gateway.surge.measure(gateway.clock).await });
-        let gateway = self.clone();
-        tokio::spawn(async move { gateway.measure_resources().await });
-        tokio::spawn(self.clone().restate_runs());
-        tokio::spawn(self.clone().migrate_off_leaving());
-        tokio::spawn(self.clone().rebalance());
-        tokio::spawn(self.clone().probe_uncertain_engines());
-        tokio::spawn(self.clone().join_fleet(self.settings.seeds.clone()));
-        let gateway = self.clone();
-        let handler = move |request| gateway.clone().handle(request);
-        let server = tokio::spawn(serve_with_limits(callers, self.clone(), stops, handler));
+        let stops_never = never.clone();
+        self.serve_on("readiness", readiness, move |gateway, listener| {
+            gateway.answer_readiness(listener, stops_never.clone())
+        });
+        let never_stops = never;
+        self.serve_at(
+            "metrics",
+            metrics,
+            metrics_address,
+            move |gateway, listener| gateway.answer_metrics(listener, never_stops.clone()),
+        );
+        self.serve_on("peers", peers, Gateway::serve_peers);
+        self.start_background_tasks();
+        let server = self.serve_on("callers", callers, move |gateway, listener| {
+            let limits = gateway.clone();
+            let handler = move |request| gateway.clone().handle(request);
+            serve_with_limits(listener, limits, stops.clone(), handler)
+        });
         info!("host: {} started", self.settings.host.name);
         stopped.await;
         info!("host: {} stops", self.settings.host.name);
@@ -146,6 +144,85 @@
         }
     }
 
+    fn start_background_tasks(self: &Arc<Self>) {
+        self.spawn_task("configuration", Self::sync_configuration);
+        self.spawn_task("registrations", Self::sync_registrations);
+        if let Some(bound_ms) = self.settings.evacuation_bound_ms {
+            self.spawn_task("evacuations", move |gateway| {
+                gateway.sync_evacuations(bound_ms)
+            });
+        }
+        self.spawn_task("expiry", Self::expire_unconfirmed);
+        self.spawn_task("surge", |gateway| async move {
+            gateway.surge.measure(gateway.clock).await;
+        });
+        self.spawn_task("resources", |gateway| async move {
+            gateway.measure_resources().await;
+        });
+        self.spawn_task("restatements", Self::restate_runs);
+        self.spawn_task("migrations", Self::migrate_off_leaving);
+        self.spawn_task("rebalancing", Self::rebalance);
+        self.spawn_task("probes", Self::probe_uncertain_engines);
+        self.spawn_task("pings", Self::ping_members);
+        self.spawn_task("joining", |gateway| {
+            let seeds = gateway.settings.seeds.clone();
+            gateway.join_fleet(seeds)
+        });
+    }
+
+    fn spawn_task<F>(
+        self: &Arc<Self>,
+        name: &'static str,
+        run: impl Fn(Arc<Self>) -> F + Send + 'static,
+    ) -> JoinHandle<()>
+    where
+        F: Future<Output = ()> + Send + 'static,
+    {
+        let gateway = self.clone();
+        self.spawn_supervised(name, move || run(gateway.clone()))
+    }
+
+    /// Serves a listener; after a panic, on a new one at the same address.
+    fn serve_on<F>(
+        self: &Arc<Self>,
+        name: &'static str,
+        listener: TcpListener,
+        run: impl Fn(Arc<Self>, TcpListener) -> F + Clone + Send + 'static,
+    ) -> JoinHandle<()>
+    where
+        F: Future<Output = ()> + Send + 'static,
+    {
+        match listener.local_addr() {
+            Ok(address) => self.serve_at(name, Some(listener), address, run),
+            // Only this listener can be served.
+            Err(_) => tokio::spawn(run(self.clone(), listener)),
+        }
+    }
+
+    /// The same, where the address may not be bound yet.
+    fn serve_at<F>(
+        self: &Arc<Self>,
+        name: &'static str,
+        mut listener: Option<TcpListener>,
+        address: SocketAddr,
+        run: impl Fn(Arc<Self>, TcpListener) -> F + Clone + Send + 'static,
+    ) -> JoinHandle<()>
+    where
+        F: Future<Output = ()> + Send + 'static,
+    {
+        let gateway = self.clone();
+        self.spawn_supervised(name, move || {
+            let (bound, gateway, run) = (listener.take(), gateway.clone(), run.clone());
+            async move {
+                let listener = match bound {
+                    Some(listener) => listener,
+                    None => bind_when_free(name, address).await,
+                };
+                run(gateway, listener).await;
+            }
+        })
+    }
+
     async fn answer_readiness(self: Arc<Self>, listener: TcpListener, stop: watch::Receiver<bool>) {
         let handler = move |_| {
             let is_ready = self.is_ready();
@@ -154,16 +231,7 @@
         serve(listener, PROBE_HEADER_BYTES, stop, handler).await;
     }
 
-    async fn answer_metrics(
-        self: Arc<Self>,
-        listener: Option<TcpListener>,
-        address: SocketAddr,
-        stop: watch::Receiver<bool>,
-    ) {
-        let listener = match listener {
-            Some(listener) => listener,
-            None => bind_metrics(address).await,
-        };
+    async fn answer_metrics(self: Arc<Self>, listener: TcpListener, stop: watch::Receiver<bool>) {
         let handler = move |_| {
             let page = self.metrics.page(&self.readings());
             async move { full(StatusCode::OK, "text/plain; version=0.0.4", page) }
@@ -216,17 +284,17 @@
     )
 }
 
-/// Binds the address for the metrics scraper as soon as that is possible.
-async fn bind_metrics(address: SocketAddr) -> TcpListener {
+/// Binds an address as soon as that is possible.
+async fn bind_when_free(name: &str, address: SocketAddr) -> TcpListener {
     let mut has_logged = false;
     loop {
         match TcpListener::bind(address).await {
             Ok(listener) => {
-                info!("host: listens on {address} for metrics");
+                info!("host: listens on {address} for {name}");
                 return listener;
             }
             Err(error) if !std::mem::replace(&mut has_logged, true) => {
-                warn!("host: serves without metrics while {address} can't be bound: {error}");
+                warn!("host: serves without {name} while {address} can't be bound: {error}");
             }
             Err(_) => {}
         }
--- a/src/cmd/gateway.rs
+++ b/src/cmd/gateway.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use bpaf::Bpaf;
-use fulmarpath::gateway::Gateway;
+use fulmarpath::gateway::{Gateway, log_panics};
 use fulmarpath::platform::{EngineClient, FILE_VARIABLE, HeaderDialect, NodeFile, metadata};
 use fulmarpath::{dropped_lines, init_gateway_log};
 use spdlog::{info, warn};
@@ -47,6 +47,7 @@
             .or(from_environment)
             .ok_or(CommandError::NoSettings)?;
         init_gateway_log()?;
+        log_panics();
         let Some(read) = settings_file::read_at_start(&file)? else {
             info!("host: stopped before its start");
             return Ok(());
@@ -68,7 +69,6 @@
 async fn run_host(file: PathBuf, read: ReadSettings) -> Result<(), CommandError> {
     let mut terminate = listen(SignalKind::terminate())?;
     let mut interrupt = listen(SignalKind::interrupt())?;
-    let hang_up = listen(SignalKind::hangup())?;
     let mut stopped = pin!(async move {
         // Asked only now, as the signals before were not for the runtime.
         if !signals::has_stop() {
@@ -91,9 +91,22 @@
     let store = metadata(settings.store_address());
     let (dialect, control) = (Arc::new(HeaderDialect), Arc::new(EngineClient));
     let gateway = Arc::new(Gateway::new(host_settings, dialect, control, store));
+    // Listens from now on, as a signal before the task has started would be lost.
+    let mut hang_up = Some(listen(SignalKind::hangup())?);
     let reloaded = gateway.clone();
-    let reload = move |settings: &NodeFile| reloaded.reload(settings.gateway_settings());
-    tokio::spawn(settings_file::follow(file, read, hang_up, reload));
+    gateway.spawn_supervised("settings", move || {
+        let (file, read, gateway) = (file.clone(), read.clone(), reloaded.clone());
+        let hang_up = hang_up
+            .take()
+            .map_or_else(|| listen(SignalKind::hangup()), Ok);
+        async move {
+            let apply = |settings: &NodeFile| gateway.reload(settings.gateway_settings());
+            match hang_up {
+                Ok(hang_up) => settings_file::follow(file, read, hang_up, apply).await,
+                Err(error) => warn!("settings: no longer reloaded: {error}"),
+            }
+        }
+    });
     tokio::spawn(report_dropped_lines());
     gateway.run(listeners, stopped).await;
     Ok(())
--- a/src/settings_file.rs
+++ b/src/settings_file.rs
@@ -20,6 +20,7 @@
 const SIGNAL_CHECK_PERIOD: Duration = Duration::from_millis(10);
 
 /// Settings and the text that they were parsed from.
+#[derive(Clone)]
 pub(crate) struct ReadSettings {
     pub(crate) settings: NodeFile,
     text: String,
