Judge an entry without a start time by its own upstream's history

What callers saw: beside one entry with `born`, hosts that restarted answered the requests of a service with 503, though its other upstream was sound. It stayed so after the entry was removed, and hosts that started later were told the same by their peers.

Cause: a service was recorded as stating start times as soon as any of its entries had one. From then on every entry of the service without one was dropped, in the order in which the list was read.

Change: only the entries of the same name count, by the entry held, by a departure that names a start time, or by an entry that waits already. An entry without the start time that an earlier one stated isn't used at once, as before. It is used if the store still lists it after the time in which the upstream would have overwritten it or the store would have removed it, as for entries of a restored store, so it can't block its own upstream for good either.

No case of the existing tests changed.

--- a/crates/gateway/src/cells/departures.rs
+++ b/crates/gateway/src/cells/departures.rs
@@ -65,6 +65,12 @@
         })
     }
 
+    /// Whether an upstream that has left had stated its start time.
+    pub(crate) fn has_start_time(&self, instance: &str) -> bool {
+        let stored = self.stored.get(instance);
+        stored.is_some_and(|stored| stored.departure.started_at_ms.is_some())
+    }
+
     /// Departures after a revision.
     pub(crate) fn since(&self, revision: Revision) -> Vec<Departure> {
         let stored = self.stored.values().map(|stored| &stored.departure);
--- a/crates/gateway/src/roster/mod.rs
+++ b/crates/gateway/src/roster/mod.rs
@@ -12,7 +12,9 @@
 //! A store restored from a backup has lost its latest changes. Upstreams that registered after the
 //! backup get the same grace period to register again. An upstream that had left and is listed
 //! again only because of the backup gets no work until it writes its entry again, or until its
-//! entry has outlived the time after which the store removes a silent upstream.
+//! entry has outlived the time after which the store removes a silent upstream. The same holds for an
+//! entry without a start time under the name of an upstream that has stated one: a live upstream
+//! overwrites it with its next heartbeat.
 
 pub(crate) mod directory;
 pub(crate) mod list_assembly;
@@ -21,7 +23,7 @@
 pub(crate) mod presence_log;
 pub(crate) mod restored_entries;
 
-use std::collections::{BTreeMap, HashMap, HashSet};
+use std::collections::{BTreeMap, HashMap};
 use std::ops::Bound;
 
 use fulmarpath_policy::{Millis, Revision};
@@ -68,8 +70,6 @@
     /// Time of the last update from the store or a peer.
     last_update_ms: Millis,
     outage: StoreOutage,
-    /// Services whose upstreams state their start time.
-    services_with_start_time: HashSet<String>,
     /// Upstreams that have left.
     departures: Departures,
     restored: RestoredEntries,
@@ -100,7 +100,6 @@
             missing: MissingEntries::default(),
             last_update_ms: 0,
             outage: StoreOutage::default(),
-            services_with_start_time: HashSet::new(),
             departures: Departures::default(),
             restored: RestoredEntries::new(registration_ttl_ms),
             listed_at: Revision::default(),
@@ -511,7 +510,7 @@
         let mut changed = false;
         for registration in self.restored.due(now_ms) {
             let name = registration.instance.clone();
-            changed |= self.put(now_ms, registration);
+            changed |= self.insert(registration);
             if let Some(entry) = self.entries.get_mut(&name) {
                 // Decided by this host, not by the store: peers receive it with the next revision.
                 entry.changed_at = self.revision.next();
@@ -592,35 +591,47 @@
 
     /// Applies an entry, unless it belongs to an earlier incarnation than the known one. Entries of
     /// the previous incarnation may arrive late, from a peer or from a store entry that the new one
-    /// has not replaced yet. An incarnation that announced that it is draining keeps that state: an
-    /// entry that says otherwise comes from a backup.
-    fn put(&mut self, now_ms: Millis, mut registration: Registration) -> bool {
-        let name = registration.instance.clone();
+    /// has not replaced yet.
+    fn put(&mut self, now_ms: Millis, registration: Registration) -> bool {
+        let name = &registration.instance;
         match registration.started_at_ms {
             Some(started_at_ms) => {
-                let held = self.entries.get(&name);
-                let held_ms = held.and_then(|held| held.registration.started_at_ms);
+                let held_ms = self.held_start_ms(name);
                 if held_ms.is_some_and(|held_ms| started_at_ms < held_ms) {
                     return false;
                 }
-                if !self
-                    .services_with_start_time
-                    .contains(&registration.service)
-                {
-                    self.services_with_start_time
-                        .insert(registration.service.clone());
-                }
             }
-            // If the service's upstreams state their start time, an entry without it is from
-            // another writer.
-            None if self
-                .services_with_start_time
-                .contains(&registration.service) =>
-            {
-                return self.drop_entry(now_ms, &name, self.revision);
+            // An upstream that has stated its start time states it in all its entries, so one
+            // without it is from another writer. Only this name's own entries count: those of
+            // another upstream must not decide whether this one is used.
+            None if self.has_stated_start_time(name) => {
+                let is_held = self.entries.contains_key(name);
+                let changed = is_held && self.drop_entry(now_ms, name, self.revision);
+                self.restored
+                    .record_without_start_time(now_ms, registration);
+                return changed;
             }
             None => {}
         }
+        self.insert(registration)
+    }
+
+    fn held_start_ms(&self, name: &str) -> Option<Millis> {
+        self.entries.get(name)?.registration.started_at_ms
+    }
+
+    /// Whether an entry of this name has stated a start time, as far as this host remembers.
+    fn has_stated_start_time(&self, name: &str) -> bool {
+        match self.entries.get(name) {
+            Some(held) => held.registration.started_at_ms.is_some(),
+            None => self.departures.has_start_time(name) || self.restored.lacks_start_time(name),
+        }
+    }
+
+    /// Inserts an entry. An incarnation that announced that it is draining keeps that state: an
+    /// entry that says otherwise comes from a backup.
+    fn insert(&mut self, mut registration: Registration) -> bool {
+        let name = registration.instance.clone();
         if self.departures.remove(&registration) {
             self.decisions.record(PresenceDecision::PresentAgain, &name);
         }
--- a/crates/gateway/tests/roster.rs
+++ b/crates/gateway/tests/roster.rs
@@ -7,6 +7,7 @@
     Registration, RegistrationChange, Roster, Snapshot, UnusableEntry,
 };
 use fulmarpath_policy::Revision;
+use proptest::prelude::*;
 use rstest::rstest;
 
 fn registration(instance: &str, state: RegisteredState) -> Registration {
@@ -390,8 +391,8 @@
 }
 
 /// Guards against an earlier incarnation in place of a later one. An upstream restarts under its
-/// name, and entries of its incarnations arrive in any order: the latest one counts. If a service's
-/// upstreams state their start time, an entry without one is from another writer.
+/// name, and entries of its incarnations arrive in any order: the latest one counts. An upstream
+/// that has stated its start time states it always, so an entry without one is from another writer.
 #[rstest]
 #[case::later_start(Restart { held_ms: Some(5), next_ms: Some(9), known: Some(Some(9)) })]
 #[case::late_earlier_start(Restart { held_ms: Some(9), next_ms: Some(5), known: Some(Some(9)) })]
@@ -420,6 +421,169 @@
     assert_eq!(known, case.known);
 }
 
+/// How entries of several upstreams of one service reach a host.
+#[derive(Debug, Clone, Copy)]
+enum Arrival {
+    List,
+    StaleList,
+    Watch,
+    Pages,
+    PeerList,
+    PeerChange,
+}
+
+/// Applies entries to a roster in this order; a list has an order of its own.
+fn arrive(roster: &mut Roster, arrival: Arrival, revision: u64, items: Vec<Registration>) {
+    let now_ms = revision;
+    let listed = |items| Snapshot {
+        revision: at(revision),
+        items,
+        unusable: Vec::new(),
+    };
+    let change = |from_revision, put| DirectoryChange {
+        from_revision,
+        revision: at(revision),
+        put,
+        ..DirectoryChange::default()
+    };
+    match arrival {
+        Arrival::List => {
+            roster.replace(now_ms, listed(items));
+        }
+        Arrival::StaleList => {
+            roster.load_provisional(now_ms, listed(items));
+        }
+        Arrival::Watch => {
+            let changes = items.into_iter().map(Change::Put).collect();
+            roster.apply(
+                now_ms,
+                Changes {
+                    revision: at(revision),
+                    changes,
+                },
+            );
+        }
+        Arrival::Pages => {
+            for item in items {
+                roster.add_provisional(now_ms, &[item]);
+            }
+        }
+        Arrival::PeerList => {
+            roster.apply_peer_change(now_ms, change(Revision::default(), items));
+        }
+        Arrival::PeerChange => {
+            roster.apply_peer_change(now_ms, change(roster.revision(), items));
+        }
+    }
+}
+
+struct OddNeighbour {
+    first: Arrival,
+    then: Arrival,
+    start_ms: u64,
+}
+
+/// Guards against an entry with a start time that removes the upstreams of the same service whose
+/// entries have none. They stay whatever the order of arrival, and after the entry has gone.
+#[rstest]
+#[case::listed(OddNeighbour { first: Arrival::List, then: Arrival::List, start_ms: 9 })]
+#[case::stale(OddNeighbour { first: Arrival::StaleList, then: Arrival::List, start_ms: 9 })]
+#[case::watched(OddNeighbour { first: Arrival::Watch, then: Arrival::Watch, start_ms: 0 })]
+#[case::by_page(OddNeighbour { first: Arrival::Pages, then: Arrival::PeerList, start_ms: u64::MAX })]
+#[case::by_peers(OddNeighbour { first: Arrival::PeerList, then: Arrival::PeerChange, start_ms: u64::MAX })]
+#[case::listed_then_watched(OddNeighbour { first: Arrival::List, then: Arrival::Watch, start_ms: u64::MAX })]
+fn a_start_time_affects_only_its_own_upstream(#[case] case: OddNeighbour) {
+    let sound = || ["i-1", "i-3"].map(|name| registration(name, RegisteredState::Ready));
+    let odd = registration_of_start("i-2", Some(case.start_ms));
+    for position in 0..3 {
+        let mut roster = Roster::default();
+        let mut items = sound().to_vec();
+        items.insert(position, odd.clone());
+        arrive(&mut roster, case.first, 1, items.clone());
+        assert_eq!(names(&roster), ["i-1", "i-2", "i-3"], "first, {position}");
+        arrive(&mut roster, case.then, 2, items);
+        assert_eq!(names(&roster), ["i-1", "i-2", "i-3"], "then, {position}");
+        roster.replace(3, snapshot(3, &["i-1", "i-3"]));
+        roster.replace(4, snapshot(4, &["i-1", "i-3", "i-4"]));
+        assert_eq!(
+            names(&roster),
+            ["i-1", "i-3", "i-4"],
+            "without it, {position}"
+        );
+    }
+}
+
+/// Guards against an entry without a start time over the own entry of an upstream that has stated
+/// one: it isn't used, also if it comes again or after a removal, until it has outlived the time in
+/// which the upstream would have overwritten it.
+#[rstest]
+#[case::watched(Arrival::Watch)]
+#[case::listed(Arrival::List)]
+#[case::by_a_peer(Arrival::PeerChange)]
+fn an_entry_that_lacks_the_stated_start_time_waits(#[case] arrival: Arrival) {
+    let mut roster = Roster::new(3_600);
+    let without = || vec![registration_of_start("i-1", None)];
+    let with = || vec![registration_of_start("i-1", Some(9))];
+    arrive(&mut roster, arrival, 10, with());
+    for revision in [20, 21] {
+        arrive(&mut roster, arrival, revision, without());
+        assert!(names(&roster).is_empty(), "overwritten at {revision}");
+    }
+    arrive(&mut roster, arrival, 30, with());
+    assert_eq!(names(&roster), ["i-1"], "its own entry again");
+    roster.expire(9_000);
+    assert_eq!(roster.directory().registrations[0].started_at_ms, Some(9));
+    roster.apply(9_001, gone(31, "i-1"));
+    arrive(&mut roster, arrival, 40, without());
+    assert!(names(&roster).is_empty(), "written after the removal");
+    roster.expire(40 + 3_999);
+    assert!(names(&roster).is_empty());
+    roster.expire(40 + 4_000);
+    assert_eq!(names(&roster), ["i-1"], "still listed");
+    arrive(&mut roster, arrival, 50, without());
+    assert_eq!(names(&roster), ["i-1"], "confirmed");
+}
+
+/// Entries of a few upstreams of one service, each under one of the names and with or without a
+/// start time.
+fn any_entries() -> impl Strategy<Value = Vec<Registration>> {
+    let entry = (
+        0..4_u8,
+        prop::option::of(prop_oneof![0..4_u64, Just(u64::MAX)]),
+    );
+    let entry =
+        entry.prop_map(|(name, start_ms)| registration_of_start(&format!("i-{name}"), start_ms));
+    prop::collection::vec(entry, 0..12)
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        rng_seed: proptest::test_runner::RngSeed::Fixed(7),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    })]
+
+    /// Guards against an upstream whose presence depends on the entries of others: each name's state
+    /// is the same as if only its own entries had arrived.
+    #[test]
+    fn each_upstream_depends_on_its_own_entries(entries in any_entries()) {
+        let apply = |entries: Vec<Registration>| {
+            let mut roster = Roster::default();
+            for (number, entry) in entries.into_iter().enumerate() {
+                arrive(&mut roster, Arrival::Watch, number as u64 + 1, vec![entry]);
+            }
+            roster.directory().registrations
+        };
+        let together = apply(entries.clone());
+        for name in ["i-0", "i-1", "i-2", "i-3"] {
+            let own = entries.iter().filter(|entry| entry.instance == name).cloned();
+            let alone = apply(own.collect());
+            let together = together.iter().filter(|entry| entry.instance == name);
+            prop_assert!(alone.iter().eq(together), "{name}");
+        }
+    }
+}
+
 /// Guards against an entry of the previous incarnation that arrives after the upstream itself has
 /// reported its restart.
 #[test]
