--- a/crates/gateway/src/configuration.rs
+++ b/crates/gateway/src/configuration.rs
@@ -202,13 +202,15 @@
 impl Route {
     /// The service for a request; `draw` (0 to 1) selects by weight.
     pub fn pick_service(&self, draw: f32) -> Option<&str> {
-        let total: u32 = self.shares.iter().map(|share| share.weight).sum();
-        let mut left = (draw * total as f32) as u32;
+        let weights = self.shares.iter().map(|share| u64::from(share.weight));
+        let total: u64 = weights.sum();
+        let mut left = (f64::from(draw) * total as f64) as u64;
         for share in &self.shares {
-            if left < share.weight {
+            let weight = u64::from(share.weight);
+            if left < weight {
                 return Some(&share.service);
             }
-            left -= share.weight;
+            left -= weight;
         }
         self.shares.last().map(|share| share.service.as_str())
     }
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -457,6 +457,7 @@
         });
         // Doubled, since the operator may raise the idle time while a connection is open, but the
         // connection's bound was set when it was accepted.
-        Duration::from_millis(idle_ms.max(DEFAULT_IDLE_MS) * 2 + IDLE_MARGIN_MS)
+        let doubled_ms = idle_ms.max(DEFAULT_IDLE_MS).saturating_mul(2);
+        Duration::from_millis(doubled_ms.saturating_add(IDLE_MARGIN_MS))
     }
 }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -54,8 +54,8 @@
 pub use resources::{ByteBudget, HeldBytes, HostLimits};
 pub use roster::Roster;
 pub use roster::directory::{
-    Departure, DepartureNotice, Directory, DirectoryChange, DirectoryPart, HostRegistration,
-    ListedPage, RegisteredState, Registration, RegistrationChange,
+    Departure, DepartureNotice, Directory, DirectoryChange, DirectoryPart, ExpiredEntry,
+    HostRegistration, ListedPage, RegisteredState, Registration, RegistrationChange,
 };
 pub use roster::list_assembly::ListAssembly;
 pub use roster::presence_log::{PresenceLog, PresentHosts};
--- a/crates/gateway/src/roster/mod.rs
+++ b/crates/gateway/src/roster/mod.rs
@@ -474,7 +474,7 @@
                 continue;
             };
             entry.confirmed_at = expired.confirmed_at;
-            self.keep_missing(&expired.instance, now_ms + expired.left_ms);
+            self.keep_missing(&expired.instance, now_ms.saturating_add(expired.left_ms));
         }
     }
 
--- a/crates/gateway/src/store/watch_duty.rs
+++ b/crates/gateway/src/store/watch_duty.rs
@@ -91,7 +91,7 @@
         if let WatcherAge(Some(age_ms)) = age {
             let now_ms = self.clock.now_ms();
             let mut liveness = self.dissemination.liveness.lock();
-            liveness.record(now_ms, age_ms + elapsed_ms);
+            liveness.record(now_ms, age_ms.saturating_add(elapsed_ms));
         }
     }
 
--- a/crates/gateway/src/upstreams/instance.rs
+++ b/crates/gateway/src/upstreams/instance.rs
@@ -61,7 +61,7 @@
 
     /// Applies the cold time that its entry states.
     pub(crate) fn apply_stated_cold(&mut self, now_ms: Millis) {
-        let until_ms = now_ms + self.registration.cold_ms;
+        let until_ms = now_ms.saturating_add(self.registration.cold_ms);
         self.cold_until_ms = self.cold_until_ms.max(until_ms);
     }
 
@@ -96,7 +96,7 @@
     /// Marks it as cold for its service's cold time from `since_ms` on.
     pub(crate) fn mark_cold(&mut self, since_ms: Millis) {
         let cold_ms = self.cold_limit.map_or(0, |cold_limit| cold_limit.cold_ms);
-        self.cold_until_ms = self.cold_until_ms.max(since_ms + cold_ms);
+        self.cold_until_ms = self.cold_until_ms.max(since_ms.saturating_add(cold_ms));
     }
 
     /// Whether all of its slots are in use, as far as this host knows.
--- a/crates/gateway/src/upstreams/start_limits.rs
+++ b/crates/gateway/src/upstreams/start_limits.rs
@@ -160,7 +160,7 @@
                 return Ok(Some(chosen));
             }
             let now_ms = self.clock.now_ms();
-            if now_ms + wait_ms > until_ms {
+            if now_ms.saturating_add(wait_ms) > until_ms {
                 return Err(Problem::Cold {
                     retry_after_ms: wait_ms,
                 });
--- a/crates/policy/src/backlog.rs
+++ b/crates/policy/src/backlog.rs
@@ -82,7 +82,7 @@
             .iter()
             .map(|waiting| (waiting, rank(waiting, now_ms, order)))
             .collect();
-        ranked.sort_by(|(_, a), (_, b)| a.partial_cmp(b).expect("ranks are numbers"));
+        ranked.sort_by(|(_, a), (_, b)| a.0.cmp(&b.0).then(a.1.total_cmp(&b.1)));
         let mut ahead_tokens = 0.0;
         let mut unservable = Vec::new();
         for (waiting, _) in ranked {
--- a/crates/policy/src/cell/engine.rs
+++ b/crates/policy/src/cell/engine.rs
@@ -143,7 +143,9 @@
     /// Sets the remaining time that the engine has stated; true if it was not known before.
     pub(super) fn set_time_left(&mut self, now_ms: Millis, left_ms: Millis) -> bool {
         self.mark_leaving(now_ms);
-        let end_ms = (now_ms + left_ms).saturating_sub(MAX_REPORT_AGE_MS);
+        let end_ms = now_ms
+            .saturating_add(left_ms)
+            .saturating_sub(MAX_REPORT_AGE_MS);
         self.stated_end_ms.replace(end_ms).is_none()
     }
 
@@ -181,7 +183,7 @@
         resume_risk_ms: f32,
     ) {
         self.resume_risk_ms = resume_risk_ms;
-        self.receiving_until_ms = now_ms + duration_ms * OVERDUE_FACTOR;
+        self.receiving_until_ms = now_ms.saturating_add(duration_ms.saturating_mul(OVERDUE_FACTOR));
     }
 
     /// Records the end of the transfer to this engine.
@@ -199,7 +201,7 @@
 
     /// Records the start of a transfer from this engine and its expected duration.
     pub(super) fn begin_sending(&mut self, now_ms: Millis, duration_ms: Millis) {
-        self.sending_until_ms = now_ms + duration_ms * OVERDUE_FACTOR;
+        self.sending_until_ms = now_ms.saturating_add(duration_ms.saturating_mul(OVERDUE_FACTOR));
     }
 
     /// Records the end of a transfer from this engine.
@@ -245,7 +247,7 @@
         self.orphaned_copies.push(OrphanedCopy {
             ended_run,
             tokens,
-            until_ms: now_ms + lifetime_ms as Millis,
+            until_ms: now_ms.saturating_add(lifetime_ms as Millis),
         });
     }
 
--- a/crates/policy/src/cell/placement.rs
+++ b/crates/policy/src/cell/placement.rs
@@ -133,7 +133,9 @@
 
     /// The latest start at which it is on time.
     pub(super) fn latest_start_ms(&self, now_ms: Millis, prefill_rate: &PrefillRate) -> Millis {
-        (now_ms + self.max_wait_ms).saturating_sub(self.prefill_ms(prefill_rate) as Millis)
+        now_ms
+            .saturating_add(self.max_wait_ms)
+            .saturating_sub(self.prefill_ms(prefill_rate) as Millis)
     }
 
     /// The length as stated by its caller.
--- a/crates/policy/src/cell/waiting.rs
+++ b/crates/policy/src/cell/waiting.rs
@@ -149,7 +149,7 @@
     pub(super) fn refuse(&mut self, now_ms: Millis, request: &PlacementRequest) {
         let refused = Refused {
             first_ms: self.since_ms(now_ms, request.run),
-            until_ms: now_ms + request.left_ms,
+            until_ms: now_ms.saturating_add(request.left_ms),
         };
         self.refused.entry(request.retry_key).or_insert(refused);
         self.remove(request.run);
--- a/crates/policy/src/circuit/record.rs
+++ b/crates/policy/src/circuit/record.rs
@@ -283,7 +283,9 @@
             }
         };
         let circuit = Circuit {
-            version: circuits.find(content).map_or(1, |known| known.version + 1),
+            version: circuits
+                .find(content)
+                .map_or(1, |known| known.version.saturating_add(1)),
             openings: u32::from(state == CircuitState::Open),
             crashes: latest_upstreams(&crashes),
             age_ms: 0,
@@ -361,7 +363,9 @@
         return None;
     }
     if let Some(known) = known {
-        circuit.openings = known.openings + u32::from(!is_open) * circuit.openings;
+        circuit.openings = known
+            .openings
+            .saturating_add(u32::from(!is_open) * circuit.openings);
         circuit.age_ms = u64::from(is_open) * known.age_ms;
     }
     circuits.adopt(now_ms, circuit.clone());
@@ -386,7 +390,7 @@
         .find(content)
         .filter(|known| known.state != CircuitState::Closed)?;
     let circuit = Circuit {
-        version: known.version + 1,
+        version: known.version.saturating_add(1),
         state: CircuitState::Closed,
         openings: known.openings,
         is_of_part: known.is_of_part,
--- a/crates/policy/src/evacuations.rs
+++ b/crates/policy/src/evacuations.rs
@@ -188,7 +188,7 @@
             self.keep_missing(now_ms, &peer.data_centres);
         }
         let unconfirmed = peer.unconfirmed.into_iter();
-        let unconfirmed = unconfirmed.map(|(name, left_ms)| (name, now_ms + left_ms));
+        let unconfirmed = unconfirmed.map(|(name, left_ms)| (name, now_ms.saturating_add(left_ms)));
         self.unconfirmed.extend(unconfirmed);
         self.known = peer.revision;
         self.changed = peer.revision;
--- a/crates/policy/src/playout.rs
+++ b/crates/policy/src/playout.rs
@@ -52,7 +52,7 @@
 
     /// The longest pause of an engine that is on time for the caller.
     pub fn max_engine_pause_ms(&self) -> Millis {
-        self.max_pause_ms + self.max_delay_ms
+        self.max_pause_ms.saturating_add(self.max_delay_ms)
     }
 
     /// When to pass on an event that arrived at `arrived_ms`; never earlier.
@@ -64,8 +64,9 @@
                 hides_pause: false,
             };
         };
-        let at_ms = (arrived_ms + self.max_delay_ms)
-            .min(last_released_ms + self.max_pause_ms)
+        let at_ms = arrived_ms
+            .saturating_add(self.max_delay_ms)
+            .min(last_released_ms.saturating_add(self.max_pause_ms))
             .max(arrived_ms);
         self.last = Some((arrived_ms, at_ms));
         let is_too_long = arrived_ms.saturating_sub(last_arrived_ms) > self.gap_target_ms;
--- a/crates/policy/src/revision.rs
+++ b/crates/policy/src/revision.rs
@@ -28,7 +28,7 @@
 
     /// The revision of the next change within the era.
     pub const fn next(self) -> Self {
-        Self::new(self.era, self.number + 1)
+        Self::new(self.era, self.number.saturating_add(1))
     }
 
     /// Whether the store was restored since `earlier`, if `earlier` is later than `provisional` and
--- a/crates/policy/src/upstream_stats.rs
+++ b/crates/policy/src/upstream_stats.rs
@@ -249,7 +249,7 @@
         if age_ms >= REPORT_TTL_MS {
             return own;
         }
-        let reported = (report.load.running + report.load.waiting) as f32;
+        let reported = report.load.running as f32 + report.load.waiting as f32;
         let estimated = (reported + report.net_started as f32).max(own);
         let weight = 1.0 - age_ms as f32 / REPORT_TTL_MS as f32;
         own + (estimated - own) * weight
