Bound what a peer's bytes cost while they make no response

Callers saw no answer: an upstream that sent digits of a chunk's size, or interim responses, without an end held the host's only worker thread. No timer fired, so neither the requests that were sent there nor any other was answered by its time limit.

hyper reads on within one poll for as long as bytes are ready, and neither the leading zeros of a chunk's size nor interim responses have a limit.

A connection now yields to other tasks after 64 KiB, and fails once 256 KiB have arrived without a response head or a piece of the body. hyper's buffers of a connection, and response heads, are bounded at 32 KiB (400 KiB before).

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -4,10 +4,9 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use fulmarpath_http::{Connection, Dial, HttpError};
+use fulmarpath_http::{Connection, Dial, HttpError, ResponseBody};
 use fulmarpath_policy::{Millis, Verdict};
 use http_body_util::Full;
-use hyper::body::Incoming;
 use hyper::{Request, Response, StatusCode};
 use tokio::time::timeout;
 
@@ -34,7 +33,7 @@
 /// An upstream's response, of which only the head has been read.
 pub(crate) struct UpstreamResponse {
     pub(crate) head: ResponseHead,
-    pub(crate) http: Response<Incoming>,
+    pub(crate) http: Response<ResponseBody>,
     pub(crate) in_flight: InFlightRequest,
     /// Closed when dropped, which makes the upstream cancel the request.
     pub(crate) connection: Connection,
--- a/crates/gateway/src/relay/engine_stream.rs
+++ b/crates/gateway/src/relay/engine_stream.rs
@@ -3,11 +3,11 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use fulmarpath_http::Connection;
+use fulmarpath_http::{Connection, ResponseBody};
 use fulmarpath_policy::Millis;
 use http_body_util::BodyExt;
 use hyper::HeaderMap;
-use hyper::body::{Bytes, Frame, Incoming};
+use hyper::body::{Bytes, Frame};
 use hyper::header::CONTENT_TYPE;
 use tokio::time::timeout;
 
@@ -42,7 +42,7 @@
     pub(crate) first_bytes_ms: Option<Millis>,
     has_events: bool,
     framing: Framing,
-    body: Incoming,
+    body: ResponseBody,
     _connection: Connection,
 }
 
--- a/crates/http/src/client.rs
+++ b/crates/http/src/client.rs
@@ -5,7 +5,6 @@
 
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full};
-use hyper::body::Incoming;
 use hyper::{Method, Request, Response, StatusCode};
 use serde::Serialize;
 use tokio::time::timeout;
@@ -13,6 +12,7 @@
 use crate::connection::Connection;
 use crate::dial::{Dial, TcpDial};
 use crate::error::HttpError;
+use crate::progress::ResponseBody;
 
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(1_000);
 
@@ -22,7 +22,7 @@
     /// The peer's address.
     pub address: SocketAddr,
     /// The response head and the unread body.
-    pub response: Response<Incoming>,
+    pub response: Response<ResponseBody>,
     /// Closed when the call is dropped, so that an abandoned call ends at the peer too.
     pub(crate) connection: Connection,
 }
--- a/crates/http/src/connection.rs
+++ b/crates/http/src/connection.rs
@@ -1,11 +1,11 @@
 //! A connection to a peer, which carries one exchange at a time.
 
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
 use http_body_util::Full;
-use hyper::body::Incoming;
 use hyper::client::conn::http1;
 use hyper::{Request, Response};
 use hyper_util::rt::TokioIo;
@@ -14,6 +14,7 @@
 
 use crate::dial::{ByteStream, Dial, TcpDial};
 use crate::error::HttpError;
+use crate::progress::{BoundedStream, Progress, ResponseBody};
 
 /// Wait before probing whether a peer that closed a connection still runs. An exiting process
 /// closes its sockets one after the other, its listener possibly last, so an immediate probe could
@@ -23,6 +24,9 @@
 /// the connection at once; a machine that is down doesn't answer.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(250);
 
+/// Bytes that hyper buffers of one connection, and the longest response head.
+const MAX_BUFFER_BYTES: usize = 32 * 1024;
+
 /// Whether a peer that has just closed a connection still accepts new ones.
 pub async fn is_listening(address: SocketAddr) -> bool {
     is_listening_over(&TcpDial, address).await
@@ -39,6 +43,7 @@
 pub struct Connection {
     address: SocketAddr,
     sender: http1::SendRequest<Full<Bytes>>,
+    progress: Arc<Progress>,
     _driver: AbortOnDropHandle<hyper::Result<()>>,
 }
 
@@ -57,12 +62,18 @@
     /// # Errors
     /// [`HttpError::Unreachable`]
     pub async fn over(address: SocketAddr, stream: Box<dyn ByteStream>) -> Result<Self, HttpError> {
-        let Ok((sender, driver)) = http1::handshake(TokioIo::new(stream)).await else {
+        let progress = Arc::new(Progress::default());
+        let stream = BoundedStream::new(stream, progress.clone());
+        let handshake = http1::Builder::new()
+            .max_buf_size(MAX_BUFFER_BYTES)
+            .handshake(TokioIo::new(stream));
+        let Ok((sender, driver)) = handshake.await else {
             return Err(HttpError::Unreachable { address });
         };
         Ok(Self {
             address,
             sender,
+            progress,
             _driver: AbortOnDropHandle::new(tokio::spawn(driver)),
         })
     }
@@ -71,16 +82,25 @@
     ///
     /// # Errors
     /// [`HttpError::Unreachable`]: the request was not sent. [`HttpError::NoResponse`]: it may have
-    /// reached the peer.
+    /// reached the peer. [`HttpError::Malformed`]: what the peer sends is not a response.
     pub async fn exchange(
         &mut self,
         request: Request<Full<Bytes>>,
-    ) -> Result<Response<Incoming>, HttpError> {
+    ) -> Result<Response<ResponseBody>, HttpError> {
         let address = self.address;
         let ready = self.sender.ready().await;
         ready.map_err(|_| HttpError::Unreachable { address })?;
+        self.progress.advance();
         let response = self.sender.send_request(request).await;
-        response.map_err(|_| HttpError::NoResponse { address })
+        let response =
+            response.map_err(
+                |error| match error.is_parse() || self.progress.has_stalled() {
+                    true => HttpError::Malformed { address },
+                    false => HttpError::NoResponse { address },
+                },
+            )?;
+        self.progress.advance();
+        Ok(response.map(|body| ResponseBody::new(body, self.progress.clone())))
     }
 
     /// Whether the connection can carry another exchange, as far as is known: the last one is
--- a/crates/http/src/lines.rs
+++ b/crates/http/src/lines.rs
@@ -4,12 +4,12 @@
 
 use bytes::BytesMut;
 use http_body_util::BodyExt;
-use hyper::body::Incoming;
 use tokio::time::timeout;
 
 use crate::client::Call;
 use crate::connection::Connection;
 use crate::error::HttpError;
+use crate::progress::ResponseBody;
 
 const MAX_LINE_BYTES: usize = 1 << 20;
 
@@ -17,7 +17,7 @@
 #[derive(Debug)]
 pub struct Lines {
     address: std::net::SocketAddr,
-    body: Incoming,
+    body: ResponseBody,
     _connection: Connection,
     buffer: BytesMut,
 }
