Buffer responses within bounds and pass longer ones on

A response was collected in full before it was passed on, so that the request can be retried if it breaks off. Neither a response nor their sum had a bound.

The first 1 MiB of a response is now buffered as far as the budget of response bodies has room (16 KiB always). A longer one is passed on through a stream's buffer: its caller's pace is the upstream's, a stated length stays stated, and if it breaks off or passes the caller's deadline, the caller's response ends without its last chunk or before its length. Buffered bytes count until the caller's connection has taken them.

--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -2,25 +2,21 @@
 //! safe.
 
 use std::sync::Arc;
-use std::time::Duration;
 
-use bytes::Bytes;
-use fulmarpath_http::{Reply, full_body};
-use fulmarpath_policy::{Millis, Verdict};
-use http_body_util::BodyExt;
+use fulmarpath_http::Reply;
+use fulmarpath_policy::Millis;
+use hyper::Request;
 use hyper::body::Incoming;
 use hyper::header::{CONNECTION, HeaderValue};
-use hyper::{HeaderMap, Request, Response, StatusCode};
-use tokio::time::timeout;
 
-use crate::attempt::{DispatchOptions, Failure, UpstreamResponse};
+use crate::attempt::{DispatchOptions, Failure};
 use crate::configuration::RouteKind;
 use crate::crashes::InterruptedRun;
 use crate::gateway::Gateway;
-use crate::hop;
 use crate::inbound::InboundRequest;
 use crate::poison::mark_sent;
 use crate::problem::{Problem, reply};
+use crate::relay::response::ReadResponse;
 use crate::tracker::RequestTracker;
 use crate::upstreams::instance::ChosenUpstream;
 
@@ -34,13 +30,6 @@
 /// rest is for its response.
 const START_WAIT_FRACTION: f32 = 0.5;
 
-/// A complete response of an upstream.
-pub(crate) struct CompleteResponse {
-    pub(crate) status: StatusCode,
-    headers: HeaderMap,
-    body: Bytes,
-}
-
 impl Gateway {
     /// Handles a caller's request.
     pub(crate) async fn handle(self: Arc<Self>, request: Request<Incoming>) -> Reply {
@@ -90,13 +79,7 @@
     ) -> Reply {
         let result = self.try_upstreams(&inbound, &mut tracker).await;
         match result {
-            Ok(response) => {
-                if response.status.is_success() {
-                    self.note_success(&inbound, self.clock.now_ms());
-                }
-                tracker.end("answered", response.status.as_u16());
-                into_reply(response)
-            }
+            Ok(response) => self.pass_on(inbound, tracker, response),
             Err(problem) => self.reject(tracker, problem),
         }
     }
@@ -105,7 +88,7 @@
         self: &Arc<Self>,
         inbound: &InboundRequest,
         tracker: &mut RequestTracker,
-    ) -> Result<CompleteResponse, Problem> {
+    ) -> Result<ReadResponse, Problem> {
         let mut tried = Vec::new();
         let mut runs = 0;
         let mut not_run_count = 0;
@@ -209,14 +192,14 @@
         tracker: &mut RequestTracker,
         chosen: ChosenUpstream,
         until_ms: Millis,
-    ) -> Result<CompleteResponse, Failure> {
+    ) -> Result<ReadResponse, Failure> {
         let options = DispatchOptions {
             until_ms,
             ..DispatchOptions::default()
         };
         let response = self.dispatch(inbound, tracker, chosen, options).await?;
         let sent_to = response.in_flight.chosen.clone();
-        let outcome = self.read_complete(response, inbound.deadline_ms).await;
+        let outcome = self.read_response(inbound, response).await;
         if outcome
             .as_ref()
             .is_err_and(|failure| *failure == Failure::Unknown)
@@ -228,62 +211,4 @@
         }
         outcome
     }
-
-    /// Reads the rest of a response.
-    pub(crate) async fn read_complete(
-        &self,
-        response: UpstreamResponse,
-        deadline_ms: Millis,
-    ) -> Result<CompleteResponse, Failure> {
-        let UpstreamResponse {
-            head,
-            http,
-            mut in_flight,
-            connection,
-            ..
-        } = response;
-        let (parts, body) = http.into_parts();
-        let left_ms = deadline_ms.saturating_sub(self.clock.now_ms());
-        let lost = in_flight.chosen.lost.clone();
-        let collected = tokio::select! {
-            collected = timeout(Duration::from_millis(left_ms), body.collect()) => collected,
-            () = lost.cancelled() => return Err(Failure::Unknown),
-        };
-        drop(connection);
-        let body = match collected {
-            Ok(Ok(body)) => body.to_bytes(),
-            Ok(Err(_)) => {
-                in_flight.set_verdict(Verdict::Failed);
-                return Err(Failure::Unknown);
-            }
-            Err(_) => {
-                in_flight.set_verdict(Verdict::Failed);
-                return Err(Failure::TimedOut);
-            }
-        };
-        // A successful response without a signature does not come from the upstream itself.
-        if parts.status.is_success() && !head.is_signed {
-            in_flight.set_verdict(Verdict::Failed);
-            return Err(Failure::Unknown);
-        }
-        let is_failure = parts.status.is_server_error();
-        in_flight.set_verdict(if is_failure {
-            Verdict::Failed
-        } else {
-            Verdict::Good
-        });
-        Ok(CompleteResponse {
-            status: parts.status,
-            headers: parts.headers,
-            body,
-        })
-    }
-}
-
-pub(crate) fn into_reply(response: CompleteResponse) -> Reply {
-    let mut reply = Response::new(full_body(response.body));
-    *reply.status_mut() = response.status;
-    *reply.headers_mut() = response.headers;
-    hop::strip(reply.headers_mut());
-    reply
 }
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -200,6 +200,8 @@
     pub(crate) stalls: Counter,
     /// Pauses that were too long at the engine and on time for the caller, as events were held.
     pub(crate) hidden_pauses: Counter,
+    /// Responses that were passed on while they arrived.
+    pub(crate) long_responses: Counter,
     stream_ends: Family<StreamEndLabels, Counter>,
     overflow: Family<OverflowLabels, Counter>,
     border_transfers: Family<TransferLabels, Counter>,
@@ -310,6 +312,9 @@
         let hidden_pauses = Counter::default();
         let help = "Pauses over the route's target that held events have shortened to within it";
         registry.register("hidden_pauses", help, hidden_pauses.clone());
+        let long_responses = Counter::default();
+        let help = "Responses that were too long to be buffered, and can't be retried";
+        registry.register("long_responses", help, long_responses.clone());
         let stream_ends = Family::default();
         let help = "Streams that their engines ended, by framing and by how they ended";
         registry.register("stream_ends", help, stream_ends.clone());
@@ -419,6 +424,7 @@
             running_copies,
             stalls,
             hidden_pauses,
+            long_responses,
             stream_ends,
             overflow,
             border_transfers,
--- a/crates/gateway/src/relay/mod.rs
+++ b/crates/gateway/src/relay/mod.rs
@@ -9,6 +9,8 @@
 pub(crate) mod migration;
 pub(crate) mod pause;
 pub(crate) mod recovery;
+pub(crate) mod response;
+pub(crate) mod response_buffer;
 pub(crate) mod stream;
 pub(crate) mod stream_buffer;
 
--- a/crates/gateway/src/relay/stream.rs
+++ b/crates/gateway/src/relay/stream.rs
@@ -8,7 +8,6 @@
 use fulmarpath_policy::{Millis, Playout};
 use hyper::Response;
 
-use crate::forward::into_reply;
 use crate::gateway::Gateway;
 use crate::hop;
 use crate::inbound::InboundRequest;
@@ -35,7 +34,7 @@
             Err(problem) => return self.reject(tracker, problem),
         };
         if !started.response.http.status().is_success() {
-            return self.forward_failure(&inbound, tracker, started).await;
+            return self.forward_failure(inbound, tracker, started).await;
         }
         let mut reply = Response::new(full_body(Bytes::new()));
         *reply.status_mut() = started.response.http.status();
@@ -68,19 +67,13 @@
 
     /// Forwards an engine's own error response, which is short and not a stream.
     async fn forward_failure(
-        &self,
-        inbound: &InboundRequest,
-        mut tracker: RequestTracker,
+        self: &Arc<Self>,
+        inbound: InboundRequest,
+        tracker: RequestTracker,
         started: StartedGeneration,
     ) -> Reply {
-        match self
-            .read_complete(started.response, inbound.deadline_ms)
-            .await
-        {
-            Ok(response) => {
-                tracker.end("answered", response.status.as_u16());
-                into_reply(response)
-            }
+        match self.read_response(&inbound, started.response).await {
+            Ok(response) => self.pass_on(inbound, tracker, response),
             Err(failure) => self.reject(tracker, failure.problem()),
         }
     }
