Bound what streams hold of events that are not complete

Neither an event nor the sum of a host's streams had a bound. A long response on a streaming route that isn't made of events was held for the same reason until it ended.

What is not made of events is passed on in pieces instead; such a stream can't be resumed afterwards.

--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -50,6 +50,7 @@
 };
 pub use problem::Problem;
 pub use record::{Dispatch, REQUEST_PREFIX, RequestRecord, Shortage, Size};
+pub use relay::events::{EventBuffer, EventTooLong};
 pub use relay::response_buffer::ResponseBuffer;
 pub use relay::stream_buffer::{BufferWriter, CallerGone, Chunk, StreamBuffers};
 pub use resources::{ByteBudget, HeldBytes, HostLimits};
--- a/crates/gateway/src/relay/engine_stream.rs
+++ b/crates/gateway/src/relay/engine_stream.rs
@@ -13,7 +13,7 @@
 
 use crate::attempt::UpstreamResponse;
 use crate::gateway::Gateway;
-use crate::relay::events::EventBuffer;
+use crate::relay::events::{EventBuffer, EventTooLong};
 use crate::relay::framing::Framing;
 use crate::tracker::InFlightRequest;
 use crate::upstreams::instance::Destination;
@@ -28,6 +28,8 @@
     /// only by the end of its connection shows a break in no other way.
     EndInEvent,
     Broken,
+    /// An event is too long to be buffered.
+    EventTooLong,
     /// The generation was stopped, and can resume.
     Stopped,
     TimedOut,
@@ -90,10 +92,16 @@
         let frame = timeout(Duration::from_millis(left_ms), self.body.frame()).await;
         match frame {
             Ok(Some(Ok(frame))) => {
-                push(events, &frame);
                 self.first_bytes_ms
                     .get_or_insert_with(|| gateway.clock.now_ms());
-                StreamRead::Bytes
+                match push(events, &frame) {
+                    Ok(()) => StreamRead::Bytes,
+                    Err(EventTooLong) if self.has_events => StreamRead::EventTooLong,
+                    Err(EventTooLong) => {
+                        events.split_event();
+                        StreamRead::Bytes
+                    }
+                }
             }
             Ok(None) if self.has_events && events.is_in_event() => StreamRead::EndInEvent,
             Ok(None) => StreamRead::End,
@@ -109,8 +117,6 @@
     content_type.is_none_or(|value| value.as_bytes().starts_with(EVENT_STREAM.as_bytes()))
 }
 
-fn push(events: &mut EventBuffer, frame: &Frame<Bytes>) {
-    if let Some(data) = frame.data_ref() {
-        events.push(data);
-    }
+fn push(events: &mut EventBuffer, frame: &Frame<Bytes>) -> Result<(), EventTooLong> {
+    frame.data_ref().map_or(Ok(()), |data| events.push(data))
 }
--- a/crates/gateway/src/relay/mod.rs
+++ b/crates/gateway/src/relay/mod.rs
@@ -161,7 +161,7 @@
             event_tokens: traits.map_or(1, |traits| traits.event_tokens),
             status: response.http.status().as_u16(),
             stream: EngineStream::new(gateway.clock.now_ms(), response),
-            events: EventBuffer::default(),
+            events: gateway.stream_buffers.event_buffer(),
             last_event: inbound.last_event,
             handover: Handover::default(),
             migration: None,
@@ -196,11 +196,12 @@
                 Err(broken) => return Some(Err(self.fail("stream_gap", broken))),
             }
             let next = match self.stopped.is_some() {
-                true => Some(NextStep::Resume),
+                true => Ok(NextStep::Resume),
                 false => self.step().await,
             };
-            let Some(next) = next else {
-                return Some(Err(self.fail("stream_overdue", BodyInterrupted)));
+            let next = match next {
+                Ok(next) => next,
+                Err(outcome) => return Some(Err(self.fail(outcome, BodyInterrupted))),
             };
             let continues = match next {
                 NextStep::Read | NextStep::AwaitMigration => true,
@@ -219,8 +220,8 @@
     }
 
     /// Waits for data from the engine, a migration order, the end of a migration step or a timeout,
-    /// whichever is first; `None` if the deadline has passed.
-    async fn step(&mut self) -> Option<NextStep> {
+    /// whichever is first; the outcome of the stream if it is not to go on.
+    async fn step(&mut self) -> Result<NextStep, &'static str> {
         let now_ms = self.gateway.clock.now_ms();
         let until_ms = self.inbound.deadline_ms;
         let left_ms = until_ms.saturating_sub(now_ms);
@@ -240,19 +241,23 @@
                 StreamRead::Bytes
             }
             outcome = Migration::step(&mut self.migration, now_ms), if self.migration.is_some() => {
-                return Some(self.advance(outcome));
+                return Ok(self.advance(outcome));
             }
         };
         let name = match read {
-            StreamRead::Bytes => return Some(NextStep::Read),
-            StreamRead::TimedOut => return None,
-            StreamRead::End => return Some(self.handover.end_stream(StreamEnd::Complete)),
-            StreamRead::Stopped => return Some(NextStep::Resume),
+            StreamRead::Bytes => return Ok(NextStep::Read),
+            StreamRead::TimedOut => return Err("stream_overdue"),
+            StreamRead::EventTooLong => {
+                self.tracker.end_stream("event_too_long");
+                return Err("event_too_long");
+            }
+            StreamRead::End => return Ok(self.handover.end_stream(StreamEnd::Complete)),
+            StreamRead::Stopped => return Ok(NextStep::Resume),
             StreamRead::EndInEvent => "in_event",
             StreamRead::Broken => "interrupted",
         };
         self.tracker.end_stream(name);
-        Some(self.handover.end_stream(StreamEnd::Broken))
+        Ok(self.handover.end_stream(StreamEnd::Broken))
     }
 
     /// Takes the stream as complete. If nothing but the end of its connection frames it, its engine
--- a/crates/gateway/src/relay/recovery.rs
+++ b/crates/gateway/src/relay/recovery.rs
@@ -34,7 +34,8 @@
         let is_suspect = interrupted.is_suspect();
         self.gateway.check_for_crash(interrupted);
         self.recoveries += 1;
-        if self.recoveries > MAX_RECOVERIES {
+        // What was passed on of an event would be sent again.
+        if self.recoveries > MAX_RECOVERIES || self.events.has_split_event() {
             return false;
         }
         // A generation that has run for a while did not crash its engine, and resumes regardless of
@@ -191,6 +192,9 @@
         let Some(stopped) = self.stopped.take() else {
             return false;
         };
+        if self.events.has_split_event() {
+            return false;
+        }
         let StoppedGeneration { to, copy_id, .. } = stopped;
         let source = self.stream.engine();
         let has_migrated = match &to {
--- a/crates/gateway/src/relay/stream_buffer.rs
+++ b/crates/gateway/src/relay/stream_buffer.rs
@@ -21,10 +21,15 @@
 use tokio::sync::{OwnedSemaphorePermit, Semaphore, mpsc};
 use tokio::time::sleep;
 
+use crate::relay::events::EventBuffer;
+use crate::resources::ByteBudget;
+
 /// Bytes that one stream may be ahead of its caller: the whole of a usual answer.
 const MAX_STREAM_BYTES: usize = 256 * 1024;
 /// Bytes that all streams of a host together may be ahead of their callers.
 const MAX_HOST_BYTES: usize = 8 * 1024 * 1024;
+/// Bytes that all streams of a host together hold of events that are not complete yet.
+const MAX_HOST_EVENT_BYTES: usize = 4 * 1024 * 1024;
 
 /// Time for a connection to write the events that were held until just before their stream is broken
 /// off. What has not been written by then is lost with the connection.
@@ -48,6 +53,7 @@
 #[derive(Debug)]
 pub struct StreamBuffers {
     host: Arc<Semaphore>,
+    events: ByteBudget,
     clock: Clock,
     hidden_pauses: Counter,
 }
@@ -58,14 +64,20 @@
     pub fn new(clock: Clock, hidden_pauses: Counter) -> Self {
         Self {
             host: Arc::new(Semaphore::new(MAX_HOST_BYTES)),
+            events: ByteBudget::new(MAX_HOST_EVENT_BYTES),
             clock,
             hidden_pauses,
         }
     }
 
-    /// Bytes that the host's streams are ahead of their callers.
+    /// Bytes that the host's streams are ahead of their callers, and hold of incomplete events.
     pub(crate) fn held_bytes(&self) -> usize {
-        MAX_HOST_BYTES - self.host.available_permits()
+        MAX_HOST_BYTES - self.host.available_permits() + self.events.held_bytes()
+    }
+
+    /// Opens a buffer for the events of one stream.
+    pub(crate) fn event_buffer(&self) -> EventBuffer {
+        EventBuffer::new(self.events.clone())
     }
 
     /// Opens a buffer; the stream ends when the writer is dropped. Events are passed on as `playout`
