Bound answers to a host's own calls and responses of the store

A store whose responses never end took 213 MB within a second (the test's bound is 200), an engine's report or copy whose answer never ends was read until its time limit (0.32 and 2.01 s), and a line without an end was scanned from its start for each piece.

Lines scan only new bytes. Both fail the call, which is tried again as after any other failure.

--- a/crates/http/src/client.rs
+++ b/crates/http/src/client.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http_body_util::{BodyExt, Full};
+use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
 use hyper::{Method, Request, Response, StatusCode};
 use serde::Serialize;
 use tokio::time::timeout;
@@ -15,6 +15,8 @@
 use crate::progress::ResponseBody;
 
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(1_000);
+/// Longest body that a call collects unless it states another limit.
+const MAX_BODY_BYTES: usize = 16 * 1024 * 1024;
 
 /// A call whose response head has arrived and whose body has not been read yet.
 #[derive(Debug)]
@@ -35,10 +37,25 @@
 
     /// Reads the complete body within `time_limit`.
     pub async fn bytes(self, time_limit: Duration) -> Result<Bytes, HttpError> {
+        self.bytes_within(MAX_BODY_BYTES, time_limit).await
+    }
+
+    /// Reads the complete body of at most `max_bytes` within `time_limit`.
+    ///
+    /// # Errors
+    /// [`HttpError::Malformed`] if it is longer.
+    pub async fn bytes_within(
+        self,
+        max_bytes: usize,
+        time_limit: Duration,
+    ) -> Result<Bytes, HttpError> {
         let address = self.address;
-        let collected = timeout(time_limit, self.response.into_body().collect()).await;
-        match collected {
+        let body = Limited::new(self.response.into_body(), max_bytes);
+        match timeout(time_limit, body.collect()).await {
             Ok(Ok(body)) => Ok(body.to_bytes()),
+            Ok(Err(error)) if error.is::<LengthLimitError>() => {
+                Err(HttpError::Malformed { address })
+            }
             _ => Err(HttpError::Incomplete { address }),
         }
     }
@@ -47,9 +64,18 @@
     pub async fn json<T: serde::de::DeserializeOwned>(
         self,
         time_limit: Duration,
+    ) -> Result<T, HttpError> {
+        self.json_within(MAX_BODY_BYTES, time_limit).await
+    }
+
+    /// Reads the complete body of at most `max_bytes` within `time_limit` and decodes it as JSON.
+    pub async fn json_within<T: serde::de::DeserializeOwned>(
+        self,
+        max_bytes: usize,
+        time_limit: Duration,
     ) -> Result<T, HttpError> {
         let address = self.address;
-        let body = self.bytes(time_limit).await?;
+        let body = self.bytes_within(max_bytes, time_limit).await?;
         serde_json::from_slice(&body).map_err(|_| HttpError::Malformed { address })
     }
 }
--- a/crates/http/src/lines.rs
+++ b/crates/http/src/lines.rs
@@ -20,6 +20,8 @@
     body: ResponseBody,
     _connection: Connection,
     buffer: BytesMut,
+    /// Bytes of the buffer without a line feed.
+    scanned: usize,
 }
 
 impl Lines {
@@ -30,6 +32,7 @@
             body: call.response.into_body(),
             _connection: call.connection,
             buffer: BytesMut::new(),
+            scanned: 0,
         }
     }
 
@@ -46,11 +49,14 @@
     pub async fn next(&mut self, silence_timeout: Duration) -> Result<Option<BytesMut>, HttpError> {
         let address = self.address;
         loop {
-            if let Some(end) = self.buffer.iter().position(|byte| *byte == b'\n') {
+            let unscanned = self.buffer[self.scanned..].iter();
+            if let Some(length) = unscanned.clone().position(|byte| *byte == b'\n') {
+                let end = std::mem::take(&mut self.scanned) + length;
                 let mut line = self.buffer.split_to(end + 1);
                 line.truncate(end);
                 return Ok(Some(line));
             }
+            self.scanned = self.buffer.len();
             if self.buffer.len() > MAX_LINE_BYTES {
                 return Err(HttpError::Malformed { address });
             }
--- a/crates/http/tests/endless_responses.rs
+++ b/crates/http/tests/endless_responses.rs
@@ -4,7 +4,7 @@
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
-use fulmarpath_http::{Connection, HttpError};
+use fulmarpath_http::{Connection, HttpError, Lines, get};
 use http_body_util::{BodyExt, Full};
 use hyper::Request;
 use rstest::rstest;
@@ -118,3 +118,23 @@
     let address = start(CHUNKED, case.repeated, case.times).await;
     assert_eq!(exchange(address, case.pause).await, Ok(case.length));
 }
+
+/// Guards against a line without an end that is scanned again for each of its pieces.
+#[tokio::test]
+async fn a_line_without_an_end_is_given_up_in_time() {
+    let address = start(CHUNKED, "8\r\nxxxxxxxx\r\n".repeat(1_000), usize::MAX).await;
+    let call = get(address, "/", TIME_LIMIT).await.expect("a response");
+    let mut lines = Lines::new(call);
+    let line = tokio::time::timeout(TIME_LIMIT, lines.next(TIME_LIMIT)).await;
+    assert_eq!(line, Ok(Err(HttpError::Malformed { address })));
+}
+
+/// Guards against a body without an end that a call collects.
+#[tokio::test]
+async fn a_body_without_an_end_is_given_up() {
+    let piece = format!("10000\r\n{}\r\n", "x".repeat(65_536));
+    let address = start(CHUNKED, piece, usize::MAX).await;
+    let call = get(address, "/", TIME_LIMIT).await.expect("a response");
+    let body = call.bytes(TIME_LIMIT).await;
+    assert_eq!(body, Err(HttpError::Malformed { address }));
+}
