Bound the bodies of callers' requests by a host's memory

Nothing bounded them in sum. A process with 260 MB of address space before 150 callers with bodies of 4,000,000 bytes aborted (signal 6): 142 requests without an answer, 8 served before; 40 callers at 110 MB: 38 and 2. A long body that was refused for its length was left unread, or its caller waited until it had sent all of it.

Bodies now get room of a quarter of the memory before they are read. Until then hyper reads nothing, so the connection's flow control slows the sender. A body of stated length gets room for all of it or none, so bodies that hold a part can't wait for each other; chunked ones grow, half of the budget is left to the oldest of them, and if all wait, the newest is refused. A sender that would need over 4 s for the room that it got loses it once another body waits. A body that gets no room within a quarter of its caller's time, at most 0.8 s, is refused with 503 and Retry-After; it was never sent on. An organisation holds at most three times what is left free, and freed room goes to the one that holds least. The room is tied to the bytes, until the last user of them has ended; the body is held once.

Heads are checked before the body is read, and bodies of refused requests are read without being stored, for up to a second before the response and on after it.

--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -141,7 +141,7 @@
             cells: Cells::default(),
             runs: Runs::default(),
             stream_buffers: StreamBuffers::new(clock, metrics.hidden_pauses.clone()),
-            resources: Resources::new(settings.limits),
+            resources: Resources::new(settings.limits, clock),
             cell_duties: CellDuties::default(),
             probe_times: ProbeTimes::default(),
             dissemination: Dissemination::default(),
--- a/crates/gateway/src/inbound.rs
+++ b/crates/gateway/src/inbound.rs
@@ -6,23 +6,30 @@
 
 use bytes::Bytes;
 use fulmarpath_policy::{ContentKey, Millis, OrganisationKey, RequestContents};
-use http_body_util::{BodyExt, LengthLimitError, Limited};
-use hyper::body::Incoming;
-use hyper::header::HOST;
+use http_body_util::BodyExt;
+use hyper::body::{Body, Incoming};
+use hyper::header::{EXPECT, HOST};
 use hyper::http::request::Parts;
 use hyper::{HeaderMap, Method, Request, Uri};
 use tokio::time::timeout;
 use xxhash_rust::xxh3::Xxh3;
 
-use crate::configuration::{ActiveConfiguration, Route, RouteKind};
+use crate::configuration::{ActiveConfiguration, Organisation, Route, RouteKind};
 use crate::gateway::Gateway;
-use crate::head::{GenerationHead, HeadError};
+use crate::head::{GenerationHead, HeadError, RequestHead};
 use crate::hop;
 use crate::problem::Problem;
+use crate::resources::{ReadLimits, UnreadBody};
 use crate::tracker::RequestTracker;
 
 /// Time for reading the body of a request that states no deadline.
 const BODY_TIMEOUT_MS: Millis = 30_000;
+/// A request waits for room for its body no longer than this part of its time.
+const ROOM_WAIT_PART: Millis = 4;
+/// Longest wait for room. Callers give up a host that has not read a request after one second.
+const MAX_ROOM_WAIT_MS: Millis = 800;
+/// How long a refusal waits for the end of the body. Some callers read nothing before that.
+const DISCARD_WAIT: Duration = Duration::from_millis(1_000);
 
 /// A request that may be sent to an upstream.
 pub(crate) struct InboundRequest {
@@ -81,41 +88,48 @@
         request: Request<Incoming>,
         tracker: &mut RequestTracker,
     ) -> Result<InboundRequest, Problem> {
-        let (parts, body) = request.into_parts();
+        let (parts, mut body) = request.into_parts();
         let head = self.dialect.read_request(&parts.headers);
         if let Ok(head) = &head {
             tracker.id.clone_from(&head.id);
         }
-        let active = self.active_configuration().ok_or(Problem::NoConfiguration);
-        let limit = active
-            .as_ref()
-            .map_or(usize::MAX, |active| active.configuration.limits.body_bytes);
         let left_ms = head.as_ref().ok().and_then(|head| head.time_left_ms);
         let read_timeout = Duration::from_millis(left_ms.unwrap_or(BODY_TIMEOUT_MS));
-        // The body is read before any refusal: closing a connection with unread bytes resets it,
-        // and the caller may lose the response that states the reason.
-        let body = read_body(body, limit, read_timeout).await?;
-        let active = active?;
-        let head = head.map_err(|error| match error {
-            HeadError::NoId | HeadError::Malformed { .. } => Problem::BadHead,
-        })?;
-        let route = find_route(&active, &parts).ok_or(Problem::NoRoute)?;
-        tracker.set_route(route);
-        if let Some(generation) = &head.generation {
-            tracker.set_generation(generation);
-        }
-        let owner = match active.requires_key(route) {
-            true => {
-                let key = head.api_key.as_deref().ok_or(Problem::UnknownKey)?;
-                Some(active.organisation(key).ok_or(Problem::UnknownKey)?)
+        let active = self.active_configuration();
+        let admitted = self.admit_head(active.as_deref(), &parts, head, tracker);
+        let (head, route, owner) = match admitted {
+            Ok(admitted) => admitted,
+            Err(problem) => {
+                discard(&parts, body, read_timeout).await;
+                return Err(problem);
+            }
+        };
+        let organisation = owner.map(|owner| owner.name.clone());
+        let limits = ReadLimits {
+            max_bytes: active
+                .as_ref()
+                .map_or(usize::MAX, |active| active.configuration.limits.body_bytes),
+            max_wait_ms: (left_ms.unwrap_or(Millis::MAX) / ROOM_WAIT_PART).min(MAX_ROOM_WAIT_MS),
+        };
+        let key = OrganisationKey::of(organisation.as_deref().unwrap_or_default());
+        let bodies = &self.resources.request_bodies;
+        let read = timeout(read_timeout, bodies.read(&mut body, key, limits)).await;
+        let body = match read.unwrap_or(Err(UnreadBody::Broken)) {
+            Ok(bytes) => bytes,
+            Err(unread) => {
+                let problem = match unread {
+                    UnreadBody::TooLong => Problem::BodyTooLong,
+                    UnreadBody::NoRoom => Problem::NoBodyRoom,
+                    UnreadBody::Broken => Problem::BadBody,
+                };
+                discard(&parts, body, read_timeout).await;
+                return Err(problem);
             }
-            false => None,
         };
         let service = route
             .pick_service(rand::random())
             .ok_or(Problem::NoUpstream)?;
         let max_wait_ms = left_ms.unwrap_or(Millis::MAX).min(route.timeout_ms);
-        let organisation = owner.map(|owner| owner.name.clone());
         let whole = content_of(organisation.as_deref(), &parts, &body);
         let contents = match &head.generation {
             Some(generation) => generation.contents(whole),
@@ -143,6 +157,35 @@
     }
 }
 
+impl Gateway {
+    /// Checks what the head of a request states, before its body is read.
+    fn admit_head<'a>(
+        &self,
+        active: Option<&'a ActiveConfiguration>,
+        parts: &Parts,
+        head: Result<RequestHead, HeadError>,
+        tracker: &mut RequestTracker,
+    ) -> Result<(RequestHead, &'a Route, Option<&'a Organisation>), Problem> {
+        let active = active.ok_or(Problem::NoConfiguration)?;
+        let head = head.map_err(|error| match error {
+            HeadError::NoId | HeadError::Malformed { .. } => Problem::BadHead,
+        })?;
+        let route = find_route(active, parts).ok_or(Problem::NoRoute)?;
+        tracker.set_route(route);
+        if let Some(generation) = &head.generation {
+            tracker.set_generation(generation);
+        }
+        let owner = match active.requires_key(route) {
+            true => {
+                let key = head.api_key.as_deref().ok_or(Problem::UnknownKey)?;
+                Some(active.organisation(key).ok_or(Problem::UnknownKey)?)
+            }
+            false => None,
+        };
+        Ok((head, route, owner))
+    }
+}
+
 fn find_route<'a>(active: &'a ActiveConfiguration, parts: &Parts) -> Option<&'a Route> {
     let host = parts.headers.get(HOST)?.to_str().ok()?;
     active.route(host, parts.uri.path())
@@ -158,15 +201,17 @@
     ContentKey(hasher.finish())
 }
 
-async fn read_body(
-    body: Incoming,
-    limit_bytes: usize,
-    read_timeout: Duration,
-) -> Result<Bytes, Problem> {
-    let collected = timeout(read_timeout, Limited::new(body, limit_bytes).collect()).await;
-    match collected {
-        Ok(Ok(body)) => Ok(body.to_bytes()),
-        Ok(Err(error)) if error.is::<LengthLimitError>() => Err(Problem::BodyTooLong),
-        _ => Err(Problem::BadBody),
+/// Reads the rest of a refused request's body without storing it. Closing a connection with unread
+/// bytes resets it, and the caller may lose the response that states the reason.
+///
+/// The response is sent while a slow caller still sends.
+async fn discard(parts: &Parts, mut body: Incoming, read_timeout: Duration) {
+    // A caller that waits for an interim response has not sent the body and doesn't have to.
+    if body.is_end_stream() || parts.headers.contains_key(EXPECT) {
+        return;
     }
+    let reading = tokio::spawn(timeout(read_timeout, async move {
+        while let Some(Ok(_)) = body.frame().await {}
+    }));
+    let _ = timeout(DISCARD_WAIT, reading).await;
 }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -51,7 +51,7 @@
 pub use problem::Problem;
 pub use record::{Dispatch, REQUEST_PREFIX, RequestRecord, Shortage, Size};
 pub use relay::stream_buffer::{BufferWriter, CallerGone, Chunk, StreamBuffers};
-pub use resources::{ByteBudget, HeldBytes, HostLimits};
+pub use resources::{BodyAdmission, BodyId, BodyState, ByteBudget, HeldBytes, HostLimits};
 pub use roster::Roster;
 pub use roster::directory::{
     Departure, DepartureNotice, Directory, DirectoryChange, DirectoryPart, HostRegistration,
--- a/crates/gateway/src/problem.rs
+++ b/crates/gateway/src/problem.rs
@@ -62,6 +62,8 @@
     },
     /// This host stops before the generation could finish.
     Stopping,
+    /// The bodies of other requests take all room, or one organisation its share.
+    NoBodyRoom,
     /// No upstream could be reached.
     Unreachable,
     /// The deadline passed before the request was sent.
@@ -90,6 +92,7 @@
             | Self::Quarantined { .. }
             | Self::Stopping
             | Self::TooLarge
+            | Self::NoBodyRoom
             | Self::Unreachable
             | Self::TooLateToSend => StatusCode::SERVICE_UNAVAILABLE,
             Self::Timeout => StatusCode::GATEWAY_TIMEOUT,
@@ -120,6 +123,7 @@
             Self::Quarantined { .. } => "quarantined",
             Self::Stopping => "stopping",
             Self::TooLarge => "too_large",
+            Self::NoBodyRoom => "no_body_room",
             Self::Unreachable => "unreachable",
             Self::TooLateToSend => "too_late_to_send",
             Self::Timeout => "timeout",
@@ -142,6 +146,8 @@
             | Self::Cold { retry_after_ms }
             | Self::Throttled { retry_after_ms }
             | Self::Quarantined { retry_after_ms, .. } => Some(retry_after_ms),
+            // Bodies are read and forwarded in less than a second unless upstreams are slow.
+            Self::NoBodyRoom => Some(500),
             // Larger engines can only come with another configuration, which takes at least this
             // long.
             Self::TooLarge => Some(30_000),
--- a/crates/gateway/src/resources/mod.rs
+++ b/crates/gateway/src/resources/mod.rs
@@ -1,17 +1,23 @@
 //! What a host may use of its machine, and what it uses.
 
+mod body_admission;
 mod budget;
+mod request_bodies;
 mod usage;
 
 use std::time::Duration;
 
+use fulmarpath_cluster::Clock;
 use fulmarpath_policy::Millis;
 use spdlog::warn;
 use tokio::time::sleep;
 
+pub use body_admission::{BodyAdmission, BodyId, BodyState};
 pub use budget::{ByteBudget, HeldBytes};
+pub(crate) use request_bodies::{ReadLimits, UnreadBody};
 
 use crate::gateway::Gateway;
+use request_bodies::RequestBodies;
 use usage::{open_descriptors, resident_bytes};
 
 /// How often the delay of the workers and the memory of the process are measured.
@@ -50,7 +56,7 @@
 pub(crate) struct Resources {
     limits: HostLimits,
     /// Bodies of callers' requests, until each request has ended.
-    pub(crate) request_bodies: ByteBudget,
+    pub(crate) request_bodies: RequestBodies,
     /// Bodies of upstreams' responses that are read in full before they are passed on.
     pub(crate) response_bodies: ByteBudget,
 }
@@ -68,10 +74,10 @@
 }
 
 impl Resources {
-    pub(crate) fn new(limits: HostLimits) -> Self {
+    pub(crate) fn new(limits: HostLimits, clock: Clock) -> Self {
         let part = |fraction: f64| (limits.memory_bytes as f64 * fraction) as usize;
         Self {
-            request_bodies: ByteBudget::new(part(REQUEST_BODIES_FRACTION)),
+            request_bodies: RequestBodies::new(clock, part(REQUEST_BODIES_FRACTION)),
             response_bodies: ByteBudget::new(part(RESPONSE_BODIES_FRACTION)),
             limits,
         }
