--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -54,7 +54,7 @@
 pub use relay::events::{EventBuffer, EventTooLong};
 pub use relay::response_buffer::ResponseBuffer;
 pub use relay::stream_buffer::{BufferWriter, CallerGone, Chunk, StreamBuffers};
-pub use resources::{ByteBudget, HeldBytes, HostLimits};
+pub use resources::{BodyAdmission, BodyId, BodyState, ByteBudget, HeldBytes, HostLimits};
 pub use roster::Roster;
 pub use roster::directory::{
     Departure, DepartureNotice, Directory, DirectoryChange, DirectoryPart, ExpiredEntry,
