End a stopped process in time, also with an unread log or a short grace period

Two ends of processes that our own runs found. With a full pipe as standard output that nobody reads, a host that had answered everything never ended after SIGTERM: at the exit the log's queue is written out without a limit, and the process kept its addresses until it was killed. With a grace period below 3.8 s, a host lingered for 3.4 s all the same, so that a supervisor would have killed it within its stop.

The process now ends 0.25 s after the host at the latest, with the same exit code, and the linger ends with the grace period.

Evidence: gateway_processes.rs, the two new cases fail with the binary before (still alive 20 s after SIGTERM; an end after over 2 s with a grace period of 1 s, 3.4 s in a run by hand) and pass now.

--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -125,14 +125,12 @@
         stopped.await;
         info!("host: {} stops", self.settings.host.name);
         let left_ms = self.settings.grace_ms.saturating_sub(EXIT_RESERVE_MS);
+        let linger_ms = left_ms.min(LINGER_MS);
         self.drain(self.clock.now_ms() + left_ms);
         self.leave_fleet().await;
-        sleep(Duration::from_millis(LINGER_MS)).await;
+        sleep(Duration::from_millis(linger_ms)).await;
         let _ = stop.send(true);
-        let left_ms = self
-            .settings
-            .grace_ms
-            .saturating_sub(LINGER_MS + EXIT_RESERVE_MS);
+        let left_ms = left_ms - linger_ms;
         let ended = async { tokio::join!(server, self.tunnels.ended()) };
         let finished = timeout(Duration::from_millis(left_ms), ended).await;
         match finished {
--- a/src/cmd/gateway.rs
+++ b/src/cmd/gateway.rs
@@ -26,6 +26,9 @@
 /// Added to the grace period, within which a process before this one frees its addresses.
 const BIND_MARGIN: Duration = Duration::from_secs(2);
 
+/// Limit on writing the last log lines.
+const EXIT_LIMIT: Duration = Duration::from_millis(250);
+
 /// Interval between reports of dropped log lines.
 const DROPPED_LINES_PERIOD: Duration = Duration::from_secs(2);
 
@@ -40,6 +43,19 @@
 
 impl Run for Serve {
     fn run(&self) -> Result<(), CommandError> {
+        let result = self.serve();
+        // At the exit the log is written out, which would wait for a reader that has stopped.
+        let status = i32::from(result.is_err());
+        std::thread::spawn(move || {
+            std::thread::sleep(EXIT_LIMIT);
+            signal_hook::low_level::exit(status);
+        });
+        result
+    }
+}
+
+impl Serve {
+    fn serve(&self) -> Result<(), CommandError> {
         let from_environment = std::env::var_os(FILE_VARIABLE).map(PathBuf::from);
         let file = self
             .settings
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -57,6 +57,12 @@
 
     /// Starts the process, which appends to the log of the process before.
     pub(crate) fn start(&mut self) {
+        let log = File::options().create(true).append(true).open(&self.log);
+        self.start_logging_to(log.expect("a log file").into());
+    }
+
+    /// Starts the process with another destination of its log.
+    pub(crate) fn start_logging_to(&mut self, log: Stdio) {
         let append = |file: &Path| {
             let options = File::options().create(true).append(true).open(file);
             Stdio::from(options.expect("a log file"))
@@ -65,7 +71,7 @@
             .arg("gateway")
             .arg(&self.settings)
             .stdin(Stdio::null())
-            .stdout(append(&self.log))
+            .stdout(log)
             .stderr(append(&self.errors))
             .spawn();
         self.child = Some(child.expect("the process starts"));
--- a/tests/gateway_processes.rs
+++ b/tests/gateway_processes.rs
@@ -8,6 +8,9 @@
 use std::os::unix::process::ExitStatusExt;
 use std::path::Path;
 use std::process::Command;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::time::{Duration, Instant};
 
 use common::{
     CALLER_PORT, GatewayProcess, METRICS_PORT, PEER_PORT, READY_PORT, TEST_TIMEOUT,
@@ -15,7 +18,7 @@
 };
 use fulmarpath_platform_standin::RequestKind;
 use rstest::rstest;
-use tokio::time::timeout;
+use tokio::time::{sleep, timeout};
 
 /// Creates a pipe in place of a settings file: whoever reads it waits for its writer.
 fn pipe_at(file: &Path) {
@@ -251,3 +254,50 @@
     let page = fulmarpath_http::get(metrics, "/metrics", TEST_TIMEOUT).await;
     assert_eq!(page.expect("a page").status(), 200);
 }
+
+/// A reader of the log that has stopped must not keep a process from ending.
+#[tokio::test]
+async fn unread_log_does_not_keep_a_process_from_ending() {
+    let (store, _plain) = store_with_upstream().await;
+    let mut host = GatewayProcess::new("unread-log", 41);
+    let text = host.settings_text(store.address, &[]);
+    std::fs::write(&host.settings, text).expect("it is written");
+    let (_reader, writer) = std::io::pipe().expect("a pipe");
+    let mut filler = writer.try_clone().expect("a writer");
+    let written = Arc::new(AtomicUsize::new(0));
+    let counter = written.clone();
+    std::thread::spawn(move || {
+        while filler.write_all(b"x").is_ok() {
+            counter.fetch_add(1, Ordering::SeqCst);
+        }
+    });
+    loop {
+        let before = written.load(Ordering::SeqCst);
+        sleep(Duration::from_millis(300)).await;
+        if before > 0 && written.load(Ordering::SeqCst) == before {
+            break;
+        }
+    }
+    host.start_logging_to(writer.into());
+    host.ready().await;
+    host.signal("TERM");
+    let status = host.end().await;
+    assert_eq!((status.signal(), status.code()), (None, Some(0)));
+}
+
+/// A grace period that is shorter than the usual linger must be kept.
+#[tokio::test]
+async fn short_grace_period_is_kept() {
+    let (store, _plain) = store_with_upstream().await;
+    let mut host = GatewayProcess::new("short-grace", 42);
+    let text = host.settings_text(store.address, &[]);
+    let text = text.replace("grace-s: 8\n", "grace-s: 1\n");
+    std::fs::write(&host.settings, text).expect("it is written");
+    host.start();
+    host.ready().await;
+    let signalled = Instant::now();
+    host.signal("TERM");
+    assert_eq!(host.end().await.code(), Some(0));
+    let took = signalled.elapsed();
+    assert!(took < Duration::from_millis(2_000), "{took:?}");
+}
