--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -95,6 +95,24 @@
         assert!(status.expect("kill runs").success());
     }
 
+    /// Waits until the process handles SIGTERM.
+    pub(crate) async fn handles_signals(&self) {
+        const SIGTERM_MASK: u64 = 1 << 14;
+        let id = self.child.as_ref().expect("it was started").id();
+        let started = Instant::now();
+        loop {
+            let status = std::fs::read_to_string(format!("/proc/{id}/status"));
+            let status = status.expect("its status");
+            let caught = status.lines().find_map(|line| line.strip_prefix("SigCgt:"));
+            let caught = caught.map(|mask| u64::from_str_radix(mask.trim(), 16));
+            if matches!(caught, Some(Ok(mask)) if mask & SIGTERM_MASK != 0) {
+                return;
+            }
+            assert!(started.elapsed() < TEST_TIMEOUT, "{}", self.output());
+            tokio::task::yield_now().await;
+        }
+    }
+
     /// The exit status, if the process has ended.
     pub(crate) fn ended(&mut self) -> Option<ExitStatus> {
         let child = self.child.as_mut().expect("it was started");
@@ -169,13 +187,15 @@
 
 /// Starts a store with a configuration and one upstream of the service `portal`.
 pub(crate) async fn store_with_upstream() -> (StandInStore, StandInPlain) {
-    let store = StandInStore::start().await;
+    store_at(SocketAddr::from((Ipv4Addr::LOCALHOST, 0))).await
+}
+
+/// The same at an address.
+pub(crate) async fn store_at(address: SocketAddr) -> (StandInStore, StandInPlain) {
+    let store = StandInStore::start_at(address).await;
     store.put("config", "main", configuration(1, KEY));
     let plain = StandInPlain::start("i-a").await;
-    store.put(
-        "servers",
-        "i-a",
-        entry("portal", plain.address, "dc-a", false),
-    );
+    let entry = entry("portal", plain.address, "dc-a", false);
+    store.put("servers", "i-a", entry);
     (store, plain)
 }
