--- a/src/cmd/gateway.rs
+++ b/src/cmd/gateway.rs
@@ -46,7 +46,8 @@
         let result = self.serve();
         // At the exit the log is written out, which would wait for a reader that has stopped.
         let status = i32::from(result.is_err());
-        std::thread::spawn(move || {
+        // Without the thread the process ends all the same, once the log is written.
+        let _ = std::thread::Builder::new().spawn(move || {
             std::thread::sleep(EXIT_LIMIT);
             signal_hook::low_level::exit(status);
         });
