--- a/crates/gateway/src/evacuations.rs
+++ b/crates/gateway/src/evacuations.rs
@@ -127,7 +127,11 @@
             }
             evacuations.state(now_ms)
         };
-        let names: Vec<&str> = state.data_centres.iter().map(String::as_str).collect();
+        let names: Vec<String> = state
+            .data_centres
+            .iter()
+            .map(|name| name.escape_debug().to_string())
+            .collect();
         let revision = state.revision;
         match names.is_empty() {
             true => info!("evacuations: none at revision {revision}, by {source}"),
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -22,7 +22,6 @@
 use crate::dissemination::Dissemination;
 use crate::fleet::Fleet;
 use crate::head::Dialect;
-use crate::log_throttle::LogThrottle;
 use crate::metrics::{Metrics, PeerBytes, Readings};
 use crate::relay::stream_buffer::StreamBuffers;
 use crate::resources::{HostLimits, Resources};
@@ -30,6 +29,7 @@
 use crate::roster::directory::{HostRegistration, RegistrationChange};
 use crate::store::era::StoreEra;
 use crate::store::metadata::Metadata;
+use crate::store::unusable_entries::UnusableLog;
 use crate::surge_guard::SurgeGuard;
 use crate::upstreams::availability::ColdLimits;
 use crate::upstreams::brittle_starts::BrittleLimiter;
@@ -101,7 +101,7 @@
     pub(crate) dissemination: Dissemination,
     pub(crate) surge: SurgeGuard,
     pub(crate) circuit_breakers: CircuitBreakers,
-    pub(crate) unusable_log: LogThrottle,
+    pub(crate) unusable_log: UnusableLog,
     pub(crate) store_era: StoreEra,
     pub(crate) control: Arc<dyn EngineControl>,
     /// Opens connections to upstreams.
@@ -147,7 +147,7 @@
             dissemination: Dissemination::default(),
             surge: SurgeGuard::default(),
             circuit_breakers: CircuitBreakers::default(),
-            unusable_log: LogThrottle::default(),
+            unusable_log: UnusableLog::default(),
             store_era: StoreEra::default(),
             control,
             dialect,
--- a/crates/gateway/src/store/metadata.rs
+++ b/crates/gateway/src/store/metadata.rs
@@ -1,5 +1,6 @@
 //! The interface to the platform's metadata store.
 
+use std::collections::HashSet;
 use std::time::Duration;
 
 use async_trait::async_trait;
@@ -166,6 +167,9 @@
     pub(crate) items: &'a [T],
 }
 
+/// The most pages of one list, many times those of the largest fleet.
+const MAX_PAGES: usize = 4_096;
+
 /// A list that is being read page by page.
 #[derive(Debug)]
 pub(crate) struct PartialList<T> {
@@ -175,6 +179,8 @@
     /// The last name read so far.
     pub(crate) read_up_to: Option<String>,
     pub(crate) is_complete: bool,
+    /// The last names of all pages so far.
+    page_ends: HashSet<String>,
     items: Vec<T>,
     unusable: Vec<UnusableEntry>,
 }
@@ -185,6 +191,7 @@
             revision: None,
             read_up_to: None,
             is_complete: false,
+            page_ends: HashSet::new(),
             items: Vec::new(),
             unusable: Vec::new(),
         }
@@ -195,7 +202,8 @@
     /// Reads the next page.
     ///
     /// # Errors
-    /// [`StoreError`], also if the store was restored from a backup since the first page.
+    /// [`StoreError`], also if the store was restored from a backup since the first page, or if a
+    /// page ends with the same name as an earlier one.
     pub(crate) async fn read_page(
         &mut self,
         source: &dyn Collection<T>,
@@ -210,6 +218,13 @@
                 received: page.revision,
             });
         }
+        if let Some(last) = &page.more_after
+            && (self.page_ends.len() == MAX_PAGES || !self.page_ends.insert(last.clone()))
+        {
+            return Err(StoreError::Malformed {
+                detail: "the pages of the list don't end".to_owned(),
+            });
+        }
         let first = self.items.len();
         self.items.extend(page.items);
         self.unusable.extend(page.unusable);
