Close idle connections of callers when descriptors run out

With 64 descriptors and 100 idle connections a new request had no answer within 4 s: accept failed, and the connection waited in the backlog until idle ones ended.

The server counts one descriptor for an idle connection and three for one on which a request has begun to arrive, up to the smaller of the settings' descriptors and the soft limit of the process (getrlimit, read for each new connection), less 24 and an eighth. Beyond that the connections that have been idle longest are closed, in order. One counts as busy from the first byte of a request to the end of its response; before an idle one is closed the socket is peeked, since bytes may have arrived without a notification of the runtime. It ends by hyper's graceful shutdown, so unsent bytes of a response are flushed. A request that crosses the close has not been read and may be repeated, as with an idle time-out. If all are busy, a new connection is closed unread at once and counted as turned away.

--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -449,6 +449,14 @@
         is_accepted
     }
 
+    fn max_descriptors(&self) -> usize {
+        self.resources.caller_descriptors()
+    }
+
+    fn record_turned_away(&self) {
+        self.metrics.turned_away_connections.inc();
+    }
+
     fn idle_timeout(&self) -> Duration {
         let held = self.active_configuration.load();
         let limits = held.as_ref().map(|held| held.configuration.limits);
--- a/crates/gateway/src/resources/mod.rs
+++ b/crates/gateway/src/resources/mod.rs
@@ -18,7 +18,7 @@
 
 use crate::gateway::Gateway;
 use request_bodies::RequestBodies;
-use usage::{open_descriptors, resident_bytes};
+use usage::{descriptor_limit, open_descriptors, resident_bytes};
 
 /// How often the delay of the workers and the memory of the process are measured.
 const MEASURE_PERIOD_MS: Millis = 500;
@@ -33,6 +33,11 @@
 /// Fraction of the memory limit that the bodies of upstreams' responses may hold.
 const RESPONSE_BODIES_FRACTION: f64 = 0.15;
 
+/// Descriptors for listeners, the store and the runtime.
+const RESERVED_DESCRIPTORS: usize = 24;
+/// Part of the descriptors that is reserved for other hosts and for files.
+const RESERVED_PART: usize = 8;
+
 /// Limits of a host's process.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct HostLimits {
@@ -82,6 +87,14 @@
             limits,
         }
     }
+
+    /// Descriptors for the connections of callers and for their requests to upstreams. The limit of
+    /// the process may change while it runs.
+    pub(crate) fn caller_descriptors(&self) -> usize {
+        let limit = descriptor_limit().min(self.limits.descriptors);
+        let reserved = RESERVED_DESCRIPTORS + limit / RESERVED_PART;
+        limit.saturating_sub(reserved)
+    }
 }
 
 impl Gateway {
--- a/crates/http/src/lib.rs
+++ b/crates/http/src/lib.rs
@@ -3,6 +3,7 @@
 
 mod client;
 mod connection;
+mod connections;
 mod dial;
 mod error;
 mod lines;
--- a/crates/http/src/reset.rs
+++ b/crates/http/src/reset.rs
@@ -1,14 +1,19 @@
-//! A caller's connection that is reset when its response was interrupted.
+//! A caller's connection: counts as busy from the first byte of a request, and is reset when its
+//! response was interrupted.
 
 use std::io;
+use std::mem::MaybeUninit;
 use std::pin::Pin;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
-use std::task::{Context, Poll};
+use std::task::{Context, Poll, ready};
 
+use socket2::SockRef;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
 
+use crate::connections::OpenConnection;
+
 /// Tells a connection to end with a reset.
 #[derive(Debug, Clone, Default)]
 pub(crate) struct ResetSignal(Arc<AtomicBool>);
@@ -24,10 +29,20 @@
 }
 
 /// A socket that is closed in order when dropped, or reset if the signal was set.
-#[derive(Debug)]
+#[derive(Debug, Clone)]
 pub(crate) struct ResettableSocket {
-    pub(crate) socket: TcpStream,
+    pub(crate) socket: Arc<TcpStream>,
     pub(crate) signal: ResetSignal,
+    pub(crate) connection: Arc<OpenConnection>,
+}
+
+impl ResettableSocket {
+    /// Whether the peer has sent bytes that were not read.
+    pub(crate) fn has_unread_bytes(&self) -> bool {
+        let mut byte = [MaybeUninit::uninit()];
+        let peeked = SockRef::from(&*self.socket).peek(&mut byte);
+        peeked.is_ok_and(|bytes| bytes > 0)
+    }
 }
 
 impl Drop for ResettableSocket {
@@ -42,40 +57,58 @@
 
 impl AsyncRead for ResettableSocket {
     fn poll_read(
-        mut self: Pin<&mut Self>,
+        self: Pin<&mut Self>,
         context: &mut Context<'_>,
         buffer: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.socket).poll_read(context, buffer)
+        loop {
+            ready!(self.socket.poll_read_ready(context))?;
+            match self.socket.try_read_buf(buffer) {
+                Ok(0) => return Poll::Ready(Ok(())),
+                Ok(_) => {
+                    self.connection.begin();
+                    return Poll::Ready(Ok(()));
+                }
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
+                Err(error) => return Poll::Ready(Err(error)),
+            }
+        }
     }
 }
 
 impl AsyncWrite for ResettableSocket {
     fn poll_write(
-        mut self: Pin<&mut Self>,
+        self: Pin<&mut Self>,
         context: &mut Context<'_>,
         bytes: &[u8],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.socket).poll_write(context, bytes)
+        self.poll_write_vectored(context, &[io::IoSlice::new(bytes)])
     }
 
-    fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.socket).poll_flush(context)
+    fn poll_flush(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Poll::Ready(Ok(()))
     }
 
-    fn poll_shutdown(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.socket).poll_shutdown(context)
+    fn poll_shutdown(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
+        let shut = SockRef::from(&*self.socket).shutdown(std::net::Shutdown::Write);
+        Poll::Ready(shut)
     }
 
     fn is_write_vectored(&self) -> bool {
-        self.socket.is_write_vectored()
+        true
     }
 
     fn poll_write_vectored(
-        mut self: Pin<&mut Self>,
+        self: Pin<&mut Self>,
         context: &mut Context<'_>,
         slices: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.socket).poll_write_vectored(context, slices)
+        loop {
+            ready!(self.socket.poll_write_ready(context))?;
+            match self.socket.try_write_vectored(slices) {
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
+                written => return Poll::Ready(written),
+            }
+        }
     }
 }
--- a/crates/http/src/server.rs
+++ b/crates/http/src/server.rs
@@ -1,7 +1,9 @@
 //! HTTP server loop, and constructors of replies and their bodies.
 
 use std::convert::Infallible;
+use std::pin::Pin;
 use std::sync::Arc;
+use std::task::{Context, Poll};
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -9,7 +11,7 @@
 use futures::stream::StreamExt;
 use http_body_util::combinators::UnsyncBoxBody;
 use http_body_util::{BodyExt, Full, StreamBody};
-use hyper::body::{Frame, Incoming};
+use hyper::body::{Frame, Incoming, SizeHint};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper::{Request, Response, StatusCode, Version};
@@ -20,6 +22,7 @@
 use tokio::sync::watch;
 use tokio_util::task::TaskTracker;
 
+use crate::connections::{Connections, OpenConnection};
 use crate::reset::{ResetSignal, ResettableSocket};
 
 /// A body that ends before it is complete. The connection is closed without the terminating chunk,
@@ -53,6 +56,13 @@
     fn accepts_connection(&self) -> bool {
         true
     }
+    /// Descriptors that the connections and their requests may use. Each request counts its own
+    /// connection and two to upstreams.
+    fn max_descriptors(&self) -> usize {
+        usize::MAX
+    }
+    /// Called for each connection that is closed unread since no descriptors are left for it.
+    fn record_turned_away(&self) {}
 }
 
 /// Limits that don't change.
@@ -104,12 +114,20 @@
     F: Future<Output = Reply> + Send + 'static,
 {
     let handler = Arc::new(handler);
-    let connections = TaskTracker::new();
+    let tasks = TaskTracker::new();
+    let connections = Connections::default();
     let stopped = stop.clone();
     let spawn_connection = |socket: TcpStream| {
+        let Some(connection) = connections.open(limits.max_descriptors()) else {
+            limits.record_turned_away();
+            return;
+        };
         let _ = socket.set_nodelay(true);
         let (handler, stopped) = (handler.clone(), stopped.clone());
-        connections.spawn(serve_connection(socket, limits.clone(), stopped, handler));
+        let limits = limits.clone();
+        tasks.spawn(serve_connection(
+            socket, connection, limits, stopped, handler,
+        ));
     };
     loop {
         let accepted = tokio::select! {
@@ -121,6 +139,7 @@
             Ok((unread, _)) => drop(unread),
             Err(error) => {
                 warn!("http: could not accept a connection: {error}");
+                connections.close_one();
                 tokio::time::sleep(ACCEPT_RETRY_DELAY).await;
             }
         }
@@ -128,8 +147,8 @@
     close_and_drain_backlog(listener)
         .into_iter()
         .for_each(spawn_connection);
-    connections.close();
-    connections.wait().await;
+    tasks.close();
+    tasks.wait().await;
 }
 
 /// Closes a listener and returns the connections in its backlog.
@@ -151,6 +170,7 @@
 
 async fn serve_connection<H, F>(
     socket: TcpStream,
+    connection: OpenConnection,
     limits: Arc<dyn ConnectionLimits>,
     mut stop: watch::Receiver<bool>,
     handler: Arc<H>,
@@ -159,16 +179,22 @@
     F: Future<Output = Reply>,
 {
     let signal = ResetSignal::default();
+    let open = Arc::new(connection);
     let socket = ResettableSocket {
-        socket,
+        socket: Arc::new(socket),
         signal: signal.clone(),
+        connection: open.clone(),
     };
+    let peer = socket.clone();
+    let answering = open.clone();
     let service = service_fn(move |request| {
         let has_chunks = request.version() > Version::HTTP_10;
+        answering.begin();
+        let exchange = Exchange(answering.clone());
         let reply = handler(request);
         let signal = signal.clone();
         async move {
-            let reply = reply.await;
+            let reply = hold_until_sent(reply.await, exchange);
             Ok::<_, Infallible>(if has_chunks {
                 reply
             } else {
@@ -189,14 +215,32 @@
         tokio::time::sleep(FIRST_REQUEST_GRACE).await;
         let _ = stop.wait_for(|stopped| *stopped).await;
     };
+    let closing = async {
+        open.closing().await;
+        // The first byte of a request may have arrived without a notification of the runtime.
+        while peer.has_unread_bytes() {
+            open.closing().await;
+        }
+    };
     tokio::select! {
+        biased;
         _ = &mut connection => return,
         () = stopped => {}
+        () = closing => {}
     }
     connection.as_mut().graceful_shutdown();
     let _ = connection.await;
 }
 
+/// A request in progress, until its response has been sent.
+struct Exchange(Arc<OpenConnection>);
+
+impl Drop for Exchange {
+    fn drop(&mut self) {
+        self.0.end();
+    }
+}
+
 /// A reply with a complete body.
 pub fn full(status: StatusCode, content_type: &'static str, body: impl Into<Bytes>) -> Reply {
     reply(status, content_type, full_body(body))
@@ -239,14 +283,38 @@
 }
 
 /// Keeps `guard` until the body of a reply has been sent or its connection has ended.
-pub fn hold_until_sent<G: Send + 'static>(reply: Reply, guard: G) -> Reply {
-    reply.map(|body| {
-        let held = body.map_frame(move |frame| {
-            let _guard = &guard;
-            frame
-        });
-        held.boxed_unsync()
-    })
+pub fn hold_until_sent<G: Send + Unpin + 'static>(reply: Reply, guard: G) -> Reply {
+    let hold = |body| HeldBody {
+        body,
+        _guard: guard,
+    };
+    reply.map(|body| hold(body).boxed_unsync())
+}
+
+/// A body with a guard. Its length is that of the body, so that it is stated in the head.
+struct HeldBody<G> {
+    body: Body,
+    _guard: G,
+}
+
+impl<G: Unpin> hyper::body::Body for HeldBody<G> {
+    type Data = Bytes;
+    type Error = BodyInterrupted;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, BodyInterrupted>>> {
+        Pin::new(&mut self.body).poll_frame(context)
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.body.is_end_stream()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.body.size_hint()
+    }
 }
 
 /// Resets the connection if the body of a reply is interrupted. A caller that reads no chunks could
