Refuse a request that another gateway has sent for an upstream

An upstream's entry may name the address at which a host accepts callers. Hosts then passed requests on to each other: callers with a valid key got 401, since the key is not forwarded, and on a public route two hosts received one request 4,228 times in its 4 s.

A request that names a registered upstream as its target instance comes from a gateway. A host isn't that upstream and answers 421, which says that the request has not run; the sender takes the entry's upstream for gone and tries another one. A caller that names an instance that isn't registered is served as before.

--- a/crates/gateway/src/head.rs
+++ b/crates/gateway/src/head.rs
@@ -55,6 +55,8 @@
     pub generation: Option<GenerationHead>,
     /// The last event that the caller has received of a stream that broke off.
     pub last_event: Option<u64>,
+    /// The upstream for which a gateway has sent the request.
+    pub target_instance: Option<String>,
 }
 
 /// A request head cannot be used.
--- a/crates/gateway/src/inbound.rs
+++ b/crates/gateway/src/inbound.rs
@@ -170,6 +170,9 @@
         let head = head.map_err(|error| match error {
             HeadError::NoId | HeadError::Malformed { .. } => Problem::BadHead,
         })?;
+        if self.is_misdirected(&head) {
+            return Err(Problem::Misdirected);
+        }
         let route = find_route(active, parts).ok_or(Problem::NoRoute)?;
         tracker.set_route(route);
         if let Some(generation) = &head.generation {
@@ -184,6 +187,14 @@
         };
         Ok((head, route, owner))
     }
+
+    /// Whether another gateway, or this one, has sent the request for an upstream. An upstream's
+    /// entry may state an address of a host, and hosts would pass such a request on to each other
+    /// without an end.
+    fn is_misdirected(&self, head: &RequestHead) -> bool {
+        let instance = head.target_instance.as_deref();
+        instance.is_some_and(|instance| self.roster.lock().contains(instance))
+    }
 }
 
 fn find_route<'a>(active: &'a ActiveConfiguration, parts: &Parts) -> Option<&'a Route> {
--- a/crates/gateway/src/problem.rs
+++ b/crates/gateway/src/problem.rs
@@ -18,6 +18,8 @@
     BadBody,
     /// The body is longer than the operator allows.
     BodyTooLong,
+    /// A gateway has sent it for an upstream, at whose address this host listens.
+    Misdirected,
     /// No route matches.
     NoRoute,
     /// The key is missing or unknown.
@@ -80,6 +82,7 @@
         match self {
             Self::BadHead | Self::BadBody => StatusCode::BAD_REQUEST,
             Self::BodyTooLong => StatusCode::PAYLOAD_TOO_LARGE,
+            Self::Misdirected => StatusCode::MISDIRECTED_REQUEST,
             Self::NoRoute => StatusCode::NOT_FOUND,
             Self::UnknownKey => StatusCode::UNAUTHORIZED,
             Self::NoConfiguration
@@ -111,6 +114,7 @@
             Self::BadHead => "bad_head",
             Self::BadBody => "bad_body",
             Self::BodyTooLong => "body_too_long",
+            Self::Misdirected => "misdirected",
             Self::NoRoute => "no_route",
             Self::UnknownKey => "unknown_key",
             Self::NoConfiguration => "no_configuration",
--- a/crates/gateway/src/roster/mod.rs
+++ b/crates/gateway/src/roster/mod.rs
@@ -131,6 +131,11 @@
         self.entries.len()
     }
 
+    /// Whether an upstream counts as present.
+    pub fn contains(&self, instance: &str) -> bool {
+        self.entries.contains_key(instance)
+    }
+
     /// Whether no upstream counts as present.
     pub fn is_empty(&self) -> bool {
         self.entries.is_empty()
