Take a body that only its connection's end frames for whole under one rule

Streams checked that the upstream still runs before they took such an end for whole; buffered responses and errors didn't. An empty stream counted as complete.

All paths now take the end of such a body for whole only if its upstream still runs (an engine by its report, any other by a connection), and a success only if it has sent a byte of it. Otherwise an idempotent request is retried, others get 502, and a stream that has begun resumes or breaks visibly.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -65,6 +65,8 @@
     Shed,
     /// The request was sent, and its outcome is unknown.
     Unknown,
+    /// The upstream ended with a response that may be complete.
+    Unconfirmed,
     /// The request was sent, and the deadline passed.
     TimedOut,
 }
@@ -80,7 +82,7 @@
         match self {
             Self::Unsent => Problem::Unreachable,
             Self::Shed => Problem::AllRefused,
-            Self::Unknown => Problem::Broken,
+            Self::Unknown | Self::Unconfirmed => Problem::Broken,
             Self::TimedOut => Problem::Timeout,
         }
     }
@@ -90,6 +92,7 @@
             Self::Unsent => "unsent",
             Self::Shed => "shed",
             Self::Unknown => "unknown",
+            Self::Unconfirmed => "unconfirmed",
             Self::TimedOut => "overdue",
         }
     }
--- a/crates/gateway/src/crashes.rs
+++ b/crates/gateway/src/crashes.rs
@@ -134,6 +134,25 @@
         has_lost_link && !self.dial.is_out_of_reach(now_ms, engine.address)
     }
 
+    /// Like [`Self::is_engine_running`], for an upstream of any service: one that is no engine has
+    /// no report, and is only connected to.
+    pub(crate) async fn is_upstream_running(
+        self: &Arc<Self>,
+        service: &str,
+        upstream: &ChosenUpstream,
+    ) -> bool {
+        if self.engine_traits(service).is_some() {
+            return self.is_engine_running(upstream).await;
+        }
+        let has_lost_link = self.dial.has_lost_link(upstream.address);
+        let is_listening = is_listening_over(&self.dial, upstream.address).await;
+        if upstream.lost.is_cancelled() {
+            return false;
+        }
+        let now_ms = self.clock.now_ms();
+        is_listening || has_lost_link && !self.dial.is_out_of_reach(now_ms, upstream.address)
+    }
+
     fn log_crash(&self, run: &InterruptedRun) {
         let is_suspect = run.is_suspect();
         self.metrics.crash(is_suspect);
--- a/crates/gateway/src/relay/mod.rs
+++ b/crates/gateway/src/relay/mod.rs
@@ -261,11 +261,13 @@
     }
 
     /// Takes the stream as complete. If nothing but the end of its connection frames it, its engine
-    /// has to run still.
+    /// has to run still, and to have sent something.
     async fn complete(&mut self) -> bool {
         let engine = self.stream.in_flight.chosen.clone();
-        self.is_complete =
-            !self.stream.ends_with_connection() || self.gateway.is_engine_running(&engine).await;
+        let service = &self.inbound.service;
+        let is_empty = self.tracker.events == 0 && self.stream.first_bytes_ms.is_none();
+        self.is_complete = !self.stream.ends_with_connection()
+            || !is_empty && self.gateway.is_upstream_running(service, &engine).await;
         self.tracker.end_stream(match self.is_complete {
             true => "complete",
             false => "engine_ended",
--- a/crates/gateway/src/relay/response.rs
+++ b/crates/gateway/src/relay/response.rs
@@ -48,7 +48,9 @@
 /// The unread rest of a response's body.
 struct BodyReader {
     body: ResponseBody,
+    framing: Framing,
     status: StatusCode,
+    is_empty: bool,
     in_flight: InFlightRequest,
     /// Closed when dropped, which makes the upstream cancel the request.
     _connection: Connection,
@@ -59,9 +61,10 @@
     async fn next(
         &mut self,
         gateway: &Arc<Gateway>,
+        service: &str,
         deadline_ms: Millis,
     ) -> Result<Option<Bytes>, Failure> {
-        let piece = self.read(gateway, deadline_ms).await;
+        let piece = self.read(gateway, service, deadline_ms).await;
         match &piece {
             Ok(Some(_)) => {}
             Ok(None) if self.status.is_server_error() => {
@@ -77,6 +80,7 @@
     async fn read(
         &mut self,
         gateway: &Arc<Gateway>,
+        service: &str,
         deadline_ms: Millis,
     ) -> Result<Option<Bytes>, Failure> {
         let lost = self.in_flight.chosen.lost.clone();
@@ -90,14 +94,26 @@
                 Ok(Some(Ok(frame))) => {
                     let piece = frame.into_data().unwrap_or_default();
                     if !piece.is_empty() {
+                        self.is_empty = false;
                         return Ok(Some(piece));
                     }
                 }
+                Ok(None) if self.framing == Framing::Close => break,
                 Ok(None) => return Ok(None),
                 Ok(Some(Err(_))) => return Err(Failure::Unknown),
                 Err(_) => return Err(Failure::TimedOut),
             }
         }
+        if self.is_empty && self.status.is_success() {
+            return Err(Failure::Unknown);
+        }
+        // A process that ends closes its connections as if their responses were complete. This one
+        // may be, so that its content is not suspected of a crash.
+        let upstream = &self.in_flight.chosen;
+        match gateway.is_upstream_running(service, upstream).await {
+            true => Ok(None),
+            false => Err(Failure::Unconfirmed),
+        }
     }
 }
 
@@ -129,14 +145,16 @@
         }
         let mut rest = BodyReader {
             body,
+            framing,
             status: parts.status,
+            is_empty: true,
             in_flight,
             _connection: connection,
         };
         let mut buffer = ResponseBuffer::new(self.resources.response_bodies.clone());
-        let deadline_ms = inbound.deadline_ms;
+        let (service, deadline_ms) = (&inbound.service, inbound.deadline_ms);
         let mut unbuffered = None;
-        while let Some(piece) = rest.next(self, deadline_ms).await? {
+        while let Some(piece) = rest.next(self, service, deadline_ms).await? {
             if !buffer.append(&piece) {
                 unbuffered = Some(piece);
                 break;
@@ -247,7 +265,7 @@
             next,
             mut rest,
         } = partial;
-        let deadline_ms = self.inbound.deadline_ms;
+        let (service, deadline_ms) = (&self.inbound.service, self.inbound.deadline_ms);
         let mut piece = buffered;
         let mut following = Some(next);
         loop {
@@ -257,7 +275,7 @@
             }
             let next = match following.take() {
                 Some(next) => Some(next),
-                None => rest.next(&self.gateway, deadline_ms).await?,
+                None => rest.next(&self.gateway, service, deadline_ms).await?,
             };
             match next {
                 Some(next) => piece = next,
--- a/crates/gateway/src/start.rs
+++ b/crates/gateway/src/start.rs
@@ -176,7 +176,7 @@
             problem = failure.problem();
             let is_last = match failure {
                 Failure::Unsent | Failure::Shed => false,
-                Failure::Unknown => !inbound.may_run_again(attempts.runs),
+                Failure::Unknown | Failure::Unconfirmed => !inbound.may_run_again(attempts.runs),
                 Failure::TimedOut => true,
             };
             if is_last {
@@ -414,7 +414,7 @@
         Ok(_) => None,
         Err(Failure::Unsent) => Some(Verdict::Unheard),
         Err(Failure::Shed) => Some(Verdict::Shed),
-        Err(Failure::Unknown | Failure::TimedOut) => Some(Verdict::Failed),
+        Err(Failure::Unknown | Failure::Unconfirmed | Failure::TimedOut) => Some(Verdict::Failed),
     }
 }
 
