Buffer up to 16 MiB of a response whose caller does not read

With a bound of 1 MiB a plain response of 12 MiB whose caller reads late was cut off by its upstream: slow_upstreams.rs, a_plain_answer_is_read_although_its_caller_does_not_read, failed. The bound of a response is now 16 MiB; the budget for all, 0.15 of the memory, stays.

--- a/crates/gateway/src/relay/response_buffer.rs
+++ b/crates/gateway/src/relay/response_buffer.rs
@@ -6,7 +6,7 @@
 use crate::resources::{ByteBudget, HeldBytes};
 
 /// Bytes of one response that are buffered. A longer one is passed on while it arrives.
-const MAX_RESPONSE_BYTES: usize = 1024 * 1024;
+const MAX_RESPONSE_BYTES: usize = 16 * 1024 * 1024;
 /// Bytes of one response that are buffered without a share of the budget, so that short responses
 /// stay retryable once the budget is used up.
 const MIN_RESPONSE_BYTES: usize = 16 * 1024;
