Give other tasks their turn sooner beside a peer that sends without an end

A connection's reader now yields after 16 KiB instead of 64, and fails after 128 KiB without progress instead of 256. hyper buffers 32 KiB, and a head has at most as many, so that a legitimate response makes progress well before.

--- a/crates/http/src/progress.rs
+++ b/crates/http/src/progress.rs
@@ -11,10 +11,10 @@
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 
 /// Bytes that are read from one connection before other tasks run.
-const MAX_TURN_BYTES: usize = 64 * 1024;
+const MAX_TURN_BYTES: usize = 16 * 1024;
 /// Bytes that may arrive without a response head or a piece of a body. hyper accepts interim
 /// responses and leading zeros of a chunk's size without a limit of its own.
-const MAX_UNUSED_BYTES: usize = 256 * 1024;
+const MAX_UNUSED_BYTES: usize = 128 * 1024;
 
 /// Counts the bytes of a connection that have brought its reader nothing so far.
 #[derive(Debug, Default)]
