Break off a stream whose relay ends without finishing it

A caller could take a cut response for whole: a buffered stream ended as complete whenever its writer was dropped, which a panic or the cancellation of the relay's task does as well, so a chunked response got its last chunk.

A stream now ends as complete only by BufferWriter::finish; a writer that is dropped before breaks it off, after the events that were sent.

Evidence: stream_buffers.rs, only_a_finished_stream_ends_as_complete.

--- a/crates/gateway/src/relay/response.rs
+++ b/crates/gateway/src/relay/response.rs
@@ -226,7 +226,7 @@
         let Err(failure) = passed else {
             self.gateway
                 .end_answered(&self.inbound, &mut self.tracker, self.status);
-            return;
+            return writer.finish();
         };
         if failure == Failure::Unknown {
             let run = InterruptedRun::new(&chosen, &self.inbound, &self.tracker, None);
--- a/crates/gateway/src/relay/stream.rs
+++ b/crates/gateway/src/relay/stream.rs
@@ -86,7 +86,9 @@
             () = writer.caller_gone() => return,
             chunk = relay.next() => chunk,
         };
-        let Some(chunk) = chunk else { return };
+        let Some(chunk) = chunk else {
+            return writer.finish();
+        };
         let is_last = chunk.is_err();
         if writer.send(chunk).await.is_err() || is_last {
             return;
--- a/crates/gateway/src/relay/stream_buffer.rs
+++ b/crates/gateway/src/relay/stream_buffer.rs
@@ -46,7 +46,7 @@
 struct Buffered {
     chunk: Chunk,
     arrived_ms: Millis,
-    _permits: (OwnedSemaphorePermit, Option<OwnedSemaphorePermit>),
+    _permits: Option<(OwnedSemaphorePermit, Option<OwnedSemaphorePermit>)>,
 }
 
 /// The buffers of all streams of one host.
@@ -80,8 +80,8 @@
         EventBuffer::new(self.events.clone())
     }
 
-    /// Opens a buffer; the stream ends when the writer is dropped. Events are passed on as `playout`
-    /// decides, or as they come.
+    /// Opens a buffer; the stream ends with [`BufferWriter::finish`], and is broken off when the
+    /// writer is dropped before. Events are passed on as `playout` decides, or as they come.
     pub fn open(
         &self,
         playout: Option<Playout>,
@@ -92,6 +92,7 @@
             own: Arc::new(Semaphore::new(MAX_STREAM_BYTES)),
             host: self.host.clone(),
             clock: self.clock,
+            is_finished: false,
         };
         let reader = BufferReader {
             received,
@@ -145,9 +146,29 @@
     own: Arc<Semaphore>,
     host: Arc<Semaphore>,
     clock: Clock,
+    is_finished: bool,
+}
+
+impl Drop for BufferWriter {
+    /// A task that panics or is cancelled drops its writer in the middle of a stream, which must not
+    /// look complete.
+    fn drop(&mut self) {
+        if !self.is_finished {
+            let _ = self.chunks.send(Buffered {
+                chunk: Err(BodyInterrupted),
+                arrived_ms: self.clock.now_ms(),
+                _permits: None,
+            });
+        }
+    }
 }
 
 impl BufferWriter {
+    /// Ends the stream as complete.
+    pub fn finish(mut self) {
+        self.is_finished = true;
+    }
+
     /// Waits until the caller has left.
     pub async fn caller_gone(&self) {
         self.chunks.closed().await;
@@ -166,7 +187,7 @@
         let buffered = Buffered {
             chunk,
             arrived_ms,
-            _permits: permits,
+            _permits: Some(permits),
         };
         self.chunks.send(buffered).map_err(|_| CallerGone)
     }
--- a/crates/gateway/tests/stream_buffers.rs
+++ b/crates/gateway/tests/stream_buffers.rs
@@ -3,6 +3,7 @@
 use bytes::Bytes;
 use fulmarpath_cluster::Clock;
 use fulmarpath_gateway::{BufferWriter, Chunk, StreamBuffers};
+use fulmarpath_http::BodyInterrupted;
 use futures::{FutureExt, Stream, StreamExt};
 use prometheus_client::metrics::counter::Counter;
 use rstest::rstest;
@@ -97,3 +98,27 @@
         assert_eq!(fill_all(), first);
     }
 }
+
+/// Guards against a relay that panics or is cancelled in the middle of a stream, which then looks
+/// complete: only a stream that was finished ends without an error.
+#[rstest]
+#[case::finished(true)]
+#[case::dropped(false)]
+fn only_a_finished_stream_ends_as_complete(#[case] is_finished: bool) {
+    let buffers = StreamBuffers::new(Clock::start(), Counter::default());
+    let (writer, chunks) = buffers.open(None);
+    let piece = Bytes::from_static(b"data: x\n\n");
+    let sent = writer.send(Ok(piece.clone())).now_or_never();
+    assert_eq!(sent, Some(Ok(())));
+    match is_finished {
+        true => writer.finish(),
+        false => drop(writer),
+    }
+    let received: Vec<Chunk> = chunks
+        .collect()
+        .now_or_never()
+        .expect("the stream has ended");
+    let end = (!is_finished).then_some(Err(BodyInterrupted));
+    let expected: Vec<Chunk> = std::iter::once(Ok(piece)).chain(end).collect();
+    assert_eq!(received, expected);
+}
