--- a/crates/http/src/reset.rs
+++ b/crates/http/src/reset.rs
@@ -1,13 +1,16 @@
-//! A caller's connection that is reset when its response was interrupted.
+//! A caller's connection that is reset when its response was interrupted, and closed when its
+//! response stays unread.
 
 use std::io;
 use std::pin::Pin;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
-use std::task::{Context, Poll};
+use std::task::{Context, Poll, ready};
+use std::time::Duration;
 
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
+use tokio::time::{Sleep, sleep};
 
 /// Tells a connection to end with a reset.
 #[derive(Debug, Clone, Default)]
@@ -23,11 +26,43 @@
     }
 }
 
-/// A socket that is closed in order when dropped, or reset if the signal was set.
+/// A socket that is closed in order when dropped, or reset if the signal was set. Writing fails once
+/// the peer has taken nothing for `write_timeout`.
 #[derive(Debug)]
 pub(crate) struct ResettableSocket {
-    pub(crate) socket: TcpStream,
-    pub(crate) signal: ResetSignal,
+    socket: TcpStream,
+    signal: ResetSignal,
+    write_timeout: Duration,
+    /// Runs while a write waits.
+    write_timer: Option<Pin<Box<Sleep>>>,
+}
+
+impl ResettableSocket {
+    pub(crate) fn new(socket: TcpStream, signal: ResetSignal, write_timeout: Duration) -> Self {
+        Self {
+            socket,
+            signal,
+            write_timeout,
+            write_timer: None,
+        }
+    }
+
+    fn limit_wait(
+        &mut self,
+        context: &mut Context<'_>,
+        written: Poll<io::Result<usize>>,
+    ) -> Poll<io::Result<usize>> {
+        if written.is_ready() {
+            self.write_timer = None;
+            return written;
+        }
+        let write_timeout = self.write_timeout;
+        let timer = self
+            .write_timer
+            .get_or_insert_with(|| Box::pin(sleep(write_timeout)));
+        ready!(timer.as_mut().poll(context));
+        Poll::Ready(Err(io::ErrorKind::TimedOut.into()))
+    }
 }
 
 impl Drop for ResettableSocket {
@@ -56,7 +91,8 @@
         context: &mut Context<'_>,
         bytes: &[u8],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.socket).poll_write(context, bytes)
+        let written = Pin::new(&mut self.socket).poll_write(context, bytes);
+        self.limit_wait(context, written)
     }
 
     fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
@@ -76,6 +112,7 @@
         context: &mut Context<'_>,
         slices: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.socket).poll_write_vectored(context, slices)
+        let written = Pin::new(&mut self.socket).poll_write_vectored(context, slices);
+        self.limit_wait(context, written)
     }
 }
--- a/crates/http/src/server.rs
+++ b/crates/http/src/server.rs
@@ -47,7 +47,8 @@
 pub trait ConnectionLimits: Send + Sync {
     /// Longest request head; hyper refuses a longer one with status 431.
     fn header_limit_bytes(&self) -> usize;
-    /// How long a connection may stay open without a request.
+    /// How long a connection may stay open without a request, or while its peer takes nothing of a
+    /// response.
     fn idle_timeout(&self) -> Duration;
     /// Whether a new connection is served; otherwise it is closed unread. Called once for each.
     fn accepts_connection(&self) -> bool {
@@ -60,7 +61,8 @@
 pub struct FixedLimits {
     /// Longest request head.
     pub header_limit_bytes: usize,
-    /// How long a connection may stay open without a request.
+    /// How long a connection may stay open without a request, or while its peer takes nothing of a
+    /// response.
     pub idle_timeout: Duration,
 }
 
@@ -159,10 +161,8 @@
     F: Future<Output = Reply>,
 {
     let signal = ResetSignal::default();
-    let socket = ResettableSocket {
-        socket,
-        signal: signal.clone(),
-    };
+    let idle_timeout = limits.idle_timeout();
+    let socket = ResettableSocket::new(socket, signal.clone(), idle_timeout);
     let service = service_fn(move |request| {
         let has_chunks = request.version() > Version::HTTP_10;
         let reply = handler(request);
@@ -178,7 +178,7 @@
     });
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
-        .header_read_timeout(limits.idle_timeout())
+        .header_read_timeout(idle_timeout)
         .max_buf_size(limits.header_limit_bytes().max(MIN_BUFFER_BYTES))
         .serve_connection(TokioIo::new(socket), service);
     tokio::pin!(connection);
