Bound the reading of a request's body by its route's time limit

A request whose body stopped half-way had no response at its route's time limit: the body was read for as long as its caller stated (any number of milliseconds), or for 30 s. It kept its descriptor and the room for its body meanwhile, and so did the rest of a refused request's body.

The body is now read no longer than the route allows, and then refused with 503 (too_late_to_send), which holds since nothing was sent on; before, such a request was answered 400 at its caller's own time limit. The rest of a refused body is read for 30 s at most.

Evidence: endless_requests.rs. Both cases of an_incomplete_body_is_answered_by_the_time_limit had no response 1.5 s after the route's 4 s before, and pass now. The cases of a_caller_does_not_hold_the_worker (8 callers; digits, extensions, trailers, chunks of one byte, pipelined requests, empty lines) pass before and after.

--- a/crates/gateway/src/inbound.rs
+++ b/crates/gateway/src/inbound.rs
@@ -22,7 +22,7 @@
 use crate::resources::{ReadLimits, UnreadBody};
 use crate::tracker::RequestTracker;
 
-/// Time for reading the body of a request that states no deadline.
+/// Time for reading the body of a request that states no deadline, and of one that is refused.
 const BODY_TIMEOUT_MS: Millis = 30_000;
 /// A request waits for room for its body no longer than this part of its time.
 const ROOM_WAIT_PART: Millis = 4;
@@ -94,13 +94,13 @@
             tracker.id.clone_from(&head.id);
         }
         let left_ms = head.as_ref().ok().and_then(|head| head.time_left_ms);
-        let read_timeout = Duration::from_millis(left_ms.unwrap_or(BODY_TIMEOUT_MS));
+        let read_ms = left_ms.unwrap_or(BODY_TIMEOUT_MS);
         let active = self.active_configuration();
         let admitted = self.admit_head(active.as_deref(), &parts, head, tracker);
         let (head, route, owner) = match admitted {
             Ok(admitted) => admitted,
             Err(problem) => {
-                discard(&parts, body, read_timeout).await;
+                discard(&parts, body, read_ms).await;
                 return Err(problem);
             }
         };
@@ -113,16 +113,18 @@
         };
         let key = OrganisationKey::of(organisation.as_deref().unwrap_or_default());
         let bodies = &self.resources.request_bodies;
+        let read_timeout = Duration::from_millis(read_ms.min(route.timeout_ms));
         let read = timeout(read_timeout, bodies.read(&mut body, key, limits)).await;
-        let body = match read.unwrap_or(Err(UnreadBody::Broken)) {
+        let body = match read.unwrap_or(Err(UnreadBody::Overdue)) {
             Ok(bytes) => bytes,
             Err(unread) => {
                 let problem = match unread {
                     UnreadBody::TooLong => Problem::BodyTooLong,
                     UnreadBody::NoRoom => Problem::NoBodyRoom,
                     UnreadBody::Broken => Problem::BadBody,
+                    UnreadBody::Overdue => Problem::TooLateToSend,
                 };
-                discard(&parts, body, read_timeout).await;
+                discard(&parts, body, read_ms).await;
                 return Err(problem);
             }
         };
@@ -205,11 +207,12 @@
 /// bytes resets it, and the caller may lose the response that states the reason.
 ///
 /// The response is sent while a slow caller still sends.
-async fn discard(parts: &Parts, mut body: Incoming, read_timeout: Duration) {
+async fn discard(parts: &Parts, mut body: Incoming, read_ms: Millis) {
     // A caller that waits for an interim response has not sent the body and doesn't have to.
     if body.is_end_stream() || parts.headers.contains_key(EXPECT) {
         return;
     }
+    let read_timeout = Duration::from_millis(read_ms.min(BODY_TIMEOUT_MS));
     let reading = tokio::spawn(timeout(read_timeout, async move {
         while let Some(Ok(_)) = body.frame().await {}
     }));
--- a/crates/gateway/src/resources/request_bodies.rs
+++ b/crates/gateway/src/resources/request_bodies.rs
@@ -26,6 +26,8 @@
     TooLong,
     NoRoom,
     Broken,
+    /// Its end did not arrive in time.
+    Overdue,
 }
 
 /// Limits for the reading of one body.
