Close connections of peers that make no call

A connection to the port for other hosts that sent nothing, or whose host or link was gone, was kept for good with its descriptor.

The first bytes are now awaited for 3 s, and a connection without a call is closed after 30 s. Peers connect for a call and close after 3 s without one, and no call lasts as long, so no call is cut.

The 30 s have no test.

--- a/crates/gateway/src/peer.rs
+++ b/crates/gateway/src/peer.rs
@@ -22,6 +22,7 @@
 use tarpc::tokio_serde::formats::Bincode;
 use tokio::io::{AsyncReadExt, join};
 use tokio::net::{TcpListener, TcpStream};
+use tokio::time::timeout;
 
 use crate::encoding::{EncodingError, encode};
 use crate::gateway::Gateway;
@@ -31,6 +32,11 @@
 
 /// Pause after a connection could not be accepted, as without free descriptors.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
+/// Time for the first bytes of a connection, which peers open for a call.
+const START_TIMEOUT: Duration = Duration::from_millis(3_000);
+/// Connections without a call are closed after this time. Peers close theirs much sooner, unless
+/// they or their links are gone, and no call takes as long.
+const IDLE_TIMEOUT: Duration = Duration::from_millis(30_000);
 
 /// Creates a client for the gateway at the other end of a connection.
 pub(crate) fn client(socket: TcpStream, traffic: Arc<Traffic>) -> GatewayPeerClient {
@@ -59,7 +65,8 @@
     /// Serves the calls on a connection from a peer, or the tunnel that it begins with.
     async fn serve_peer(self: Arc<Self>, mut socket: TcpStream) {
         let mut start = [0; TUNNEL_MARK.len()];
-        if socket.read_exact(&mut start).await.is_err() {
+        let started = timeout(START_TIMEOUT, socket.read_exact(&mut start)).await;
+        if !matches!(started, Ok(Ok(_))) {
             return;
         }
         if start == TUNNEL_MARK {
@@ -71,10 +78,10 @@
         let transport = tarpc::serde_transport::new(framed(socket), Bincode::default());
         let server = Server { gateway: self };
         let requests = BaseChannel::with_defaults(transport).execute(server.serve());
-        let served = requests.for_each(|request| async {
+        tokio::pin!(requests);
+        while let Ok(Some(request)) = timeout(IDLE_TIMEOUT, requests.next()).await {
             tokio::spawn(request);
-        });
-        served.await;
+        }
     }
 }
 
