Add a failing test of the bodies that fulmarpath serve holds

unfinished_bodies_count_towards_the_limit: 4 callers with half a body at a limit of one open request; none is refused within 5 s, since a request counts only once its body has been read.

--- a/tests/completions.rs
+++ b/tests/completions.rs
@@ -1,8 +1,13 @@
 //! Complete responses from a running deployment.
 
+use std::time::Duration;
+
 use fulmarpath::dev::caller::{CallerRequest, complete, expected, open, read};
 use fulmarpath::dev::{CALLER_KEY, Deployment, DeploymentSpec, OTHER_CALLER_KEY};
 use rstest::rstest;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+use tokio::time::timeout;
 
 async fn deployment() -> Deployment {
     Deployment::start(DeploymentSpec::default())
@@ -109,3 +114,32 @@
     assert_eq!(second.problem.as_deref(), Some("not-run/stream-limit"));
     assert!(read(first, usize::MAX).await.is_complete);
 }
+
+/// Guards against a host that reads the bodies of any number of callers: a request counts as open
+/// only once its body has been read, so nothing bounds what unfinished bodies hold.
+#[tokio::test(flavor = "multi_thread")]
+async fn unfinished_bodies_count_towards_the_limit() {
+    const CALLERS: usize = 4;
+    let spec = DeploymentSpec {
+        stream_limit: 1,
+        ..DeploymentSpec::default()
+    };
+    let deployment = Deployment::start(spec).await.expect("it starts");
+    let head = format!(
+        "POST /v1/completions HTTP/1.1\r\nHost: a\r\nAuthorization: Bearer {CALLER_KEY}\r\n\
+         Content-Length: 1000000\r\n\r\n"
+    );
+    let unfinished = head + &"x".repeat(500_000);
+    let calls = (0..CALLERS).map(|_| async {
+        let address = deployment.caller_address(0);
+        let mut caller = TcpStream::connect(address).await.expect("connect");
+        let sent = caller.write_all(unfinished.as_bytes()).await;
+        sent.expect("send");
+        let mut answer = [0; 12];
+        let read = timeout(Duration::from_secs(5), caller.read_exact(&mut answer)).await;
+        read.is_ok_and(|read| read.is_ok())
+    });
+    let answered = futures::future::join_all(calls).await;
+    let answered = answered.iter().filter(|answered| **answered).count();
+    assert_eq!(answered, CALLERS - 1);
+}
