--- a/crates/http/src/reset.rs
+++ b/crates/http/src/reset.rs
@@ -1,5 +1,5 @@
-//! A caller's connection: counts as busy from the first byte of a request, and is reset when its
-//! response was interrupted.
+//! A caller's connection: counts as busy from the first byte of a request, is reset when its
+//! response was interrupted, and closed when its response stays unread.
 
 use std::io;
 use std::mem::MaybeUninit;
@@ -7,10 +7,12 @@
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::task::{Context, Poll, ready};
+use std::time::Duration;
 
 use socket2::SockRef;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
+use tokio::time::{Sleep, sleep};
 
 use crate::connections::OpenConnection;
 
@@ -28,20 +30,70 @@
     }
 }
 
-/// A socket that is closed in order when dropped, or reset if the signal was set.
-#[derive(Debug, Clone)]
+/// A socket that is closed in order when dropped, or reset if the signal was set. Writing fails once
+/// the peer has taken nothing for `write_timeout`.
+#[derive(Debug)]
 pub(crate) struct ResettableSocket {
-    pub(crate) socket: Arc<TcpStream>,
-    pub(crate) signal: ResetSignal,
-    pub(crate) connection: Arc<OpenConnection>,
+    socket: Arc<TcpStream>,
+    signal: ResetSignal,
+    connection: Arc<OpenConnection>,
+    write_timeout: Duration,
+    /// Runs while a write waits.
+    write_timer: Option<Pin<Box<Sleep>>>,
+}
+
+/// Whether the peer has sent bytes that were not read.
+pub(crate) fn has_unread_bytes(socket: &TcpStream) -> bool {
+    let mut byte = [MaybeUninit::uninit()];
+    let peeked = SockRef::from(socket).peek(&mut byte);
+    peeked.is_ok_and(|bytes| bytes > 0)
 }
 
 impl ResettableSocket {
-    /// Whether the peer has sent bytes that were not read.
-    pub(crate) fn has_unread_bytes(&self) -> bool {
-        let mut byte = [MaybeUninit::uninit()];
-        let peeked = SockRef::from(&*self.socket).peek(&mut byte);
-        peeked.is_ok_and(|bytes| bytes > 0)
+    pub(crate) fn new(
+        socket: Arc<TcpStream>,
+        signal: ResetSignal,
+        connection: Arc<OpenConnection>,
+        write_timeout: Duration,
+    ) -> Self {
+        Self {
+            socket,
+            signal,
+            connection,
+            write_timeout,
+            write_timer: None,
+        }
+    }
+
+    fn write(
+        &self,
+        context: &mut Context<'_>,
+        slices: &[io::IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        loop {
+            ready!(self.socket.poll_write_ready(context))?;
+            match self.socket.try_write_vectored(slices) {
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
+                written => return Poll::Ready(written),
+            }
+        }
+    }
+
+    fn limit_wait(
+        &mut self,
+        context: &mut Context<'_>,
+        written: Poll<io::Result<usize>>,
+    ) -> Poll<io::Result<usize>> {
+        if written.is_ready() {
+            self.write_timer = None;
+            return written;
+        }
+        let write_timeout = self.write_timeout;
+        let timer = self
+            .write_timer
+            .get_or_insert_with(|| Box::pin(sleep(write_timeout)));
+        ready!(timer.as_mut().poll(context));
+        Poll::Ready(Err(io::ErrorKind::TimedOut.into()))
     }
 }
 
@@ -99,16 +151,11 @@
     }
 
     fn poll_write_vectored(
-        self: Pin<&mut Self>,
+        mut self: Pin<&mut Self>,
         context: &mut Context<'_>,
         slices: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        loop {
-            ready!(self.socket.poll_write_ready(context))?;
-            match self.socket.try_write_vectored(slices) {
-                Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
-                written => return Poll::Ready(written),
-            }
-        }
+        let written = self.write(context, slices);
+        self.limit_wait(context, written)
     }
 }
--- a/crates/http/src/server.rs
+++ b/crates/http/src/server.rs
@@ -23,7 +23,7 @@
 use tokio_util::task::TaskTracker;
 
 use crate::connections::{Connections, OpenConnection};
-use crate::reset::{ResetSignal, ResettableSocket};
+use crate::reset::{ResetSignal, ResettableSocket, has_unread_bytes};
 
 /// A body that ends before it is complete. The connection is closed without the terminating chunk,
 /// so that the peer can't take the part it received for the complete body.
@@ -50,7 +50,8 @@
 pub trait ConnectionLimits: Send + Sync {
     /// Longest request head; hyper refuses a longer one with status 431.
     fn header_limit_bytes(&self) -> usize;
-    /// How long a connection may stay open without a request.
+    /// How long a connection may stay open without a request, or while its peer takes nothing of a
+    /// response.
     fn idle_timeout(&self) -> Duration;
     /// Whether a new connection is served; otherwise it is closed unread. Called once for each.
     fn accepts_connection(&self) -> bool {
@@ -70,7 +71,8 @@
 pub struct FixedLimits {
     /// Longest request head.
     pub header_limit_bytes: usize,
-    /// How long a connection may stay open without a request.
+    /// How long a connection may stay open without a request, or while its peer takes nothing of a
+    /// response.
     pub idle_timeout: Duration,
 }
 
@@ -179,13 +181,10 @@
     F: Future<Output = Reply>,
 {
     let signal = ResetSignal::default();
+    let idle_timeout = limits.idle_timeout();
     let open = Arc::new(connection);
-    let socket = ResettableSocket {
-        socket: Arc::new(socket),
-        signal: signal.clone(),
-        connection: open.clone(),
-    };
-    let peer = socket.clone();
+    let peer = Arc::new(socket);
+    let socket = ResettableSocket::new(peer.clone(), signal.clone(), open.clone(), idle_timeout);
     let answering = open.clone();
     let service = service_fn(move |request| {
         let has_chunks = request.version() > Version::HTTP_10;
@@ -204,7 +203,7 @@
     });
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
-        .header_read_timeout(limits.idle_timeout())
+        .header_read_timeout(idle_timeout)
         .max_buf_size(limits.header_limit_bytes().max(MIN_BUFFER_BYTES))
         .serve_connection(TokioIo::new(socket), service);
     tokio::pin!(connection);
@@ -218,7 +217,7 @@
     let closing = async {
         open.closing().await;
         // The first byte of a request may have arrived without a notification of the runtime.
-        while peer.has_unread_bytes() {
+        while has_unread_bytes(&peer) {
             open.closing().await;
         }
     };
