Find the oldest growing body without a scan of all bodies

The worker could be held by the decisions about bodies: whether a growing body fits looked for the oldest growing one among all bodies, once for each that waits. With n bodies in use and n that wait, one decision cost n * n steps under a lock, and each body that arrives, grows or ends makes one.

Growing bodies are now kept in a set, whose first is the oldest.

--- a/crates/gateway/src/resources/body_admission.rs
+++ b/crates/gateway/src/resources/body_admission.rs
@@ -77,6 +77,8 @@
     next_id: u64,
     bodies: BTreeMap<BodyId, Body>,
     waiting: BTreeSet<BodyId>,
+    /// Bodies that have grown and are neither complete nor refused.
+    growing: BTreeSet<BodyId>,
     held_by: HashMap<OrganisationKey, usize>,
 }
 
@@ -89,6 +91,7 @@
             next_id: 0,
             bodies: BTreeMap::new(),
             waiting: BTreeSet::new(),
+            growing: BTreeSet::new(),
             held_by: HashMap::new(),
         }
     }
@@ -143,6 +146,7 @@
         }
         if body.held_bytes + bytes > total_bytes {
             body.state = BodyState::Refused;
+            self.growing.remove(&id);
             return;
         }
         body.state = BodyState::Waiting;
@@ -150,6 +154,7 @@
         body.asked_bytes = bytes;
         body.wait_until_ms = wait_until_ms;
         self.waiting.insert(id);
+        self.growing.insert(id);
     }
 
     /// Counts bytes of a body that were read.
@@ -168,6 +173,7 @@
             return;
         }
         body.state = BodyState::Complete;
+        self.growing.remove(&id);
         let unused_bytes = body.held_bytes.saturating_sub(body.received_bytes);
         body.held_bytes -= unused_bytes;
         let organisation = body.organisation;
@@ -177,6 +183,7 @@
     /// Removes a body whose bytes are no longer in memory.
     pub fn remove(&mut self, id: BodyId) {
         self.waiting.remove(&id);
+        self.growing.remove(&id);
         if let Some(body) = self.bodies.remove(&id) {
             self.give_back(body.organisation, body.held_bytes);
         }
@@ -238,7 +245,7 @@
         let Some(left_bytes) = free_bytes.checked_sub(body.asked_bytes) else {
             return false;
         };
-        let must_leave_part = body.is_growing && self.oldest_growing() != Some(id);
+        let must_leave_part = body.is_growing && self.growing.first() != Some(&id);
         if must_leave_part && left_bytes < self.total_bytes / OLDEST_PART {
             return false;
         }
@@ -251,13 +258,6 @@
         is_only_body || held_bytes + body.asked_bytes <= multiple.saturating_mul(left_bytes)
     }
 
-    /// The oldest body that has grown and is not complete.
-    fn oldest_growing(&self) -> Option<BodyId> {
-        let is_read = |body: &Body| matches!(body.state, BodyState::Waiting | BodyState::Reading);
-        let mut growing = self.bodies.iter().filter(|(_, body)| body.is_growing);
-        growing.find(|(_, body)| is_read(body)).map(|(id, _)| *id)
-    }
-
     fn is_small(&self, body: &Body) -> bool {
         body.held_bytes + body.asked_bytes <= self.total_bytes / SMALL_PART
     }
@@ -306,6 +306,7 @@
 
     fn refuse(&mut self, id: BodyId) {
         self.waiting.remove(&id);
+        self.growing.remove(&id);
         if let Some(body) = self.bodies.get_mut(&id) {
             body.state = BodyState::Refused;
         }
--- a/crates/gateway/tests/body_admission.rs
+++ b/crates/gateway/tests/body_admission.rs
@@ -1,5 +1,7 @@
 //! Room for the bodies of callers' requests.
 
+use std::time::{Duration, Instant};
+
 use fulmarpath_gateway::{BodyAdmission, BodyId, BodyState};
 use fulmarpath_policy::{Millis, OrganisationKey};
 use rstest::rstest;
@@ -169,3 +171,41 @@
     bodies.advance(10_000);
     assert_eq!(bodies.states(&[sender]), [Reading]);
 }
+
+/// Guards against decisions whose work grows with the bodies in use times those that wait, and that
+/// hold the worker: 800 of each took over half a minute.
+#[test]
+fn many_waiting_bodies_are_decided_quickly() {
+    const BODIES: usize = 800;
+    const PART_BYTES: usize = 8_192;
+    let mut admission = BodyAdmission::new(65_000_000);
+    let organisation = |number: usize| OrganisationKey::of(&format!("o{}", number % 50));
+    let add = |admission: &mut BodyAdmission, number, bytes| {
+        let id = admission.add(organisation(number), bytes, WAIT_MS);
+        admission.decide(0);
+        let id = id.expect("it fits the budget");
+        assert_eq!(admission.state(id), Reading);
+        admission.receive(id, bytes);
+        id
+    };
+    for number in 0..BODIES {
+        let id = add(&mut admission, number, PART_BYTES);
+        admission.grow(id, PART_BYTES, WAIT_MS);
+        admission.decide(0);
+        admission.complete(id);
+    }
+    // Leaves less than the part that growing bodies leave to the oldest of them.
+    let large = add(&mut admission, BODIES, 30_000_000);
+    admission.complete(large);
+    let waiting = (0..BODIES).map(|number| add(&mut admission, number, PART_BYTES));
+    let waiting: Vec<BodyId> = waiting.collect();
+    let started = Instant::now();
+    for id in &waiting {
+        admission.grow(*id, PART_BYTES, WAIT_MS);
+        admission.decide(0);
+    }
+    let took = started.elapsed();
+    let is_waiting = |id: &&BodyId| admission.state(**id) == Waiting;
+    assert!(waiting.iter().filter(is_waiting).count() > BODIES / 2);
+    assert!(took < Duration::from_millis(5_000), "{took:?}");
+}
