--- a/crates/gateway/src/resources/usage.rs
+++ b/crates/gateway/src/resources/usage.rs
@@ -2,14 +2,14 @@
 
 use rustix::process::{Resource, getrlimit};
 
-/// Linux reports the resident size in pages.
-const PAGE_BYTES: usize = 4_096;
-
 /// Memory that the process has resident; `None` if the system does not tell.
 pub(crate) fn resident_bytes() -> Option<usize> {
-    let statm = std::fs::read_to_string("/proc/self/statm").ok()?;
-    let pages: usize = statm.split_whitespace().nth(1)?.parse().ok()?;
-    Some(pages * PAGE_BYTES)
+    let status = std::fs::read_to_string("/proc/self/status").ok()?;
+    let resident = status
+        .lines()
+        .find_map(|line| line.strip_prefix("VmRSS:"))?;
+    let resident_kib: usize = resident.split_whitespace().next()?.parse().ok()?;
+    Some(resident_kib * 1_024)
 }
 
 /// Descriptors that the process may have open.
