Reject responses whose head frames the body in no way or in two

Callers saw answers as complete whose body was not the upstream's. With a transfer coding beside a Content-Length, the body of a streaming route was decoded by its chunks while the length was passed on: the caller got 200, complete, after 10 of 1,000 bytes, or no answer if the length was not a number. With a coding other than chunked (chunkedx, gzip, identity, empty, chunked twice or not last), the bytes were passed on as they came and the name of the coding was dropped.

Cause: hyper takes the body by the transfer coding alone, and reads to the end of the connection if it doesn't know the coding. The fields and the decoded body went separate ways after that, so that a field of the connection to the upstream described the body of the one to the caller.

A connection now fails an exchange as malformed, with a log line, if the response has both fields or any coding but chunked alone. RFC 9112 (6.1, 6.3) allows both, and no request states TE. Each answer that a process reads passes there: of upstreams, also through tunnels, of engines' own calls, of the store, and of engines and services behind `fulmarpath serve`. A stream no longer passes on its first engine's length, since another engine may finish it, and a length that is stated twice is passed on once.

Ruled out: lengths that are no number, two that differ, lines that are no field, names and values with blanks or control bytes, and malformed status lines were refused with 502 before; their cases stay as tests.

response_ends.rs expected a response with `Transfer-Encoding: identity` to be passed on. RFC 9112 has no such coding, so its bytes can't be told to be the body. The case stays with every end and kind: the caller gets another upstream's response or 502, never a success of this one.

--- a/crates/gateway/src/relay/framing.rs
+++ b/crates/gateway/src/relay/framing.rs
@@ -1,8 +1,8 @@
 //! How the body of an upstream's response is framed, which tells how far its end can be trusted.
 
+use hyper::Response;
 use hyper::body::Body;
 use hyper::header::{CONTENT_LENGTH, TRANSFER_ENCODING};
-use hyper::{HeaderMap, Response};
 
 /// The framing of a response's body.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -22,10 +22,8 @@
             // The request's method or the status excludes a body.
             Self::Length
         } else if headers.contains_key(TRANSFER_ENCODING) {
-            match is_chunked(headers) {
-                true => Self::Chunked,
-                false => Self::Close,
-            }
+            // No other transfer coding is accepted.
+            Self::Chunked
         } else if headers.contains_key(CONTENT_LENGTH) {
             Self::Length
         } else {
@@ -42,11 +40,3 @@
         }
     }
 }
-
-/// Whether the last transfer coding is `chunked`. A body with another one ends with its connection.
-fn is_chunked(headers: &HeaderMap) -> bool {
-    let last_field = headers.get_all(TRANSFER_ENCODING).iter().next_back();
-    let codings = last_field.and_then(|field| field.to_str().ok());
-    let last_coding = codings.and_then(|codings| codings.rsplit(',').next());
-    last_coding.is_some_and(|coding| coding.trim().eq_ignore_ascii_case("chunked"))
-}
--- a/crates/gateway/src/relay/response.rs
+++ b/crates/gateway/src/relay/response.rs
@@ -10,6 +10,7 @@
 use fulmarpath_http::{BodyInterrupted, Connection, Reply, ResponseBody, full_body, stream_body};
 use fulmarpath_policy::{Millis, Verdict};
 use http_body_util::BodyExt;
+use hyper::body::Body;
 use hyper::header::CONTENT_LENGTH;
 use hyper::{HeaderMap, Response, StatusCode};
 use tokio::time::{sleep, timeout};
@@ -139,9 +140,9 @@
             return Err(Failure::Unknown);
         }
         let mut headers = parts.headers;
-        if framing == Framing::Chunked || framing == Framing::Close {
-            // It is not the length of this body.
-            headers.remove(CONTENT_LENGTH);
+        // An upstream may state the same length more than once.
+        if let Some(length) = body.size_hint().exact().filter(|length| *length > 0) {
+            headers.insert(CONTENT_LENGTH, length.into());
         }
         let mut rest = BodyReader {
             body,
--- a/crates/gateway/src/relay/stream.rs
+++ b/crates/gateway/src/relay/stream.rs
@@ -7,6 +7,7 @@
 use fulmarpath_http::{Reply, full_body, stream_body};
 use fulmarpath_policy::{Millis, Playout};
 use hyper::Response;
+use hyper::header::CONTENT_LENGTH;
 
 use crate::gateway::Gateway;
 use crate::hop;
@@ -40,6 +41,8 @@
         *reply.status_mut() = started.response.http.status();
         *reply.headers_mut() = started.response.http.headers().clone();
         hop::strip(reply.headers_mut());
+        // Another engine may finish the stream, with another length.
+        reply.headers_mut().remove(CONTENT_LENGTH);
         let playout = self.playout(&inbound);
         let relay = Relay::new(inbound, tracker, run_guard, attempts, started);
         let (writer, chunks) = self.stream_buffers.open(playout);
--- a/crates/http/src/connection.rs
+++ b/crates/http/src/connection.rs
@@ -9,11 +9,13 @@
 use hyper::client::conn::http1;
 use hyper::{Request, Response};
 use hyper_util::rt::TokioIo;
+use spdlog::info;
 use tokio::time::sleep;
 use tokio_util::task::AbortOnDropHandle;
 
 use crate::dial::{ByteStream, Dial, TcpDial};
 use crate::error::HttpError;
+use crate::framing::check_head;
 use crate::progress::{BoundedStream, Progress, ResponseBody};
 
 /// Wait before probing whether a peer that closed a connection still runs. An exiting process
@@ -100,6 +102,10 @@
                 },
             )?;
         self.progress.advance();
+        if let Err(error) = check_head(&response) {
+            info!("http: could not use the response of {address}: {error}");
+            return Err(HttpError::Malformed { address });
+        }
         Ok(response.map(|body| ResponseBody::new(body, self.progress.clone())))
     }
 
--- a/crates/http/src/lib.rs
+++ b/crates/http/src/lib.rs
@@ -6,6 +6,7 @@
 mod connections;
 mod dial;
 mod error;
+mod framing;
 mod lines;
 mod progress;
 mod reset;
