Reject statuses that no final response has

An upstream's answer with status 101, to a request that asks for no upgrade, reached the caller as a final answer without a body; one with status 600 or 999 as an answer.

Cause: hyper hands 101 on, as it may begin an upgrade, and accepts each status from 100 to 999. A connection now fails the exchange as malformed. RFC 9110 (15) defines 100 to 599, and requests go out without Upgrade, so no other final status can be meant.

--- a/crates/http/src/framing.rs
+++ b/crates/http/src/framing.rs
@@ -1,11 +1,19 @@
 //! Checks that the head of a response frames its body in exactly one way.
 
 use hyper::header::{CONTENT_LENGTH, TRANSFER_ENCODING};
-use hyper::{HeaderMap, Response};
+use hyper::{HeaderMap, Response, StatusCode};
+
+/// The largest status that RFC 9110 (15) defines.
+const MAX_STATUS: u16 = 599;
 
 /// Why a response that hyper has parsed can't be trusted.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, thiserror::Error)]
 pub(crate) enum HeadError {
+    /// The final response has an interim status, or switches protocols unasked.
+    #[error("status {0} is not that of a final response")]
+    Interim(StatusCode),
+    #[error("status {0} is out of range")]
+    OutOfRange(StatusCode),
     /// Only `chunked` alone can be decoded.
     #[error("its transfer coding is unknown")]
     UnknownCoding,
@@ -16,6 +24,13 @@
 
 /// Checks what hyper leaves unchecked.
 pub(crate) fn check_head<B>(response: &Response<B>) -> Result<(), HeadError> {
+    let status = response.status();
+    if status.is_informational() {
+        return Err(HeadError::Interim(status));
+    }
+    if status.as_u16() > MAX_STATUS {
+        return Err(HeadError::OutOfRange(status));
+    }
     let headers = response.headers();
     if !headers.contains_key(TRANSFER_ENCODING) {
         return Ok(());
--- a/crates/http/tests/malformed_responses.rs
+++ b/crates/http/tests/malformed_responses.rs
@@ -41,3 +41,16 @@
     let call = get(address, "/", TIME_LIMIT).await;
     assert_eq!(call.err(), Some(HttpError::Malformed { address }));
 }
+
+/// Guards against a status that no final response has.
+#[rstest]
+#[case::switching_protocols(b"HTTP/1.1 101 Whatever\r\n\r\n")]
+#[case::too_large(b"HTTP/1.1 600 Whatever\r\nContent-Length: 2\r\n\r\n{}")]
+#[case::largest(b"HTTP/1.1 999 Whatever\r\nContent-Length: 2\r\n\r\n{}")]
+#[case::zero(b"HTTP/1.1 000 Whatever\r\nContent-Length: 2\r\n\r\n{}")]
+#[tokio::test]
+async fn a_status_out_of_range_is_malformed(#[case] response: &'static [u8]) {
+    let address = start(response).await;
+    let call = get(address, "/", TIME_LIMIT).await;
+    assert_eq!(call.err(), Some(HttpError::Malformed { address }));
+}
