Don't take a stream without any event for a complete one

An engine that states a length of 0 for its stream, or sends the last chunk at once, reached the caller as 200, complete, with no event.

Cause: the check that a stream is not empty was made only if nothing but the end of its connection framed it. A success that has no body by its head is now no answer of an engine: the request goes to another engine if it may run again, else the caller gets 502. A stream that ends before its first event is broken off. A caller that resumes a stream may have all events, and HEAD has none.

--- a/crates/gateway/src/inbound.rs
+++ b/crates/gateway/src/inbound.rs
@@ -62,6 +62,11 @@
         is_repeatable && runs < self.route.max_attempts
     }
 
+    /// Whether a stream without any event may answer it: the caller may have all of them already.
+    pub(crate) fn may_have_no_events(&self) -> bool {
+        self.last_event.is_some() || self.method == Method::HEAD
+    }
+
     /// The organisation to which the request is accounted. Requests on public routes share one
     /// additional key.
     pub(crate) fn organisation_key(&self) -> OrganisationKey {
--- a/crates/gateway/src/relay/mod.rs
+++ b/crates/gateway/src/relay/mod.rs
@@ -260,14 +260,16 @@
         Ok(self.handover.end_stream(StreamEnd::Broken))
     }
 
-    /// Takes the stream as complete. If nothing but the end of its connection frames it, its engine
-    /// has to run still, and to have sent something.
+    /// Takes the stream as complete if its engine has sent something, and if that still runs where
+    /// nothing but the end of its connection frames the stream.
     async fn complete(&mut self) -> bool {
         let engine = self.stream.in_flight.chosen.clone();
         let service = &self.inbound.service;
         let is_empty = self.tracker.events == 0 && self.stream.first_bytes_ms.is_none();
-        self.is_complete = !self.stream.ends_with_connection()
-            || !is_empty && self.gateway.is_upstream_running(service, &engine).await;
+        self.is_complete = match self.stream.ends_with_connection() {
+            true => !is_empty && self.gateway.is_upstream_running(service, &engine).await,
+            false => !is_empty || self.inbound.may_have_no_events(),
+        };
         self.tracker.end_stream(match self.is_complete {
             true => "complete",
             false => "engine_ended",
--- a/crates/gateway/src/start.rs
+++ b/crates/gateway/src/start.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use fulmarpath_policy::{Millis, Placement, PlacementRequest, RunStatement, UpstreamKey, Verdict};
+use hyper::body::Body;
 use tokio::time::{sleep, timeout};
 
 use crate::attempt::{DispatchOptions, Failure, UpstreamResponse};
@@ -220,13 +221,10 @@
         let result = self
             .report_silence(inbound, run_guard, engine, dispatch)
             .await;
-        // A successful response without a signature does not come from the engine itself.
-        let result = result.and_then(|response| {
-            let is_success = response.http.status().is_success();
-            match is_success && !response.head.is_signed {
-                true => Err(Failure::Unknown),
-                false => Ok(response),
-            }
+        let may_be_empty = last_event.is_some() || inbound.may_have_no_events();
+        let result = result.and_then(|response| match is_usable(&response, may_be_empty) {
+            true => Ok(response),
+            false => Err(Failure::Unknown),
         });
         if let Some(verdict) = engine_verdict(&result) {
             self.report_engine_failure(run_guard.cell, engine, verdict);
@@ -438,3 +436,13 @@
         priority: inbound.priority,
     }
 }
+
+/// Whether a response is an error of the engine, or a stream that may be passed on. A success without
+/// a signature does not come from the engine itself, and each generation has an event.
+fn is_usable(response: &UpstreamResponse, may_be_empty: bool) -> bool {
+    if !response.http.status().is_success() {
+        return true;
+    }
+    let is_empty = response.http.body().is_end_stream();
+    response.head.is_signed && (may_be_empty || !is_empty)
+}
