Don't take a body for whole while more of it follows

Callers got 200, complete, with 0, 10 or 999 bytes of a body of 1,000, signed by the upstream: its head stated too short a length, and the rest of the body followed. An engine's stream was complete after 60 of 442 bytes if that was the end of an event, and a 204 with a body was passed on without it.

Cause: a response counted as whole once its framing said so. hyper does see bytes that follow, but only reports that the connection can't be used again, and looks at none if the connection is to close. RFC 9112 (6.3) allows to take them as a sign that the length is wrong.

The task that drives a connection now keeps what hyper has not used of the last response, reads on where hyper doesn't, and records bytes that follow. Reading the body then ends with an error, for all readers: upstreams' responses, engines' own calls, the store, `fulmarpath serve`. Responses for callers wait up to 2 ms for such bytes before they count as whole, and streams of events with a stated length up to 200 ms, since their next event comes later. Events themselves are not held. Idempotent requests go to another upstream, others get 502; a stream that has begun breaks off.

Another response that follows unasked says nothing about the body before it, so the first one is still passed on. Neither does a body that some upstreams send in response to HEAD.

Left: a rest that comes later than the wait.

--- a/crates/gateway/src/relay/engine_stream.rs
+++ b/crates/gateway/src/relay/engine_stream.rs
@@ -14,7 +14,7 @@
 use crate::attempt::UpstreamResponse;
 use crate::gateway::Gateway;
 use crate::relay::events::{EventBuffer, EventTooLong};
-use crate::relay::framing::Framing;
+use crate::relay::framing::{EVENT_SURPLUS_WAIT, Framing, SURPLUS_WAIT};
 use crate::tracker::InFlightRequest;
 use crate::upstreams::instance::Destination;
 
@@ -45,7 +45,7 @@
     has_events: bool,
     framing: Framing,
     body: ResponseBody,
-    _connection: Connection,
+    connection: Connection,
 }
 
 impl EngineStream {
@@ -57,7 +57,7 @@
             framing: Framing::of(&response.http),
             in_flight: response.in_flight,
             body: response.http.into_body(),
-            _connection: response.connection,
+            connection: response.connection,
         }
     }
 
@@ -81,6 +81,13 @@
         self.framing == Framing::Close
     }
 
+    fn surplus_wait(&self) -> Duration {
+        match self.framing {
+            Framing::Length if self.has_events => EVENT_SURPLUS_WAIT,
+            _ => SURPLUS_WAIT,
+        }
+    }
+
     /// Waits for more data of the stream.
     pub(crate) async fn read(
         &mut self,
@@ -104,6 +111,9 @@
                 }
             }
             Ok(None) if self.has_events && events.is_in_event() => StreamRead::EndInEvent,
+            Ok(None) if self.connection.has_surplus(self.surplus_wait()).await => {
+                StreamRead::Broken
+            }
             Ok(None) => StreamRead::End,
             Ok(Some(Err(_))) => StreamRead::Broken,
             Err(_) => StreamRead::TimedOut,
--- a/crates/gateway/src/relay/framing.rs
+++ b/crates/gateway/src/relay/framing.rs
@@ -1,9 +1,19 @@
 //! How the body of an upstream's response is framed, which tells how far its end can be trusted.
 
+use std::time::Duration;
+
 use hyper::Response;
 use hyper::body::Body;
 use hyper::header::{CONTENT_LENGTH, TRANSFER_ENCODING};
 
+/// How long the end of a body is held back in case more bytes follow, which shows that its framing
+/// is wrong. A peer that states a wrong length has usually sent the rest of the body already.
+pub(crate) const SURPLUS_WAIT: Duration = Duration::from_millis(2);
+
+/// The same for a stream of events with a stated length: longer than an engine under load takes for
+/// an event.
+pub(crate) const EVENT_SURPLUS_WAIT: Duration = Duration::from_millis(200);
+
 /// The framing of a response's body.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) enum Framing {
--- a/crates/gateway/src/relay/response.rs
+++ b/crates/gateway/src/relay/response.rs
@@ -20,7 +20,7 @@
 use crate::gateway::Gateway;
 use crate::hop;
 use crate::inbound::InboundRequest;
-use crate::relay::framing::Framing;
+use crate::relay::framing::{Framing, SURPLUS_WAIT};
 use crate::relay::response_buffer::ResponseBuffer;
 use crate::relay::stream_buffer::BufferWriter;
 use crate::tracker::{InFlightRequest, RequestTracker};
@@ -54,7 +54,7 @@
     is_empty: bool,
     in_flight: InFlightRequest,
     /// Closed when dropped, which makes the upstream cancel the request.
-    _connection: Connection,
+    connection: Connection,
 }
 
 impl BodyReader {
@@ -100,6 +100,9 @@
                     }
                 }
                 Ok(None) if self.framing == Framing::Close => break,
+                Ok(None) if self.connection.has_surplus(SURPLUS_WAIT).await => {
+                    return Err(Failure::Unknown);
+                }
                 Ok(None) => return Ok(None),
                 Ok(Some(Err(_))) => return Err(Failure::Unknown),
                 Err(_) => return Err(Failure::TimedOut),
@@ -150,7 +153,7 @@
             status: parts.status,
             is_empty: true,
             in_flight,
-            _connection: connection,
+            connection,
         };
         let mut buffer = ResponseBuffer::new(self.resources.response_bodies.clone());
         let (service, deadline_ms) = (&inbound.service, inbound.deadline_ms);
--- a/crates/http/src/connection.rs
+++ b/crates/http/src/connection.rs
@@ -1,5 +1,6 @@
 //! A connection to a peer, which carries one exchange at a time.
 
+use std::future::poll_fn;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -7,15 +8,17 @@
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::client::conn::http1;
-use hyper::{Request, Response};
+use hyper::{Method, Request, Response};
 use hyper_util::rt::TokioIo;
 use spdlog::info;
-use tokio::time::sleep;
+use tokio::io::AsyncReadExt;
+use tokio::task::yield_now;
+use tokio::time::{sleep, timeout};
 use tokio_util::task::AbortOnDropHandle;
 
 use crate::dial::{ByteStream, Dial, TcpDial};
 use crate::error::HttpError;
-use crate::framing::check_head;
+use crate::framing::{check_head, continues_body};
 use crate::progress::{BoundedStream, Progress, ResponseBody};
 
 /// Wait before probing whether a peer that closed a connection still runs. An exiting process
@@ -28,6 +31,8 @@
 
 /// Bytes that hyper buffers of one connection, and the longest response head.
 const MAX_BUFFER_BYTES: usize = 32 * 1024;
+/// Bytes after a response that are looked at.
+const SURPLUS_BYTES: usize = 16;
 
 /// Whether a peer that has just closed a connection still accepts new ones.
 pub async fn is_listening(address: SocketAddr) -> bool {
@@ -46,7 +51,7 @@
     address: SocketAddr,
     sender: http1::SendRequest<Full<Bytes>>,
     progress: Arc<Progress>,
-    _driver: AbortOnDropHandle<hyper::Result<()>>,
+    driver: AbortOnDropHandle<()>,
 }
 
 impl Connection {
@@ -72,11 +77,12 @@
         let Ok((sender, driver)) = handshake.await else {
             return Err(HttpError::Unreachable { address });
         };
+        let driver = tokio::spawn(drive(driver, progress.clone()));
         Ok(Self {
             address,
             sender,
             progress,
-            _driver: AbortOnDropHandle::new(tokio::spawn(driver)),
+            driver: AbortOnDropHandle::new(driver),
         })
     }
 
@@ -92,7 +98,7 @@
         let address = self.address;
         let ready = self.sender.ready().await;
         ready.map_err(|_| HttpError::Unreachable { address })?;
-        self.progress.advance();
+        self.progress.begin(request.method() != Method::HEAD);
         let response = self.sender.send_request(request).await;
         let response =
             response.map_err(
@@ -109,9 +115,42 @@
         Ok(response.map(|body| ResponseBody::new(body, self.progress.clone())))
     }
 
+    /// Whether the peer has sent more of a body than the framing of its last response states, or
+    /// does so within `wait`. Returns early if the peer closes the connection.
+    pub async fn has_surplus(&mut self, wait: Duration) -> bool {
+        if !self.driver.is_finished() && timeout(wait, &mut self.driver).await.is_err() {
+            // On a busy host the driver may not have run since the bytes arrived.
+            yield_now().await;
+        }
+        self.progress.has_surplus()
+    }
+
     /// Whether the connection can carry another exchange, as far as is known: the last one is
     /// complete, and the peer has neither closed the connection nor sent unsolicited bytes.
     pub fn is_idle(&self) -> bool {
         self.sender.is_ready()
     }
 }
+
+type ClientStream = TokioIo<BoundedStream<Box<dyn ByteStream>>>;
+
+/// Carries the exchanges of a connection, and records what follows the last response.
+async fn drive(
+    mut connection: http1::Connection<ClientStream, Full<Bytes>>,
+    progress: Arc<Progress>,
+) {
+    let ended = poll_fn(|context| connection.poll_without_shutdown(context)).await;
+    let parts = connection.into_parts();
+    if continues_body(&parts.read_buf) {
+        progress.record_surplus();
+    }
+    // hyper reads on only if the connection may carry another exchange.
+    if ended.is_err() || !parts.read_buf.is_empty() {
+        return;
+    }
+    let mut surplus = [0; SURPLUS_BYTES];
+    let read = parts.io.into_inner().read(&mut surplus).await;
+    if continues_body(&surplus[..read.unwrap_or(0)]) {
+        progress.record_surplus();
+    }
+}
--- a/crates/http/src/framing.rs
+++ b/crates/http/src/framing.rs
@@ -5,6 +5,7 @@
 
 /// The largest status that RFC 9110 (15) defines.
 const MAX_STATUS: u16 = 599;
+const RESPONSE_START: &[u8] = b"HTTP/";
 
 /// Why a response that hyper has parsed can't be trusted.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, thiserror::Error)]
@@ -50,3 +51,9 @@
     let is_only = codings.next().is_none();
     is_only && coding.is_some_and(|coding| coding.trim_ascii().eq_ignore_ascii_case(b"chunked"))
 }
+
+/// Whether bytes that follow a response belong to its body, which then is longer than its framing
+/// states. Another response that nobody asked for says nothing about the one before.
+pub(crate) fn continues_body(bytes: &[u8]) -> bool {
+    !bytes.is_empty() && !bytes.starts_with(RESPONSE_START)
+}
--- a/crates/http/src/lib.rs
+++ b/crates/http/src/lib.rs
@@ -17,7 +17,7 @@
 pub use dial::{ByteStream, Dial, TcpDial};
 pub use error::HttpError;
 pub use lines::Lines;
-pub use progress::ResponseBody;
+pub use progress::{BodyError, ResponseBody};
 pub use server::{
     Body, BodyInterrupted, ConnectionLimits, FixedLimits, Reply, empty, full, full_body,
     hold_until_sent, json, serve, serve_with_limits, stream, stream_body,
--- a/crates/http/src/progress.rs
+++ b/crates/http/src/progress.rs
@@ -3,7 +3,7 @@
 use std::io;
 use std::pin::Pin;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::task::{Context, Poll, ready};
 
 use bytes::Bytes;
@@ -16,13 +16,34 @@
 /// responses and leading zeros of a chunk's size without a limit of its own.
 const MAX_UNUSED_BYTES: usize = 128 * 1024;
 
-/// Counts the bytes of a connection that have brought its reader nothing so far.
+/// Counts the bytes of a connection that have brought its reader nothing so far, and tells whether
+/// bytes follow a response that is complete by its framing.
 #[derive(Debug, Default)]
 pub(crate) struct Progress {
     unused_bytes: AtomicUsize,
+    /// The response may have a body.
+    expects_body: AtomicBool,
+    has_surplus: AtomicBool,
 }
 
 impl Progress {
+    /// A request is being sent.
+    pub(crate) fn begin(&self, expects_body: bool) {
+        self.expects_body.store(expects_body, Ordering::Relaxed);
+        self.advance();
+    }
+
+    /// More of a body has arrived than its framing states.
+    pub(crate) fn record_surplus(&self) {
+        self.has_surplus.store(true, Ordering::Relaxed);
+    }
+
+    /// Whether the last response is longer than its framing states, as far as is known. The body
+    /// that some peers send in response to HEAD does not count.
+    pub(crate) fn has_surplus(&self) -> bool {
+        self.expects_body.load(Ordering::Relaxed) && self.has_surplus.load(Ordering::Relaxed)
+    }
+
     /// A response head or a piece of a body has been read.
     pub(crate) fn advance(&self) {
         self.unused_bytes.store(0, Ordering::Relaxed);
@@ -115,6 +136,17 @@
     }
 }
 
+/// A response's body could not be read in full.
+#[derive(Debug, thiserror::Error)]
+pub enum BodyError {
+    /// It broke off, or its framing is malformed.
+    #[error("could not read the complete body")]
+    Broken(#[source] hyper::Error),
+    /// More bytes follow than its framing states.
+    #[error("could not tell where the body ends")]
+    Surplus,
+}
+
 /// The body of a peer's response.
 #[derive(Debug)]
 pub struct ResponseBody {
@@ -130,19 +162,22 @@
 
 impl Body for ResponseBody {
     type Data = Bytes;
-    type Error = hyper::Error;
+    type Error = BodyError;
 
     fn poll_frame(
         mut self: Pin<&mut Self>,
         context: &mut Context<'_>,
-    ) -> Poll<Option<hyper::Result<Frame<Bytes>>>> {
+    ) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
         let frame = ready!(Pin::new(&mut self.incoming).poll_frame(context));
         if let Some(Ok(frame)) = &frame
             && frame.data_ref().is_some_and(|data| !data.is_empty())
         {
             self.progress.advance();
         }
-        Poll::Ready(frame)
+        if frame.is_none() && self.progress.has_surplus() {
+            return Poll::Ready(Some(Err(BodyError::Surplus)));
+        }
+        Poll::Ready(frame.map(|frame| frame.map_err(BodyError::Broken)))
     }
 
     fn is_end_stream(&self) -> bool {
