Test a process before upstreams that send bytes without an end

An operator reports that a faulty replica sent bytes without an end, in a head or in a body, and that the process that had called it kept them all and ran out of memory. The test runs `fulmarpath gateway` as a process, so that it measures the host alone.

--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -113,6 +113,16 @@
         }
     }
 
+    /// Its resident memory.
+    pub(crate) fn resident_mb(&self) -> usize {
+        let id = self.child.as_ref().expect("it was started").id();
+        let status = std::fs::read_to_string(format!("/proc/{id}/status"));
+        let status = status.expect("its status");
+        let resident = status.lines().find_map(|line| line.strip_prefix("VmRSS:"));
+        let kilobytes = resident.and_then(|size| size.trim().strip_suffix(" kB"));
+        kilobytes.map_or(0, |size| size.parse::<usize>().expect("a number") / 1_000)
+    }
+
     /// The exit status, if the process has ended.
     pub(crate) fn ended(&mut self) -> Option<ExitStatus> {
         let child = self.child.as_mut().expect("it was started");
