End a stream of endless events at its deadline

A caller of an upstream that sends events without a pause and without an end was never cut: after 20 s, with a deadline of 1.5 s and a time limit of 4 s, its stream still went on.

Cause: the deadline is the time limit of a read, and a read whose bytes are there completes before its time limit is looked at. A stream now ends as overdue 200 ms after its deadline even if there are bytes; what had arrived by the deadline, as after a suspension, is still passed on.

--- a/crates/gateway/src/relay/mod.rs
+++ b/crates/gateway/src/relay/mod.rs
@@ -45,6 +45,9 @@
 /// of them exist.
 const SILENCE_FRACTION: f32 = 0.6;
 
+/// How long after its deadline a stream is still read, for bytes that arrived before.
+const LATE_READ_MS: Millis = 200;
+
 /// Time to read the bytes that arrived while this host itself was suspended.
 const RESUME_READ_MS: Millis = 4;
 
@@ -224,6 +227,10 @@
     async fn step(&mut self) -> Result<NextStep, &'static str> {
         let now_ms = self.gateway.clock.now_ms();
         let until_ms = self.inbound.deadline_ms;
+        // Bytes that are always ready don't let the time limit of a read pass.
+        if now_ms > until_ms.saturating_add(LATE_READ_MS) {
+            return Err("stream_overdue");
+        }
         let left_ms = until_ms.saturating_sub(now_ms);
         let reads = self.handover.is_stream_open();
         let lost = self.stream.in_flight.chosen.lost.clone();
--- a/tests/endless_responses.rs
+++ b/tests/endless_responses.rs
@@ -174,6 +174,7 @@
 )]
 #[case::after_a_response(15, Endless::after_head(CHECK, "Content-Length: 0\r\n", b"x"))]
 #[case::event(16, Endless::after_head(DRAFT, "", b"data: x\n"))]
+#[case::events(17, Endless::after_head(DRAFT, "", b"data: x\n\n"))]
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn bytes_without_an_end_are_not_held(#[case] number: u8, #[case] endless: Endless) {
     let (_store, mut host, _upstream) = start(number, endless).await;
