Refuse or answer requests that a planned stop would cut

During a planned stop in calm, requests that came late in the grace period were passed on to their upstreams and cut at its end without a response, among them some that may not be repeated.

Cause: only generations were weighed against the time left. Any other request was accepted until 3.4 s after the signal, whatever its time limit, and nothing answered those that were left when the process ended.

A stopping host now refuses a request as not run, for another host to serve in time, unless its deadline or its route's time limit lies before the end of the grace period. A request that may be repeated is also accepted if the longest response of its route in the last one to two minutes, and a quarter more, leaves enough time. 100 ms before the process ends, requests that still have no response get one: 503 if they were never sent, else 504, named `stopped` in the log. The time runs from the signal; so far it began once the host's entry was removed from the store, which may take until the time limits of these calls.

--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -77,7 +77,13 @@
         inbound: InboundRequest,
         mut tracker: RequestTracker,
     ) -> Reply {
-        let result = self.try_upstreams(&inbound, &mut tracker).await;
+        if !self.can_finish(&inbound) {
+            return self.reject(tracker, Problem::Stopping);
+        }
+        let result = tokio::select! {
+            result = self.try_upstreams(&inbound, &mut tracker) => result,
+            () = self.last_responses.cancelled() => Err(tracker.problem_at_stop()),
+        };
         match result {
             Ok(response) => self.pass_on(inbound, tracker, response),
             Err(problem) => self.reject(tracker, problem),
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -9,24 +9,30 @@
 use arc_swap::ArcSwapOption;
 use fulmarpath_cluster::{CircuitBreakers, Clock};
 use fulmarpath_http::{ConnectionLimits, Dial, TcpDial};
-use fulmarpath_policy::{ColdBound, Evacuations, Millis, RetryBound, RetryWindow};
+use fulmarpath_policy::{
+    ColdBound, Evacuations, LateRequest, LongestResponses, Millis, RetryBound, RetryWindow,
+    can_finish_generation,
+};
 use parking_lot::Mutex;
 use spdlog::info;
+use tokio_util::sync::CancellationToken;
 
 use crate::cells::homes::CellDuties;
 use crate::cells::probe::ProbeTimes;
 use crate::cells::runs::Runs;
 use crate::cells::{Cells, LayoutChanged};
-use crate::configuration::{ActiveConfiguration, Configuration};
+use crate::configuration::{ActiveConfiguration, Configuration, RouteKind};
 use crate::control::EngineControl;
 use crate::dissemination::Dissemination;
 use crate::fleet::Fleet;
 use crate::head::Dialect;
+use crate::inbound::InboundRequest;
 use crate::metrics::{Metrics, PeerBytes, Readings};
 use crate::relay::stream_buffer::StreamBuffers;
 use crate::resources::{HostLimits, Resources};
 use crate::roster::Roster;
 use crate::roster::directory::{HostRegistration, RegistrationChange};
+use crate::serve::RESPONSE_RESERVE_MS;
 use crate::store::era::StoreEra;
 use crate::store::metadata::Metadata;
 use crate::store::unusable_entries::UnusableLog;
@@ -79,7 +85,7 @@
 /// One host's gateway.
 ///
 /// Lock order: roster, evacuations, instances, cells, runs, crashes, circuits, paths, tunnel hosts,
-/// members, retries, retry bound; none is held across an await.
+/// members, retries, retry bound, longest responses; none is held across an await.
 pub struct Gateway {
     pub(crate) settings: GatewaySettings,
     pub(crate) clock: Clock,
@@ -114,6 +120,9 @@
     applied_ms: AtomicU64,
     /// When the process ends, once it was told to stop; 0 before.
     stops_at_ms: AtomicU64,
+    /// Cancelled when a stopping host responds to the requests that still have no response.
+    pub(crate) last_responses: CancellationToken,
+    pub(crate) longest_responses: Mutex<LongestResponses>,
     /// The store's era in which this host last read the stored circuits.
     pub(crate) circuits_era: Mutex<Option<u64>>,
 }
@@ -162,6 +171,8 @@
             retry_bound: Mutex::new(settings.retries),
             applied_ms: AtomicU64::new(0),
             stops_at_ms: AtomicU64::new(0),
+            last_responses: CancellationToken::new(),
+            longest_responses: Mutex::default(),
             circuits_era: Mutex::default(),
             settings,
         }
@@ -343,6 +354,27 @@
         (stops_at_ms > 0).then_some(stops_at_ms)
     }
 
+    /// Whether a request may be expected to end before this host stops, if it is stopping.
+    pub(crate) fn can_finish(&self, inbound: &InboundRequest) -> bool {
+        let Some(stops_at_ms) = self.stops_at_ms() else {
+            return true;
+        };
+        let now_ms = self.clock.now_ms();
+        if let Some(generation) = &inbound.generation {
+            return can_finish_generation(now_ms, stops_at_ms, generation.output_limit_tokens);
+        }
+        let route = &inbound.route;
+        let request = LateRequest {
+            deadline_ms: inbound.deadline_ms,
+            is_repeatable: route.kind == RouteKind::Idempotent,
+            longest_ms: self
+                .longest_responses
+                .lock()
+                .longest_ms(now_ms, &route.name),
+        };
+        request.can_finish(now_ms, stops_at_ms.saturating_sub(RESPONSE_RESERVE_MS))
+    }
+
     /// Starts draining: callers are told to disconnect from then on.
     pub(crate) fn drain(&self, stops_at_ms: Millis) {
         self.stops_at_ms.store(stops_at_ms, Ordering::Relaxed);
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -10,7 +10,6 @@
 mod control;
 mod crashes;
 mod dissemination;
-mod drain;
 mod encoding;
 mod evacuations;
 mod fleet;
--- a/crates/gateway/src/problem.rs
+++ b/crates/gateway/src/problem.rs
@@ -62,8 +62,10 @@
         /// When to retry.
         retry_after_ms: Millis,
     },
-    /// This host stops before the generation could finish.
+    /// This host stops before the request could be certain to end.
     Stopping,
+    /// This host stops, and the request that it has sent has no response yet.
+    Stopped,
     /// The bodies of other requests take all room, or one organisation its share.
     NoBodyRoom,
     /// No upstream could be reached.
@@ -98,7 +100,7 @@
             | Self::NoBodyRoom
             | Self::Unreachable
             | Self::TooLateToSend => StatusCode::SERVICE_UNAVAILABLE,
-            Self::Timeout => StatusCode::GATEWAY_TIMEOUT,
+            Self::Timeout | Self::Stopped => StatusCode::GATEWAY_TIMEOUT,
             Self::Broken => StatusCode::BAD_GATEWAY,
         }
     }
@@ -126,6 +128,7 @@
             Self::Throttled { .. } => "held_back",
             Self::Quarantined { .. } => "quarantined",
             Self::Stopping => "stopping",
+            Self::Stopped => "stopped",
             Self::TooLarge => "too_large",
             Self::NoBodyRoom => "no_body_room",
             Self::Unreachable => "unreachable",
--- a/crates/gateway/src/record.rs
+++ b/crates/gateway/src/record.rs
@@ -157,6 +157,7 @@
             "too_large" => "its prompt fits into no engine of its service".to_owned(),
             "quarantined" => self.describe_quarantine(),
             "stopping" => "this host was stopping and might not have finished it".to_owned(),
+            "stopped" => format!("this host stopped before {at} answered; it may have run"),
             "unreachable" => format!("no connection to {at} could be made"),
             "too_late_to_send" => "its deadline passed before it could be sent".to_owned(),
             "timeout" => format!("{at} did not answer before the deadline"),
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -2,6 +2,7 @@
 
 use std::io::ErrorKind;
 use std::net::SocketAddr;
+use std::pin::pin;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -12,7 +13,7 @@
 use tokio::net::TcpListener;
 use tokio::sync::watch;
 use tokio::task::JoinHandle;
-use tokio::time::{sleep, timeout};
+use tokio::time::{sleep, sleep_until, timeout_at};
 
 use crate::gateway::Gateway;
 
@@ -90,6 +91,8 @@
 const LINGER_MS: Millis = 3_400;
 /// Part of the grace period reserved for closing connections and ending the process.
 const EXIT_RESERVE_MS: Millis = 400;
+/// Part of the time before that for the responses to requests that still have none.
+pub(crate) const RESPONSE_RESERVE_MS: Millis = 100;
 
 impl Gateway {
     /// Serves until `stopped`, then finishes running requests within the grace period.
@@ -125,14 +128,21 @@
         stopped.await;
         info!("host: {} stops", self.settings.host.name);
         let left_ms = self.settings.grace_ms.saturating_sub(EXIT_RESERVE_MS);
-        let linger_ms = left_ms.min(LINGER_MS);
+        let linger_ms = left_ms.saturating_sub(RESPONSE_RESERVE_MS).min(LINGER_MS);
+        let ends_at = Instant::now() + Duration::from_millis(left_ms);
+        let lingers_until = Instant::now() + Duration::from_millis(linger_ms);
         self.drain(self.clock.now_ms() + left_ms);
-        self.leave_fleet().await;
-        sleep(Duration::from_millis(linger_ms)).await;
+        // A store that doesn't answer takes no time from the requests.
+        let _ = timeout_at(lingers_until.into(), self.leave_fleet()).await;
+        sleep_until(lingers_until.into()).await;
         let _ = stop.send(true);
-        let left_ms = left_ms - linger_ms;
-        let ended = async { tokio::join!(server, self.tunnels.ended()) };
-        let finished = timeout(Duration::from_millis(left_ms), ended).await;
+        let mut ended = pin!(async { tokio::join!(server, self.tunnels.ended()) });
+        let responds_at = ends_at - Duration::from_millis(RESPONSE_RESERVE_MS);
+        let mut finished = timeout_at(responds_at.into(), ended.as_mut()).await;
+        if finished.is_err() {
+            self.last_responses.cancel();
+            finished = timeout_at(ends_at.into(), ended).await;
+        }
         match finished {
             Ok(_) => info!("host: {} stopped, all is answered", self.settings.host.name),
             Err(_) => info!(
--- a/crates/gateway/src/start.rs
+++ b/crates/gateway/src/start.rs
@@ -10,7 +10,6 @@
 
 use crate::attempt::{DispatchOptions, Failure, UpstreamResponse};
 use crate::configuration::EngineTraits;
-use crate::drain::can_finish;
 use crate::gateway::Gateway;
 use crate::inbound::InboundRequest;
 use crate::key::data_centre_key;
@@ -89,7 +88,11 @@
             return Err(Problem::Stopping);
         }
         let started = self.start_on_any(inbound, run_guard, tracker, attempts, inbound.last_event);
-        match started.await {
+        let started = tokio::select! {
+            started = started => started,
+            () = self.last_responses.cancelled() => Err(tracker.problem_at_stop()),
+        };
+        match started {
             Ok(started) => Ok(started),
             Err(problem) => {
                 let problem =
@@ -254,14 +257,6 @@
         dispatch.await
     }
 
-    /// Whether the generation is certain to end before this host stops, if it is stopping.
-    fn can_finish(&self, inbound: &InboundRequest) -> bool {
-        let (Some(ends_ms), Some(generation)) = (self.stops_at_ms(), &inbound.generation) else {
-            return true;
-        };
-        can_finish(self.clock.now_ms(), ends_ms, generation.output_limit_tokens)
-    }
-
     /// Requests a placement from the cell's home until there is capacity. Returns `None` if no
     /// engine is left to try.
     async fn find_engine(
--- a/crates/gateway/src/tracker.rs
+++ b/crates/gateway/src/tracker.rs
@@ -201,6 +201,14 @@
         self.gateway.metrics.stream_end(framing, end);
     }
 
+    /// The problem to report if this host stops before the request has a response.
+    pub(crate) fn problem_at_stop(&self) -> Problem {
+        match self.dispatches.is_empty() {
+            true => Problem::Stopping,
+            false => Problem::Stopped,
+        }
+    }
+
     /// Ends the request with a response of the gateway itself.
     pub(crate) fn end_with_problem(&mut self, problem: Problem) {
         if let Problem::Quarantined { content, .. } = problem {
@@ -214,6 +222,12 @@
         if std::mem::replace(&mut self.ended, true) {
             return;
         }
+        let now_ms = self.gateway.clock.now_ms();
+        let took_ms = now_ms.saturating_sub(self.arrived_ms);
+        let longest_responses = &self.gateway.longest_responses;
+        longest_responses
+            .lock()
+            .record(now_ms, &self.route, took_ms);
         let kind = self.kind;
         let labels = EndLabels { kind, outcome };
         self.gateway.metrics.requests.get_or_create(&labels).inc();
