--- a/crates/http/src/connection.rs
+++ b/crates/http/src/connection.rs
@@ -77,7 +77,7 @@
         let Ok((sender, driver)) = handshake.await else {
             return Err(HttpError::Unreachable { address });
         };
-        let driver = tokio::spawn(drive(driver, progress.clone()));
+        let driver = tokio::spawn(drive(address, driver, progress.clone()));
         Ok(Self {
             address,
             sender,
@@ -136,21 +136,24 @@
 
 /// Carries the exchanges of a connection, and records what follows the last response.
 async fn drive(
+    address: SocketAddr,
     mut connection: http1::Connection<ClientStream, Full<Bytes>>,
     progress: Arc<Progress>,
 ) {
     let ended = poll_fn(|context| connection.poll_without_shutdown(context)).await;
     let parts = connection.into_parts();
-    if continues_body(&parts.read_buf) {
-        progress.record_surplus();
-    }
     // hyper reads on only if the connection may carry another exchange.
-    if ended.is_err() || !parts.read_buf.is_empty() {
+    let reads_on = ended.is_ok() && parts.read_buf.is_empty();
+    let mut rest = [0; SURPLUS_BYTES];
+    let read = match reads_on {
+        true => parts.io.into_inner().read(&mut rest).await.unwrap_or(0),
+        false => 0,
+    };
+    if !continues_body(&parts.read_buf) && !continues_body(&rest[..read]) {
         return;
     }
-    let mut surplus = [0; SURPLUS_BYTES];
-    let read = parts.io.into_inner().read(&mut surplus).await;
-    if continues_body(&surplus[..read.unwrap_or(0)]) {
-        progress.record_surplus();
+    progress.record_surplus();
+    if progress.has_surplus() {
+        info!("http: {address} sent more than its response has by its framing");
     }
 }
