--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -12,6 +12,8 @@
     HOST, ReceivedResponse, RequestKind, StandInPlain, StandInStore, configuration, entry,
     exchange, sample_request, settings_file,
 };
+use hyper::Request;
+use hyper::http::request::Builder;
 use tokio::time::sleep;
 
 pub(crate) const KEY: &str = "key-of-one";
@@ -195,6 +197,16 @@
     }
 }
 
+/// Begins a request on a route of the configuration.
+pub(crate) fn request(path: &str, id: &str, deadline_ms: u64) -> Builder {
+    Request::builder()
+        .uri(path)
+        .header("host", HOST)
+        .header("authorization", format!("Bearer {KEY}"))
+        .header("fulmarpath-request-id", id)
+        .header("fulmarpath-request-deadline-ms", deadline_ms)
+}
+
 /// Starts a store with a configuration and one upstream of the service `portal`.
 pub(crate) async fn store_with_upstream() -> (StandInStore, StandInPlain) {
     store_at(SocketAddr::from((Ipv4Addr::LOCALHOST, 0))).await
--- a/tests/endless_responses.rs
+++ b/tests/endless_responses.rs
@@ -6,14 +6,13 @@
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
-use common::{CALLER_PORT, GatewayProcess, KEY, TEST_TIMEOUT};
+use common::{CALLER_PORT, GatewayProcess, KEY, TEST_TIMEOUT, request};
 use fulmarpath_platform_standin::{
-    HOST, RawUpstream, ReceivedRequest, ReceivedResponse, StandInStore, configuration, entry,
-    exchange, signed_head,
+    RawUpstream, ReceivedRequest, ReceivedResponse, StandInStore, configuration, entry, exchange,
+    signed_head,
 };
 use futures::future::join_all;
 use http_body_util::Full;
-use hyper::Request;
 use rstest::rstest;
 use tokio::io::AsyncWriteExt;
 use tokio::time::sleep;
@@ -138,12 +137,7 @@
 }
 
 async fn call(callers: SocketAddr, path: &str, id: &str) -> ReceivedResponse {
-    let request = Request::builder()
-        .uri(path)
-        .header("host", HOST)
-        .header("authorization", format!("Bearer {KEY}"))
-        .header("fulmarpath-request-id", id)
-        .header("fulmarpath-request-deadline-ms", DEADLINE_MS)
+    let request = request(path, id, DEADLINE_MS)
         .header("fulmarpath-model", "m")
         .header("fulmarpath-token-usage", "1000,48")
         .header("fulmarpath-prompt-prefix", "5c1e:100,91bd:900")
--- a/tests/planned_stops.rs
+++ b/tests/planned_stops.rs
@@ -6,13 +6,12 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use common::{CALLER_PORT, GatewayProcess, KEY};
+use common::{CALLER_PORT, GatewayProcess, KEY, request};
 use fulmarpath_platform_standin::{
-    HOST, RawUpstream, ReceivedRequest, ReceivedResponse, StandInStore, configuration, entry,
-    exchange, signed_head,
+    RawUpstream, ReceivedRequest, ReceivedResponse, StandInStore, configuration, entry, exchange,
+    signed_head,
 };
 use http_body_util::Full;
-use hyper::Request;
 use rstest::rstest;
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
@@ -71,12 +70,7 @@
 }
 
 async fn call(callers: SocketAddr, id: &str, path: &str, deadline_ms: u64) -> ReceivedResponse {
-    let request = Request::builder()
-        .uri(path)
-        .header("host", HOST)
-        .header("authorization", format!("Bearer {KEY}"))
-        .header("fulmarpath-request-id", id)
-        .header("fulmarpath-request-deadline-ms", deadline_ms)
+    let request = request(path, id, deadline_ms)
         .body(Full::new(Bytes::new()))
         .expect("a request");
     exchange(callers, request, TIME_LIMIT).await
