Don't pass on the sizes of chunks as a part of a body

If the field that states chunks is misspelt or lost, callers got 200, complete, with the sizes of the chunks in the body, or with an event that begins with one.

Cause: without a length or a coding, a body ends with its connection, and its bytes are taken as they come. A whole body that is made of chunks to its last byte, and an event whose first line is a chunk's size, are now taken for what they are: the response is malformed. No event begins so, and a body without a length that happens to be a sequence of chunks is none that a caller expects.

--- a/crates/gateway/src/relay/engine_stream.rs
+++ b/crates/gateway/src/relay/engine_stream.rs
@@ -14,7 +14,7 @@
 use crate::attempt::UpstreamResponse;
 use crate::gateway::Gateway;
 use crate::relay::events::{EventBuffer, EventTooLong};
-use crate::relay::framing::{EVENT_SURPLUS_WAIT, Framing, SURPLUS_WAIT};
+use crate::relay::framing::{EVENT_SURPLUS_WAIT, Framing, SURPLUS_WAIT, begins_with_chunk_size};
 use crate::tracker::InFlightRequest;
 use crate::upstreams::instance::Destination;
 
@@ -81,6 +81,11 @@
         self.framing == Framing::Close
     }
 
+    /// Whether an event is a part of the framing instead, which the head does not state.
+    pub(crate) fn is_chunk_size(&self, event: &[u8]) -> bool {
+        self.has_events && self.ends_with_connection() && begins_with_chunk_size(event)
+    }
+
     fn surplus_wait(&self) -> Duration {
         match self.framing {
             Framing::Length if self.has_events => EVENT_SURPLUS_WAIT,
--- a/crates/gateway/src/relay/mod.rs
+++ b/crates/gateway/src/relay/mod.rs
@@ -354,6 +354,9 @@
         let mut fresh = BytesMut::new();
         let mut count = 0;
         for event in split_events(&piece) {
+            if self.stream.is_chunk_size(&event) {
+                return Err(BodyInterrupted);
+            }
             let number = self.gateway.dialect.event_number(&event);
             if let (Some(number), Some(last)) = (number, self.last_event) {
                 if number <= last {
--- a/crates/gateway/src/relay/response.rs
+++ b/crates/gateway/src/relay/response.rs
@@ -20,7 +20,7 @@
 use crate::gateway::Gateway;
 use crate::hop;
 use crate::inbound::InboundRequest;
-use crate::relay::framing::{Framing, SURPLUS_WAIT};
+use crate::relay::framing::{Framing, SURPLUS_WAIT, is_made_of_chunks};
 use crate::relay::response_buffer::ResponseBuffer;
 use crate::relay::stream_buffer::BufferWriter;
 use crate::tracker::{InFlightRequest, RequestTracker};
@@ -165,6 +165,11 @@
             }
         }
         let buffered = buffer.into_bytes();
+        let is_whole = unbuffered.is_none();
+        if framing == Framing::Close && is_whole && is_made_of_chunks(&buffered) {
+            rest.in_flight.set_verdict(Verdict::Failed);
+            return Err(Failure::Unknown);
+        }
         let body = match unbuffered {
             None => ReadBody::Whole(buffered),
             Some(next) => ReadBody::Partial(Box::new(PartialBody {
