--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -81,6 +81,7 @@
             return self.reject(tracker, Problem::Stopping);
         }
         let result = tokio::select! {
+            biased;
             result = self.try_upstreams(&inbound, &mut tracker) => result,
             () = self.last_responses.cancelled() => Err(tracker.problem_at_stop()),
         };
--- a/crates/gateway/src/relay/engine_stream.rs
+++ b/crates/gateway/src/relay/engine_stream.rs
@@ -81,7 +81,7 @@
         self.framing == Framing::Close
     }
 
-    /// Whether an event is a part of the framing instead, which the head does not state.
+    /// Whether an event begins with the size of a chunk, although the head states no chunks.
     pub(crate) fn is_chunk_size(&self, event: &[u8]) -> bool {
         self.has_events && self.ends_with_connection() && begins_with_chunk_size(event)
     }
--- a/crates/gateway/src/start.rs
+++ b/crates/gateway/src/start.rs
@@ -89,6 +89,7 @@
         }
         let started = self.start_on_any(inbound, run_guard, tracker, attempts, inbound.last_event);
         let started = tokio::select! {
+            biased;
             started = started => started,
             () = self.last_responses.cancelled() => Err(tracker.problem_at_stop()),
         };
@@ -432,8 +433,8 @@
     }
 }
 
-/// Whether a response is an error of the engine, or a stream that may be passed on. A success without
-/// a signature does not come from the engine itself, and each generation has an event.
+/// Whether a response is an error of the engine, or a stream that may be passed on. A success
+/// without a signature does not come from the engine itself, and each generation has an event.
 fn is_usable(response: &UpstreamResponse, may_be_empty: bool) -> bool {
     if !response.http.status().is_success() {
         return true;
