Count only what upstreams answered as a route's response time

A repeatable request that came late in a stop was refused, as nothing was known of its route, and the next one was accepted: the refusal itself had been recorded as a response of 0 ms, so that a request that may take 5 s looked as if it ended in time.

Cause: the longest response was recorded for each request that ended, refusals and callers that leave among them. Only answers and requests that ran into their time limit (504) count now.

--- a/crates/gateway/src/tracker.rs
+++ b/crates/gateway/src/tracker.rs
@@ -4,6 +4,7 @@
 
 use fulmarpath_policy::{ContentKey, EngineSnapshot, Millis, Verdict};
 use fulmarpath_wire::CellKey;
+use hyper::StatusCode;
 use spdlog::info;
 
 use crate::configuration::{Route, RouteKind};
@@ -222,12 +223,10 @@
         if std::mem::replace(&mut self.ended, true) {
             return;
         }
-        let now_ms = self.gateway.clock.now_ms();
-        let took_ms = now_ms.saturating_sub(self.arrived_ms);
-        let longest_responses = &self.gateway.longest_responses;
-        longest_responses
-            .lock()
-            .record(now_ms, &self.route, took_ms);
+        // Refusals, and callers that leave, don't show how long a response takes.
+        if outcome == ANSWERED || status == StatusCode::GATEWAY_TIMEOUT {
+            self.record_response_time();
+        }
         let kind = self.kind;
         let labels = EndLabels { kind, outcome };
         self.gateway.metrics.requests.get_or_create(&labels).inc();
@@ -240,6 +239,13 @@
         }
     }
 
+    fn record_response_time(&self) {
+        let now_ms = self.gateway.clock.now_ms();
+        let took_ms = now_ms.saturating_sub(self.arrived_ms);
+        let mut longest_responses = self.gateway.longest_responses.lock();
+        longest_responses.record(now_ms, &self.route, took_ms);
+    }
+
     fn record(&self, outcome: &str, status: u16) -> RequestRecord {
         let name = |content: ContentKey| format!("{:016x}", content.0);
         RequestRecord {
--- a/tests/planned_stops.rs
+++ b/tests/planned_stops.rs
@@ -150,6 +150,10 @@
     };
     assert_eq!(seen, expected);
     assert_eq!(is_sent, late.expected != Expected::NotRun);
+    if late.expected == Expected::NotRun {
+        let again = call(callers, "again", path, deadline_ms).await;
+        assert_eq!(again.status, 503, "a refusal tells nothing of its route");
+    }
     assert_eq!(host.end().await.code(), Some(0));
     assert!(signal.elapsed() < GRACE, "{:?}", signal.elapsed());
 }
